Add a first path from callers to executors and workers

Crates for identifiers, configuration, HTTP, platform clients, the protocol between daemons, the daemon and the stand-ins.

Ownership is claimed through the log; takeover, leases after a failure, admission and the placement policy are still missing.

--- /dev/null
+++ b/crates/magnolia-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benchmarks of the decision logic.
--- /dev/null
+++ b/crates/magnolia-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The magnoliactl command-line tool.
--- /dev/null
+++ b/crates/magnolia-daemon/src/context.rs
@@ -0,0 +1,112 @@
+//! What all parts of the daemon share.
+
+use std::sync::Arc;
+
+use magnolia_config::{CellConfig, ConfigDocument};
+use magnolia_http::{HttpClient, PoolSettings};
+use magnolia_platform::{
+    ExecutorClient, HttpExecutorClient, HttpInstanceList, HttpLogService, HttpWorkerClient,
+    InstanceList, LogService, WorkerClient,
+};
+use magnolia_types::Incarnation;
+use tokio::sync::watch;
+
+use crate::clock::DaemonClock;
+use crate::identity::DaemonIdentity;
+use crate::membership::MemberList;
+use crate::metrics::MetricRecorder;
+use crate::ownership::ClaimBook;
+use crate::partition::PartitionRegistry;
+use crate::peers::PeerLink;
+use crate::quick::GroupRegistry;
+use crate::settings::DaemonSettings;
+
+/// Where the daemon is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LifecyclePhase {
+    /// No configuration yet.
+    Starting,
+    /// Takes work.
+    Ready,
+    /// Finishes what is in flight and takes nothing new.
+    Draining,
+}
+
+/// Shared parts of the daemon.
+pub struct DaemonContext {
+    /// Settings.
+    pub settings: DaemonSettings,
+    /// Who this daemon is.
+    pub identity: DaemonIdentity,
+    /// Monotonic clock.
+    pub clock: DaemonClock,
+    /// Metrics.
+    pub metrics: Arc<MetricRecorder>,
+    /// The platform's log.
+    pub log: Arc<dyn LogService>,
+    /// The platform's instance list.
+    pub instances: Arc<dyn InstanceList>,
+    /// Workers.
+    pub workers: Arc<dyn WorkerClient>,
+    /// Executors.
+    pub executors: Arc<dyn ExecutorClient>,
+    /// Calls to other daemons.
+    pub peers: PeerLink,
+    /// Configuration in force.
+    pub config: watch::Sender<Arc<CellConfig>>,
+    /// Known claims.
+    pub claims: ClaimBook,
+    /// Live daemons.
+    pub members: MemberList,
+    /// Partitions that this daemon owns.
+    pub partitions: PartitionRegistry,
+    /// Executor groups that this daemon owns.
+    pub groups: GroupRegistry,
+    /// Phase of life.
+    pub phase: watch::Sender<LifecyclePhase>,
+}
+
+impl DaemonContext {
+    /// Creates the context with HTTP clients of the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the metrics socket cannot be opened.
+    pub fn new(settings: DaemonSettings) -> std::io::Result<Self> {
+        let client = HttpClient::new(PoolSettings::new());
+        let identity = DaemonIdentity {
+            daemon: settings.daemon.clone(),
+            incarnation: Incarnation::new(rand::random()),
+            data_centre: settings.data_centre.clone(),
+            address: settings.inner_advertise,
+        };
+        Ok(Self {
+            metrics: Arc::new(MetricRecorder::new(settings.statsd)?),
+            log: Arc::new(HttpLogService::new(client.clone(), settings.log)),
+            instances: Arc::new(HttpInstanceList::new(client.clone(), settings.instances)),
+            workers: Arc::new(HttpWorkerClient::new(client.clone())),
+            executors: Arc::new(HttpExecutorClient::new(client.clone())),
+            peers: PeerLink::new(client),
+            config: watch::Sender::new(Arc::new(CellConfig::new())),
+            claims: ClaimBook::new(),
+            members: MemberList::new(),
+            partitions: PartitionRegistry::new(),
+            groups: GroupRegistry::new(),
+            phase: watch::Sender::new(LifecyclePhase::Starting),
+            clock: DaemonClock::new(),
+            identity,
+            settings,
+        })
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Arc<CellConfig> {
+        Arc::clone(&self.config.borrow())
+    }
+
+    /// Runs `read` on the inventory and rules in force, if there are any.
+    pub fn with_document<T>(&self, read: impl FnOnce(&ConfigDocument) -> T) -> Option<T> {
+        self.config().document.as_ref().map(read)
+    }
+}
--- /dev/null
+++ b/crates/magnolia-http/src/json.rs
@@ -0,0 +1,73 @@
+//! JSON bodies and error responses.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
+use magnolia_types::{Ran, ResultCode};
+use serde::{Deserialize, Serialize};
+
+use crate::HttpResponse;
+
+/// Body of every refusal and failure.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// Numbered code.
+    pub code: ResultCode,
+    /// Name of the code.
+    pub name: Arc<str>,
+    /// Whether the work ran.
+    pub ran: Ran,
+    /// Reason in one sentence.
+    pub message: Arc<str>,
+}
+
+impl ErrorBody {
+    /// Creates the body for `code`.
+    pub fn new(code: ResultCode, message: &str) -> Self {
+        Self {
+            code,
+            name: code.name().into(),
+            ran: code.ran(),
+            message: message.into(),
+        }
+    }
+}
+
+/// Makes a response with a JSON body.
+pub fn json_response<T: Serialize>(status: u16, body: &T) -> HttpResponse {
+    let bytes = serde_json::to_vec(body).unwrap_or_default();
+    let mut response = Response::new(Full::new(Bytes::from(bytes)));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let json = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+/// Makes the response of a refusal or failure.
+pub fn error_response(code: ResultCode, message: &str) -> HttpResponse {
+    json_response(code.http_status(), &ErrorBody::new(code, message))
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Fails with [`ResultCode::BodyTooLarge`], or with [`ResultCode::BadRequest`] when the body ends
+/// early.
+pub async fn read_body<B>(body: B, limit: usize) -> Result<Bytes, ResultCode>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(ResultCode::BodyTooLarge)
+        }
+        Err(_) => Err(ResultCode::BadRequest),
+    }
+}
--- /dev/null
+++ b/crates/magnolia-http/src/lib.rs
@@ -0,0 +1,16 @@
+//! HTTP/1.1 server and pooled client over hyper.
+//!
+//! The client keeps connections to each peer, bounds every call by a timeout, gives up old and
+//! silent connections, and says of each failure whether the request can have reached the peer.
+
+mod client;
+mod error;
+mod json;
+mod pool;
+mod server;
+
+pub use client::{HttpAnswer, HttpClient};
+pub use error::HttpError;
+pub use json::{ErrorBody, error_response, json_response, read_body};
+pub use pool::PoolSettings;
+pub use server::{HttpBody, HttpHandler, HttpRequest, HttpResponse, serve};
--- /dev/null
+++ b/crates/magnolia-platform/src/http_log.rs
@@ -0,0 +1,149 @@
+//! HTTP client of the log service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::prelude::{BASE64_STANDARD, Engine};
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use magnolia_http::{HttpAnswer, HttpClient, HttpError};
+use magnolia_types::{LogOffset, Millis, wire_types};
+
+use crate::{LogPage, LogRecord, LogService, PlatformError};
+
+wire_types! {
+    /// Body of `POST /v1/streams/{stream}/records`.
+    #[serde(deny_unknown_fields)]
+    pub struct AppendBody {
+        /// Record in base64.
+        pub data: String,
+    }
+
+    /// Answer to an append.
+    pub struct AppendAnswer {
+        /// Offset of the record.
+        pub offset: LogOffset,
+    }
+
+    /// One record of a read.
+    pub struct RecordBody {
+        /// Offset of the record.
+        pub offset: LogOffset,
+        /// Record in base64.
+        pub data: String,
+    }
+
+    /// Answer to a read.
+    pub struct ReadAnswer {
+        /// Oldest offset kept.
+        pub first: LogOffset,
+        /// Offset of the next append.
+        pub next: LogOffset,
+        /// Records in offset order.
+        pub records: Vec<RecordBody>,
+    }
+}
+
+impl TryFrom<ReadAnswer> for LogPage {
+    type Error = HttpError;
+
+    fn try_from(answer: ReadAnswer) -> Result<Self, Self::Error> {
+        let records = answer.records.into_iter().map(LogRecord::try_from);
+        Ok(Self {
+            first: answer.first,
+            next: answer.next,
+            records: records.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl TryFrom<RecordBody> for LogRecord {
+    type Error = HttpError;
+
+    fn try_from(record: RecordBody) -> Result<Self, Self::Error> {
+        let data = BASE64_STANDARD
+            .decode(record.data)
+            .map_err(|error| HttpError::Malformed(error.to_string()))?;
+        Ok(Self {
+            offset: record.offset,
+            data: Bytes::from(data),
+        })
+    }
+}
+
+/// Log service over HTTP/JSON.
+pub struct HttpLogService {
+    client: HttpClient,
+    address: SocketAddr,
+    call_timeout: Duration,
+}
+
+impl HttpLogService {
+    /// Longest time of one call, without the wait of a long poll.
+    pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+    /// Creates a client of the log at `address`.
+    pub fn new(client: HttpClient, address: SocketAddr) -> Self {
+        Self {
+            client,
+            address,
+            call_timeout: Self::CALL_TIMEOUT,
+        }
+    }
+
+    /// Sets the longest time of one call.
+    #[must_use]
+    pub fn with_call_timeout(mut self, timeout: Duration) -> Self {
+        self.call_timeout = timeout;
+        self
+    }
+}
+
+/// Passes a success on and makes a refusal of anything else.
+pub(crate) fn success(answer: HttpAnswer) -> Result<HttpAnswer, PlatformError> {
+    if answer.status.is_success() {
+        Ok(answer)
+    } else {
+        Err(PlatformError::new_refused(
+            answer.status.as_u16(),
+            &answer.body,
+        ))
+    }
+}
+
+impl LogService for HttpLogService {
+    fn append<'a>(
+        &'a self,
+        stream: &'a str,
+        data: Bytes,
+    ) -> BoxFuture<'a, Result<LogOffset, PlatformError>> {
+        Box::pin(async move {
+            let path = format!("/v1/streams/{stream}/records");
+            let body = AppendBody {
+                data: BASE64_STANDARD.encode(&data),
+            };
+            let answer = self
+                .client
+                .post_json(self.address, &path, &body, self.call_timeout)
+                .await?;
+            Ok(success(answer)?.json::<AppendAnswer>()?.offset)
+        })
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a str,
+        from: LogOffset,
+        wait: Millis,
+        max: usize,
+    ) -> BoxFuture<'a, Result<LogPage, PlatformError>> {
+        Box::pin(async move {
+            let (from, wait_ms) = (from.get(), wait.get());
+            let path =
+                format!("/v1/streams/{stream}/records?from={from}&wait_ms={wait_ms}&max={max}");
+            let limit = self.call_timeout + Duration::from(wait);
+            let answer = self.client.get(self.address, &path, limit).await?;
+            Ok(LogPage::try_from(success(answer)?.json::<ReadAnswer>()?)?)
+        })
+    }
+}
--- /dev/null
+++ b/crates/magnolia-platform/src/http_worker.rs
@@ -0,0 +1,72 @@
+//! HTTP client of workers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+use magnolia_http::HttpClient;
+
+use crate::http_log::success;
+use crate::{CommandAnswer, CommandBatch, FenceRequest, PlatformError, WorkerClient, WorkerReport};
+
+/// Workers over HTTP/JSON.
+pub struct HttpWorkerClient {
+    client: HttpClient,
+    call_timeout: Duration,
+}
+
+impl HttpWorkerClient {
+    /// Longest time of one call.
+    pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+    /// Creates a client.
+    pub fn new(client: HttpClient) -> Self {
+        Self {
+            client,
+            call_timeout: Self::CALL_TIMEOUT,
+        }
+    }
+
+    async fn post<T: serde::Serialize + Sync>(
+        &self,
+        worker: SocketAddr,
+        path: &str,
+        body: &T,
+    ) -> Result<CommandAnswer, PlatformError> {
+        let answer = self
+            .client
+            .post_json(worker, path, body, self.call_timeout)
+            .await?;
+        Ok(success(answer)?.json()?)
+    }
+}
+
+impl WorkerClient for HttpWorkerClient {
+    fn status<'a>(
+        &'a self,
+        worker: SocketAddr,
+        partition: &'a str,
+    ) -> BoxFuture<'a, Result<WorkerReport, PlatformError>> {
+        Box::pin(async move {
+            let path = format!("/v1/status?partition={partition}");
+            let answer = self.client.get(worker, &path, self.call_timeout).await?;
+            Ok(success(answer)?.json()?)
+        })
+    }
+
+    fn fence<'a>(
+        &'a self,
+        worker: SocketAddr,
+        request: &'a FenceRequest,
+    ) -> BoxFuture<'a, Result<CommandAnswer, PlatformError>> {
+        Box::pin(self.post(worker, "/v1/fence", request))
+    }
+
+    fn command<'a>(
+        &'a self,
+        worker: SocketAddr,
+        batch: &'a CommandBatch,
+    ) -> BoxFuture<'a, Result<CommandAnswer, PlatformError>> {
+        Box::pin(self.post(worker, "/v1/commands", batch))
+    }
+}
--- /dev/null
+++ b/crates/magnolia-platform/src/lib.rs
@@ -0,0 +1,31 @@
+//! Clients of the platform's log service, instance list, workers and executors.
+//!
+//! Each outside system is one trait with one HTTP/JSON implementation; the wire types are those
+//! of the platform's published interface.
+
+mod error;
+mod executor;
+mod http_executor;
+mod http_instances;
+mod http_log;
+mod http_worker;
+mod instances;
+mod log_service;
+mod worker;
+
+pub use error::PlatformError;
+pub use executor::{
+    ExecuteAnswer, ExecuteCall, ExecutorClient, ExecutorStatus, HEADER_DEADLINE_MS, HEADER_NOT_RUN,
+    HEADER_REQUEST_ID,
+};
+pub use http_executor::HttpExecutorClient;
+pub use http_instances::HttpInstanceList;
+pub use http_log::{AppendAnswer, AppendBody, HttpLogService, ReadAnswer, RecordBody};
+pub use http_worker::HttpWorkerClient;
+pub use instances::{InstanceEntry, InstanceKind, InstanceList, InstanceState};
+pub use log_service::{LogPage, LogRecord, LogService};
+pub use worker::{
+    AttemptEnd, AttemptReport, AttemptState, CommandAnswer, CommandBatch, FenceRequest,
+    RefusedStart, StartCommand, StartRefusal, StopCommand, ThrottleCommand, WorkerClient,
+    WorkerReport,
+};
--- /dev/null
+++ b/crates/magnolia-types/src/quantities.rs
@@ -0,0 +1,50 @@
+//! Quantities with their units.
+
+use crate::number_type;
+
+/// Text that is not a quantity of the wanted kind.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{kind}: {text:?} is not a whole number of units")]
+pub struct ParseQuantityError {
+    kind: &'static str,
+    text: String,
+}
+
+impl ParseQuantityError {
+    #[doc(hidden)]
+    pub fn new(kind: &'static str, text: &str) -> Self {
+        Self {
+            kind,
+            text: text.chars().take(64).collect(),
+        }
+    }
+}
+
+number_type!(
+    /// Milliseconds: a duration, or a reading of a monotonic clock.
+    Millis,
+    "ms"
+);
+number_type!(
+    /// Thousandths of a processor.
+    CpuMillis,
+    "m"
+);
+number_type!(
+    /// Mebibytes of memory.
+    MemoryMib,
+    "MiB"
+);
+
+impl Millis {
+    /// Creates the value from whole seconds.
+    pub const fn from_secs(seconds: u64) -> Self {
+        Self::new(seconds.saturating_mul(1000))
+    }
+}
+
+impl From<Millis> for std::time::Duration {
+    fn from(millis: Millis) -> Self {
+        Self::from_millis(millis.get())
+    }
+}
