--- a/crates/magnolia-daemon/src/membership.rs
+++ b/crates/magnolia-daemon/src/membership.rs
@@ -57,6 +57,11 @@
         members.sort_by(|a, b| a.daemon.cmp(&b.daemon));
         members
     }
+
+    /// Describes the members for the state dump.
+    pub fn dump(&self) -> serde_json::Value {
+        serde_json::json!(self.live_daemons())
+    }
 }
 
 /// Reads the instance list until the daemon ends.
--- a/crates/magnolia-daemon/src/partition/registry.rs
+++ b/crates/magnolia-daemon/src/partition/registry.rs
@@ -46,4 +46,10 @@
         owners.insert(unit, commands);
         true
     }
+
+    /// Describes the owners for the state dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let owners = self.owners.lock().unwrap_or_else(PoisonError::into_inner);
+        serde_json::json!(owners.keys().collect::<Vec<_>>())
+    }
 }
--- a/crates/magnolia-daemon/src/quick/group.rs
+++ b/crates/magnolia-daemon/src/quick/group.rs
@@ -46,6 +46,16 @@
         }
     }
 
+    /// Describes the groups for the state dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
+        let free: BTreeMap<String, u32> = groups
+            .iter()
+            .map(|(unit, group)| (unit.to_string(), group.free_slots()))
+            .collect();
+        serde_json::json!({ "free_slots": free })
+    }
+
     fn get(&self, unit: &UnitId) -> Option<Arc<ExecutorGroup>> {
         self.groups
             .lock()
--- a/crates/magnolia-policy/src/routing.rs
+++ b/crates/magnolia-policy/src/routing.rs
@@ -1,6 +1,6 @@
 //! Which executor, or which owner of executors, gets a quick request.
 
-use magnolia_types::Millis;
+use std::time::Duration;
 
 /// A candidate for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,7 +12,7 @@
     /// Whether the candidate is in the data centre of the chooser.
     pub same_centre: bool,
     /// Smoothed round-trip time, once measured.
-    pub round_trip: Option<Millis>,
+    pub round_trip: Option<Duration>,
 }
 
 /// Chooses among candidates.
