--- a/crates/magnolia-policy/src/lib.rs
+++ b/crates/magnolia-policy/src/lib.rs
@@ -4,10 +4,19 @@
 //! randomness as a generator of the caller.
 
 mod admission;
+mod choosers;
+mod factory;
+mod fifo_admission;
+mod first_fit;
 mod placement;
+mod room_ledger;
 mod routing;
 
 pub use admission::{AdmissionEntry, AdmissionPolicy, AdmissionRefusal, AdmissionTicket};
+pub use choosers::{RandomChooser, TwoChoiceChooser};
+pub use factory::{new_admission, new_chooser, new_engine};
+pub use fifo_admission::FifoAdmission;
+pub use first_fit::FirstFitEngine;
 pub use placement::{
     AttemptRecord, PlacementDecision, PlacementEngine, PreemptionMeans, TaskEnd, WaitingJob,
     WorkerCondition, WorkerView,
--- a/crates/magnolia-policy/src/placement.rs
+++ b/crates/magnolia-policy/src/placement.rs
@@ -147,7 +147,7 @@
     /// Takes note of measured usage.
     fn observe_usage(&mut self, attempt: &AttemptId, usage: ResourceVector);
 
-    /// Decides, at most `limit` starts.
+    /// Decides, at most `limit` starts; a gang is never split and may go beyond the limit.
     fn decide(&mut self, now: Millis, limit: usize) -> Vec<PlacementDecision>;
 
     /// Explains why a job waits, a sentence a line.
