--- /dev/null
+++ b/crates/magnolia-policy/src/estimates.rs
@@ -0,0 +1,194 @@
+//! Learned corrections of declared sizes and run times.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+
+use magnolia_types::{Millis, ResourceVector};
+
+/// Number of the newest observations that count.
+const WINDOW: usize = 32;
+/// Fewer observations than this change nothing.
+const MIN_SIZE_SAMPLES: usize = 16;
+/// Fewer observations than this give no run time.
+const MIN_RUN_SAMPLES: usize = 8;
+/// Room above the largest observed peak, because usage lags and the window is short.
+const SIZE_MARGIN: f32 = 1.15;
+/// A declared size is never cut below this share.
+const MIN_SIZE_RATIO: f32 = 0.25;
+/// A declared size is never raised beyond this multiple.
+const MAX_SIZE_RATIO: f32 = 4.0;
+/// Usage this close to the reserved room was cut off by it.
+const CLIPPED_SHARE: f32 = 0.95;
+/// Growth of the estimate when usage was cut off by the reserved room.
+const CLIPPED_GROWTH: f32 = 1.25;
+/// Quantile of run times that counts as expected, in percent: late ends delay gangs.
+const RUN_QUANTILE_PERCENT: usize = 90;
+
+/// The newest observations of one number.
+#[derive(Clone, Debug, Default)]
+struct SampleWindow {
+    samples: Vec<f32>,
+    next: usize,
+}
+
+impl SampleWindow {
+    fn push(&mut self, sample: f32) {
+        if self.samples.len() < WINDOW {
+            self.samples.push(sample);
+        } else {
+            self.samples[self.next % WINDOW] = sample;
+        }
+        self.next += 1;
+    }
+
+    fn max(&self) -> f32 {
+        self.samples.iter().copied().fold(0.0, f32::max)
+    }
+
+    fn run_quantile(&self) -> Option<f32> {
+        if self.samples.len() < MIN_RUN_SAMPLES {
+            return None;
+        }
+        let mut sorted = self.samples.clone();
+        sorted.sort_by(f32::total_cmp);
+        let rank = (sorted.len() * RUN_QUANTILE_PERCENT).div_ceil(100) - 1;
+        sorted.get(rank).copied()
+    }
+
+    fn size_ratio(&self) -> f32 {
+        if self.samples.len() < MIN_SIZE_SAMPLES {
+            return 1.0;
+        }
+        (self.max() * SIZE_MARGIN).clamp(MIN_SIZE_RATIO, MAX_SIZE_RATIO)
+    }
+}
+
+/// What is known of one customer and class.
+#[derive(Clone, Debug)]
+struct GroupEstimate {
+    cpu: SampleWindow,
+    memory: SampleWindow,
+    run_ratio: SampleWindow,
+    run_plain: SampleWindow,
+    cpu_ratio: f32,
+    memory_ratio: f32,
+    run_factor: f32,
+    run_known: Option<Millis>,
+}
+
+impl Default for GroupEstimate {
+    fn default() -> Self {
+        Self {
+            cpu: SampleWindow::default(),
+            memory: SampleWindow::default(),
+            run_ratio: SampleWindow::default(),
+            run_plain: SampleWindow::default(),
+            cpu_ratio: 1.0,
+            memory_ratio: 1.0,
+            run_factor: 1.0,
+            run_known: None,
+        }
+    }
+}
+
+/// Observations of a successful attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct RunObservation {
+    /// Size that the caller declared.
+    pub declared: ResourceVector,
+    /// Room that was reserved.
+    pub reserved: ResourceVector,
+    /// Highest measured usage, if any was measured.
+    pub peak: Option<ResourceVector>,
+    /// Run time that the caller declared.
+    pub declared_run: Option<Millis>,
+    /// Time from start to end.
+    pub ran: Millis,
+}
+
+/// Estimates by group; a group is a customer and class.
+#[derive(Debug)]
+pub struct EstimateBook<K> {
+    groups: HashMap<K, GroupEstimate>,
+}
+
+impl<K> Default for EstimateBook<K> {
+    fn default() -> Self {
+        Self {
+            groups: HashMap::new(),
+        }
+    }
+}
+
+impl<K: Eq + Hash> EstimateBook<K> {
+    /// Returns the room to reserve for a task of this declared size.
+    ///
+    /// It is the largest peak in the window with a margin, so that reserved sizes follow usage but
+    /// never drop below what was seen. Accelerators are whole and stay as declared.
+    pub fn reserved_size(&self, group: &K, declared: &ResourceVector) -> ResourceVector {
+        let Some(estimate) = self.groups.get(group) else {
+            return *declared;
+        };
+        ResourceVector::new(
+            scale(declared.cpu_millis.get(), estimate.cpu_ratio),
+            scale(declared.memory_mib.get(), estimate.memory_ratio),
+            declared.accelerators,
+        )
+    }
+
+    /// Returns the expected run time; `None` when nothing is known.
+    pub fn run_time(&self, group: &K, declared: Option<Millis>) -> Option<Millis> {
+        let estimate = self.groups.get(group);
+        match declared {
+            Some(declared) => {
+                let factor = estimate.map_or(1.0, |estimate| estimate.run_factor);
+                Some(Millis::new(scale(declared.get(), factor)))
+            }
+            None => estimate.and_then(|estimate| estimate.run_known),
+        }
+    }
+
+    /// Learns from a successful attempt.
+    pub fn observe(&mut self, group: K, seen: &RunObservation) {
+        let estimate = self.groups.entry(group).or_default();
+        if let Some(peak) = seen.peak {
+            let pairs = (seen.declared.cpu_millis, seen.reserved.cpu_millis);
+            let ratio = usage_ratio(peak.cpu_millis.get(), pairs.0.get(), pairs.1.get());
+            estimate.cpu.push(ratio);
+            let pairs = (seen.declared.memory_mib, seen.reserved.memory_mib);
+            let ratio = usage_ratio(peak.memory_mib.get(), pairs.0.get(), pairs.1.get());
+            estimate.memory.push(ratio);
+            estimate.cpu_ratio = estimate.cpu.size_ratio();
+            estimate.memory_ratio = estimate.memory.size_ratio();
+        }
+        if let Some(declared) = seen.declared_run.filter(|declared| declared.get() > 0) {
+            let ratio = seen.ran.get() as f32 / declared.get() as f32;
+            estimate.run_ratio.push(ratio);
+            estimate.run_factor = estimate.run_ratio.run_quantile().unwrap_or(1.0);
+        } else {
+            estimate.run_plain.push(seen.ran.get() as f32);
+            let known = estimate.run_plain.run_quantile();
+            estimate.run_known = known.map(|millis| Millis::new(millis as u64));
+        }
+    }
+}
+
+fn usage_ratio(peak: u64, declared: u64, reserved: u64) -> f32 {
+    if declared == 0 {
+        return 1.0;
+    }
+    let ratio = peak as f32 / declared as f32;
+    if peak as f32 >= reserved as f32 * CLIPPED_SHARE {
+        ratio * CLIPPED_GROWTH
+    } else {
+        ratio
+    }
+}
+
+fn scale(amount: u64, ratio: f32) -> u64 {
+    // The ratio of a group without observations is exactly one and keeps the amount exact.
+    if ratio == 1.0 {
+        return amount;
+    }
+    (amount as f64 * f64::from(ratio)).ceil() as u64
+}
--- a/crates/magnolia-policy/src/factory.rs
+++ b/crates/magnolia-policy/src/factory.rs
@@ -4,13 +4,14 @@
 
 use crate::{
     AdmissionPolicy, FifoAdmission, FirstFitEngine, PlacementEngine, RandomChooser, RoutingChooser,
-    TwoChoiceChooser,
+    ScoredEngine, TwoChoiceChooser,
 };
 
 /// Creates the placement engine that the rules select, with the rules set and without workers.
 pub fn new_engine(document: &ConfigDocument) -> Box<dyn PlacementEngine> {
     let mut engine: Box<dyn PlacementEngine> = match document.rules.placement {
-        PlacementPolicy::Scored | PlacementPolicy::FirstFit => Box::new(FirstFitEngine::new()),
+        PlacementPolicy::Scored => Box::new(ScoredEngine::new()),
+        PlacementPolicy::FirstFit => Box::new(FirstFitEngine::new()),
     };
     engine.set_rules(document);
     engine
--- /dev/null
+++ b/crates/magnolia-policy/src/fit_index.rs
@@ -0,0 +1,224 @@
+//! Index of free room that finds tight fits without a scan of the fleet.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use magnolia_types::ResourceVector;
+
+use crate::room_ledger::WorkerIndex;
+
+/// Levels per doubling of free memory; a level spans at most an eighth of its amount.
+const LEVELS_PER_OCTAVE_BITS: u32 = 3;
+
+/// Workers of one capacity with the same number of free accelerators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct PoolKey {
+    shape: usize,
+    reserved: bool,
+    accelerators: u32,
+}
+
+/// Free processors, free memory and the worker.
+type FitEntry = (u64, u64, WorkerIndex);
+
+/// Workers by level of free memory, each level in the order of free processors.
+type FitPool = BTreeMap<u16, BTreeSet<FitEntry>>;
+
+/// What a task needs of a worker.
+#[derive(Clone, Copy, Debug)]
+pub struct FitNeed {
+    /// Room that is reserved.
+    pub size: ResourceVector,
+    /// Share of each worker in percent that the task leaves free.
+    pub headroom_percent: u8,
+    /// Whether a task without accelerators may use room kept for free accelerators.
+    pub takes_accelerator_room: bool,
+    /// Most workers to visit of each level of a pool.
+    pub per_level: usize,
+    /// Most workers to visit of each pool.
+    pub per_pool: usize,
+}
+
+impl FitNeed {
+    /// Returns the room of a worker that the task leaves free; none on a worker that could not
+    /// hold the task otherwise.
+    pub fn kept_room(&self, capacity: &ResourceVector) -> ResourceVector {
+        let percent = u64::from(self.headroom_percent);
+        let kept = ResourceVector::new(
+            capacity.cpu_millis.get() * percent / 100,
+            capacity.memory_mib.get() * percent / 100,
+            0,
+        );
+        if self.size.saturating_add(&kept).fits_in(capacity) {
+            kept
+        } else {
+            ResourceVector::default()
+        }
+    }
+
+    /// Returns the least free processors and memory of a worker of this capacity.
+    ///
+    /// A task that does not fit beside the headroom needs an empty worker instead.
+    fn least_free(&self, capacity: &ResourceVector, accelerators: u32) -> Option<(u64, u64)> {
+        if !self.size.fits_in(capacity) || self.size.accelerators > accelerators {
+            return None;
+        }
+        let (all_cpu, all_memory) = (capacity.cpu_millis.get(), capacity.memory_mib.get());
+        let percent = u64::from(self.headroom_percent);
+        let kept = |all: u64| match (self.size.accelerators, capacity.accelerators) {
+            (0, 1..) if !self.takes_accelerator_room => {
+                all / u64::from(capacity.accelerators) * u64::from(accelerators)
+            }
+            _ => 0,
+        };
+        let cpu = self.size.cpu_millis.get() + kept(all_cpu);
+        let memory = self.size.memory_mib.get() + kept(all_memory);
+        if cpu > all_cpu || memory > all_memory {
+            return None;
+        }
+        let cpu = cpu + all_cpu * percent / 100;
+        let memory = memory + all_memory * percent / 100;
+        if cpu > all_cpu || memory > all_memory {
+            return Some((all_cpu, all_memory));
+        }
+        Some((cpu, memory))
+    }
+}
+
+/// Where a worker is filed.
+#[derive(Clone, Copy, Debug)]
+struct FitPosition {
+    key: PoolKey,
+    level: u16,
+    entry: FitEntry,
+}
+
+/// The index; the caller files each worker again when its free room changes.
+#[derive(Default)]
+pub struct FitIndex {
+    shapes: Vec<ResourceVector>,
+    pools: BTreeMap<PoolKey, FitPool>,
+    positions: Vec<Option<FitPosition>>,
+    total_free: ResourceVector,
+}
+
+impl FitIndex {
+    /// Returns the free room of all filed workers together.
+    pub fn total_free(&self) -> &ResourceVector {
+        &self.total_free
+    }
+
+    /// Files a worker; `reserved` workers are visited after the others.
+    pub fn insert(
+        &mut self,
+        worker: WorkerIndex,
+        capacity: &ResourceVector,
+        free: &ResourceVector,
+        reserved: bool,
+    ) {
+        self.remove(worker);
+        let shape = self.shape_of(capacity);
+        let key = PoolKey {
+            shape,
+            reserved,
+            accelerators: free.accelerators,
+        };
+        let entry = (free.cpu_millis.get(), free.memory_mib.get(), worker);
+        let level = level_of(entry.1);
+        let pool = self.pools.entry(key).or_default();
+        pool.entry(level).or_default().insert(entry);
+        if self.positions.len() <= worker {
+            self.positions.resize(worker + 1, None);
+        }
+        self.positions[worker] = Some(FitPosition { key, level, entry });
+        self.total_free = self.total_free.saturating_add(free);
+    }
+
+    /// Removes a worker.
+    pub fn remove(&mut self, worker: WorkerIndex) {
+        let Some(position) = self.positions.get_mut(worker).and_then(Option::take) else {
+            return;
+        };
+        let (cpu, memory, _) = position.entry;
+        let free = ResourceVector::new(cpu, memory, position.key.accelerators);
+        self.total_free = self.total_free.checked_sub(&free).unwrap_or_default();
+        let Some(pool) = self.pools.get_mut(&position.key) else {
+            return;
+        };
+        if let Some(level) = pool.get_mut(&position.level) {
+            level.remove(&position.entry);
+            if level.is_empty() {
+                pool.remove(&position.level);
+            }
+        }
+        if pool.is_empty() {
+            self.pools.remove(&position.key);
+        }
+    }
+
+    /// Visits workers that have the needed room, the tightest of each pool first.
+    ///
+    /// `visit` tells whether the worker counts against the bounds of the need.
+    pub fn visit(
+        &self,
+        need: &FitNeed,
+        with_accelerators: bool,
+        visit: &mut dyn FnMut(WorkerIndex, ResourceVector) -> bool,
+    ) {
+        for (key, pool) in &self.pools {
+            let capacity = &self.shapes[key.shape];
+            if (capacity.accelerators > 0) != with_accelerators {
+                continue;
+            }
+            if let Some(least) = need.least_free(capacity, key.accelerators) {
+                visit_pool(pool, need, least, &mut |cpu, memory, worker| {
+                    visit(worker, ResourceVector::new(cpu, memory, key.accelerators))
+                });
+            }
+        }
+    }
+
+    fn shape_of(&mut self, capacity: &ResourceVector) -> usize {
+        let known = self.shapes.iter().position(|shape| shape == capacity);
+        known.unwrap_or_else(|| {
+            self.shapes.push(*capacity);
+            self.shapes.len() - 1
+        })
+    }
+}
+
+fn visit_pool(
+    pool: &FitPool,
+    need: &FitNeed,
+    (least_cpu, least_memory): (u64, u64),
+    visit: &mut dyn FnMut(u64, u64, WorkerIndex) -> bool,
+) {
+    let mut in_pool = 0;
+    for entries in pool.range(level_of(least_memory)..).map(|(_, set)| set) {
+        let mut in_level = 0;
+        for &(cpu, memory, worker) in entries.range((least_cpu, 0, 0)..) {
+            if memory < least_memory || !visit(cpu, memory, worker) {
+                continue;
+            }
+            in_level += 1;
+            if in_level == need.per_level {
+                break;
+            }
+        }
+        in_pool += in_level;
+        if in_pool >= need.per_pool {
+            return;
+        }
+    }
+}
+
+/// Returns the level of an amount: its power of two with the next three bits.
+fn level_of(amount: u64) -> u16 {
+    let Some(power) = amount.checked_ilog2() else {
+        return 0;
+    };
+    let bits = power.min(LEVELS_PER_OCTAVE_BITS);
+    let fraction = (amount >> (power - bits)) - (1 << bits);
+    let fraction = fraction << (LEVELS_PER_OCTAVE_BITS - bits);
+    let level = (u64::from(power) << LEVELS_PER_OCTAVE_BITS) + fraction + 1;
+    u16::try_from(level).unwrap_or(u16::MAX)
+}
--- a/crates/magnolia-policy/src/lib.rs
+++ b/crates/magnolia-policy/src/lib.rs
@@ -5,12 +5,17 @@
 
 mod admission;
 mod choosers;
+mod estimates;
 mod factory;
 mod fifo_admission;
 mod first_fit;
+mod fit_index;
 mod placement;
 mod room_ledger;
 mod routing;
+mod rules_view;
+mod scored;
+mod worker_health;
 
 pub use admission::{AdmissionEntry, AdmissionPolicy, AdmissionRefusal, AdmissionTicket};
 pub use choosers::{RandomChooser, TwoChoiceChooser};
@@ -22,3 +27,4 @@
     WorkerCondition, WorkerView,
 };
 pub use routing::{BackendView, RoutingChooser};
+pub use scored::ScoredEngine;
--- a/crates/magnolia-policy/src/placement.rs
+++ b/crates/magnolia-policy/src/placement.rs
@@ -155,4 +155,9 @@
 
     /// Returns the number of waiting tasks.
     fn waiting_tasks(&self) -> usize;
+
+    /// Returns the workers that get no work except probes, because unlike jobs failed on them.
+    fn quarantined_workers(&self) -> Vec<WorkerId> {
+        Vec::new()
+    }
 }
--- a/crates/magnolia-policy/src/room_ledger.rs
+++ b/crates/magnolia-policy/src/room_ledger.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Tells whether the worker left the inventory; what it still holds keeps its position.
+    pub fn is_removed(&self) -> bool {
+        self.removed
+    }
+
     /// Tells whether the worker takes new tasks.
     pub fn is_usable(&self) -> bool {
         !self.removed && self.view.condition == WorkerCondition::Usable
@@ -116,6 +121,11 @@
         &self.slots[index]
     }
 
+    /// Returns the number of positions, those of removed workers included.
+    pub fn positions(&self) -> usize {
+        self.slots.len()
+    }
+
     /// Returns the workers of the inventory in the order of their names.
     pub fn workers(&self) -> impl Iterator<Item = (WorkerIndex, &WorkerSlot)> {
         let slots = self
@@ -125,6 +135,11 @@
         slots.filter(|(_, slot)| !slot.removed)
     }
 
+    /// Returns an attempt that holds room.
+    pub fn attempt(&self, attempt: &AttemptId) -> Option<&HeldAttempt> {
+        self.attempts.get(attempt)
+    }
+
     /// Tells whether a start of the task is decided or an attempt of it holds room.
     pub fn holds_task(&self, task: &TaskRef) -> bool {
         self.reservations.contains_key(task) || self.running.contains_key(task)
@@ -198,6 +213,24 @@
         Some(held)
     }
 
+    /// Changes the room of an attempt; `false` when the worker has not enough.
+    pub fn resize_attempt(&mut self, attempt: &AttemptId, size: ResourceVector) -> bool {
+        let Some(held) = self.attempts.get_mut(attempt) else {
+            return false;
+        };
+        let slot = &mut self.slots[held.worker];
+        let Some(rest) = slot.used.checked_sub(&held.size) else {
+            return false;
+        };
+        let wanted = rest.saturating_add(&size);
+        if !wanted.fits_in(&slot.view.capacity) && !size.fits_in(&held.size) {
+            return false;
+        }
+        slot.used = wanted;
+        held.size = size;
+        true
+    }
+
     fn release_reservation(&mut self, task: &TaskRef) -> Option<HeldReservation> {
         let held = self.reservations.remove(task)?;
         self.release(held.worker, &held.size);
--- /dev/null
+++ b/crates/magnolia-policy/src/scored/decide.rs
@@ -0,0 +1,233 @@
+//! One round of decisions: which job is tried next.
+
+use std::cmp::Reverse;
+
+use magnolia_types::{JobKind, Millis, ResourceVector};
+
+use super::ScoredEngine;
+use super::job_book::{ClassIndex, JobIndex, LaneIndex, dominant_share};
+use super::place::TaskNeed;
+use crate::PlacementDecision;
+
+/// Jobs of a lane that are tried before the lane counts as blocked.
+const LOOKAHEAD: usize = 8;
+/// Jobs tried in one round; the next round goes on where this one stopped.
+const MAX_TRIES: usize = 512;
+/// Gangs tried in one round, because a try may place many tasks in vain.
+const MAX_GANG_TRIES: usize = 8;
+/// Blocked lanes are tried again after this time even if no room was freed, because jobs stay off
+/// workers on which they failed only for a time.
+const RETRY_INTERVAL: Millis = Millis::from_secs(1);
+/// Sizes that did not fit that a round remembers.
+const MAX_FAILED_SIZES: usize = 16;
+
+/// A size for which the round found no room.
+#[derive(Clone, Copy, Debug)]
+struct FailedSize {
+    size: ResourceVector,
+    headroom_percent: u8,
+    end: Option<Millis>,
+}
+
+impl FailedSize {
+    /// Tells whether what did not fit is at most as demanding as `need`.
+    fn rules_out(&self, need: &TaskNeed) -> bool {
+        let no_later = match (self.end, need.end) {
+            (Some(failed), Some(end)) => failed <= end,
+            (Some(_), None) => true,
+            (None, end) => end.is_none(),
+        };
+        no_later
+            && self.headroom_percent <= need.fit.headroom_percent
+            && self.size.accelerators == need.size.accelerators
+            && self.size.fits_in(&need.size)
+    }
+}
+
+/// State of a round.
+struct RoundState {
+    starts: usize,
+    limit: usize,
+    tries: usize,
+    gang_tries: usize,
+    failed: Vec<FailedSize>,
+}
+
+/// What came of trying a job.
+enum TryOutcome {
+    Started(PlacementDecision, usize),
+    NoRoom,
+    OverQuota,
+    Skipped,
+}
+
+impl ScoredEngine {
+    /// Decides one round.
+    pub fn decide_round(&mut self, now: Millis, limit: usize) -> Vec<PlacementDecision> {
+        let given_up = std::mem::take(&mut self.given_up);
+        let mut decisions: Vec<PlacementDecision> = given_up
+            .into_iter()
+            .map(|(job, reason)| PlacementDecision::GiveUp { job, reason })
+            .collect();
+        if self.retry_at <= now {
+            self.retry_at = now.saturating_add(RETRY_INTERVAL);
+            self.generation += 1;
+        }
+        self.escalate_yields(now, &mut decisions);
+        self.move_services(now, &mut decisions);
+        let mut round = RoundState {
+            starts: self.start_probes(now, limit, &mut decisions),
+            limit,
+            tries: 0,
+            gang_tries: 0,
+            failed: Vec::new(),
+        };
+        self.start_waiting(now, &mut round, &mut decisions);
+        self.plan_blocked(now, &mut decisions);
+        self.restore_throttled(now, &mut decisions);
+        decisions
+    }
+
+    fn start_waiting(
+        &mut self,
+        now: Millis,
+        round: &mut RoundState,
+        decisions: &mut Vec<PlacementDecision>,
+    ) {
+        while round.starts < round.limit && round.tries < MAX_TRIES {
+            let Some(lane) = self.next_lane() else {
+                return;
+            };
+            if let Some(decision) = self.try_lane(lane, now, round) {
+                decisions.push(decision);
+            }
+        }
+    }
+
+    /// Returns the lane whose turn it is, `None` when all are blocked.
+    fn next_lane(&self) -> Option<LaneIndex> {
+        self.class_order()
+            .into_iter()
+            .find_map(|class| self.first_open_lane(class))
+    }
+
+    /// Returns the classes with waiting work; those below their floor first, then by rank.
+    pub fn class_order(&self) -> Vec<ClassIndex> {
+        let classes = self.book.classes.iter().enumerate();
+        let waiting = classes.filter(|(_, class)| !class.ready.is_empty());
+        let mut order: Vec<ClassIndex> = waiting.map(|(index, _)| index).collect();
+        order.sort_by_key(|&index| {
+            let class = &self.book.classes[index];
+            let share = dominant_share(&class.used, &self.total);
+            let is_above = share * 100.0 >= f64::from(class.rule.floor_percent);
+            (is_above, Reverse(class.rule.rank))
+        });
+        order
+    }
+
+    fn first_open_lane(&self, class: ClassIndex) -> Option<LaneIndex> {
+        let lanes = self.book.classes[class].ready.iter();
+        lanes
+            .map(|&(_, lane)| lane)
+            .find(|&lane| self.book.lane(lane).blocked_at != Some(self.generation))
+    }
+
+    fn try_lane(
+        &mut self,
+        lane: LaneIndex,
+        now: Millis,
+        round: &mut RoundState,
+    ) -> Option<PlacementDecision> {
+        let jobs = self.book.lane(lane).jobs.values();
+        let jobs: Vec<JobIndex> = jobs.copied().take(LOOKAHEAD).collect();
+        let mut blocked_job = None;
+        for index in jobs {
+            round.tries += 1;
+            match self.try_job(index, now, round) {
+                TryOutcome::Started(decision, starts) => {
+                    round.starts += starts;
+                    return Some(decision);
+                }
+                TryOutcome::NoRoom => blocked_job = blocked_job.or(Some(index)),
+                TryOutcome::OverQuota | TryOutcome::Skipped => {}
+            }
+        }
+        let entry = self.book.lane_mut(lane);
+        entry.blocked_at = Some(self.generation);
+        entry.blocked_job = blocked_job;
+        None
+    }
+
+    fn try_job(&mut self, index: JobIndex, now: Millis, round: &mut RoundState) -> TryOutcome {
+        let Some(need) = self.need_of(index, now) else {
+            return TryOutcome::Skipped;
+        };
+        let Some(job) = self.book.job(index) else {
+            return TryOutcome::Skipped;
+        };
+        let is_gang = job.spec.kind == JobKind::Gang;
+        if !self.is_within_quota(index, &need) {
+            return TryOutcome::OverQuota;
+        }
+        if self.plans.plan(index).is_none()
+            && round.failed.iter().any(|failed| failed.rules_out(&need))
+        {
+            return TryOutcome::NoRoom;
+        }
+        let id = job.id.clone();
+        let has_failed = self.health.has_failed(&id);
+        if is_gang {
+            round.gang_tries += 1;
+            if round.gang_tries > MAX_GANG_TRIES {
+                return TryOutcome::Skipped;
+            }
+        }
+        let members = if is_gang {
+            self.place_gang(&need)
+        } else {
+            self.place_one(&need).map(|member| vec![member])
+        };
+        let Some(members) = members else {
+            // A job that stays off some workers says nothing about the room of others.
+            if !is_gang && !has_failed {
+                note_failed(&need, round);
+            }
+            return TryOutcome::NoRoom;
+        };
+        let starts = members.len();
+        TryOutcome::Started(PlacementDecision::Start { job: id, members }, starts)
+    }
+
+    /// Tells whether the tasks that start together stay within the customer's quota.
+    pub fn is_within_quota(&self, index: JobIndex, need: &TaskNeed) -> bool {
+        let Some(job) = self.book.job(index) else {
+            return false;
+        };
+        let customer = &self.book.customers[self.book.lane(job.lane).customer];
+        let Some(quota) = customer.rule.quota else {
+            return true;
+        };
+        let Some(left) = quota.checked_sub(&customer.used) else {
+            return false;
+        };
+        crate::first_fit::places_in(&left, &need.size) >= job.unit() as u64
+    }
+}
+
+fn note_failed(need: &TaskNeed, round: &mut RoundState) {
+    let failed = FailedSize {
+        size: need.size,
+        headroom_percent: need.fit.headroom_percent,
+        end: need.end,
+    };
+    if round.failed.len() < MAX_FAILED_SIZES {
+        round.failed.push(failed);
+        return;
+    }
+    // The smallest sizes rule the most out; the largest remembered one gives way.
+    let weight = |size: &ResourceVector| size.cpu_millis.get() + size.memory_mib.get();
+    let largest = (round.failed.iter_mut()).max_by_key(|known| weight(&known.size));
+    if let Some(known) = largest.filter(|known| weight(&known.size) > weight(&failed.size)) {
+        *known = failed;
+    }
+}
--- /dev/null
+++ b/crates/magnolia-policy/src/scored/job_book.rs
@@ -0,0 +1,371 @@
+//! Jobs that wait and the lanes that order them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use magnolia_types::{
+    CustomerName, JobId, JobKind, JobSpec, Millis, RackName, ResourceVector, TaskIndex, WorkClass,
+};
+
+use crate::rules_view::{ClassRule, CustomerRule, RulesView};
+
+/// Position of a job in the book.
+pub type JobIndex = usize;
+/// Position of a lane in the book.
+pub type LaneIndex = usize;
+/// Position of a class in the book.
+pub type ClassIndex = usize;
+/// Position of a customer in the book.
+pub type CustomerIndex = usize;
+
+/// Scale of shares that order the lanes of a class.
+const SHARE_SCALE: f64 = 1e9;
+
+/// A known job.
+pub struct JobEntry {
+    /// The job.
+    pub id: JobId,
+    /// The job as submitted.
+    pub spec: Arc<JobSpec>,
+    /// Its customer and class.
+    pub lane: LaneIndex,
+    /// When it was submitted.
+    pub submitted: Millis,
+    /// Place in the lane.
+    pub order: (u64, u64),
+    /// Tasks that wait.
+    pub waiting: BTreeSet<TaskIndex>,
+    /// Starts that are decided and attempts that hold room.
+    pub held: u32,
+    /// Running tasks of a service by rack.
+    pub racks: Vec<(RackName, u32)>,
+    /// When the next plan may be tried after one that was not possible.
+    pub plan_retry_at: Millis,
+    /// Whether waiting tasks were removed and must not come back.
+    pub withdrawn: bool,
+}
+
+impl JobEntry {
+    /// Returns how many tasks start together.
+    pub fn unit(&self) -> usize {
+        match self.spec.kind {
+            JobKind::Gang => self.waiting.len(),
+            _ => 1,
+        }
+    }
+
+    /// Counts a task of a service on a rack or off it.
+    pub fn count_rack(&mut self, rack: &RackName, is_added: bool) {
+        if self.spec.kind != JobKind::Service {
+            return;
+        }
+        match self.racks.iter_mut().find(|(name, _)| name == rack) {
+            Some((_, count)) if is_added => *count += 1,
+            Some((_, count)) => *count = count.saturating_sub(1),
+            None if is_added => self.racks.push((rack.clone(), 1)),
+            None => {}
+        }
+        self.racks.retain(|(_, count)| *count > 0);
+    }
+
+    /// Returns the number of tasks of a service on a rack.
+    pub fn tasks_on_rack(&self, rack: &RackName) -> u32 {
+        let found = self.racks.iter().find(|(name, _)| name == rack);
+        found.map_or(0, |(_, count)| *count)
+    }
+}
+
+/// Jobs of one customer and class.
+pub struct LaneEntry {
+    /// The class.
+    pub class: ClassIndex,
+    /// The customer.
+    pub customer: CustomerIndex,
+    /// Jobs with waiting tasks in order.
+    pub jobs: BTreeMap<(u64, u64), JobIndex>,
+    /// Room that its tasks hold.
+    pub used: ResourceVector,
+    /// Place among the lanes of its class.
+    pub share: u64,
+    /// Room generation at which nothing of the lane fitted.
+    pub blocked_at: Option<u64>,
+    /// First job that did not fit then.
+    pub blocked_job: Option<JobIndex>,
+}
+
+/// A class with its use of the fleet.
+pub struct ClassEntry {
+    /// The class.
+    pub name: WorkClass,
+    /// Its rule.
+    pub rule: ClassRule,
+    /// Room that its tasks hold.
+    pub used: ResourceVector,
+    /// Lanes with waiting jobs; the least share first.
+    pub ready: BTreeSet<(u64, LaneIndex)>,
+}
+
+/// A customer with its use of the fleet.
+pub struct CustomerEntry {
+    /// The customer.
+    pub name: CustomerName,
+    /// Its rule.
+    pub rule: CustomerRule,
+    /// Room that its tasks hold.
+    pub used: ResourceVector,
+}
+
+/// Jobs, lanes, classes and customers.
+#[derive(Default)]
+pub struct JobBook {
+    by_id: HashMap<JobId, JobIndex>,
+    jobs: Vec<Option<JobEntry>>,
+    vacant: Vec<JobIndex>,
+    lanes: Vec<LaneEntry>,
+    lane_of: HashMap<(ClassIndex, CustomerIndex), LaneIndex>,
+    /// Classes with work so far.
+    pub classes: Vec<ClassEntry>,
+    /// Customers with work so far.
+    pub customers: Vec<CustomerEntry>,
+    next_number: u64,
+    waiting: usize,
+}
+
+impl JobBook {
+    /// Returns the position of a job.
+    pub fn index_of(&self, job: &JobId) -> Option<JobIndex> {
+        self.by_id.get(job).copied()
+    }
+
+    /// Returns a job.
+    pub fn job(&self, index: JobIndex) -> Option<&JobEntry> {
+        self.jobs.get(index).and_then(Option::as_ref)
+    }
+
+    /// Returns a job.
+    pub fn job_mut(&mut self, index: JobIndex) -> Option<&mut JobEntry> {
+        self.jobs.get_mut(index).and_then(Option::as_mut)
+    }
+
+    /// Returns a lane.
+    pub fn lane(&self, index: LaneIndex) -> &LaneEntry {
+        &self.lanes[index]
+    }
+
+    /// Returns a lane.
+    pub fn lane_mut(&mut self, index: LaneIndex) -> &mut LaneEntry {
+        &mut self.lanes[index]
+    }
+
+    /// Returns the number of waiting tasks.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Looks the rules of all classes and customers up again.
+    pub fn set_rules(&mut self, rules: &RulesView) {
+        for class in &mut self.classes {
+            class.rule = rules.class(&class.name);
+        }
+        for customer in &mut self.customers {
+            customer.rule = rules.customer(&customer.name);
+        }
+    }
+
+    /// Returns the lane of a customer and class, making it when it is new.
+    pub fn lane_for(&mut self, spec: &JobSpec, rules: &RulesView) -> LaneIndex {
+        let class = self.class_for(&spec.class, rules);
+        let customer = self.customer_for(&spec.customer, rules);
+        if let Some(&lane) = self.lane_of.get(&(class, customer)) {
+            return lane;
+        }
+        let lane = self.lanes.len();
+        self.lanes.push(LaneEntry {
+            class,
+            customer,
+            jobs: BTreeMap::new(),
+            used: ResourceVector::default(),
+            share: 0,
+            blocked_at: None,
+            blocked_job: None,
+        });
+        self.lane_of.insert((class, customer), lane);
+        lane
+    }
+
+    /// Adds a job without waiting tasks; `bias` moves it back in its lane by so many milliseconds.
+    pub fn add_job(
+        &mut self,
+        id: JobId,
+        spec: Arc<JobSpec>,
+        lane: LaneIndex,
+        submitted: Millis,
+        bias: u64,
+    ) -> JobIndex {
+        let order = (submitted.get().saturating_add(bias), self.next_number);
+        self.next_number += 1;
+        let entry = JobEntry {
+            id: id.clone(),
+            spec,
+            lane,
+            submitted,
+            order,
+            waiting: BTreeSet::new(),
+            held: 0,
+            racks: Vec::new(),
+            plan_retry_at: Millis::new(0),
+            withdrawn: false,
+        };
+        let index = self.vacant.pop().unwrap_or_else(|| {
+            self.jobs.push(None);
+            self.jobs.len() - 1
+        });
+        self.jobs[index] = Some(entry);
+        self.by_id.insert(id, index);
+        index
+    }
+
+    /// Adds waiting tasks of a job.
+    pub fn add_waiting(&mut self, index: JobIndex, tasks: impl IntoIterator<Item = TaskIndex>) {
+        let Some(job) = self.jobs.get_mut(index).and_then(Option::as_mut) else {
+            return;
+        };
+        let before = job.waiting.len();
+        job.waiting.extend(tasks);
+        self.waiting += job.waiting.len() - before;
+        if job.waiting.is_empty() {
+            return;
+        }
+        let lane = &mut self.lanes[job.lane];
+        lane.jobs.insert(job.order, index);
+        lane.blocked_at = None;
+        self.classes[lane.class]
+            .ready
+            .insert((lane.share, job.lane));
+    }
+
+    /// Removes one waiting task; `false` when it does not wait.
+    pub fn remove_waiting(&mut self, index: JobIndex, task: TaskIndex) -> bool {
+        let Some(job) = self.jobs.get_mut(index).and_then(Option::as_mut) else {
+            return false;
+        };
+        if !job.waiting.remove(&task) {
+            return false;
+        }
+        self.waiting -= 1;
+        if job.waiting.is_empty() {
+            let (lane, order) = (job.lane, job.order);
+            self.leave_lane(lane, order);
+        }
+        true
+    }
+
+    /// Removes all waiting tasks of a job and keeps it from getting any back.
+    pub fn withdraw(&mut self, index: JobIndex) {
+        let Some(job) = self.jobs.get_mut(index).and_then(Option::as_mut) else {
+            return;
+        };
+        self.waiting -= job.waiting.len();
+        job.waiting = BTreeSet::new();
+        job.withdrawn = true;
+        let (lane, order) = (job.lane, job.order);
+        self.leave_lane(lane, order);
+        self.forget_idle(index);
+    }
+
+    /// Forgets a job of which nothing waits or holds room; returns whether it did.
+    pub fn forget_idle(&mut self, index: JobIndex) -> bool {
+        let Some(job) = self.job(index) else {
+            return false;
+        };
+        if !job.waiting.is_empty() || job.held > 0 {
+            return false;
+        }
+        let id = job.id.clone();
+        self.by_id.remove(&id);
+        self.jobs[index] = None;
+        self.vacant.push(index);
+        true
+    }
+
+    /// Adds room to what a lane, its class and its customer hold.
+    pub fn hold(&mut self, lane: LaneIndex, size: &ResourceVector, total: &ResourceVector) {
+        self.change_used(lane, total, |used| used.saturating_add(size));
+    }
+
+    /// Subtracts room from what a lane, its class and its customer hold.
+    pub fn release(&mut self, lane: LaneIndex, size: &ResourceVector, total: &ResourceVector) {
+        self.change_used(lane, total, |used| {
+            used.checked_sub(size).unwrap_or_default()
+        });
+    }
+
+    fn change_used(
+        &mut self,
+        index: LaneIndex,
+        total: &ResourceVector,
+        change: impl Fn(&ResourceVector) -> ResourceVector,
+    ) {
+        let lane = &mut self.lanes[index];
+        lane.used = change(&lane.used);
+        let customer = &mut self.customers[lane.customer];
+        customer.used = change(&customer.used);
+        let class = &mut self.classes[lane.class];
+        class.used = change(&class.used);
+        let weight = f64::from(customer.rule.weight);
+        let share = (dominant_share(&lane.used, total) / weight * SHARE_SCALE) as u64;
+        if class.ready.remove(&(lane.share, index)) {
+            class.ready.insert((share, index));
+        }
+        lane.share = share;
+    }
+
+    fn leave_lane(&mut self, index: LaneIndex, order: (u64, u64)) {
+        let lane = &mut self.lanes[index];
+        if lane.jobs.remove(&order).is_some() {
+            lane.blocked_at = None;
+        }
+        if lane.jobs.is_empty() {
+            self.classes[lane.class].ready.remove(&(lane.share, index));
+        }
+    }
+
+    fn class_for(&mut self, name: &WorkClass, rules: &RulesView) -> ClassIndex {
+        let known = self.classes.iter().position(|class| class.name == *name);
+        known.unwrap_or_else(|| {
+            self.classes.push(ClassEntry {
+                name: name.clone(),
+                rule: rules.class(name),
+                used: ResourceVector::default(),
+                ready: BTreeSet::new(),
+            });
+            self.classes.len() - 1
+        })
+    }
+
+    fn customer_for(&mut self, name: &CustomerName, rules: &RulesView) -> CustomerIndex {
+        let known = self.customers.iter().position(|known| known.name == *name);
+        known.unwrap_or_else(|| {
+            self.customers.push(CustomerEntry {
+                name: name.clone(),
+                rule: rules.customer(name),
+                used: ResourceVector::default(),
+            });
+            self.customers.len() - 1
+        })
+    }
+}
+
+/// Returns the largest share of any resource of `total` that `used` takes.
+pub fn dominant_share(used: &ResourceVector, total: &ResourceVector) -> f64 {
+    let share = |used: u64, total: u64| match total {
+        0 => 0.0,
+        total => used as f64 / total as f64,
+    };
+    share(used.cpu_millis.get(), total.cpu_millis.get())
+        .max(share(used.memory_mib.get(), total.memory_mib.get()))
+        .max(share(
+            u64::from(used.accelerators),
+            u64::from(total.accelerators),
+        ))
+}
--- /dev/null
+++ b/crates/magnolia-policy/src/scored/mod.rs
@@ -0,0 +1,427 @@
+//! Placement by scores with floors, quotas, reservations, preemption and quarantine.
+
+mod decide;
+mod explain;
+mod job_book;
+mod place;
+mod plan;
+mod plan_book;
+mod upkeep;
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+use magnolia_config::ConfigDocument;
+use magnolia_types::{
+    AttemptId, JobId, JobKind, JobSpec, Millis, ResourceVector, TaskRef, WorkerId, stable_hash,
+};
+
+use self::job_book::{JobBook, JobIndex, LaneIndex};
+use self::plan_book::PlanBook;
+use crate::estimates::{EstimateBook, RunObservation};
+use crate::first_fit::places_in;
+use crate::fit_index::FitIndex;
+use crate::room_ledger::{HeldAttempt, RoomLedger, WorkerIndex};
+use crate::rules_view::RulesView;
+use crate::worker_health::{HealthBook, JobLikeness};
+use crate::{
+    AttemptRecord, PlacementDecision, PlacementEngine, PreemptionMeans, TaskEnd, WaitingJob,
+    WorkerCondition, WorkerView,
+};
+
+/// Longest time by which a short job may overtake a longer one of its lane.
+const MAX_OVERTAKE: Millis = Millis::from_secs(120);
+
+/// An attempt that was told to give way.
+#[derive(Clone, Copy, Debug)]
+struct YieldEntry {
+    means: PreemptionMeans,
+    since: Millis,
+}
+
+/// An attempt that runs with a part of its processors.
+#[derive(Clone, Copy, Debug)]
+struct ThrottleEntry {
+    full: ResourceVector,
+    since: Millis,
+}
+
+/// Scores workers for packing, headroom and scarce accelerators.
+///
+/// Jobs wait in lanes, one for each customer and class. A class below its floor goes first, then
+/// the classes by rank, and in a class the lane with the least weighted share. What does not fit is
+/// remembered until room is freed, so that a decision costs the same however much waits.
+#[derive(Default)]
+pub struct ScoredEngine {
+    rules: RulesView,
+    ledger: RoomLedger,
+    index: FitIndex,
+    estimates: EstimateBook<LaneIndex>,
+    health: HealthBook,
+    book: JobBook,
+    plans: PlanBook,
+    peaks: HashMap<AttemptId, ResourceVector>,
+    yields: HashMap<AttemptId, YieldEntry>,
+    throttled: HashMap<AttemptId, ThrottleEntry>,
+    leaving: BTreeSet<WorkerIndex>,
+    shapes: HashMap<ResourceVector, u32>,
+    total: ResourceVector,
+    given_up: Vec<(JobId, Arc<str>)>,
+    /// Rises when room is freed; lanes that were blocked before are tried again.
+    generation: u64,
+    /// When blocked lanes are tried again without freed room.
+    retry_at: Millis,
+    /// Where the search for room of the next plan starts.
+    plan_cursor: usize,
+}
+
+impl ScoredEngine {
+    /// Creates an engine without workers.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Files a worker in the index by its present free room.
+    fn refile(&mut self, worker: WorkerIndex) {
+        let slot = self.ledger.slot(worker);
+        if slot.is_usable() && !self.health.is_quarantined(worker) {
+            let reserved = self.plans.earmark(worker).is_some();
+            self.index
+                .insert(worker, &slot.view.capacity, &slot.free(), reserved);
+        } else {
+            self.index.remove(worker);
+        }
+    }
+
+    /// Files a worker on which room was freed.
+    fn room_freed(&mut self, worker: WorkerIndex) {
+        self.generation += 1;
+        self.refile(worker);
+    }
+
+    fn count_shape(&mut self, capacity: ResourceVector, is_added: bool) {
+        let count = self.shapes.entry(capacity).or_default();
+        if is_added {
+            *count += 1;
+            self.total = self.total.saturating_add(&capacity);
+            return;
+        }
+        *count = count.saturating_sub(1);
+        if *count == 0 {
+            self.shapes.remove(&capacity);
+        }
+        self.total = self.total.checked_sub(&capacity).unwrap_or_default();
+    }
+
+    /// Drops the plan of a job and frees the workers that it kept.
+    fn drop_plan(&mut self, job: JobIndex) {
+        for worker in self.plans.remove(job) {
+            self.room_freed(worker);
+        }
+    }
+
+    /// Drops the plan that keeps room on a worker, because the worker takes no new work.
+    fn drop_plan_on(&mut self, worker: WorkerIndex) {
+        if let Some(job) = self.plans.earmark(worker).map(|earmark| earmark.job) {
+            self.drop_plan(job);
+        }
+    }
+
+    fn job_for(&mut self, id: &JobId, spec: &Arc<JobSpec>, submitted: Millis) -> JobIndex {
+        if let Some(index) = self.book.index_of(id) {
+            return index;
+        }
+        let lane = self.book.lane_for(spec, &self.rules);
+        let bias = self.overtake_bias(lane, spec);
+        self.book
+            .add_job(id.clone(), Arc::clone(spec), lane, submitted, bias)
+    }
+
+    /// Returns by how much longer jobs go back in their lane, in milliseconds.
+    ///
+    /// Short jobs first lowers the waiting time; the bound keeps long jobs from starving.
+    fn overtake_bias(&self, lane: LaneIndex, spec: &JobSpec) -> u64 {
+        if spec.kind == JobKind::Service {
+            return 0;
+        }
+        let longest = MAX_OVERTAKE.get();
+        let run = self.estimates.run_time(&lane, spec.run_ms);
+        let run = run.map_or(longest / 2, |run| run.get().min(longest));
+        run * u64::from(100 - self.rules.packing_weight) / 100
+    }
+
+    fn release_room(&mut self, held: &HeldAttempt) -> Option<JobIndex> {
+        let index = self.book.index_of(&held.record.task.job)?;
+        let lane = self.book.job(index)?.lane;
+        let rack = self.ledger.slot(held.worker).view.rack.clone();
+        self.book.release(lane, &held.size, &self.total);
+        if let Some(job) = self.book.job_mut(index) {
+            job.held = job.held.saturating_sub(1);
+            job.count_rack(&rack, false);
+        }
+        Some(index)
+    }
+
+    fn learn(&mut self, held: &HeldAttempt, peak: Option<ResourceVector>, now: Millis) {
+        let lane = self.book.lane_for(&held.record.spec, &self.rules);
+        let seen = RunObservation {
+            declared: held.record.spec.size,
+            reserved: held.record.size,
+            peak,
+            declared_run: held.record.spec.run_ms,
+            ran: now.saturating_sub(held.record.started),
+        };
+        self.estimates.observe(lane, &seen);
+    }
+
+    fn take_failure(&mut self, held: &HeldAttempt, now: Millis) {
+        let task = &held.record.task;
+        let spec = &held.record.spec;
+        let index = self.book.index_of(&task.job);
+        let job = index.and_then(|index| self.book.job(index));
+        if job.is_some_and(|job| job.withdrawn) {
+            return;
+        }
+        let usable = self.shapes.values().map(|&count| count as usize).sum();
+        let verdict = self.health.failed(
+            held.worker,
+            (&task.job, task.task),
+            likeness(spec),
+            (spec.max_attempts, usable),
+            now,
+        );
+        if verdict.quarantine {
+            self.drop_plan_on(held.worker);
+            self.generation += 1;
+        }
+        if verdict.give_up {
+            let workers = self.health.failed_workers(&task.job);
+            let reason = format!("the job failed on {workers} workers");
+            self.given_up.push((task.job.clone(), reason.into()));
+            self.health.forget_job(&task.job);
+            if let Some(index) = self.book.index_of(&task.job) {
+                self.drop_plan(index);
+                self.book.withdraw(index);
+            }
+        }
+    }
+
+    fn quota_fault(&self, spec: &JobSpec) -> Option<Arc<str>> {
+        let quota = self.rules.customer(&spec.customer).quota?;
+        let together = match spec.kind {
+            JobKind::Gang => u64::from(spec.tasks),
+            _ => 1,
+        };
+        (places_in(&quota, &spec.size) < together).then(|| {
+            let customer = &spec.customer;
+            let size = &spec.size;
+            format!("{together} tasks of {size} exceed the quota of {customer}, {quota}").into()
+        })
+    }
+}
+
+impl PlacementEngine for ScoredEngine {
+    fn set_rules(&mut self, document: &ConfigDocument) {
+        self.rules = RulesView::new(document);
+        self.book.set_rules(&self.rules);
+        self.generation += 1;
+    }
+
+    fn upsert_worker(&mut self, view: WorkerView) {
+        let known = self.ledger.index_of(&view.worker);
+        let known = known.filter(|&worker| !self.ledger.slot(worker).is_removed());
+        if let Some(worker) = known {
+            let capacity = self.ledger.slot(worker).view.capacity;
+            self.count_shape(capacity, false);
+        }
+        self.count_shape(view.capacity, true);
+        let condition = view.condition;
+        let worker = self.ledger.upsert_worker(view);
+        if condition == WorkerCondition::Leaving {
+            self.leaving.insert(worker);
+        } else {
+            self.leaving.remove(&worker);
+        }
+        if condition != WorkerCondition::Usable {
+            self.drop_plan_on(worker);
+        }
+        self.room_freed(worker);
+    }
+
+    fn remove_worker(&mut self, name: &WorkerId) {
+        let Some(worker) = self.ledger.index_of(name) else {
+            return;
+        };
+        if self.ledger.slot(worker).is_removed() {
+            return;
+        }
+        let capacity = self.ledger.slot(worker).view.capacity;
+        self.count_shape(capacity, false);
+        self.drop_plan_on(worker);
+        self.index.remove(worker);
+        self.leaving.remove(&worker);
+        self.health.forget_worker(worker);
+        self.ledger.remove_worker(name);
+    }
+
+    fn never_fits(&self, spec: &JobSpec) -> Option<Arc<str>> {
+        let needed = match spec.kind {
+            JobKind::Gang => u64::from(spec.tasks),
+            _ => 1,
+        };
+        let shapes = self.shapes.iter();
+        let places = shapes.map(|(room, &count)| places_in(room, &spec.size) * u64::from(count));
+        let places: u64 = places.sum();
+        if places >= needed {
+            return self.quota_fault(spec);
+        }
+        let size = &spec.size;
+        let reason = if places == 0 {
+            format!("no worker of the inventory has {size}")
+        } else {
+            format!("the empty inventory holds {places} tasks of {size}; the gang has {needed}")
+        };
+        Some(reason.into())
+    }
+
+    fn enqueue(&mut self, job: WaitingJob) {
+        // The caller learns of a job that was given up only with the next decision.
+        if self.given_up.iter().any(|(id, _)| *id == job.job) {
+            return;
+        }
+        let index = self.job_for(&job.job, &job.spec, job.submitted);
+        if let Some(entry) = self.book.job_mut(index) {
+            entry.withdrawn = false;
+        }
+        let held = |task: &u32| {
+            let task = TaskRef::new(job.job.clone(), *task);
+            self.ledger.holds_task(&task)
+        };
+        let tasks: Vec<u32> = job
+            .tasks
+            .iter()
+            .copied()
+            .filter(|task| !held(task))
+            .collect();
+        self.book.add_waiting(index, tasks);
+        self.book.forget_idle(index);
+    }
+
+    fn withdraw(&mut self, jobs: &[JobId]) {
+        for job in jobs {
+            self.health.forget_job(job);
+            if let Some(index) = self.book.index_of(job) {
+                self.drop_plan(index);
+                self.book.withdraw(index);
+            }
+        }
+    }
+
+    fn attempt_started(&mut self, record: AttemptRecord) {
+        let spec = Arc::clone(&record.spec);
+        let task = record.task.clone();
+        let (size, started) = (record.size, record.started);
+        let Some((worker, released)) = self.ledger.start_attempt(record) else {
+            return;
+        };
+        let index = self.job_for(&task.job, &spec, started);
+        self.book.remove_waiting(index, task.task);
+        let rack = self.ledger.slot(worker).view.rack.clone();
+        let lane = match self.book.job_mut(index) {
+            Some(job) => {
+                if released.is_none() {
+                    job.held += 1;
+                    job.count_rack(&rack, true);
+                }
+                job.lane
+            }
+            None => return,
+        };
+        if let Some(released) = released {
+            self.book.release(lane, &released.size, &self.total);
+        }
+        self.book.hold(lane, &size, &self.total);
+        self.refile(worker);
+    }
+
+    fn start_failed(&mut self, task: &TaskRef, name: &WorkerId, _now: Millis) {
+        let Some(held) = self.ledger.cancel_reservation(task, name) else {
+            return;
+        };
+        self.health.probe_interrupted(held.worker);
+        let rack = self.ledger.slot(held.worker).view.rack.clone();
+        if let Some(index) = self.book.index_of(&task.job)
+            && let Some(job) = self.book.job_mut(index)
+        {
+            job.held = job.held.saturating_sub(1);
+            job.count_rack(&rack, false);
+            let (lane, withdrawn) = (job.lane, job.withdrawn);
+            self.book.release(lane, &held.size, &self.total);
+            if !withdrawn {
+                self.book.add_waiting(index, [task.task]);
+            }
+            self.book.forget_idle(index);
+        }
+        self.room_freed(held.worker);
+    }
+
+    fn attempt_ended(&mut self, attempt: &AttemptId, end: TaskEnd, now: Millis) {
+        let peak = self.peaks.remove(attempt);
+        self.yields.remove(attempt);
+        let was_throttled = self.throttled.remove(attempt).is_some();
+        let Some(held) = self.ledger.end_attempt(attempt) else {
+            return;
+        };
+        let index = self.release_room(&held);
+        match end {
+            TaskEnd::Succeeded => {
+                // A throttled run says nothing about the usual usage and run time.
+                if !was_throttled {
+                    self.learn(&held, peak, now);
+                }
+                self.health.succeeded(held.worker);
+            }
+            TaskEnd::Failed => self.take_failure(&held, now),
+            TaskEnd::Interrupted => self.health.probe_interrupted(held.worker),
+        }
+        if let Some(index) = index {
+            self.book.forget_idle(index);
+        }
+        self.room_freed(held.worker);
+    }
+
+    fn observe_usage(&mut self, attempt: &AttemptId, usage: ResourceVector) {
+        if self.ledger.attempt(attempt).is_none() {
+            return;
+        }
+        let peak = self.peaks.entry(attempt.clone()).or_default();
+        *peak = ResourceVector {
+            cpu_millis: peak.cpu_millis.max(usage.cpu_millis),
+            memory_mib: peak.memory_mib.max(usage.memory_mib),
+            accelerators: peak.accelerators.max(usage.accelerators),
+        };
+    }
+
+    fn decide(&mut self, now: Millis, limit: usize) -> Vec<PlacementDecision> {
+        self.decide_round(now, limit)
+    }
+
+    fn explain(&self, job: &JobId, now: Millis) -> Vec<Arc<str>> {
+        self.explain_job(job, now)
+    }
+
+    fn waiting_tasks(&self) -> usize {
+        self.book.waiting()
+    }
+
+    fn quarantined_workers(&self) -> Vec<WorkerId> {
+        let workers = self.health.quarantined();
+        workers
+            .map(|worker| self.ledger.slot(worker).view.worker.clone())
+            .collect()
+    }
+}
+
+fn likeness(spec: &JobSpec) -> JobLikeness {
+    stable_hash(format!("{}\u{0}{}\u{0}{}", spec.customer, spec.class, spec.size).as_bytes())
+}
--- /dev/null
+++ b/crates/magnolia-policy/src/scored/plan_book.rs
@@ -0,0 +1,154 @@
+//! Reservations of future room for jobs that do not fit now.
+
+use std::collections::HashMap;
+
+use magnolia_types::{Millis, ResourceVector};
+
+use super::job_book::JobIndex;
+use crate::room_ledger::WorkerIndex;
+
+/// Room on one worker that is kept for a waiting job.
+#[derive(Clone, Debug)]
+pub struct WorkerEarmark {
+    /// The job.
+    pub job: JobIndex,
+    /// When the room is expected to be free.
+    pub until: Millis,
+    /// Room that other work may hold beyond that time.
+    pub slack: ResourceVector,
+}
+
+/// Where and when a waiting job is expected to start.
+#[derive(Clone, Debug)]
+pub struct JobPlan {
+    /// Workers whose room is kept.
+    pub workers: Vec<WorkerIndex>,
+    /// When the room is expected to be free.
+    pub until: Millis,
+    /// When the plan was made.
+    pub made: Millis,
+    /// How often the job was planned before.
+    pub replans: u32,
+}
+
+/// All plans; a worker is part of at most one.
+#[derive(Default)]
+pub struct PlanBook {
+    plans: HashMap<JobIndex, JobPlan>,
+    earmarks: HashMap<WorkerIndex, WorkerEarmark>,
+}
+
+impl PlanBook {
+    /// Returns the plan of a job.
+    pub fn plan(&self, job: JobIndex) -> Option<&JobPlan> {
+        self.plans.get(&job)
+    }
+
+    /// Returns the jobs with a plan.
+    pub fn jobs(&self) -> impl Iterator<Item = JobIndex> {
+        self.plans.keys().copied()
+    }
+
+    /// Returns the earmark of a worker.
+    pub fn earmark(&self, worker: WorkerIndex) -> Option<&WorkerEarmark> {
+        self.earmarks.get(&worker)
+    }
+
+    /// Tells whether a task may take room of the worker.
+    ///
+    /// Work that ends before the reservation, and work in the slack beside it, delays nothing.
+    pub fn admits(
+        &self,
+        worker: WorkerIndex,
+        job: JobIndex,
+        size: &ResourceVector,
+        end: Option<Millis>,
+    ) -> bool {
+        let Some(earmark) = self.earmarks.get(&worker) else {
+            return true;
+        };
+        earmark.job == job
+            || end.is_some_and(|end| end <= earmark.until)
+            || size.fits_in(&earmark.slack)
+    }
+
+    /// Takes note of a start on an earmarked worker.
+    pub fn started(
+        &mut self,
+        worker: WorkerIndex,
+        job: JobIndex,
+        size: &ResourceVector,
+        end: Option<Millis>,
+    ) {
+        if let Some(earmark) = self.earmarks.get_mut(&worker)
+            && earmark.job != job
+            && end.is_none_or(|end| end > earmark.until)
+        {
+            earmark.slack = earmark.slack.checked_sub(size).unwrap_or_default();
+        }
+    }
+
+    /// Takes a start on an earmarked worker back.
+    pub fn returned(
+        &mut self,
+        worker: WorkerIndex,
+        job: JobIndex,
+        size: &ResourceVector,
+        end: Option<Millis>,
+    ) {
+        if let Some(earmark) = self.earmarks.get_mut(&worker)
+            && earmark.job != job
+            && end.is_none_or(|end| end > earmark.until)
+        {
+            earmark.slack = earmark.slack.saturating_add(size);
+        }
+    }
+
+    /// Adds a plan with its earmarks.
+    pub fn insert(
+        &mut self,
+        job: JobIndex,
+        plan: JobPlan,
+        slack: impl Fn(WorkerIndex) -> ResourceVector,
+    ) {
+        for &worker in &plan.workers {
+            let earmark = WorkerEarmark {
+                job,
+                until: plan.until,
+                slack: slack(worker),
+            };
+            self.earmarks.insert(worker, earmark);
+        }
+        self.plans.insert(job, plan);
+    }
+
+    /// Releases one worker of a plan; the plan ends with its last worker.
+    pub fn release_worker(&mut self, job: JobIndex, worker: WorkerIndex) {
+        let Some(plan) = self.plans.get_mut(&job) else {
+            return;
+        };
+        plan.workers.retain(|&kept| kept != worker);
+        let is_over = plan.workers.is_empty();
+        if self
+            .earmarks
+            .get(&worker)
+            .is_some_and(|mark| mark.job == job)
+        {
+            self.earmarks.remove(&worker);
+        }
+        if is_over {
+            self.plans.remove(&job);
+        }
+    }
+
+    /// Removes a plan and returns the workers that it kept.
+    pub fn remove(&mut self, job: JobIndex) -> Vec<WorkerIndex> {
+        let Some(plan) = self.plans.remove(&job) else {
+            return Vec::new();
+        };
+        for worker in &plan.workers {
+            self.earmarks.remove(worker);
+        }
+        plan.workers
+    }
+}
--- /dev/null
+++ b/crates/magnolia-policy/tests/scored_behaviour.rs
@@ -0,0 +1,406 @@
+//! What the scored engine does beyond the invariants.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{Harness, document, spec, worker};
+use magnolia_policy::{PreemptionMeans, TaskEnd, WorkerCondition, new_engine};
+use magnolia_types::{CustomerName, JobId, JobKind, Millis, ResourceVector, WorkerId};
+use quickcheck::{Gen, QuickCheck};
+
+const CORE: ResourceVector = ResourceVector::new(1000, 1024, 0);
+
+fn cores(count: u64) -> ResourceVector {
+    ResourceVector::new(count * 1000, count * 1024, 0)
+}
+
+fn harness(rules: &str, workers: usize, capacity: ResourceVector) -> Harness {
+    Harness::new(new_engine(&document(rules))).with_workers(workers, capacity)
+}
+
+/// Guards against a class that a flood of a more urgent class pushes below its floor.
+#[test]
+fn floor_holds_in_an_urgent_flood() {
+    let mut harness = harness("headroom_percent = 0", 10, cores(10));
+    harness.submit("batch", spec("batch", JobKind::Batch, 1000, CORE));
+    harness.submit("flood", spec("urgent", JobKind::Batch, 1000, CORE));
+    let mut least = usize::MAX;
+    for round in 0..200 {
+        harness.step(500);
+        harness.end_due();
+        if round > 60 && round < 100 {
+            harness.step(1);
+            least = least.min(harness.running_of("batch"));
+        }
+    }
+    assert!(
+        least >= 20,
+        "batch kept {least} of 100 cores with a floor of 20%"
+    );
+}
+
+/// Guards against a flood of the least urgent class that keeps urgent work waiting.
+#[test]
+fn urgent_work_makes_a_batch_flood_give_way() {
+    let mut harness = harness("headroom_percent = 0", 4, cores(10));
+    let mut flood = spec("batch", JobKind::Batch, 1000, CORE);
+    flood.run_ms = Some(Millis::from_secs(3600));
+    harness.submit("flood", flood);
+    harness.step(10);
+    assert_eq!(harness.running_of("batch"), 40);
+    harness.submit("urgent", spec("urgent", JobKind::Batch, 4, cores(2)));
+    harness.step(10);
+    assert!(harness.preempted.is_empty(), "urgent work preempts at once");
+    for _ in 0..40 {
+        harness.step(100);
+        let checkpointed: Vec<_> = harness.preempted.drain(..).collect();
+        for (attempt, means) in checkpointed {
+            assert_eq!(means, PreemptionMeans::Checkpoint);
+            assert_eq!(harness.running[&attempt].spec.class.as_str(), "batch");
+            harness.end(&attempt, TaskEnd::Interrupted);
+        }
+    }
+    assert_eq!(harness.running_of("urgent"), 4);
+    assert_eq!(harness.running_of("batch"), 32);
+}
+
+/// Guards against a harsher means where a milder one suffices, and against slow work for ever.
+#[test]
+fn throttling_comes_before_checkpoints() {
+    let mut harness = harness(
+        "headroom_percent = 0",
+        1,
+        ResourceVector::new(4000, 65_536, 0),
+    );
+    let mut batch = spec("batch", JobKind::Batch, 4, CORE);
+    batch.run_ms = Some(Millis::from_secs(3600));
+    harness.submit("batch", batch);
+    harness.step(10);
+    harness.submit("urgent", spec("urgent", JobKind::Batch, 1, CORE));
+    for _ in 0..10 {
+        harness.step(200);
+    }
+    assert_eq!(harness.running_of("urgent"), 1);
+    let means: Vec<_> = harness.preempted.iter().map(|(_, means)| *means).collect();
+    assert!(
+        means
+            .iter()
+            .all(|means| matches!(means, PreemptionMeans::Throttle(25)))
+    );
+    harness.preempted.clear();
+    harness.step(12_000);
+    harness.end_due();
+    harness.step(1000);
+    let means: Vec<_> = harness.preempted.iter().map(|(_, means)| *means).collect();
+    assert_eq!(means, vec![PreemptionMeans::Throttle(100); 2]);
+}
+
+/// Guards against a checkpoint that never ends and keeps urgent work waiting.
+#[test]
+fn a_late_checkpoint_becomes_a_stop() {
+    let mut harness = harness("headroom_percent = 0", 1, cores(4));
+    let mut batch = spec("batch", JobKind::Batch, 2, cores(2));
+    batch.run_ms = None;
+    harness.submit("batch", batch);
+    harness.step(10);
+    harness.submit("urgent", spec("urgent", JobKind::Batch, 1, CORE));
+    for _ in 0..120 {
+        harness.step(100);
+    }
+    let means: Vec<_> = harness.preempted.iter().map(|(_, means)| *means).collect();
+    assert_eq!(
+        means,
+        vec![PreemptionMeans::Checkpoint, PreemptionMeans::Stop]
+    );
+}
+
+/// Guards against work that may not repeat and is stopped in the middle.
+#[test]
+fn work_that_may_not_repeat_is_not_preempted() {
+    let mut harness = harness("headroom_percent = 0", 1, cores(4));
+    let mut batch = spec("batch", JobKind::Batch, 2, cores(2));
+    batch.repeatable = false;
+    harness.submit("batch", batch);
+    harness.step(10);
+    harness.submit("urgent", spec("urgent", JobKind::Batch, 1, CORE));
+    for _ in 0..50 {
+        harness.step(100);
+    }
+    assert!(harness.preempted.is_empty());
+}
+
+/// Guards against a gang that backfilled work delays beyond the end of what ran before it.
+#[test]
+fn backfill_never_delays_a_waiting_gang() {
+    fn property(sizes: Vec<(u8, u8)>, gang: (u8, u8)) -> bool {
+        let mut harness = harness("headroom_percent = 0", 4, cores(8));
+        let batch = |&(size, run): &(u8, u8)| {
+            let mut spec = spec("batch", JobKind::Batch, 1, cores(u64::from(size % 8) + 1));
+            spec.run_ms = Some(Millis::from_secs(u64::from(run % 30) + 1));
+            spec
+        };
+        let (before, after) = sizes.split_at(sizes.len() / 2);
+        for (index, size) in before.iter().enumerate() {
+            harness.submit(&format!("before{index}"), batch(size));
+        }
+        harness.step(1);
+        let running = harness.running.values();
+        let latest = running.map(|record| record.started.get() + record.spec.run_ms.unwrap().get());
+        let latest = latest.max().unwrap_or(1);
+        // The gang is of another customer and class, so that only reservations protect it.
+        let tasks = u32::from(gang.0 % 4) + 1;
+        let mut spec = spec(
+            "service",
+            JobKind::Gang,
+            tasks,
+            cores(u64::from(gang.1 % 8) + 1),
+        );
+        spec.customer = CustomerName::new("guild").unwrap();
+        let job = harness.submit("gang", spec);
+        for (index, size) in after.iter().enumerate() {
+            harness.submit(&format!("after{index}"), batch(size));
+        }
+        while harness.now.get() <= latest + 1000 {
+            harness.step(200);
+            harness.end_due();
+        }
+        harness.step(1);
+        harness.started.contains_key(&job)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 7))
+        .tests(200)
+        .quickcheck(property as fn(Vec<(u8, u8)>, (u8, u8)) -> bool);
+}
+
+/// Guards against good jobs that are given up because a worker is faulty, and the other way round.
+#[test]
+fn faulty_workers_and_faulty_jobs_are_told_apart() {
+    let mut harness = harness("headroom_percent = 0", 8, cores(4));
+    for index in 0..12 {
+        let size = ResourceVector::new(1000 + index * 10, 1024, 0);
+        harness.submit(
+            &format!("good{index}"),
+            spec("batch", JobKind::Batch, 20, size),
+        );
+    }
+    let bad = harness.submit("bad", spec("batch", JobKind::Batch, 1, CORE));
+    let faulty = WorkerId::new("w003").unwrap();
+    let mut quarantined = false;
+    for _ in 0..600 {
+        harness.step(500);
+        let failed = harness.running.values().filter(|record| {
+            record.worker == faulty || (record.task.job == bad && record.started < harness.now)
+        });
+        let failed: Vec<_> = failed.map(|record| record.attempt.clone()).collect();
+        failed
+            .iter()
+            .for_each(|attempt| harness.end(attempt, TaskEnd::Failed));
+        harness.end_due();
+        let listed = harness.engine.quarantined_workers();
+        quarantined |= listed.contains(&faulty);
+        assert!(listed.iter().all(|worker| *worker == faulty));
+    }
+    assert!(quarantined);
+    assert_eq!(harness.given_up, vec![bad]);
+}
+
+/// Guards against a quarantine that never ends.
+#[test]
+fn a_probe_ends_the_quarantine() {
+    let mut harness = harness("headroom_percent = 0", 1, cores(4));
+    for index in 0..3 {
+        let size = ResourceVector::new(1000 + index * 10, 1024, 0);
+        harness.submit(
+            &format!("job{index}"),
+            spec("batch", JobKind::Batch, 1, size),
+        );
+    }
+    harness.step(10);
+    let attempts: Vec<_> = harness.running.keys().cloned().collect();
+    attempts
+        .iter()
+        .for_each(|attempt| harness.end(attempt, TaskEnd::Failed));
+    assert_eq!(harness.engine.quarantined_workers().len(), 1);
+    assert_eq!(harness.step(1000), 0);
+    assert_eq!(harness.step(30_000), 1);
+    assert_eq!(harness.step(1000), 0);
+    harness.step(10_000);
+    harness.end_due();
+    assert!(harness.engine.quarantined_workers().is_empty());
+    assert!(harness.step(1000) > 0);
+}
+
+/// Guards against jobs that wait for ever because nothing could hold them, and false refusals.
+#[test]
+fn impossible_jobs_are_refused_with_the_reason() {
+    let harness = harness("headroom_percent = 10", 4, cores(8));
+    let refusal = |spec| harness.engine.never_fits(&spec);
+    assert!(refusal(spec("batch", JobKind::Batch, 1, cores(9))).is_some());
+    assert!(
+        refusal(spec(
+            "batch",
+            JobKind::Batch,
+            1,
+            ResourceVector::new(1, 1, 1)
+        ))
+        .is_some()
+    );
+    assert!(refusal(spec("batch", JobKind::Gang, 5, cores(8))).is_some());
+    assert!(refusal(spec("batch", JobKind::Gang, 4, cores(8))).is_none());
+    assert!(refusal(spec("batch", JobKind::Batch, 500, cores(8))).is_none());
+}
+
+/// Guards against a task as large as a worker that never starts because of the headroom.
+#[test]
+fn headroom_does_not_exclude_large_tasks() {
+    let mut harness = harness("headroom_percent = 10", 2, cores(10));
+    harness.submit("large", spec("batch", JobKind::Batch, 1, cores(10)));
+    harness.step(1);
+    assert_eq!(harness.running_of("batch"), 1);
+    harness.submit("small", spec("batch", JobKind::Batch, 20, CORE));
+    harness.step(1);
+    assert_eq!(
+        harness.running_of("batch"),
+        10,
+        "headroom of the second worker is used"
+    );
+    harness.submit("urgent", spec("urgent", JobKind::Batch, 1, CORE));
+    harness.step(1);
+    assert_eq!(harness.running_of("urgent"), 1);
+}
+
+/// Guards against a service that one rack takes down, and against work on accelerator workers.
+#[test]
+fn services_spread_and_accelerators_are_kept() {
+    let mut harness = harness("headroom_percent = 0", 12, cores(8));
+    for index in 12..16 {
+        harness.upsert(worker(index, ResourceVector::new(8000, 8192, 4)));
+    }
+    harness.submit("service", spec("service", JobKind::Service, 3, CORE));
+    harness.step(1);
+    let mut racks: BTreeMap<usize, usize> = BTreeMap::new();
+    for record in harness.running.values() {
+        let index: usize = record.worker.as_str()[1..].parse().unwrap();
+        *racks.entry(index / 4).or_default() += 1;
+    }
+    assert_eq!(racks, BTreeMap::from([(0, 1), (1, 1), (2, 1)]));
+    harness.submit("plain", spec("batch", JobKind::Batch, 200, CORE));
+    harness.step(1);
+    assert_eq!(
+        harness.running.len(),
+        96,
+        "plain work took room kept for accelerators"
+    );
+    let size = ResourceVector::new(2000, 2048, 1);
+    harness.submit("accelerated", spec("batch", JobKind::Batch, 16, size));
+    harness.step(1);
+    assert_eq!(harness.running.len(), 112);
+}
+
+/// Guards against a customer beyond its quota and against weights without effect.
+#[test]
+fn quotas_and_weights_hold() {
+    let mut rules = document("headroom_percent = 0");
+    rules.customers[0].quota = Some(cores(3));
+    let mut harness = Harness::new(new_engine(&rules)).with_workers(1, cores(8));
+    harness.submit("limited", spec("batch", JobKind::Batch, 10, CORE));
+    harness.step(1);
+    assert_eq!(harness.running.len(), 3);
+    let reasons = harness
+        .engine
+        .explain(&JobId::new("p0.limited").unwrap(), harness.now);
+    assert!(
+        reasons.iter().any(|line| line.contains("quota")),
+        "{reasons:?}"
+    );
+
+    let mut harness = Harness::new(new_engine(&document("headroom_percent = 0")));
+    harness.submit("one", spec("batch", JobKind::Batch, 100, CORE));
+    let mut other = spec("batch", JobKind::Batch, 100, CORE);
+    other.customer = CustomerName::new("guild").unwrap();
+    harness.submit("three", other);
+    let mut harness = harness.with_workers(2, cores(10));
+    harness.step(1);
+    let customers = harness
+        .running
+        .values()
+        .map(|record| record.spec.customer.as_str());
+    let guild = customers.filter(|name| *name == "guild").count();
+    assert_eq!(guild, 15, "weight 3 against 1 on 20 cores");
+}
+
+/// Guards against estimates that never change and against room below what was used.
+#[test]
+fn sizes_follow_measured_usage() {
+    let mut harness = harness("headroom_percent = 0", 1, cores(16));
+    harness.submit("padded", spec("batch", JobKind::Batch, 20, cores(4)));
+    for _ in 0..10 {
+        harness.step(1);
+        let running: Vec<_> = harness.running.keys().cloned().collect();
+        for attempt in running {
+            harness
+                .engine
+                .observe_usage(&attempt, ResourceVector::new(1900, 2000, 0));
+        }
+        harness.step(10_000);
+        harness.end_due();
+    }
+    harness.submit("later", spec("batch", JobKind::Batch, 7, cores(4)));
+    harness.step(1);
+    assert_eq!(
+        harness.running.len(),
+        7,
+        "7 tasks of about 2.2 cores fit in 16"
+    );
+    let sizes = harness.running.values().map(|record| record.size);
+    assert!(
+        sizes
+            .min_by_key(|size| size.cpu_millis)
+            .unwrap()
+            .cpu_millis
+            .get()
+            >= 1900
+    );
+}
+
+/// Guards against services that stay on a leaving worker until it is gone.
+#[test]
+fn services_move_off_a_leaving_worker() {
+    let mut harness = harness("headroom_percent = 0", 1, cores(4));
+    harness.submit("service", spec("service", JobKind::Service, 1, CORE));
+    harness.submit("batch", spec("batch", JobKind::Batch, 1, CORE));
+    harness.step(1);
+    let mut view = worker(0, cores(4));
+    view.condition = WorkerCondition::Leaving;
+    harness.upsert(view);
+    harness.step(1);
+    assert!(
+        harness.preempted.is_empty(),
+        "there is no room elsewhere yet"
+    );
+    harness.upsert(worker(1, cores(4)));
+    harness.step(1);
+    let moved: Vec<_> = harness.preempted.drain(..).collect();
+    assert_eq!(moved.len(), 1);
+    assert_eq!(harness.running[&moved[0].0].spec.kind, JobKind::Service);
+}
+
+/// Guards against cancelled jobs that leave tasks or counts behind.
+#[test]
+fn ten_thousand_cancellations_leave_nothing() {
+    let mut harness = harness("headroom_percent = 0", 1, CORE);
+    let jobs: Vec<JobId> = (0..10_000)
+        .map(|index| harness.submit(&index.to_string(), spec("batch", JobKind::Batch, 1, CORE)))
+        .collect();
+    harness.step(1);
+    assert_eq!(harness.engine.waiting_tasks(), 9_999);
+    harness.withdraw(&jobs);
+    assert_eq!(harness.engine.waiting_tasks(), 0);
+    let running: Vec<_> = harness.running.keys().cloned().collect();
+    running
+        .iter()
+        .for_each(|attempt| harness.end(attempt, TaskEnd::Interrupted));
+    assert_eq!(harness.step(1000), 0);
+}
