Add admission with fair shares, floors and early refusal

Bounded queues per class and customer, deficit round robin over slot time within a class, a floor for each class measured over the last second, refusal when the expected wait and service exceed the time left, expiry. AdmissionPolicy gains set_rules with an empty default, so that a publication does not need new queues. new_admission now makes the shared admission.

--- a/crates/magnolia-policy/src/admission.rs
+++ b/crates/magnolia-policy/src/admission.rs
@@ -33,6 +33,9 @@
 
 /// Bounded queues shared fairly among customers and classes.
 pub trait AdmissionPolicy: Send {
+    /// Replaces classes, customers and rules; queued requests stay.
+    fn set_rules(&mut self, _document: &magnolia_config::ConfigDocument) {}
+
     /// Queues a request or refuses it at once.
     ///
     /// # Errors
@@ -43,7 +46,7 @@
     /// Takes the queued request that gets the next free slot.
     fn next(&mut self, now: Millis) -> Option<AdmissionTicket>;
 
-    /// Removes and returns the queued requests whose deadline has passed.
+    /// Removes and returns the queued requests whose deadline has passed, each once.
     fn expire(&mut self, now: Millis) -> Vec<AdmissionTicket>;
 
     /// Removes a queued request whose caller went away; `false` when it is not queued.
--- a/crates/magnolia-policy/src/choosers.rs
+++ b/crates/magnolia-policy/src/choosers.rs
@@ -4,6 +4,9 @@
 
 use crate::{BackendView, RoutingChooser};
 
+/// Round-trip times within this part of the least one count as equal.
+const NOISE_DIVISOR: u32 = 10;
+
 /// Baseline: any candidate with room, each with the same chance.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RandomChooser;
@@ -63,3 +66,33 @@
         Some(best.index)
     }
 }
+
+/// The candidate with the least smoothed round-trip time; candidates without a measurement first.
+///
+/// Follows the idea of choosing by estimated round-trip time of "Proxima: Towards Lightweight and
+/// Flexible Anycast Service"; docs/POLICY.md has the comparison.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RoundTripChooser;
+
+impl RoundTripChooser {
+    /// Creates the chooser.
+    pub const fn new() -> Self {
+        Self
+    }
+}
+
+impl RoutingChooser for RoundTripChooser {
+    fn choose(&self, candidates: &[BackendView], random: &mut dyn rand::Rng) -> Option<usize> {
+        let open = candidates.iter().filter(|backend| backend.free_slots > 0);
+        let least = open.map(|backend| backend.round_trip).min()?;
+        let is_least = |backend: &BackendView| {
+            backend.free_slots > 0
+                && match (backend.round_trip, least) {
+                    // Times this close do not tell candidates apart.
+                    (Some(time), Some(least)) => time <= least + least / NOISE_DIVISOR,
+                    (time, least) => time == least,
+                }
+        };
+        draw(candidates, random, is_least).map(|backend| backend.index)
+    }
+}
--- a/crates/magnolia-policy/src/factory.rs
+++ b/crates/magnolia-policy/src/factory.rs
@@ -3,8 +3,8 @@
 use magnolia_config::{ConfigDocument, PlacementPolicy, RoutingPolicy};
 
 use crate::{
-    AdmissionPolicy, FifoAdmission, FirstFitEngine, PlacementEngine, RandomChooser, RoutingChooser,
-    ScoredEngine, TwoChoiceChooser,
+    AdmissionPolicy, FirstFitEngine, PlacementEngine, RandomChooser, RoutingChooser, ScoredEngine,
+    SharedAdmission, TwoChoiceChooser,
 };
 
 /// Creates the placement engine that the rules select, with the rules set and without workers.
@@ -18,8 +18,10 @@
 }
 
 /// Creates the admission policy for `slots` slots.
-pub fn new_admission(_document: &ConfigDocument, slots: u32) -> Box<dyn AdmissionPolicy> {
-    let mut admission = Box::new(FifoAdmission::new());
+///
+/// The rules have no choice of admission; the baseline serves benchmarks.
+pub fn new_admission(document: &ConfigDocument, slots: u32) -> Box<dyn AdmissionPolicy> {
+    let mut admission = Box::new(SharedAdmission::new(document));
     admission.set_slots(slots);
     admission
 }
--- a/crates/magnolia-policy/src/lib.rs
+++ b/crates/magnolia-policy/src/lib.rs
@@ -15,10 +15,12 @@
 mod routing;
 mod rules_view;
 mod scored;
+mod service_times;
+mod shared_admission;
 mod worker_health;
 
 pub use admission::{AdmissionEntry, AdmissionPolicy, AdmissionRefusal, AdmissionTicket};
-pub use choosers::{RandomChooser, TwoChoiceChooser};
+pub use choosers::{RandomChooser, RoundTripChooser, TwoChoiceChooser};
 pub use factory::{new_admission, new_chooser, new_engine};
 pub use fifo_admission::FifoAdmission;
 pub use first_fit::FirstFitEngine;
@@ -28,3 +30,4 @@
 };
 pub use routing::{BackendView, RoutingChooser};
 pub use scored::ScoredEngine;
+pub use shared_admission::SharedAdmission;
--- a/crates/magnolia-policy/src/rules_view.rs
+++ b/crates/magnolia-policy/src/rules_view.rs
@@ -85,6 +85,11 @@
         self.classes.get(name).copied().unwrap_or_default()
     }
 
+    /// Returns the number of configured classes.
+    pub fn class_count(&self) -> usize {
+        self.classes.len()
+    }
+
     /// Tells whether work of the class may use the headroom: it never gives way, and some
     /// configured class is less urgent.
     pub fn is_urgent(&self, rule: &ClassRule) -> bool {
--- /dev/null
+++ b/crates/magnolia-policy/src/shared_admission.rs
@@ -0,0 +1,346 @@
+//! Admission with weighted fair shares, class floors and early refusal.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use magnolia_config::ConfigDocument;
+use magnolia_types::{CustomerName, Millis, ResultCode, WorkClass};
+
+use crate::rules_view::{ClassRule, RulesView};
+use crate::service_times::{DecayedSum, ServiceTimes};
+use crate::{AdmissionEntry, AdmissionPolicy, AdmissionRefusal, AdmissionTicket};
+
+/// Service time that is assumed before any was measured, in milliseconds.
+const DEFAULT_SERVICE_MS: f64 = 5.0;
+
+type ClassIndex = usize;
+
+/// Requests of one customer in one class.
+#[derive(Default)]
+struct CustomerQueue {
+    entries: BTreeMap<u64, AdmissionEntry>,
+    deficit_ms: f64,
+}
+
+/// Requests of one class.
+struct ClassQueue {
+    name: WorkClass,
+    rule: ClassRule,
+    customers: HashMap<CustomerName, CustomerQueue>,
+    /// Customers with queued requests; the front has the turn.
+    turns: VecDeque<CustomerName>,
+    used: DecayedSum,
+    queued: usize,
+}
+
+/// Where a queued request is.
+struct TicketPlace {
+    class: ClassIndex,
+    customer: CustomerName,
+    number: u64,
+    deadline: Millis,
+}
+
+/// Bounded queues per class and customer that share the slots.
+///
+/// A class below its floor goes first, then the classes by rank; within a class the customers take
+/// turns by deficit round robin over slot time. Shares are measured over the last second or so.
+pub struct SharedAdmission {
+    rules: RulesView,
+    slots: u32,
+    in_service: u64,
+    classes: Vec<ClassQueue>,
+    places: HashMap<AdmissionTicket, TicketPlace>,
+    deadlines: BTreeSet<(Millis, AdmissionTicket)>,
+    /// Requests that expired and were not reported yet.
+    late: Vec<AdmissionTicket>,
+    queued_by: HashMap<CustomerName, usize>,
+    times: ServiceTimes,
+    next_number: u64,
+}
+
+impl SharedAdmission {
+    /// Creates empty queues under the rules of a document.
+    pub fn new(document: &ConfigDocument) -> Self {
+        Self {
+            rules: RulesView::new(document),
+            slots: 1,
+            in_service: 0,
+            classes: Vec::new(),
+            places: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            late: Vec::new(),
+            queued_by: HashMap::new(),
+            times: ServiceTimes::default(),
+            next_number: 0,
+        }
+    }
+
+    fn class_index(&mut self, name: &WorkClass) -> ClassIndex {
+        let known = self.classes.iter().position(|class| class.name == *name);
+        known.unwrap_or_else(|| {
+            self.classes.push(ClassQueue {
+                name: name.clone(),
+                rule: self.rules.class(name),
+                customers: HashMap::new(),
+                turns: VecDeque::new(),
+                used: DecayedSum::default(),
+                queued: 0,
+            });
+            self.classes.len() - 1
+        })
+    }
+
+    /// Refuses what would overfill the queue of the class or all queues of the customer.
+    ///
+    /// Half of a customer's places are divided among its classes, so that a flood of one class
+    /// leaves room for its others.
+    fn check_room(
+        &self,
+        class: ClassIndex,
+        entry: &AdmissionEntry,
+    ) -> Result<(), AdmissionRefusal> {
+        let most = self.rules.customer(&entry.customer).max_queued as usize;
+        let total = self.queued_by.get(&entry.customer).copied().unwrap_or(0);
+        if total >= most {
+            return Err(AdmissionRefusal {
+                code: ResultCode::QuotaExceeded,
+                reason: format!("{total} requests of {} are queued", entry.customer).into(),
+            });
+        }
+        let kept = most / (2 * self.rules.class_count().max(1));
+        let bound = most - kept * self.rules.class_count().saturating_sub(1);
+        let queue = self.classes[class].customers.get(&entry.customer);
+        let queued = queue.map_or(0, |queue| queue.entries.len());
+        if queued >= bound.max(1) {
+            let (customer, class) = (&entry.customer, &entry.class);
+            return Err(AdmissionRefusal {
+                code: ResultCode::QueueFull,
+                reason: format!("{queued} requests of {customer} in class {class} are queued")
+                    .into(),
+            });
+        }
+        Ok(())
+    }
+
+    /// Refuses what is not expected to be answered in time.
+    fn check_wait(
+        &mut self,
+        now: Millis,
+        class: ClassIndex,
+        entry: &AdmissionEntry,
+    ) -> Result<(), AdmissionRefusal> {
+        if self.places.is_empty() && self.in_service < u64::from(self.slots) {
+            return Ok(());
+        }
+        let Some(service_ms) = self.times.expected_ms(&entry.class, &entry.customer) else {
+            return Ok(());
+        };
+        let wait_ms = self.expected_wait_ms(now, class, &entry.customer, service_ms);
+        let left = entry.deadline.saturating_sub(now).get() as f64;
+        if wait_ms + service_ms <= left {
+            return Ok(());
+        }
+        Err(AdmissionRefusal {
+            code: ResultCode::DeadlineTooShort,
+            reason: format!("expected {wait_ms:.0} ms in the queue, {left:.0} ms are left").into(),
+        })
+    }
+
+    /// Expects the wait behind the customer's own queue at the share that the queue gets.
+    fn expected_wait_ms(
+        &mut self,
+        now: Millis,
+        class: ClassIndex,
+        customer: &CustomerName,
+        service_ms: f64,
+    ) -> f64 {
+        let queue = &self.classes[class];
+        let own = queue.customers.get(customer);
+        let ahead = own.map_or(0, |own| own.entries.len()) as f64;
+        let weight = |name: &CustomerName| f64::from(self.rules.customer(name).weight);
+        let others = queue.turns.iter().filter(|name| *name != customer);
+        let others: f64 = others.map(weight).sum();
+        let of_class = weight(customer) / (weight(customer) + others);
+        let share = self.class_share(now, class) * of_class;
+        (ahead + 1.0) * service_ms / (f64::from(self.slots) * share).max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns the share of the slots that the class can count on now.
+    fn class_share(&mut self, now: Millis, class: ClassIndex) -> f64 {
+        let rank = self.classes[class].rule.rank;
+        let floor = f64::from(self.classes[class].rule.floor_percent) / 100.0;
+        let capacity = f64::from(self.slots) * DecayedSum::LIFE_MS;
+        let mut left = 1.0;
+        for (index, other) in self.classes.iter_mut().enumerate() {
+            if index == class {
+                continue;
+            }
+            let used = other.used.value(now) / capacity;
+            let other_floor = f64::from(other.rule.floor_percent) / 100.0;
+            left -= if other.rule.rank > rank {
+                used
+            } else {
+                used.min(other_floor)
+            };
+        }
+        // A class without a floor still drains when the urgent ones pause.
+        left.max(floor).max(0.01)
+    }
+
+    /// Returns the class whose turn it is.
+    fn next_class(&mut self, now: Millis) -> Option<ClassIndex> {
+        let total: f64 = self
+            .classes
+            .iter_mut()
+            .map(|class| class.used.value(now))
+            .sum();
+        let waiting = self.classes.iter_mut().enumerate();
+        let waiting = waiting.filter(|(_, class)| class.queued > 0);
+        let keyed = waiting.map(|(index, class)| {
+            let floor = total * f64::from(class.rule.floor_percent) / 100.0;
+            let is_above = class.used.value(now) >= floor;
+            (is_above, Reverse(class.rule.rank), index)
+        });
+        keyed.min().map(|(.., index)| index)
+    }
+
+    /// Takes the next request of a class by deficit round robin.
+    fn take_from(&mut self, now: Millis, index: ClassIndex) -> Option<AdmissionTicket> {
+        loop {
+            let class = &mut self.classes[index];
+            let customer = class.turns.front()?.clone();
+            let cost = self.times.expected_ms(&class.name, &customer);
+            let cost = cost.unwrap_or(DEFAULT_SERVICE_MS).max(1.0);
+            let queue = class.customers.get_mut(&customer)?;
+            if queue.deficit_ms < cost {
+                let weight = f64::from(self.rules.customer(&customer).weight);
+                // A quantum of a mean service time keeps the number of turns for a pick small.
+                let quantum = self.times.class_ms(&class.name);
+                queue.deficit_ms += quantum.unwrap_or(DEFAULT_SERVICE_MS).max(1.0) * weight;
+                class.turns.rotate_left(1);
+                continue;
+            }
+            queue.deficit_ms -= cost;
+            class.used.add(now, cost);
+            let ticket = queue
+                .entries
+                .first_key_value()
+                .map(|(_, entry)| entry.ticket)?;
+            self.remove(ticket);
+            return Some(ticket);
+        }
+    }
+
+    fn remove(&mut self, ticket: AdmissionTicket) -> bool {
+        let Some(place) = self.places.remove(&ticket) else {
+            return false;
+        };
+        self.deadlines.remove(&(place.deadline, ticket));
+        if let Some(count) = self.queued_by.get_mut(&place.customer) {
+            *count -= 1;
+            if *count == 0 {
+                self.queued_by.remove(&place.customer);
+            }
+        }
+        let class = &mut self.classes[place.class];
+        class.queued -= 1;
+        if let Some(queue) = class.customers.get_mut(&place.customer) {
+            queue.entries.remove(&place.number);
+            if queue.entries.is_empty() {
+                class.customers.remove(&place.customer);
+                class.turns.retain(|name| *name != place.customer);
+            }
+        }
+        true
+    }
+}
+
+impl AdmissionPolicy for SharedAdmission {
+    fn set_rules(&mut self, document: &ConfigDocument) {
+        self.rules = RulesView::new(document);
+        for class in &mut self.classes {
+            class.rule = self.rules.class(&class.name);
+        }
+    }
+
+    fn offer(&mut self, now: Millis, entry: AdmissionEntry) -> Result<(), AdmissionRefusal> {
+        if entry.deadline <= now {
+            return Err(AdmissionRefusal {
+                code: ResultCode::DeadlineExceeded,
+                reason: "the deadline has passed".into(),
+            });
+        }
+        let class = self.class_index(&entry.class);
+        self.check_room(class, &entry)?;
+        self.check_wait(now, class, &entry)?;
+        let number = self.next_number;
+        self.next_number += 1;
+        let place = TicketPlace {
+            class,
+            customer: entry.customer.clone(),
+            number,
+            deadline: entry.deadline,
+        };
+        self.deadlines.insert((entry.deadline, entry.ticket));
+        self.places.insert(entry.ticket, place);
+        *self.queued_by.entry(entry.customer.clone()).or_default() += 1;
+        let queue = &mut self.classes[class];
+        queue.queued += 1;
+        if !queue.customers.contains_key(&entry.customer) {
+            queue.turns.push_back(entry.customer.clone());
+        }
+        let customer = queue.customers.entry(entry.customer.clone()).or_default();
+        customer.entries.insert(number, entry);
+        Ok(())
+    }
+
+    fn next(&mut self, now: Millis) -> Option<AdmissionTicket> {
+        let late = self.expire(now);
+        self.late = late;
+        let class = self.next_class(now)?;
+        let taken = self.take_from(now, class);
+        self.in_service += u64::from(taken.is_some());
+        taken
+    }
+
+    fn expire(&mut self, now: Millis) -> Vec<AdmissionTicket> {
+        let mut expired = std::mem::take(&mut self.late);
+        while let Some(&(deadline, ticket)) = self.deadlines.first() {
+            if deadline > now {
+                break;
+            }
+            self.remove(ticket);
+            expired.push(ticket);
+        }
+        expired
+    }
+
+    fn withdraw(&mut self, ticket: AdmissionTicket) -> bool {
+        self.remove(ticket)
+    }
+
+    fn finished(&mut self, now: Millis, customer: &CustomerName, class: &WorkClass, took: Millis) {
+        self.in_service = self.in_service.saturating_sub(1);
+        let took_ms = took.get().max(1) as f64;
+        let expected = self
+            .times
+            .expected_ms(class, customer)
+            .unwrap_or(DEFAULT_SERVICE_MS);
+        self.times.observe(class, customer, took_ms);
+        let index = self.class_index(class);
+        let queue = &mut self.classes[index];
+        queue.used.add(now, took_ms - expected.max(1.0));
+        if let Some(queue) = queue.customers.get_mut(customer) {
+            queue.deficit_ms += expected.max(1.0) - took_ms;
+        }
+    }
+
+    fn set_slots(&mut self, slots: u32) {
+        self.slots = slots.max(1);
+    }
+
+    fn queued(&self) -> usize {
+        self.places.len()
+    }
+}
--- a/crates/magnolia-policy/tests/placement_invariants.rs
+++ b/crates/magnolia-policy/tests/placement_invariants.rs
@@ -44,7 +44,7 @@
     let engine = new_engine(&document(rules));
     let mut harness = Harness::new(engine);
     for index in 0..WORKERS {
-        let accelerators = if index % 3 == 0 { 2 } else { 0 };
+        let accelerators = if index.is_multiple_of(3) { 2 } else { 0 };
         harness.upsert(worker(
             index,
             ResourceVector::new(8000, 16_384, accelerators),
@@ -83,7 +83,7 @@
             }
             Step::Condition(index, condition) => {
                 let index = usize::from(index) % WORKERS;
-                let accelerators = if index % 3 == 0 { 2 } else { 0 };
+                let accelerators = if index.is_multiple_of(3) { 2 } else { 0 };
                 let mut view = worker(index, ResourceVector::new(8000, 16_384, accelerators));
                 view.condition = [
                     WorkerCondition::Usable,
