--- /dev/null
+++ b/crates/magnolia-bench/src/cluster.rs
@@ -0,0 +1,149 @@
+//! An engine with running attempts, as its owner would drive it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use magnolia_policy::{
+    AttemptRecord, PlacementDecision, PlacementEngine, PreemptionMeans, TaskEnd, WaitingJob,
+    WorkerView,
+};
+use magnolia_types::{AttemptId, JobId, JobSpec, Millis, ResourceVector, TaskRef};
+
+use crate::BenchError;
+
+/// What an owner learns from one round of decisions.
+#[derive(Default)]
+pub struct RoundOutcome {
+    /// Attempts that started.
+    pub started: Vec<AttemptRecord>,
+    /// Attempts that give way, and how.
+    pub preempted: Vec<(AttemptId, PreemptionMeans)>,
+    /// Jobs that were given up.
+    pub given_up: Vec<JobId>,
+}
+
+/// An engine with its running attempts.
+pub struct BenchCluster {
+    /// The engine.
+    pub engine: Box<dyn PlacementEngine>,
+    /// Running attempts.
+    pub running: HashMap<AttemptId, AttemptRecord>,
+    specs: HashMap<JobId, Arc<JobSpec>>,
+    next_attempt: u64,
+    next_job: u64,
+}
+
+impl BenchCluster {
+    /// Creates a cluster of workers.
+    pub fn new(engine: Box<dyn PlacementEngine>, workers: Vec<WorkerView>) -> Self {
+        let mut cluster = Self {
+            engine,
+            running: HashMap::new(),
+            specs: HashMap::new(),
+            next_attempt: 0,
+            next_job: 0,
+        };
+        for worker in workers {
+            cluster.engine.upsert_worker(worker);
+        }
+        cluster
+    }
+
+    /// Queues a job with all its tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the id of the job is not valid.
+    pub fn submit(&mut self, spec: &Arc<JobSpec>, now: Millis) -> Result<JobId, BenchError> {
+        self.next_job += 1;
+        let job = JobId::new_in("p0", self.next_job)?;
+        self.specs.insert(job.clone(), Arc::clone(spec));
+        self.engine.enqueue(WaitingJob {
+            job: job.clone(),
+            spec: Arc::clone(spec),
+            submitted: now,
+            tasks: (0..spec.tasks).collect(),
+        });
+        Ok(job)
+    }
+
+    /// Queues a task again.
+    pub fn resubmit(&mut self, task: &TaskRef, spec: &Arc<JobSpec>, now: Millis) {
+        self.engine.enqueue(WaitingJob {
+            job: task.job.clone(),
+            spec: Arc::clone(spec),
+            submitted: now,
+            tasks: vec![task.task],
+        });
+    }
+
+    /// Decides and starts what was decided.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the id of an attempt is not valid.
+    pub fn decide(&mut self, now: Millis, limit: usize) -> Result<RoundOutcome, BenchError> {
+        let decisions = self.engine.decide(now, limit);
+        self.carry_out(decisions, now)
+    }
+
+    /// Starts what was decided.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the id of an attempt is not valid.
+    pub fn carry_out(
+        &mut self,
+        decisions: Vec<PlacementDecision>,
+        now: Millis,
+    ) -> Result<RoundOutcome, BenchError> {
+        let mut outcome = RoundOutcome::default();
+        for decision in decisions {
+            match decision {
+                PlacementDecision::Start { job, members } => {
+                    for (task, worker, size) in members {
+                        let record = self.record(&job, task, worker, size, now)?;
+                        outcome.started.push(record);
+                    }
+                }
+                PlacementDecision::Preempt { attempt, means, .. } => {
+                    outcome.preempted.push((attempt, means));
+                }
+                PlacementDecision::GiveUp { job, .. } => outcome.given_up.push(job),
+            }
+        }
+        for record in &outcome.started {
+            self.engine.attempt_started(record.clone());
+            self.running.insert(record.attempt.clone(), record.clone());
+        }
+        Ok(outcome)
+    }
+
+    /// Ends an attempt.
+    pub fn end(&mut self, attempt: &AttemptId, end: TaskEnd, now: Millis) -> Option<AttemptRecord> {
+        let record = self.running.remove(attempt)?;
+        self.engine.attempt_ended(attempt, end, now);
+        Some(record)
+    }
+
+    fn record(
+        &mut self,
+        job: &JobId,
+        task: u32,
+        worker: magnolia_types::WorkerId,
+        size: ResourceVector,
+        now: Millis,
+    ) -> Result<AttemptRecord, BenchError> {
+        self.next_attempt += 1;
+        let spec = self.specs.get(job).map(Arc::clone);
+        let spec = spec.ok_or_else(|| BenchError::Work(format!("{job} was never submitted")))?;
+        Ok(AttemptRecord {
+            attempt: AttemptId::new(&format!("a{}", self.next_attempt))?,
+            task: TaskRef::new(job.clone(), task),
+            worker,
+            size,
+            spec,
+            started: now,
+        })
+    }
+}
--- /dev/null
+++ b/crates/magnolia-bench/src/memory.rs
@@ -0,0 +1,5 @@
+//! Pending.
+use crate::{BenchError, BenchReport, BenchScope};
+pub fn run(_: &BenchScope) -> Result<BenchReport, BenchError> {
+    Ok(BenchReport::new("memory"))
+}
--- /dev/null
+++ b/crates/magnolia-bench/src/replay.rs
@@ -0,0 +1,1 @@
+//! Pending.
--- a/crates/magnolia-policy/src/estimates.rs
+++ b/crates/magnolia-policy/src/estimates.rs
@@ -11,16 +11,14 @@
 const MIN_SIZE_SAMPLES: usize = 16;
 /// Fewer observations than this give no run time.
 const MIN_RUN_SAMPLES: usize = 8;
-/// Room above the largest observed peak, because usage lags and the window is short.
+/// Room above the largest observed peak of a size that is cut, because usage lags.
 const SIZE_MARGIN: f32 = 1.15;
 /// A declared size is never cut below this share.
 const MIN_SIZE_RATIO: f32 = 0.25;
 /// A declared size is never raised beyond this multiple.
 const MAX_SIZE_RATIO: f32 = 4.0;
-/// Usage this close to the reserved room was cut off by it.
-const CLIPPED_SHARE: f32 = 0.95;
-/// Growth of the estimate when usage was cut off by the reserved room.
-const CLIPPED_GROWTH: f32 = 1.25;
+/// Quantile of usage to which a size that was declared too small is raised, in percent.
+const RAISE_QUANTILE_PERCENT: usize = 75;
 /// Quantile of run times that counts as expected, in percent: late ends delay gangs.
 const RUN_QUANTILE_PERCENT: usize = 90;
 
@@ -41,25 +39,32 @@
         self.next += 1;
     }
 
-    fn max(&self) -> f32 {
-        self.samples.iter().copied().fold(0.0, f32::max)
+    fn quantile(&self, percent: usize) -> Option<f32> {
+        let mut sorted = self.samples.clone();
+        sorted.sort_by(f32::total_cmp);
+        let rank = (sorted.len() * percent).div_ceil(100);
+        sorted.get(rank.checked_sub(1)?).copied()
     }
 
     fn run_quantile(&self) -> Option<f32> {
-        if self.samples.len() < MIN_RUN_SAMPLES {
-            return None;
-        }
-        let mut sorted = self.samples.clone();
-        sorted.sort_by(f32::total_cmp);
-        let rank = (sorted.len() * RUN_QUANTILE_PERCENT).div_ceil(100) - 1;
-        sorted.get(rank).copied()
+        let is_known = self.samples.len() >= MIN_RUN_SAMPLES;
+        is_known.then(|| self.quantile(RUN_QUANTILE_PERCENT))?
     }
 
+    /// Returns the factor for declared sizes.
+    ///
+    /// A cut keeps a margin above the largest peak, because it must not make room for more than a
+    /// worker has. A raise follows a quantile: the largest of noisy peaks would leave most of the
+    /// fleet empty.
     fn size_ratio(&self) -> f32 {
         if self.samples.len() < MIN_SIZE_SAMPLES {
             return 1.0;
         }
-        (self.max() * SIZE_MARGIN).clamp(MIN_SIZE_RATIO, MAX_SIZE_RATIO)
+        let cut = self.quantile(100).unwrap_or(1.0) * SIZE_MARGIN;
+        let raise = self.quantile(RAISE_QUANTILE_PERCENT).unwrap_or(1.0);
+        cut.min(1.0)
+            .max(raise)
+            .clamp(MIN_SIZE_RATIO, MAX_SIZE_RATIO)
     }
 }
 
@@ -96,8 +101,6 @@
 pub struct RunObservation {
     /// Size that the caller declared.
     pub declared: ResourceVector,
-    /// Room that was reserved.
-    pub reserved: ResourceVector,
     /// Highest measured usage, if any was measured.
     pub peak: Option<ResourceVector>,
     /// Run time that the caller declared.
@@ -123,8 +126,7 @@
 impl<K: Eq + Hash> EstimateBook<K> {
     /// Returns the room to reserve for a task of this declared size.
     ///
-    /// It is the largest peak in the window with a margin, so that reserved sizes follow usage but
-    /// never drop below what was seen. Accelerators are whole and stay as declared.
+    /// Accelerators are whole and stay as declared.
     pub fn reserved_size(&self, group: &K, declared: &ResourceVector) -> ResourceVector {
         let Some(estimate) = self.groups.get(group) else {
             return *declared;
@@ -152,11 +154,10 @@
     pub fn observe(&mut self, group: K, seen: &RunObservation) {
         let estimate = self.groups.entry(group).or_default();
         if let Some(peak) = seen.peak {
-            let pairs = (seen.declared.cpu_millis, seen.reserved.cpu_millis);
-            let ratio = usage_ratio(peak.cpu_millis.get(), pairs.0.get(), pairs.1.get());
+            let declared = &seen.declared;
+            let ratio = usage_ratio(peak.cpu_millis.get(), declared.cpu_millis.get());
             estimate.cpu.push(ratio);
-            let pairs = (seen.declared.memory_mib, seen.reserved.memory_mib);
-            let ratio = usage_ratio(peak.memory_mib.get(), pairs.0.get(), pairs.1.get());
+            let ratio = usage_ratio(peak.memory_mib.get(), declared.memory_mib.get());
             estimate.memory.push(ratio);
             estimate.cpu_ratio = estimate.cpu.size_ratio();
             estimate.memory_ratio = estimate.memory.size_ratio();
@@ -173,15 +174,10 @@
     }
 }
 
-fn usage_ratio(peak: u64, declared: u64, reserved: u64) -> f32 {
-    if declared == 0 {
-        return 1.0;
-    }
-    let ratio = peak as f32 / declared as f32;
-    if peak as f32 >= reserved as f32 * CLIPPED_SHARE {
-        ratio * CLIPPED_GROWTH
-    } else {
-        ratio
+fn usage_ratio(peak: u64, declared: u64) -> f32 {
+    match declared {
+        0 => 1.0,
+        declared => peak as f32 / declared as f32,
     }
 }
 
--- a/crates/magnolia-policy/src/scored/mod.rs
+++ b/crates/magnolia-policy/src/scored/mod.rs
@@ -166,7 +166,6 @@
         let lane = self.book.lane_for(&held.record.spec, &self.rules);
         let seen = RunObservation {
             declared: held.record.spec.size,
-            reserved: held.record.size,
             peak,
             declared_run: held.record.spec.run_ms,
             ran: now.saturating_sub(held.record.started),
--- a/crates/magnolia-policy/src/scored/place.rs
+++ b/crates/magnolia-policy/src/scored/place.rs
@@ -14,10 +14,10 @@
 const PER_POOL: usize = 24;
 /// Workers scored for a task of a service, so that several racks are among them.
 const SPREAD_CANDIDATES: usize = 256;
-/// Weight of uneven leftovers against the sum of leftovers.
-const IMBALANCE_WEIGHT: f64 = 2.0;
+/// Weight of uneven leftovers against the larger leftover; docs/POLICY.md has the figures of others.
+const IMBALANCE_WEIGHT: f64 = 16.0;
 /// Penalty for each task of the same service on the rack; above any packing gain.
-const SAME_RACK_PENALTY: f64 = 10.0;
+const SAME_RACK_PENALTY: f64 = 50.0;
 /// Penalty of a worker on which other tasks failed since its last success.
 const SUSPECT_PENALTY: f64 = 100.0;
 /// Penalty of room beside a reservation.
@@ -152,7 +152,7 @@
             need.size.memory_mib.get(),
             capacity.memory_mib.get(),
         );
-        let packing = cpu + memory + IMBALANCE_WEIGHT * (cpu - memory).abs();
+        let packing = cpu.max(memory) + IMBALANCE_WEIGHT * (cpu - memory).abs();
         let mut score = packing * f64::from(self.rules.packing_weight) / 100.0;
         if !job.racks.is_empty() {
             score += SAME_RACK_PENALTY * f64::from(job.tasks_on_rack(&slot.view.rack));
