--- a/crates/magnolia-bench/src/decisions.rs
+++ b/crates/magnolia-bench/src/decisions.rs
@@ -145,7 +145,7 @@
     Ok(seen)
 }
 
-/// Queues jobs until `queue` tasks wait: nine of ten batch jobs, the others urgent.
+/// Queues jobs until `queue` tasks wait: batch jobs, one of ten urgent, one of twenty a gang.
 fn refill(
     cluster: &mut BenchCluster,
     queue: usize,
@@ -154,21 +154,14 @@
 ) -> Result<(), BenchError> {
     while cluster.engine.waiting_tasks() < queue {
         let book = random.random_range(0..ORDER_BOOKS.len());
-        let class = if random.random_bool(0.9) {
-            "batch"
-        } else {
-            "urgent"
+        let (class, kind) = match random.random_range(0..20) {
+            0 | 1 => ("urgent", JobKind::Batch),
+            2 => ("batch", JobKind::Gang),
+            _ => ("batch", JobKind::Batch),
         };
         let run = Some(Millis::new(random.random_range(1_000..600_000)));
         let size = book_size(book, random);
-        let spec = spec(
-            ORDER_BOOKS[book],
-            class,
-            JobKind::Batch,
-            TASKS_PER_JOB,
-            size,
-            run,
-        )?;
+        let spec = spec(ORDER_BOOKS[book], class, kind, TASKS_PER_JOB, size, run)?;
         cluster.submit(&spec, now)?;
     }
     Ok(())
--- a/crates/magnolia-bench/src/executors.rs
+++ b/crates/magnolia-bench/src/executors.rs
@@ -1,5 +1,390 @@
-//! Pending.
+//! Choice of executors: by free slots, at random, by round-trip time; owners against fixed shares.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use magnolia_policy::{
+    BackendView, RandomChooser, RoundTripChooser, RoutingChooser, TwoChoiceChooser,
+};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use crate::workload::{exponential, generator};
 use crate::{BenchError, BenchReport, BenchScope};
-pub fn run(_: &BenchScope) -> Result<BenchReport, BenchError> {
-    Ok(BenchReport::new("executors"))
+
+/// Data centre of each entry.
+const ENTRIES: [usize; 7] = [0, 0, 0, 1, 1, 2, 2];
+/// Data centres; each has one executor group.
+const CENTRES: usize = 3;
+/// Executors of the cell.
+const EXECUTORS: usize = 50;
+/// Slots of an executor.
+const SLOTS: u32 = 8;
+/// Mean service time.
+const SERVICE_MS: f64 = 5.0;
+/// One-way latency within a data centre.
+const LOCAL_MS: f64 = 0.1;
+/// Time between two refreshes of what an entry knows of an owner, as pings give.
+const REFRESH_MS: f64 = 500.0;
+/// Weight of a new sample in the smoothed round-trip time.
+const NEW_SAMPLE: f64 = 0.2;
+/// Requests of a run; the first tenth is not measured.
+const REQUESTS: usize = 60_000;
+/// Share of the requests that the first entry gets in uneven runs.
+const UNEVEN_SHARE: f64 = 0.4;
+/// One-way latencies between data centres and to clients.
+const LATENCIES: [(f64, f64); 2] = [(0.5, 1.0), (1.0, 3.0)];
+const LOADS: [f64; 3] = [0.5, 0.8, 0.95];
+
+/// How a request finds a slot.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Routing {
+    /// The entry chooses an owner, the owner an executor.
+    Owners { by_entry: Choice, by_owner: Choice },
+    /// Every entry has a fixed share of the slots of all executors.
+    FixedShares,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Choice {
+    TwoChoices,
+    Random,
+    RoundTrip,
+}
+
+/// Measures the ways to route at several loads and latencies.
+///
+/// # Errors
+///
+/// Never fails; the signature is that of all benchmarks.
+pub fn run(scope: &BenchScope) -> Result<BenchReport, BenchError> {
+    let mut report = BenchReport::new("executors");
+    let owners = |by_entry, by_owner| Routing::Owners { by_entry, by_owner };
+    let policies = [
+        (
+            "two choices",
+            owners(Choice::TwoChoices, Choice::TwoChoices),
+        ),
+        ("random", owners(Choice::Random, Choice::Random)),
+        ("round trip", owners(Choice::RoundTrip, Choice::TwoChoices)),
+        ("fixed shares", Routing::FixedShares),
+    ];
+    let requests = if scope.small { 2_000 } else { REQUESTS };
+    for (between, to_client) in LATENCIES {
+        for load in LOADS {
+            for uneven in [false, true] {
+                let spread = if uneven { "uneven" } else { "even" };
+                let scenario = format!("{between}/{to_client} ms, load {load}, {spread}");
+                for &seed in &scope.seeds {
+                    for (policy, routing) in policies {
+                        let setup = RoutingSetup {
+                            routing,
+                            between,
+                            to_client,
+                            load,
+                            uneven,
+                            requests,
+                        };
+                        let times = RoutingRun::new(setup, seed).run();
+                        for (name, quantile) in [("p50", 0.5), ("p99", 0.99)] {
+                            let micros = times.value_at_quantile(quantile) as f64;
+                            report.add(&scenario, policy, &format!("{name} ms"), micros / 1000.0);
+                        }
+                    }
+                }
+            }
+        }
+    }
+    Ok(report)
+}
+
+#[derive(Clone, Copy)]
+struct RoutingSetup {
+    routing: Routing,
+    between: f64,
+    to_client: f64,
+    load: f64,
+    uneven: bool,
+    requests: usize,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum RoutingEvent {
+    Arrive,
+    AtOwner(usize),
+    Served(usize),
+    Answered(usize),
+    Refresh,
+}
+
+/// A request on its way.
+#[derive(Clone, Copy)]
+struct RoutedRequest {
+    sent: f64,
+    forwarded: f64,
+    service: f64,
+    entry: usize,
+    owner: usize,
+    executor: usize,
+    free_at_answer: u32,
+}
+
+/// What an entry knows of an owner.
+#[derive(Clone, Copy)]
+struct OwnerView {
+    free: u32,
+    round_trip: Option<f64>,
+}
+
+/// Slots of executors with the requests that wait for them: a group, or an entry's fixed share.
+struct SlotPool {
+    free: Vec<(usize, u32)>,
+    queue: VecDeque<usize>,
+}
+
+struct RoutingRun {
+    setup: RoutingSetup,
+    random: ChaCha8Rng,
+    events: BinaryHeap<Reverse<(u64, u64, RoutingEvent)>>,
+    next_event: u64,
+    pools: Vec<SlotPool>,
+    views: Vec<[OwnerView; CENTRES]>,
+    requests: Vec<RoutedRequest>,
+    times: Histogram<u64>,
+    answered: usize,
+}
+
+impl RoutingRun {
+    fn new(setup: RoutingSetup, seed: u64) -> Self {
+        let pools: Vec<SlotPool> = match setup.routing {
+            Routing::Owners { .. } => (0..CENTRES).map(group_pool).collect(),
+            Routing::FixedShares => (0..ENTRIES.len()).map(entry_pool).collect(),
+        };
+        let view = OwnerView {
+            free: SLOTS,
+            round_trip: None,
+        };
+        let times = Histogram::new_with_max(600_000_000, 3);
+        let mut run = Self {
+            setup,
+            random: generator(seed, 6),
+            events: BinaryHeap::new(),
+            next_event: 0,
+            pools,
+            views: vec![[view; CENTRES]; ENTRIES.len()],
+            requests: Vec::new(),
+            times: times.expect("the bounds are constants"),
+            answered: 0,
+        };
+        run.push(0.0, RoutingEvent::Arrive);
+        run.push(REFRESH_MS, RoutingEvent::Refresh);
+        run
+    }
+
+    fn push(&mut self, at: f64, event: RoutingEvent) {
+        self.next_event += 1;
+        let micros = (at * 1000.0) as u64;
+        self.events.push(Reverse((micros, self.next_event, event)));
+    }
+
+    fn run(mut self) -> Histogram<u64> {
+        while self.answered < self.setup.requests {
+            let Some(Reverse((micros, _, event))) = self.events.pop() else {
+                break;
+            };
+            let now = micros as f64 / 1000.0;
+            match event {
+                RoutingEvent::Arrive => self.arrive(now),
+                RoutingEvent::AtOwner(request) => self.at_owner(request, now),
+                RoutingEvent::Served(request) => self.served(request, now),
+                RoutingEvent::Answered(request) => self.answer(request, now),
+                RoutingEvent::Refresh => self.refresh(now),
+            }
+        }
+        self.times
+    }
+
+    /// A request reaches an entry; the next one is drawn.
+    fn arrive(&mut self, now: f64) {
+        if self.requests.len() >= self.setup.requests {
+            return;
+        }
+        let capacity = EXECUTORS as f64 * f64::from(SLOTS) / SERVICE_MS;
+        let gap = exponential(&mut self.random, 1.0 / (capacity * self.setup.load));
+        self.push(now + gap, RoutingEvent::Arrive);
+        let entry = if self.setup.uneven && self.random.random_bool(UNEVEN_SHARE) {
+            0
+        } else {
+            self.random.random_range(0..ENTRIES.len())
+        };
+        let owner = match self.setup.routing {
+            Routing::Owners { by_entry, .. } => self.choose_owner(entry, by_entry),
+            Routing::FixedShares => entry,
+        };
+        let service = exponential(&mut self.random, SERVICE_MS);
+        self.requests.push(RoutedRequest {
+            sent: now - self.setup.to_client,
+            forwarded: now,
+            service,
+            entry,
+            owner,
+            executor: 0,
+            free_at_answer: 0,
+        });
+        let way = self.way_to_owner(entry, owner);
+        self.push(now + way, RoutingEvent::AtOwner(self.requests.len() - 1));
+    }
+
+    fn way_to_owner(&self, entry: usize, owner: usize) -> f64 {
+        match self.setup.routing {
+            Routing::FixedShares => 0.0,
+            Routing::Owners { .. } if ENTRIES[entry] == owner => LOCAL_MS,
+            Routing::Owners { .. } => self.setup.between,
+        }
+    }
+
+    fn way_to_executor(&self, request: &RoutedRequest) -> f64 {
+        let from = match self.setup.routing {
+            Routing::FixedShares => ENTRIES[request.entry],
+            Routing::Owners { .. } => request.owner,
+        };
+        if from == request.executor % CENTRES {
+            LOCAL_MS
+        } else {
+            self.setup.between
+        }
+    }
+
+    fn choose_owner(&mut self, entry: usize, choice: Choice) -> usize {
+        let views = self.views[entry];
+        let owners = views.iter().enumerate().map(|(index, view)| BackendView {
+            index,
+            free_slots: view.free,
+            same_centre: ENTRIES[entry] == index,
+            round_trip: view
+                .round_trip
+                .map(|ms| Duration::from_secs_f64(ms / 1000.0)),
+        });
+        let owners: Vec<BackendView> = owners.collect();
+        let chosen = chooser(choice).choose(&owners, &mut self.random);
+        // Without a free slot anywhere the request waits at the owner of its own data centre.
+        chosen.unwrap_or(ENTRIES[entry])
+    }
+
+    fn at_owner(&mut self, request: usize, now: f64) {
+        let pool = self.requests[request].owner;
+        let choice = match self.setup.routing {
+            Routing::Owners { by_owner, .. } => by_owner,
+            Routing::FixedShares => Choice::TwoChoices,
+        };
+        let executors = self.pools[pool].free.iter().enumerate();
+        let entry_centre = ENTRIES[self.requests[request].entry];
+        let is_fixed = self.setup.routing == Routing::FixedShares;
+        let views = executors.map(|(index, &(executor, free))| BackendView {
+            index,
+            free_slots: free,
+            same_centre: !is_fixed || executor % CENTRES == entry_centre,
+            round_trip: None,
+        });
+        let views: Vec<BackendView> = views.collect();
+        match chooser(choice).choose(&views, &mut self.random) {
+            Some(index) => self.start(request, pool, index, now),
+            None => self.pools[pool].queue.push_back(request),
+        }
+    }
+
+    fn start(&mut self, request: usize, pool: usize, index: usize, now: f64) {
+        let (executor, free) = self.pools[pool].free[index];
+        self.pools[pool].free[index].1 = free - 1;
+        self.requests[request].executor = executor;
+        let way = self.way_to_executor(&self.requests[request]);
+        let end = now + 2.0 * way + self.requests[request].service;
+        self.push(end, RoutingEvent::Served(request));
+    }
+
+    /// The answer is back at the owner and the slot is free again.
+    fn served(&mut self, request: usize, now: f64) {
+        let RoutedRequest {
+            owner,
+            entry,
+            executor,
+            ..
+        } = self.requests[request];
+        let pool = &mut self.pools[owner];
+        let index = pool.free.iter().position(|&(id, _)| id == executor);
+        let index = index.unwrap_or_default();
+        pool.free[index].1 += 1;
+        let next = pool.queue.pop_front();
+        if let Some(next) = next {
+            self.start(next, owner, index, now);
+        }
+        // What is advertised is what waiting requests leave.
+        self.requests[request].free_at_answer = self.free_in(owner);
+        let way = self.way_to_owner(entry, owner);
+        self.push(now + way, RoutingEvent::Answered(request));
+    }
+
+    fn answer(&mut self, request: usize, now: f64) {
+        let seen = self.requests[request];
+        self.answered += 1;
+        if matches!(self.setup.routing, Routing::Owners { .. }) {
+            let view = &mut self.views[seen.entry][seen.owner];
+            view.free = seen.free_at_answer;
+            let sample = now - seen.forwarded - seen.service;
+            let smoothed = view.round_trip.unwrap_or(sample);
+            view.round_trip = Some(smoothed + NEW_SAMPLE * (sample - smoothed));
+        }
+        if request >= self.setup.requests / 10 {
+            let took = now + self.setup.to_client - seen.sent;
+            self.times.saturating_record((took * 1000.0) as u64);
+        }
+    }
+
+    fn free_in(&self, pool: usize) -> u32 {
+        let pool = self.pools[pool].free.iter();
+        pool.map(|(_, free)| free).sum()
+    }
+
+    fn refresh(&mut self, now: f64) {
+        if let Routing::Owners { .. } = self.setup.routing {
+            let free: Vec<u32> = (0..CENTRES).map(|owner| self.free_in(owner)).collect();
+            for view in &mut self.views {
+                for (owner, view) in view.iter_mut().enumerate() {
+                    view.free = free[owner];
+                }
+            }
+        }
+        self.push(now + REFRESH_MS, RoutingEvent::Refresh);
+    }
+}
+
+fn group_pool(centre: usize) -> SlotPool {
+    let executors = (0..EXECUTORS).filter(|executor| executor % CENTRES == centre);
+    SlotPool {
+        free: executors.map(|executor| (executor, SLOTS)).collect(),
+        queue: VecDeque::new(),
+    }
+}
+
+/// Deals all slots out to the entries in turn.
+fn entry_pool(entry: usize) -> SlotPool {
+    let slots = EXECUTORS * SLOTS as usize;
+    let mut free = vec![0; EXECUTORS];
+    for slot in (entry..slots).step_by(ENTRIES.len()) {
+        free[slot % EXECUTORS] += 1;
+    }
+    SlotPool {
+        free: free.into_iter().enumerate().collect(),
+        queue: VecDeque::new(),
+    }
+}
+
+fn chooser(choice: Choice) -> &'static dyn RoutingChooser {
+    match choice {
+        Choice::TwoChoices => &TwoChoiceChooser,
+        Choice::Random => &RandomChooser,
+        Choice::RoundTrip => &RoundTripChooser,
+    }
 }
--- a/crates/magnolia-bench/src/floods.rs
+++ b/crates/magnolia-bench/src/floods.rs
@@ -1,5 +1,300 @@
-//! Pending.
+//! Floods of ten times capacity against admission: what the other classes keep.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+use hdrhistogram::Histogram;
+use magnolia_config::ConfigDocument;
+use magnolia_policy::{AdmissionEntry, AdmissionPolicy, FifoAdmission, new_admission};
+use magnolia_types::{CustomerName, Millis, WorkClass};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use crate::workload::{ORDER_BOOKS, document, exponential, generator};
 use crate::{BenchError, BenchReport, BenchScope};
-pub fn run(_: &BenchScope) -> Result<BenchReport, BenchError> {
-    Ok(BenchReport::new("floods"))
+
+/// Slots that the queues feed.
+const SLOTS: u32 = 40;
+/// Mean service time.
+const SERVICE_MS: f64 = 10.0;
+/// Usual load of each class as a share of capacity, below the floor of 20%.
+const USUAL_LOAD: f64 = 0.15;
+/// Load of a flood as a multiple of capacity.
+const FLOOD_LOAD: f64 = 10.0;
+/// Time until the answer is due.
+const DEADLINE_MS: u64 = 500;
+/// Length of each of the phases before, during and after the flood.
+const PHASE_MS: u64 = 5_000;
+/// Start of the measured part of the first phase.
+const SETTLE_MS: u64 = 1_000;
+/// Length of the windows in which recovery is looked for.
+const WINDOW_MS: u64 = 100;
+/// A class has recovered when its slowest request of a window waits no longer than this.
+const RECOVERED_WAIT_MS: u64 = 50;
+/// Classes from the least to the most urgent.
+const CLASSES: [&str; 3] = ["batch", "service", "urgent"];
+const PHASES: [&str; 3] = ["before", "during", "after"];
+
+/// Measures shared admission against one bounded queue.
+///
+/// # Errors
+///
+/// Fails when generated names are not valid.
+pub fn run(scope: &BenchScope) -> Result<BenchReport, BenchError> {
+    let mut report = BenchReport::new("floods");
+    let phase = if scope.small { 300 } else { PHASE_MS };
+    let rules = document("")?;
+    let floods: [(&str, &[usize]); 3] = [
+        ("flood of the least urgent", &[0]),
+        ("flood of the most urgent", &[2]),
+        ("flood of both", &[0, 2]),
+    ];
+    for (scenario, flooded) in floods {
+        for &seed in &scope.seeds {
+            for policy in ["shared", "fifo"] {
+                let seen = FloodRun::new(&rules, policy, flooded, phase, seed)?.run()?;
+                add_rows(&mut report, scenario, policy, &seen, phase);
+            }
+        }
+    }
+    Ok(report)
+}
+
+fn add_rows(
+    report: &mut BenchReport,
+    scenario: &str,
+    policy: &str,
+    seen: &[ClassSeen],
+    phase: u64,
+) {
+    for (class, seen) in CLASSES.iter().zip(seen) {
+        for (name, phase_seen) in PHASES.iter().zip(&seen.phases) {
+            let refused = phase_seen.refused as f64 * 100.0 / phase_seen.offered.max(1) as f64;
+            let wait = |quantile| phase_seen.waits.value_at_quantile(quantile) as f64;
+            let mut add = |metric: &str, value| {
+                report.add(
+                    scenario,
+                    policy,
+                    &format!("{class} {name}: {metric}"),
+                    value,
+                );
+            };
+            add("refused %", refused);
+            add("wait p50 ms", wait(0.5));
+            add("wait p99 ms", wait(0.99));
+            let time = if *name == "before" {
+                phase - phase.min(SETTLE_MS)
+            } else {
+                phase
+            };
+            let slots = phase_seen.slot_ms / (f64::from(SLOTS) * time.max(1) as f64);
+            add("slots %", slots * 100.0);
+        }
+        let metric = format!("{class}: recovered after ms");
+        report.add(scenario, policy, &metric, seen.recovered_ms as f64);
+    }
+}
+
+/// What a class saw in one phase.
+struct PhaseSeen {
+    offered: u64,
+    refused: u64,
+    waits: Histogram<u64>,
+    slot_ms: f64,
+}
+
+/// What a class saw.
+struct ClassSeen {
+    phases: Vec<PhaseSeen>,
+    /// From the end of the flood to the end of the last window with a refusal or a long wait.
+    recovered_ms: u64,
+}
+
+/// A request in the queue or in service.
+struct FloodRequest {
+    class: usize,
+    book: usize,
+    arrived: u64,
+    started: u64,
+}
+
+/// One replay of a flood.
+struct FloodRun {
+    admission: Box<dyn AdmissionPolicy>,
+    random: ChaCha8Rng,
+    flooded: Vec<usize>,
+    phase: u64,
+    classes: Vec<WorkClass>,
+    customers: Vec<CustomerName>,
+    requests: HashMap<u64, FloodRequest>,
+    ends: BinaryHeap<Reverse<(u64, u64)>>,
+    free: u32,
+    next_ticket: u64,
+    seen: Vec<ClassSeen>,
+}
+
+impl FloodRun {
+    fn new(
+        rules: &ConfigDocument,
+        policy: &str,
+        flooded: &[usize],
+        phase: u64,
+        seed: u64,
+    ) -> Result<Self, BenchError> {
+        let admission: Box<dyn AdmissionPolicy> = match policy {
+            "fifo" => Box::new(FifoAdmission::new()),
+            _ => new_admission(rules, SLOTS),
+        };
+        let classes = CLASSES.map(WorkClass::new).into_iter();
+        let customers = ORDER_BOOKS.map(CustomerName::new).into_iter();
+        let seen = CLASSES.map(|_| ClassSeen {
+            phases: PHASES.map(|_| PhaseSeen::new()).into_iter().collect(),
+            recovered_ms: 0,
+        });
+        Ok(Self {
+            admission,
+            random: generator(seed, 5),
+            flooded: flooded.to_vec(),
+            phase,
+            classes: classes.collect::<Result<_, _>>()?,
+            customers: customers.collect::<Result<_, _>>()?,
+            requests: HashMap::new(),
+            ends: BinaryHeap::new(),
+            free: SLOTS,
+            next_ticket: 0,
+            seen: seen.into_iter().collect(),
+        })
+    }
+
+    fn run(mut self) -> Result<Vec<ClassSeen>, BenchError> {
+        for now in 0..self.phase * 3 {
+            self.finish(now);
+            for class in 0..CLASSES.len() {
+                self.arrive(class, now);
+            }
+            for ticket in self.admission.expire(Millis::new(now)) {
+                self.refuse(ticket, now);
+            }
+            while self.free > 0 {
+                let Some(ticket) = self.admission.next(Millis::new(now)) else {
+                    break;
+                };
+                self.start(ticket, now);
+            }
+        }
+        Ok(self.seen)
+    }
+
+    fn phase_of(&self, now: u64) -> Option<usize> {
+        let phase = (now / self.phase) as usize;
+        (phase > 0 || now >= SETTLE_MS.min(self.phase / 2)).then_some(phase.min(2))
+    }
+
+    fn arrive(&mut self, class: usize, now: u64) {
+        let in_flood = now / self.phase == 1 && self.flooded.contains(&class);
+        let load = if in_flood { FLOOD_LOAD } else { USUAL_LOAD };
+        let rate = load * f64::from(SLOTS) / SERVICE_MS;
+        let mut at = exponential(&mut self.random, 1.0 / rate);
+        while at < 1.0 {
+            at += exponential(&mut self.random, 1.0 / rate);
+            self.offer(class, now);
+        }
+    }
+
+    fn offer(&mut self, class: usize, now: u64) {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        let book = self.random.random_range(0..ORDER_BOOKS.len());
+        let request = FloodRequest {
+            class,
+            book,
+            arrived: now,
+            started: 0,
+        };
+        if let Some(phase) = self.phase_of(now) {
+            self.seen[class].phases[phase].offered += 1;
+        }
+        self.requests.insert(ticket, request);
+        let entry = AdmissionEntry {
+            ticket,
+            customer: self.customers[book].clone(),
+            class: self.classes[class].clone(),
+            arrived: Millis::new(now),
+            deadline: Millis::new(now + DEADLINE_MS),
+        };
+        if self.admission.offer(Millis::new(now), entry).is_err() {
+            self.refuse(ticket, now);
+        }
+    }
+
+    fn refuse(&mut self, ticket: u64, now: u64) {
+        let Some(request) = self.requests.remove(&ticket) else {
+            return;
+        };
+        // A request counts in the phase of its arrival.
+        if let Some(phase) = self.phase_of(request.arrived) {
+            self.seen[request.class].phases[phase].refused += 1;
+        }
+        self.note_trouble(request.class, now);
+    }
+
+    fn start(&mut self, ticket: u64, now: u64) {
+        let Some(request) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        request.started = now;
+        let (class, wait) = (request.class, now - request.arrived);
+        if let Some(phase) = self.phase_of(now) {
+            self.seen[class].phases[phase].waits.saturating_record(wait);
+        }
+        if wait > RECOVERED_WAIT_MS {
+            self.note_trouble(class, now);
+        }
+        self.free -= 1;
+        let service = exponential(&mut self.random, SERVICE_MS).ceil() as u64;
+        self.ends.push(Reverse((now + service, ticket)));
+    }
+
+    fn finish(&mut self, now: u64) {
+        while let Some(&Reverse((at, ticket))) = self.ends.peek() {
+            if at > now {
+                return;
+            }
+            self.ends.pop();
+            self.free += 1;
+            let Some(request) = self.requests.remove(&ticket) else {
+                continue;
+            };
+            let took = now - request.started;
+            if let Some(phase) = self.phase_of(now) {
+                self.seen[request.class].phases[phase].slot_ms += took as f64;
+            }
+            self.admission.finished(
+                Millis::new(now),
+                &self.customers[request.book],
+                &self.classes[request.class],
+                Millis::new(took),
+            );
+        }
+    }
+
+    fn note_trouble(&mut self, class: usize, now: u64) {
+        let flood_end = self.phase * 2;
+        if now >= flood_end {
+            let window = (now - flood_end) / WINDOW_MS + 1;
+            self.seen[class].recovered_ms = window * WINDOW_MS;
+        }
+    }
+}
+
+impl PhaseSeen {
+    fn new() -> Self {
+        let waits = Histogram::new_with_max(60_000, 3);
+        Self {
+            offered: 0,
+            refused: 0,
+            waits: waits.expect("the bounds are constants"),
+            slot_ms: 0.0,
+        }
+    }
 }
--- a/crates/magnolia-bench/src/replay.rs
+++ b/crates/magnolia-bench/src/replay.rs
@@ -1,1 +1,388 @@
-//! Pending.
+//! Event-driven replay of arrivals and ends against a placement engine alone.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::sync::Arc;
+
+use hdrhistogram::Histogram;
+use magnolia_config::ConfigDocument;
+use magnolia_policy::{AttemptRecord, PreemptionMeans, TaskEnd, WorkerView, new_engine};
+use magnolia_types::{AttemptId, JobId, JobKind, JobSpec, Millis, TaskRef, WorkerId};
+
+use crate::BenchError;
+use crate::cluster::{BenchCluster, RoundOutcome};
+
+/// Time between two rounds of decisions.
+const ROUND_MS: u64 = 10;
+/// Most starts of a round.
+const STARTS_PER_ROUND: usize = 1000;
+/// Time until a checkpoint has ended the attempt.
+const CHECKPOINT_MS: u64 = 500;
+/// Time until a stop has ended the attempt.
+const STOP_MS: u64 = 100;
+/// Time until a task fails on a faulty worker or of a faulty job.
+const FAILURE_MS: u64 = 1000;
+/// Longest waiting time that is told apart.
+const MAX_WAIT_MS: u64 = 24 * 3600 * 1000;
+
+/// A job of the replay.
+#[derive(Clone)]
+pub struct ReplayJob {
+    /// When it is submitted.
+    pub at: Millis,
+    /// The job.
+    pub spec: Arc<JobSpec>,
+    /// How long each task takes at full speed.
+    pub run: Millis,
+    /// Whether its tasks fail on every worker.
+    pub fails: bool,
+}
+
+/// What a replay consists of.
+pub struct ReplaySetup<'a> {
+    /// Rules and policy.
+    pub rules: &'a ConfigDocument,
+    /// The fleet.
+    pub workers: Vec<WorkerView>,
+    /// Workers on which every task fails.
+    pub faulty: HashSet<WorkerId>,
+    /// Jobs in the order of their submission.
+    pub jobs: &'a [ReplayJob],
+    /// When the replay ends.
+    pub end: Millis,
+    /// Whether the owner gives a job up once a task used up its attempts, for engines that do not.
+    pub owner_gives_up: bool,
+}
+
+/// What a replay measured.
+#[derive(Default)]
+pub struct ReplayOutcome {
+    /// Waiting time to the first start, by kind of work; still waiting tasks count as of the end.
+    pub waits: BTreeMap<&'static str, Histogram<u64>>,
+    /// Processor time of ended tasks, in thousandths of a processor times milliseconds.
+    pub useful: f64,
+    /// Processor time of attempts that failed or were stopped.
+    pub lost: f64,
+    /// Jobs that were refused because they never fit.
+    pub refused: usize,
+    /// Jobs that were given up, and how many of them were not faulty.
+    pub given_up: (usize, usize),
+    /// Time from the start to the quarantine of each faulty worker that was found.
+    pub quarantine_ms: Vec<u64>,
+    /// Good workers that were quarantined.
+    pub wrongly_quarantined: usize,
+    /// Attempts that gave way: throttled, checkpointed, stopped.
+    pub preempted: [usize; 3],
+}
+
+impl ReplayOutcome {
+    /// Returns the mean waiting time of a kind of work, in milliseconds.
+    pub fn mean_wait_ms(&self, kind: &str) -> f64 {
+        self.waits.get(kind).map_or(0.0, Histogram::mean)
+    }
+
+    /// Returns a quantile of the waiting time of a kind of work, in milliseconds.
+    pub fn wait_ms(&self, kind: &str, quantile: f64) -> f64 {
+        let waits = self.waits.get(kind);
+        waits.map_or(0.0, |waits| waits.value_at_quantile(quantile) as f64)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum ReplayEvent {
+    Arrive(usize),
+    End(AttemptId, u32),
+    Yield(AttemptId),
+}
+
+/// A running attempt with its progress.
+struct Progress {
+    left_ms: f64,
+    rate: f64,
+    since: Millis,
+    version: u32,
+    kept: bool,
+    fails: bool,
+}
+
+impl Progress {
+    fn advance(&mut self, now: Millis) {
+        let passed = now.saturating_sub(self.since).get() as f64;
+        self.left_ms = (self.left_ms - passed * self.rate).max(0.0);
+        self.since = now;
+    }
+}
+
+/// State of a replay.
+struct Replay<'a> {
+    setup: &'a ReplaySetup<'a>,
+    cluster: BenchCluster,
+    events: BinaryHeap<Reverse<(Millis, u64, ReplayEvent)>>,
+    next_event: u64,
+    progress: HashMap<AttemptId, Progress>,
+    left: HashMap<TaskRef, f64>,
+    waiting: HashMap<TaskRef, Millis>,
+    jobs: HashMap<JobId, usize>,
+    failures: HashMap<TaskRef, u32>,
+    dropped: HashSet<JobId>,
+    quarantined: HashSet<WorkerId>,
+    outcome: ReplayOutcome,
+}
+
+/// Runs a replay to its end.
+///
+/// # Errors
+///
+/// Fails when generated ids are not valid.
+pub fn replay(setup: &ReplaySetup<'_>) -> Result<ReplayOutcome, BenchError> {
+    let cluster = BenchCluster::new(new_engine(setup.rules), setup.workers.clone());
+    let mut state = Replay {
+        setup,
+        cluster,
+        events: BinaryHeap::new(),
+        next_event: 0,
+        progress: HashMap::new(),
+        left: HashMap::new(),
+        waiting: HashMap::new(),
+        jobs: HashMap::new(),
+        failures: HashMap::new(),
+        dropped: HashSet::new(),
+        quarantined: HashSet::new(),
+        outcome: ReplayOutcome::default(),
+    };
+    for (index, job) in setup.jobs.iter().enumerate() {
+        state.push(job.at, ReplayEvent::Arrive(index));
+    }
+    for now in (0..setup.end.get()).step_by(ROUND_MS as usize) {
+        state.round(Millis::new(now))?;
+    }
+    Ok(state.finish())
+}
+
+impl Replay<'_> {
+    fn push(&mut self, at: Millis, event: ReplayEvent) {
+        self.next_event += 1;
+        self.events.push(Reverse((at, self.next_event, event)));
+    }
+
+    fn round(&mut self, now: Millis) -> Result<(), BenchError> {
+        while let Some(Reverse((at, ..))) = self.events.peek() {
+            if *at > now {
+                break;
+            }
+            let Some(Reverse((_, _, event))) = self.events.pop() else {
+                break;
+            };
+            match event {
+                ReplayEvent::Arrive(index) => self.arrive(index, now)?,
+                ReplayEvent::End(attempt, version) => self.end(&attempt, version, now),
+                ReplayEvent::Yield(attempt) => self.yield_attempt(&attempt, now),
+            }
+        }
+        let outcome = self.cluster.decide(now, STARTS_PER_ROUND)?;
+        self.take_round(outcome, now);
+        self.note_quarantined(now);
+        Ok(())
+    }
+
+    fn arrive(&mut self, index: usize, now: Millis) -> Result<(), BenchError> {
+        let job = &self.setup.jobs[index];
+        if self.cluster.engine.never_fits(&job.spec).is_some() {
+            self.outcome.refused += 1;
+            return Ok(());
+        }
+        let id = self.cluster.submit(&job.spec, now)?;
+        for task in 0..job.spec.tasks {
+            self.waiting.insert(TaskRef::new(id.clone(), task), job.at);
+        }
+        self.jobs.insert(id, index);
+        Ok(())
+    }
+
+    fn take_round(&mut self, round: RoundOutcome, now: Millis) {
+        for record in round.started {
+            self.start(&record, now);
+        }
+        for (attempt, means) in round.preempted {
+            self.preempt(attempt, means, now);
+        }
+        for job in round.given_up {
+            self.drop_job(&job);
+        }
+    }
+
+    fn start(&mut self, record: &AttemptRecord, now: Millis) {
+        let Some(&index) = self.jobs.get(&record.task.job) else {
+            return;
+        };
+        let job = &self.setup.jobs[index];
+        if let Some(submitted) = self.waiting.remove(&record.task) {
+            self.record_wait(&job.spec, now.saturating_sub(submitted));
+        }
+        let fails = job.fails || self.setup.faulty.contains(&record.worker);
+        let full = job.run.get() as f64;
+        let left_ms = self.left.get(&record.task).copied().unwrap_or(full);
+        let progress = Progress {
+            left_ms: if fails { FAILURE_MS as f64 } else { left_ms },
+            rate: 1.0,
+            since: now,
+            version: 0,
+            kept: false,
+            fails,
+        };
+        let end = now.saturating_add(Millis::new(progress.left_ms.ceil() as u64));
+        self.progress.insert(record.attempt.clone(), progress);
+        self.push(end, ReplayEvent::End(record.attempt.clone(), 0));
+    }
+
+    fn preempt(&mut self, attempt: AttemptId, means: PreemptionMeans, now: Millis) {
+        let Some(progress) = self.progress.get_mut(&attempt) else {
+            return;
+        };
+        match means {
+            PreemptionMeans::Throttle(percent) => {
+                self.outcome.preempted[0] += usize::from(percent < 100);
+                progress.advance(now);
+                progress.rate = f64::from(percent) / 100.0;
+                progress.version += 1;
+                let end = (progress.left_ms / progress.rate).ceil() as u64;
+                let end = now.saturating_add(Millis::new(end));
+                let event = ReplayEvent::End(attempt, progress.version);
+                self.push(end, event);
+            }
+            PreemptionMeans::Checkpoint => {
+                self.outcome.preempted[1] += 1;
+                progress.kept = true;
+                let at = now.saturating_add(Millis::new(CHECKPOINT_MS));
+                self.push(at, ReplayEvent::Yield(attempt));
+            }
+            PreemptionMeans::Stop => {
+                self.outcome.preempted[2] += 1;
+                let at = now.saturating_add(Millis::new(STOP_MS));
+                self.push(at, ReplayEvent::Yield(attempt));
+            }
+        }
+    }
+
+    fn end(&mut self, attempt: &AttemptId, version: u32, now: Millis) {
+        let known = self.progress.get(attempt);
+        if known.is_none_or(|progress| progress.version != version) {
+            return;
+        }
+        let Some(progress) = self.progress.remove(attempt) else {
+            return;
+        };
+        if progress.fails {
+            self.fail(attempt, now);
+            return;
+        }
+        self.cluster_usage(attempt);
+        if let Some(record) = self.cluster.end(attempt, TaskEnd::Succeeded, now) {
+            let job = &self.setup.jobs[self.jobs[&record.task.job]];
+            self.outcome.useful += processor_time(&record, job.run);
+        }
+    }
+
+    fn cluster_usage(&mut self, attempt: &AttemptId) {
+        if let Some(record) = self.cluster.running.get(attempt) {
+            let usage = record.spec.size;
+            self.cluster.engine.observe_usage(attempt, usage);
+        }
+    }
+
+    fn fail(&mut self, attempt: &AttemptId, now: Millis) {
+        let Some(record) = self.cluster.end(attempt, TaskEnd::Failed, now) else {
+            return;
+        };
+        let ran = now.saturating_sub(record.started);
+        self.outcome.lost += processor_time(&record, ran);
+        let failures = self.failures.entry(record.task.clone()).or_default();
+        *failures += 1;
+        let is_over = self.setup.owner_gives_up && *failures >= record.spec.max_attempts;
+        if is_over {
+            self.drop_job(&record.task.job);
+        } else if !self.dropped.contains(&record.task.job) {
+            self.cluster.resubmit(&record.task, &record.spec, now);
+        }
+    }
+
+    fn yield_attempt(&mut self, attempt: &AttemptId, now: Millis) {
+        let Some(mut progress) = self.progress.remove(attempt) else {
+            return;
+        };
+        let Some(record) = self.cluster.end(attempt, TaskEnd::Interrupted, now) else {
+            return;
+        };
+        progress.advance(now);
+        if progress.kept && !progress.fails {
+            self.left.insert(record.task.clone(), progress.left_ms);
+        } else {
+            let ran = now.saturating_sub(record.started);
+            self.outcome.lost += processor_time(&record, ran);
+        }
+        if !self.dropped.contains(&record.task.job) {
+            self.cluster.resubmit(&record.task, &record.spec, now);
+        }
+    }
+
+    fn drop_job(&mut self, job: &JobId) {
+        if !self.dropped.insert(job.clone()) {
+            return;
+        }
+        self.cluster.engine.withdraw(std::slice::from_ref(job));
+        self.waiting.retain(|task, _| task.job != *job);
+        let fails = self
+            .jobs
+            .get(job)
+            .is_some_and(|&index| self.setup.jobs[index].fails);
+        self.outcome.given_up.0 += 1;
+        self.outcome.given_up.1 += usize::from(!fails);
+    }
+
+    fn note_quarantined(&mut self, now: Millis) {
+        if self.setup.faulty.is_empty() {
+            return;
+        }
+        for worker in self.cluster.engine.quarantined_workers() {
+            if !self.quarantined.insert(worker.clone()) {
+                continue;
+            }
+            if self.setup.faulty.contains(&worker) {
+                self.outcome.quarantine_ms.push(now.get());
+            } else {
+                self.outcome.wrongly_quarantined += 1;
+            }
+        }
+    }
+
+    fn record_wait(&mut self, spec: &JobSpec, wait: Millis) {
+        let kind = kind_of(spec);
+        let waits = self.outcome.waits.entry(kind).or_insert_with(|| {
+            Histogram::new_with_max(MAX_WAIT_MS, 3).expect("the bounds are constants")
+        });
+        waits.saturating_record(wait.get());
+    }
+
+    fn finish(mut self) -> ReplayOutcome {
+        let end = self.setup.end;
+        for (task, submitted) in std::mem::take(&mut self.waiting) {
+            let spec = Arc::clone(&self.setup.jobs[self.jobs[&task.job]].spec);
+            self.record_wait(&spec, end.saturating_sub(submitted));
+        }
+        self.outcome
+    }
+}
+
+/// Names the kind of work of a job: gangs apart from their class.
+pub fn kind_of(spec: &JobSpec) -> &'static str {
+    match (spec.kind, spec.class.as_str()) {
+        (JobKind::Gang, _) => "gang",
+        (JobKind::Service, _) => "service",
+        (JobKind::Batch, "urgent") => "urgent",
+        (JobKind::Batch, _) => "batch",
+    }
+}
+
+fn processor_time(record: &AttemptRecord, ran: Millis) -> f64 {
+    record.spec.size.cpu_millis.get() as f64 * ran.get() as f64
+}
--- a/crates/magnolia-policy/src/scored/decide.rs
+++ b/crates/magnolia-policy/src/scored/decide.rs
@@ -148,6 +148,8 @@
                     round.starts += starts;
                     return Some(decision);
                 }
+                // Jobs that have a plan already leave the next one to those behind them.
+                TryOutcome::NoRoom if self.plans.plan(index).is_some() => {}
                 TryOutcome::NoRoom => blocked_job = blocked_job.or(Some(index)),
                 TryOutcome::OverQuota | TryOutcome::Skipped => {}
             }
--- a/crates/magnolia-policy/src/scored/mod.rs
+++ b/crates/magnolia-policy/src/scored/mod.rs
@@ -30,7 +30,9 @@
 };
 
 /// Longest time by which a short job may overtake a longer one of its lane.
-const MAX_OVERTAKE: Millis = Millis::from_secs(120);
+const MAX_OVERTAKE: Millis = Millis::from_secs(600);
+/// A job goes back in its lane by this multiple of its run time at packing weight 0.
+const OVERTAKE_FACTOR: u64 = 4;
 
 /// An attempt that was told to give way.
 #[derive(Clone, Copy, Debug)]
@@ -146,8 +148,8 @@
         }
         let longest = MAX_OVERTAKE.get();
         let run = self.estimates.run_time(&lane, spec.run_ms);
-        let run = run.map_or(longest / 2, |run| run.get().min(longest));
-        run * u64::from(100 - self.rules.packing_weight) / 100
+        let back = run.map_or(longest / 2, |run| run.get().saturating_mul(OVERTAKE_FACTOR));
+        back.min(longest) * u64::from(100 - self.rules.packing_weight) / 100
     }
 
     fn release_room(&mut self, held: &HeldAttempt) -> Option<JobIndex> {
--- a/crates/magnolia-policy/src/shared_admission.rs
+++ b/crates/magnolia-policy/src/shared_admission.rs
@@ -189,16 +189,15 @@
     }
 
     /// Returns the class whose turn it is.
+    ///
+    /// Floors count against all slots, not against those in use: when a flood starts, the shares
+    /// of what little ran before would leave every class above its floor for a while.
     fn next_class(&mut self, now: Millis) -> Option<ClassIndex> {
-        let total: f64 = self
-            .classes
-            .iter_mut()
-            .map(|class| class.used.value(now))
-            .sum();
+        let capacity = f64::from(self.slots) * DecayedSum::LIFE_MS;
         let waiting = self.classes.iter_mut().enumerate();
         let waiting = waiting.filter(|(_, class)| class.queued > 0);
         let keyed = waiting.map(|(index, class)| {
-            let floor = total * f64::from(class.rule.floor_percent) / 100.0;
+            let floor = capacity * f64::from(class.rule.floor_percent) / 100.0;
             let is_above = class.used.value(now) >= floor;
             (is_above, Reverse(class.rule.rank), index)
         });
