Check configuration whole and replay its log deterministically

A document with several faults reported only the first and without a line for faults of meaning. Sections are now read one by one, a part at fault is taken out and the rest read again, so that one check finds every fault with line, section, field, value and what is allowed.

--- a/crates/magnolia-config/src/apply.rs
+++ b/crates/magnolia-config/src/apply.rs
@@ -1,5 +1,7 @@
 //! Publications and the rule that decides between conflicting ones.
 
+use std::collections::BTreeSet;
+
 use magnolia_types::{ConfigVersion, wire_types};
 
 use crate::{CellConfig, CheckErrors, ConfigDocument, ConfigSection};
@@ -26,6 +28,9 @@
     }
 }
 
+/// Sections that every document has.
+const REQUIRED_SECTIONS: [&str; 2] = ["cell", "rules"];
+
 /// Why a publication is not accepted.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum ApplyError {
@@ -50,6 +55,15 @@
     /// A change does not carry the section that it names.
     #[error("the change of section {0} carries another section")]
     WrongName(String),
+    /// The publication lists no change.
+    #[error("the publication changes nothing")]
+    Empty,
+    /// The publication lists a section twice.
+    #[error("section {0} is listed twice; a publication lists each section once")]
+    Repeated(String),
+    /// The publication takes out a section that every document has.
+    #[error("section {0} cannot be removed")]
+    Required(String),
     /// The result does not pass the checks.
     #[error("{0}")]
     Invalid(#[from] CheckErrors),
@@ -69,6 +83,7 @@
                 newest: self.version,
             });
         }
+        check_list(&publication.changes)?;
         let mut sections = self
             .document
             .as_ref()
@@ -136,3 +151,19 @@
         }
     }
 }
+
+fn check_list(changes: &[SectionChange]) -> Result<(), ApplyError> {
+    if changes.is_empty() {
+        return Err(ApplyError::Empty);
+    }
+    let mut names = BTreeSet::new();
+    for change in changes {
+        if !names.insert(&change.name) {
+            return Err(ApplyError::Repeated(change.name.clone()));
+        }
+        if change.section.is_none() && REQUIRED_SECTIONS.contains(&change.name.as_str()) {
+            return Err(ApplyError::Required(change.name.clone()));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/magnolia-config/src/check/names.rs
@@ -0,0 +1,132 @@
+//! Names and addresses that must be unique.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use magnolia_types::UnitId;
+
+use super::FaultList;
+use crate::{ClassSection, RackSection};
+use crate::{ConfigDocument, CustomerSection, DataCentreSection, ExecutorBlockSection};
+
+/// Longest name that is not an id, in bytes; leaves room for the prefixes of units and jobs.
+const MAX_TEXT_BYTES: usize = 64;
+
+/// Checks that names and addresses are well formed and used once.
+pub(super) fn check_names(document: &ConfigDocument, faults: &mut FaultList) {
+    check_cell(document, faults);
+    let mut seen = BTreeMap::new();
+    for (name, shown) in all_names(document) {
+        let count = seen.entry(name.clone()).or_insert(0_usize);
+        if *count > 0 {
+            faults.add_at(
+                &name,
+                *count,
+                None,
+                format!("{shown} is used twice; names are unique"),
+            );
+        }
+        *count += 1;
+    }
+    check_addresses(document, faults);
+    check_units(document, faults);
+}
+
+fn check_cell(document: &ConfigDocument, faults: &mut FaultList) {
+    let name = &document.cell.name;
+    if name.trim().is_empty() || name.len() > MAX_TEXT_BYTES {
+        let message = format!("{name:?} is not allowed; allowed: 1 to {MAX_TEXT_BYTES} bytes");
+        faults.add("cell", Some("name"), message);
+    }
+}
+
+/// Returns the name of every section, worker and executor in the order of the document.
+fn all_names(document: &ConfigDocument) -> Vec<(String, String)> {
+    let named = |kind: &str, name: &str| (format!("{kind}/{name}"), format!("{kind} {name}"));
+    let mut names = Vec::new();
+    let centres = document.data_centres.iter();
+    names.extend(
+        centres.map(|centre: &DataCentreSection| named("data_centre", centre.name.as_str())),
+    );
+    for rack in &document.racks {
+        names.push(named("rack", rack.name.as_str()));
+        let workers = rack.workers.iter();
+        names.extend(workers.map(|worker| named("worker", worker.name.as_str())));
+    }
+    for block in &document.executor_blocks {
+        names.push(named("executor_block", &block.name));
+        let executors = block.executors.iter();
+        names.extend(executors.map(|executor| named("executor", executor.name.as_str())));
+    }
+    let customers = document.customers.iter();
+    names.extend(
+        customers.map(|customer: &CustomerSection| named("customer", customer.name.as_str())),
+    );
+    let classes = document.classes.iter();
+    names.extend(classes.map(|class: &ClassSection| named("class", class.name.as_str())));
+    names
+}
+
+fn check_addresses(document: &ConfigDocument, faults: &mut FaultList) {
+    let workers = document
+        .racks
+        .iter()
+        .flat_map(|rack: &RackSection| &rack.workers);
+    let workers = workers.map(|worker| (format!("worker/{}", worker.name), worker.address));
+    let executors = document
+        .executor_blocks
+        .iter()
+        .flat_map(|block: &ExecutorBlockSection| &block.executors);
+    let executors =
+        executors.map(|executor| (format!("executor/{}", executor.name), executor.address));
+    let mut seen: BTreeMap<SocketAddr, String> = BTreeMap::new();
+    for (name, address) in workers.chain(executors) {
+        if address.port() == 0 || address.ip().is_unspecified() || address.ip().is_multicast() {
+            let message = format!(
+                "{address} is not allowed; allowed: an IP address of one host and a port from 1"
+            );
+            faults.add(&name, Some("address"), message);
+        }
+        match seen.get(&address) {
+            Some(first) if *first != name => {
+                let message = format!("{address} is the address of {first}; addresses are unique");
+                faults.add(&name, Some("address"), message);
+            }
+            Some(_) => {}
+            None => {
+                seen.insert(address, name);
+            }
+        }
+    }
+}
+
+fn check_units(document: &ConfigDocument, faults: &mut FaultList) {
+    let mut check = |section: String, field: &str, name: &str, well_formed: bool| {
+        if !well_formed || name.len() > MAX_TEXT_BYTES {
+            let message = format!(
+                "{name:?} is not allowed; allowed: 1 to {MAX_TEXT_BYTES} ASCII letters, digits, '-', '_', '.' or ':'"
+            );
+            faults.add(&section, Some(field), message);
+        }
+    };
+    for rack in &document.racks {
+        // An empty name would still make a unit because of the prefix.
+        let well_formed =
+            !rack.partition.is_empty() && UnitId::new_partition(&rack.partition).is_ok();
+        check(
+            format!("rack/{}", rack.name),
+            "partition",
+            &rack.partition,
+            well_formed,
+        );
+    }
+    for block in &document.executor_blocks {
+        let well_formed = !block.name.is_empty() && UnitId::new_group(&block.name).is_ok();
+        check(
+            format!("executor_block/{}", block.name),
+            "name",
+            &block.name,
+            well_formed,
+        );
+    }
+}
--- a/crates/magnolia-config/src/document.rs
+++ b/crates/magnolia-config/src/document.rs
@@ -7,6 +7,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::source::read_source;
 use crate::{
     CellSection, CheckErrors, ClassSection, ConfigSection, CustomerSection, DataCentreSection,
     ExecutorBlockSection, ExecutorSection, RackSection, RulesSection, WorkerSection,
@@ -45,10 +46,25 @@
     ///
     /// Fails with every fault found, each with its line.
     pub fn from_toml(text: &str) -> Result<Self, CheckErrors> {
-        let document: Self =
-            toml::from_str(text).map_err(|error| CheckErrors::new_parse(text, &error))?;
-        document.check()?;
-        Ok(document)
+        let reading = read_source(text);
+        let mut errors = reading.errors;
+        if let Some(document) = reading.document {
+            let faults = document.find_faults();
+            let faults = faults.into_errors(|error, at| reading.lines.find(error, at));
+            // A section that could not be read is missing from the document; what refers to it is
+            // not at fault.
+            if errors.is_empty() && faults.is_empty() {
+                return Ok(document);
+            }
+            if errors.is_empty() {
+                errors = faults;
+            } else {
+                let own = faults.into_iter().filter(|fault| !fault.is_reference());
+                errors.extend(own);
+            }
+        }
+        errors.sort_by_key(|error| error.line);
+        Err(CheckErrors { errors })
     }
 
     /// Writes the document as TOML.
--- a/crates/magnolia-config/src/section.rs
+++ b/crates/magnolia-config/src/section.rs
@@ -160,11 +160,35 @@
         pub max_deadline_ms: Millis,
         /// Most tasks of a job.
         pub max_tasks: u32,
-        /// Hash of the key set that an operator has confirmed after a change of partitions.
+        /// Hash of the key set that an operator has confirmed after a change of partitions, in hex
+        /// because TOML has no unsigned 64-bit numbers.
+        #[serde(with = "hex_hash", skip_serializing_if = "Option::is_none")]
         pub key_set_confirmed: Option<u64>,
     }
 }
 
+mod hex_hash {
+    //! A hash as a string of hex digits.
+
+    use serde::{Deserialize, Deserializer, Serializer, de};
+
+    pub(super) fn serialize<S: Serializer>(hash: &Option<u64>, out: S) -> Result<S::Ok, S::Error> {
+        match hash {
+            Some(hash) => out.serialize_str(&format!("{hash:016x}")),
+            None => out.serialize_none(),
+        }
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Option<u64>, D::Error> {
+        let Some(text) = Option::<String>::deserialize(from)? else {
+            return Ok(None);
+        };
+        let hash = u64::from_str_radix(&text, 16);
+        let allowed = |_| de::Error::custom(format!("{text:?} is not 1 to 16 hex digits"));
+        hash.map(Some).map_err(allowed)
+    }
+}
+
 fn default_region() -> Arc<str> {
     "default".into()
 }
@@ -218,15 +242,15 @@
 }
 
 impl ConfigSection {
-    /// Returns the name of the section, `<kind>` or `<kind>:<name>`.
+    /// Returns the name of the section, `<kind>` or `<kind>/<name>`.
     pub fn name(&self) -> String {
         match self {
             Self::Cell(_) => "cell".into(),
-            Self::DataCentre(section) => format!("data_centre:{}", section.name),
-            Self::Rack(section) => format!("rack:{}", section.name),
-            Self::ExecutorBlock(section) => format!("executor_block:{}", section.name),
-            Self::Customer(section) => format!("customer:{}", section.name),
-            Self::Class(section) => format!("class:{}", section.name),
+            Self::DataCentre(section) => format!("data_centre/{}", section.name),
+            Self::Rack(section) => format!("rack/{}", section.name),
+            Self::ExecutorBlock(section) => format!("executor_block/{}", section.name),
+            Self::Customer(section) => format!("customer/{}", section.name),
+            Self::Class(section) => format!("class/{}", section.name),
             Self::Rules(_) => "rules".into(),
         }
     }
--- /dev/null
+++ b/crates/magnolia-config/tests/replay_merge.rs
@@ -0,0 +1,279 @@
+//! Readers of the same log reach the same configuration.
+
+use magnolia_config::{
+    ApplyError, CellConfig, ConfigDocument, ConfigPublication, ConfigRecord, ConfigReplay,
+    SectionChange,
+};
+use magnolia_types::{ConfigVersion, LogOffset};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+/// Most steps of a history.
+const HISTORY_STEPS: usize = 40;
+/// Histories of each property.
+const HISTORIES: u64 = 150;
+
+/// What an operator or a daemon does in a generated history.
+#[derive(Clone, Debug)]
+enum LogStep {
+    /// Publishes a change of one section, seen at a version `lag` below the newest.
+    Publish { section: u8, value: u8, lag: u8 },
+    /// Repeats the append of an earlier publication, as after a lost answer.
+    Repeat { which: u8 },
+    /// Appends a snapshot by a reader that is `lag` records behind.
+    Snapshot { lag: u8 },
+    /// Appends a torn record.
+    Tear,
+}
+
+impl Arbitrary for LogStep {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 8 {
+            0..=3 => Self::Publish {
+                section: u8::arbitrary(g) % 4,
+                value: u8::arbitrary(g),
+                lag: u8::arbitrary(g) % 4,
+            },
+            4 => Self::Repeat {
+                which: u8::arbitrary(g),
+            },
+            5 | 6 => Self::Snapshot {
+                lag: u8::arbitrary(g) % 6,
+            },
+            _ => Self::Tear,
+        }
+    }
+}
+
+/// Makes a publication; some are invalid on their own (section 3 refers to what section 2 adds).
+fn publication(base: u64, section: u8, value: u8) -> ConfigPublication {
+    let text = match section {
+        0 => format!("[cell]\nname = \"c{value}\""),
+        1 => format!(
+            "[cell]\nname = \"x\"\n[[customer]]\nname = \"a\"\nweight = {}",
+            value.max(1)
+        ),
+        2 => "[cell]\nname = \"x\"\n[[data_centre]]\nname = \"dc\"".to_owned(),
+        _ => "[cell]\nname = \"x\"\n[[data_centre]]\nname = \"dc\"\n[[rack]]\nname = \"r\"\n\
+              data_centre = \"dc\"\ncapacity = { cpu_millis = 1, memory_mib = 1 }"
+            .to_owned(),
+    };
+    let document = ConfigDocument::from_toml(&text).expect("a valid document");
+    let name = ["cell", "customer/a", "data_centre/dc", "rack/r"][usize::from(section % 4)];
+    // An odd value takes the data centre out again.
+    let removed = section == 2 && value % 2 == 1;
+    let content = document.sections().remove(name).filter(|_| !removed);
+    ConfigPublication {
+        base: ConfigVersion::new(base),
+        author: "test".into(),
+        changes: vec![SectionChange {
+            name: name.into(),
+            section: content,
+        }],
+    }
+}
+
+/// Applies records from `from` on; `None` is a torn one.
+fn read_from(records: &[Option<ConfigRecord>], from: usize) -> ConfigReplay {
+    let mut replay = ConfigReplay::new();
+    replay.note_first(LogOffset::new(from as u64));
+    for (offset, record) in (0..).map(LogOffset::new).zip(records).skip(from) {
+        match record {
+            Some(record) => drop(replay.apply(offset, record.clone())),
+            None => replay.skip(offset),
+        }
+    }
+    replay
+}
+
+/// Plays the steps and returns the records of the log.
+fn write_log(steps: &[LogStep]) -> Vec<Option<ConfigRecord>> {
+    let mut records: Vec<Option<ConfigRecord>> = Vec::new();
+    for (id, step) in (0..).zip(steps) {
+        let state = read_from(&records, 0);
+        let record = match step {
+            LogStep::Publish {
+                section,
+                value,
+                lag,
+            } => {
+                let base = state.config().version.get().saturating_sub((*lag).into());
+                Some(ConfigRecord::Publication {
+                    id,
+                    written_unix_ms: 0,
+                    publication: publication(base, *section, *value),
+                })
+            }
+            LogStep::Repeat { which } => {
+                let index = usize::from(*which) % records.len().max(1);
+                records.get(index).cloned().flatten()
+            }
+            LogStep::Snapshot { lag } => {
+                let read = records.len().saturating_sub((*lag).into());
+                let snapshot = read_from(&records[..read], 0).snapshot();
+                Some(ConfigRecord::Snapshot {
+                    written_unix_ms: 0,
+                    snapshot: Box::new(snapshot),
+                })
+            }
+            LogStep::Tear => None,
+        };
+        records.push(record);
+    }
+    records
+}
+
+/// Checks a property on generated histories; the seed is fixed, so that each run is the same.
+fn check_histories(seed: u64, property: fn(Vec<LogStep>) -> bool) {
+    let rng = Gen::from_size_and_seed(HISTORY_STEPS, seed);
+    QuickCheck::new()
+        .rng(rng)
+        .tests(HISTORIES)
+        .quickcheck(property);
+}
+
+/// Guards against readers that differ after a trimmed log, a repeated append, a lagging snapshot
+/// or a torn record.
+#[test]
+fn readers_agree_from_every_start() {
+    check_histories(1, |steps| {
+        let records = write_log(&steps);
+        let whole = read_from(&records, 0);
+        (0..=records.len()).all(|from| {
+            let part = read_from(&records, from);
+            part.is_waiting() || part.config() == whole.config()
+        })
+    });
+}
+
+/// Guards against a reader that waits although a snapshot after the trimmed part is complete.
+#[test]
+fn a_fresh_snapshot_ends_the_wait() {
+    check_histories(2, |steps| {
+        let mut records = write_log(&steps);
+        let from = records.len();
+        let whole = read_from(&records, 0);
+        let snapshot = Box::new(whole.snapshot());
+        records.push(Some(ConfigRecord::Snapshot {
+            written_unix_ms: 0,
+            snapshot,
+        }));
+        let part = read_from(&records, from);
+        !part.is_waiting() && part.config() == whole.config()
+    });
+}
+
+/// Guards against a version that goes down or skips while records are applied.
+#[test]
+fn versions_rise_one_by_one() {
+    check_histories(3, |steps| {
+        let records = write_log(&steps);
+        let versions: Vec<u64> = (0..=records.len())
+            .map(|length| read_from(&records[..length], 0).config().version.get())
+            .collect();
+        versions
+            .windows(2)
+            .all(|pair| pair[1] == pair[0] || pair[1] == pair[0] + 1)
+    });
+}
+
+fn decided(
+    replay: &mut ConfigReplay,
+    offset: u64,
+    id: u128,
+    publication: ConfigPublication,
+) -> Vec<(u128, Result<ConfigVersion, ApplyError>)> {
+    let record = ConfigRecord::Publication {
+        id,
+        written_unix_ms: 0,
+        publication,
+    };
+    replay.apply(LogOffset::new(offset), record)
+}
+
+/// Guards against two winners of a race, or a loser that is not told which version won.
+#[test]
+fn the_first_of_racing_publications_wins() {
+    let mut replay = ConfigReplay::new();
+    let first = decided(&mut replay, 0, 1, publication(0, 0, 1));
+    let second = decided(&mut replay, 1, 2, publication(0, 0, 2));
+    let other = decided(&mut replay, 2, 3, publication(0, 1, 2));
+    assert_eq!(first, [(1, Ok(ConfigVersion::new(1)))]);
+    let conflict = ApplyError::Conflict {
+        section: "cell".into(),
+        won: ConfigVersion::new(1),
+        base: ConfigVersion::new(0),
+    };
+    assert_eq!(second, [(2, Err(conflict))]);
+    assert_eq!(
+        other,
+        [(3, Ok(ConfigVersion::new(2)))],
+        "another section does not conflict"
+    );
+}
+
+/// Guards against a refused publication that a repeated append makes valid later.
+#[test]
+fn a_repeated_id_is_not_decided_again() {
+    let mut replay = ConfigReplay::new();
+    assert!(
+        decided(&mut replay, 0, 1, publication(0, 3, 0))[0]
+            .1
+            .is_err()
+    );
+    assert!(
+        decided(&mut replay, 1, 2, publication(0, 2, 0))[0]
+            .1
+            .is_ok()
+    );
+    assert_eq!(decided(&mut replay, 2, 1, publication(0, 3, 0)), []);
+    assert!(!replay.config().section_versions.contains_key("rack/r"));
+}
+
+/// Guards against a log that lost its records and pulls readers back to an older version.
+#[test]
+fn a_restoring_snapshot_raises_the_version_of_an_emptied_log() {
+    let mut old = ConfigReplay::new();
+    decided(&mut old, 0, 1, publication(0, 0, 1));
+    decided(&mut old, 1, 2, publication(1, 0, 2));
+    let lost = old.config().clone();
+    let mut replay = ConfigReplay::new();
+    let snapshot = Box::new(replay.restoring_snapshot(lost.clone()));
+    let record = ConfigRecord::Snapshot {
+        written_unix_ms: 0,
+        snapshot,
+    };
+    replay.apply(LogOffset::new(0), record);
+    assert_eq!(replay.config(), &lost);
+}
+
+/// Guards against publications that change nothing or name a section wrongly.
+#[test]
+fn malformed_publications_are_refused() {
+    let config = CellConfig::new();
+    let mut empty = publication(0, 0, 1);
+    empty.changes.clear();
+    assert_eq!(config.apply(&empty), Err(ApplyError::Empty));
+    let mut twice = publication(0, 0, 1);
+    twice.changes.push(twice.changes[0].clone());
+    assert_eq!(
+        config.apply(&twice),
+        Err(ApplyError::Repeated("cell".into()))
+    );
+    let mut wrong = publication(0, 0, 1);
+    wrong.changes[0].name = "rules".into();
+    assert_eq!(
+        config.apply(&wrong),
+        Err(ApplyError::WrongName("rules".into()))
+    );
+    let mut removed = publication(0, 0, 1);
+    removed.changes[0].section = None;
+    assert_eq!(
+        config.apply(&removed),
+        Err(ApplyError::Required("cell".into()))
+    );
+    let future = publication(1, 0, 1);
+    assert!(matches!(
+        config.apply(&future),
+        Err(ApplyError::FutureBase { .. })
+    ));
+}
