Complete the interface of callers and operators

Jobs with a key go to the partition of the key, others to a random partition of the region that could hold a task. Work that may not repeat goes to the owner of its key. The status answers in one sentence with its reasons. Configuration is fetched from peers while the log is away, never goes down, and a publication reports what the log order decided even when the answer to its append was lost. Settings name the flag, the value and what is allowed; metrics are named in one place.

--- a/crates/magnolia-daemon/src/callers/config_routes.rs
+++ b/crates/magnolia-daemon/src/callers/config_routes.rs
@@ -1,26 +1,86 @@
 //! Configuration.
 
-use magnolia_config::ConfigPublication;
-use magnolia_http::{HttpResponse, error_response, json_response};
+use magnolia_config::{ConfigDiff, ConfigDocument, ConfigPublication};
+use magnolia_http::{ErrorBody, HttpResponse, error_response, json_response};
+use magnolia_types::{ResultCode, wire_types};
+use serde_json::json;
 
 use super::handler::CallerRequest;
-use super::request::parse_json;
+use super::request::{Refusal, parse_json};
 use crate::config_feed;
 use crate::context::DaemonContext;
 
-/// Answers `GET /v1/config`.
+/// Author of a publication that a check proposes, until the operator names another.
+const PROPOSED_AUTHOR: &str = "operator";
+
+wire_types! {
+    /// Body of `POST /v1/config/check`.
+    #[serde(deny_unknown_fields)]
+    struct CheckBody {
+        /// The whole document.
+        toml: String,
+    }
+}
+
+/// Answers `GET /v1/config`: the configuration in force with its age.
 pub fn show(context: &DaemonContext) -> HttpResponse {
-    json_response(200, context.config().as_ref())
+    let config = context.config();
+    let status = context.config_feed.status();
+    let now = context.clock.now();
+    let age = |at| now.saturating_sub(at);
+    json_response(
+        200,
+        &json!({
+            "version": config.version,
+            "section_versions": config.section_versions,
+            "document": config.document,
+            "source": status.source,
+            "in_force_ms": status.adopted_at.map(age),
+            "confirmed_ms_ago": status.confirmed_at.map(age),
+        }),
+    )
+}
+
+/// Answers `POST /v1/config/check`: the faults, or the publication that would make the document
+/// the configuration.
+///
+/// # Errors
+///
+/// Fails with the refusal to send when the body is malformed.
+pub fn check(context: &DaemonContext, request: &CallerRequest) -> Result<HttpResponse, Refusal> {
+    let body: CheckBody = parse_json(&request.body)?;
+    let config = context.config();
+    Ok(match ConfigDocument::from_toml(&body.toml) {
+        Ok(document) => json_response(
+            200,
+            &json!({
+                "valid": true,
+                "changes": ConfigDiff::new(config.document.as_ref(), Some(&document)).sections,
+                "publication": config.publication_to(&document, PROPOSED_AUTHOR),
+            }),
+        ),
+        Err(errors) => {
+            let code = ResultCode::ConfigInvalid;
+            let refusal = ErrorBody::new(code, &errors.to_string());
+            let mut body = json!(refusal);
+            body["errors"] = json!(errors.errors);
+            json_response(code.http_status(), &body)
+        }
+    })
 }
 
 /// Answers `POST /v1/config/publish`.
-pub async fn publish(context: &DaemonContext, request: &CallerRequest) -> HttpResponse {
-    let publication: ConfigPublication = match parse_json(&request.body) {
-        Ok(publication) => publication,
-        Err(response) => return *response,
-    };
-    match config_feed::publish(context, publication).await {
-        Ok(config) => json_response(200, &serde_json::json!({"version": config.version})),
+///
+/// # Errors
+///
+/// Fails with the refusal to send when the body is malformed.
+pub async fn publish(
+    context: &DaemonContext,
+    request: &CallerRequest,
+) -> Result<HttpResponse, Refusal> {
+    let publication: ConfigPublication = parse_json(&request.body)?;
+    Ok(match config_feed::publish(context, publication).await {
+        Ok(version) => json_response(200, &json!({"version": version})),
         Err((code, message)) => error_response(code, &message),
-    }
+    })
 }
--- a/crates/magnolia-daemon/src/callers/handler.rs
+++ b/crates/magnolia-daemon/src/callers/handler.rs
@@ -1,18 +1,23 @@
 //! Dispatch of caller and operator requests.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use http::Method;
+use http::header::{ALLOW, HeaderValue};
 use magnolia_http::{HttpHandler, HttpRequest, HttpResponse, error_response, read_body};
 use magnolia_types::ResultCode;
 
-use super::{config_routes, job_routes, operator_routes, quick_routes};
+use super::route::{Route, RouteError};
+use super::{config_routes, job_routes, operator_routes, quick_routes, status};
 use crate::context::DaemonContext;
+use crate::metrics::names;
 
 /// Largest body of a caller in bytes.
 const MAX_BODY_BYTES: usize = 256 << 10;
+/// Longest time for a whole body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Handler of the address for callers.
 pub struct CallerHandler {
@@ -21,10 +26,6 @@
 
 /// A request with its whole body.
 pub struct CallerRequest {
-    /// Method.
-    pub method: Method,
-    /// Path without the query.
-    pub path: String,
     /// Query string.
     pub query: Option<String>,
     /// Whole body.
@@ -39,43 +40,82 @@
 
     async fn answer(&self, request: HttpRequest) -> HttpResponse {
         let (parts, body) = request.into_parts();
-        let body = match read_body(body, MAX_BODY_BYTES).await {
-            Ok(body) => body,
-            Err(code) => return error_response(code, "the body could not be read"),
+        let route = match Route::new(parts.method.as_str(), parts.uri.path()) {
+            Ok(route) => route,
+            Err(RouteError::NotFound) => {
+                let message = format!("no such path: {}", parts.uri.path());
+                return error_response(ResultCode::NotFound, &message);
+            }
+            Err(RouteError::MethodNotAllowed(allowed)) => {
+                return refuse_method(parts.method.as_str(), allowed);
+            }
+        };
+        let body = match tokio::time::timeout(BODY_TIMEOUT, read_body(body, MAX_BODY_BYTES)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(ResultCode::BodyTooLarge)) => {
+                let message = format!("the body is larger than {MAX_BODY_BYTES} bytes");
+                return error_response(ResultCode::BodyTooLarge, &message);
+            }
+            Ok(Err(code)) => return error_response(code, "the body ended early"),
+            Err(_) => {
+                return error_response(ResultCode::BadRequest, "the body did not arrive in time");
+            }
         };
         let request = CallerRequest {
-            method: parts.method,
-            path: parts.uri.path().to_owned(),
             query: parts.uri.query().map(str::to_owned),
             body,
         };
-        let started = self.context.clock.now();
-        let response = self.route(&request).await;
-        let took = self.context.clock.now().saturating_sub(started);
-        self.context.metrics.time_ms("callers.call", took.get());
-        response
+        self.run(&route, &request).await
     }
 
-    async fn route(&self, request: &CallerRequest) -> HttpResponse {
-        let context = &self.context;
-        let segments: Vec<&str> = request.path.trim_matches('/').split('/').collect();
-        match (request.method.as_str(), segments.as_slice()) {
-            ("POST", ["v1", "requests"]) => quick_routes::run(context, request).await,
-            ("POST", ["v1", "jobs"]) => job_routes::submit(context, request).await,
-            ("GET", ["v1", "jobs", job]) => job_routes::get(context, job).await,
-            ("GET", ["v1", "jobs", job, "wait"]) => job_routes::wait(context, job, request).await,
-            ("GET", ["v1", "config"]) => config_routes::show(context),
-            ("POST", ["v1", "config", "publish"]) => config_routes::publish(context, request).await,
-            ("GET", ["v1", "state"]) => operator_routes::state(context),
-            ("GET", ["healthz"]) => operator_routes::live(),
-            ("GET", ["readyz"]) => operator_routes::ready(context),
-            _ => error_response(ResultCode::NotFound, "no such path"),
-        }
+    async fn run(&self, route: &Route, request: &CallerRequest) -> HttpResponse {
+        let context = &*self.context;
+        let result = match route {
+            Route::Requests => quick_routes::run(context, request).await,
+            Route::Jobs => job_routes::submit(context, request).await,
+            Route::JobList => job_routes::list(context, request).await,
+            Route::Job(job) => job_routes::get(context, job).await,
+            Route::JobWait(job) => job_routes::wait(context, job, request).await,
+            Route::JobCancel(job) => job_routes::cancel(context, job).await,
+            Route::JobExplain(job) => job_routes::explain(context, job).await,
+            Route::Config => Ok(config_routes::show(context)),
+            Route::ConfigCheck => config_routes::check(context, request),
+            Route::ConfigPublish => config_routes::publish(context, request).await,
+            Route::Status => Ok(status::show(context)),
+            Route::State => Ok(operator_routes::state(context)),
+            Route::Live => Ok(operator_routes::live()),
+            Route::Ready => Ok(operator_routes::ready(context)),
+        };
+        result.unwrap_or_else(|refusal| *refusal)
     }
 }
 
+fn refuse_method(found: &str, allowed: &'static str) -> HttpResponse {
+    let message = format!("{found} is not allowed here; allowed: {allowed}");
+    let mut response = error_response(ResultCode::MethodNotAllowed, &message);
+    response
+        .headers_mut()
+        .insert(ALLOW, HeaderValue::from_static(allowed));
+    response
+}
+
 impl HttpHandler for CallerHandler {
     fn handle(self: Arc<Self>, request: HttpRequest) -> BoxFuture<'static, HttpResponse> {
-        Box::pin(async move { self.answer(request).await })
+        Box::pin(async move {
+            let started = self.context.clock.now();
+            let response = self.answer(request).await;
+            let took = self.context.clock.now().saturating_sub(started);
+            self.context
+                .metrics
+                .time_ms(names::CALLERS_CALL, took.get());
+            self.context
+                .metrics
+                .count(match response.status().as_u16() {
+                    200..=299 => names::CALLERS_ANSWERED,
+                    400..=499 => names::CALLERS_REFUSED,
+                    _ => names::CALLERS_FAILED,
+                });
+            response
+        })
     }
 }
--- a/crates/magnolia-daemon/src/callers/job_routes.rs
+++ b/crates/magnolia-daemon/src/callers/job_routes.rs
@@ -1,72 +1,238 @@
 //! Jobs.
 
+use futures_util::future::join_all;
 use magnolia_http::{HttpResponse, error_response, json_response};
-use magnolia_protocol::{JobOperation, JobReply};
-use magnolia_types::{JobId, JobSpec, Millis, ResultCode};
+use magnolia_protocol::{JobOperation, JobReply, JobView};
+use magnolia_types::{CustomerName, JobId, JobSpec, JobState, Millis, Ran, ResultCode};
+use serde_json::json;
 
+use super::checks::{check_job, check_phase};
 use super::handler::CallerRequest;
-use super::request::{parse_json, query_pairs};
+use super::key_routing::{partition_of_key, partitions_for_size};
+use super::request::{QueryParameters, Refusal, parse_json, refuse};
 use crate::context::DaemonContext;
 use crate::partition;
 
 /// Wait when the caller names none.
 const DEFAULT_WAIT: Millis = Millis::from_secs(30);
+/// Longest wait of one call; callers repeat it.
+const MAX_WAIT: Millis = Millis::from_secs(300);
+/// Jobs of a list when the caller names no limit.
+const DEFAULT_LIMIT: u32 = 100;
+/// Most jobs of a list.
+const MAX_LIMIT: u32 = 1000;
+/// Most partitions that a submission tries, each only after the one before did not run it.
+const SUBMIT_TRIES: usize = 3;
 
 /// Answers `POST /v1/jobs`.
-pub async fn submit(context: &DaemonContext, request: &CallerRequest) -> HttpResponse {
-    let spec: JobSpec = match parse_json(&request.body) {
-        Ok(spec) => spec,
-        Err(response) => return *response,
+///
+/// # Errors
+///
+/// Fails with the refusal to send.
+pub async fn submit(
+    context: &DaemonContext,
+    request: &CallerRequest,
+) -> Result<HttpResponse, Refusal> {
+    let spec: JobSpec = parse_json(&request.body)?;
+    check_phase(context)?;
+    let config = context.config();
+    if let Some(document) = &config.document {
+        check_job(document, &spec)?;
+    }
+    let partitions = match &spec.idempotency_key {
+        Some(key) => vec![partition_of_key(context, &spec.customer, key)?],
+        None => partitions_for_size(context, &spec.size)?,
     };
+    let mut reply = None;
+    for partition in partitions.iter().take(SUBMIT_TRIES) {
+        let job = JobId::new_in(partition, rand::random())
+            .map_err(|_| refuse(ResultCode::Internal, "the job id is too long"))?;
+        let operation = JobOperation::Submit {
+            job,
+            spec: spec.clone(),
+        };
+        let last = partition::run_operation(context, partition, operation).await;
+        let elsewhere = may_try_elsewhere(&last);
+        reply = Some(last);
+        if !elsewhere {
+            break;
+        }
+    }
+    match reply {
+        Some(reply) => respond(reply),
+        None => Err(refuse(ResultCode::NoBackend, "there is no partition")),
+    }
+}
+
+/// Tells whether the owner was out of reach, so that another partition may take the job.
+fn may_try_elsewhere(reply: &JobReply) -> bool {
+    let out_of_reach = [
+        ResultCode::NoOwner,
+        ResultCode::NotOwner,
+        ResultCode::OwnerUnreachable,
+    ];
+    matches!(reply, JobReply::Refused { code, .. } if out_of_reach.contains(code) && code.ran() == Ran::No)
+}
+
+/// Answers `GET /v1/jobs`.
+///
+/// # Errors
+///
+/// Fails with the refusal to send.
+pub async fn list(
+    context: &DaemonContext,
+    request: &CallerRequest,
+) -> Result<HttpResponse, Refusal> {
+    let query = QueryParameters::new(request.query.as_deref(), &["customer", "state", "limit"])?;
+    let customer = query.get("customer", "a name", |text| CustomerName::new(text).ok())?;
+    let states = "waiting, running, done, failed, cancelled, unknown";
+    let state = query.get("state", states, parse_state)?;
+    let limit = query.get("limit", "1 to 1000", |text| {
+        text.parse()
+            .ok()
+            .filter(|limit| (1..=MAX_LIMIT).contains(limit))
+    })?;
+    let limit = limit.unwrap_or(DEFAULT_LIMIT);
     let partitions = context
         .with_document(|document| document.partitions())
         .unwrap_or_default();
-    let Some(partition) = partitions.first() else {
-        return error_response(ResultCode::NoConfiguration, "the inventory has no workers");
-    };
-    let Ok(job) = JobId::new_in(partition, rand::random()) else {
-        return error_response(ResultCode::Internal, "the job id is too long");
-    };
-    let operation = JobOperation::Submit { job, spec };
-    respond(partition::run_operation(context, partition, operation).await)
+    let replies = join_all(partitions.iter().map(|partition| {
+        let operation = JobOperation::List {
+            customer: customer.clone(),
+            state,
+            limit,
+        };
+        partition::run_operation(context, partition, operation)
+    }));
+    let mut lists: Vec<std::vec::IntoIter<JobView>> = Vec::new();
+    let mut missing = Vec::new();
+    for (partition, reply) in partitions.iter().zip(replies.await) {
+        match reply {
+            JobReply::Jobs(views) => lists.push(views.into_iter()),
+            JobReply::Refused { code, message } => missing.push(
+                json!({"partition": partition, "code": code, "name": code.name(), "message": message}),
+            ),
+            _ => missing.push(json!({"partition": partition, "message": "another reply came"})),
+        }
+    }
+    let jobs = take_in_turn(lists, limit as usize);
+    Ok(json_response(
+        200,
+        &json!({"jobs": jobs, "missing": missing}),
+    ))
+}
+
+/// Takes one job of each partition in turn, so that a busy partition does not hide the others.
+fn take_in_turn(mut lists: Vec<std::vec::IntoIter<JobView>>, limit: usize) -> Vec<JobView> {
+    let mut jobs = Vec::new();
+    while jobs.len() < limit {
+        let before = jobs.len();
+        jobs.extend(lists.iter_mut().filter_map(Iterator::next));
+        if jobs.len() == before {
+            break;
+        }
+    }
+    jobs.truncate(limit);
+    jobs
+}
+
+fn parse_state(text: &str) -> Option<JobState> {
+    serde_json::from_value(serde_json::Value::from(text)).ok()
 }
 
 /// Answers `GET /v1/jobs/{id}`.
-pub async fn get(context: &DaemonContext, job: &str) -> HttpResponse {
-    run_on_job(context, job, |job| JobOperation::Get { job }).await
+///
+/// # Errors
+///
+/// Fails with the refusal to send.
+pub async fn get(context: &DaemonContext, job: &str) -> Result<HttpResponse, Refusal> {
+    let job = known_job(context, job)?;
+    run_on_job(context, &job, JobOperation::Get { job: job.clone() }).await
 }
 
 /// Answers `GET /v1/jobs/{id}/wait`.
-pub async fn wait(context: &DaemonContext, job: &str, request: &CallerRequest) -> HttpResponse {
-    let pairs = query_pairs(request.query.as_deref());
-    let timeout_ms = match pairs.get("timeout_ms").map(|text| text.parse()) {
-        Some(Ok(timeout)) => timeout,
-        Some(Err(error)) => return error_response(ResultCode::BadRequest, &format!("{error}")),
-        None => DEFAULT_WAIT,
+///
+/// # Errors
+///
+/// Fails with the refusal to send.
+pub async fn wait(
+    context: &DaemonContext,
+    job: &str,
+    request: &CallerRequest,
+) -> Result<HttpResponse, Refusal> {
+    let query = QueryParameters::new(request.query.as_deref(), &["timeout_ms"])?;
+    let timeout = query.get("timeout_ms", "0 to 300000", |text| {
+        text.parse().ok().filter(|timeout| *timeout <= MAX_WAIT)
+    })?;
+    let timeout_ms = timeout.unwrap_or(DEFAULT_WAIT);
+    let job = known_job(context, job)?;
+    let operation = JobOperation::Wait {
+        job: job.clone(),
+        timeout_ms,
     };
-    run_on_job(context, job, |job| JobOperation::Wait { job, timeout_ms }).await
+    run_on_job(context, &job, operation).await
+}
+
+/// Answers `POST /v1/jobs/{id}/cancel`.
+///
+/// # Errors
+///
+/// Fails with the refusal to send.
+pub async fn cancel(context: &DaemonContext, job: &str) -> Result<HttpResponse, Refusal> {
+    let job = known_job(context, job)?;
+    let operation = JobOperation::Cancel {
+        jobs: vec![job.clone()],
+    };
+    run_on_job(context, &job, operation).await
+}
+
+/// Answers `GET /v1/jobs/{id}/explain`.
+///
+/// # Errors
+///
+/// Fails with the refusal to send.
+pub async fn explain(context: &DaemonContext, job: &str) -> Result<HttpResponse, Refusal> {
+    let job = known_job(context, job)?;
+    run_on_job(context, &job, JobOperation::Explain { job: job.clone() }).await
+}
+
+/// Reads a job id; one of a partition that does not exist names no job.
+fn known_job(context: &DaemonContext, text: &str) -> Result<JobId, Refusal> {
+    let not_found = || refuse(ResultCode::NotFound, "no such job");
+    let job = JobId::new(text).map_err(|_| not_found())?;
+    let partition = job.partition().ok_or_else(not_found)?;
+    let known = context.with_document(|document| {
+        let mut racks = document.racks.iter();
+        racks.any(|rack| &*rack.partition == partition)
+    });
+    match known {
+        Some(true) => Ok(job),
+        Some(false) => Err(not_found()),
+        None => Err(refuse(
+            ResultCode::NoConfiguration,
+            "the daemon has no configuration yet",
+        )),
+    }
 }
 
 async fn run_on_job(
     context: &DaemonContext,
-    job: &str,
-    operation: impl FnOnce(JobId) -> JobOperation,
-) -> HttpResponse {
-    let Ok(job) = JobId::new(job) else {
-        return error_response(ResultCode::BadRequest, "malformed job id");
-    };
-    let Some(partition) = job.partition().map(str::to_owned) else {
-        return error_response(ResultCode::NotFound, "no such job");
-    };
-    respond(partition::run_operation(context, &partition, operation(job)).await)
+    job: &JobId,
+    operation: JobOperation,
+) -> Result<HttpResponse, Refusal> {
+    let partition = job.partition().unwrap_or_default();
+    respond(partition::run_operation(context, partition, operation).await)
 }
 
-fn respond(reply: JobReply) -> HttpResponse {
+fn respond(reply: JobReply) -> Result<HttpResponse, Refusal> {
     match reply {
-        JobReply::Job(view) => json_response(200, &view),
-        JobReply::Jobs(views) => json_response(200, &views),
-        JobReply::Explanation(lines) => json_response(200, &lines),
-        JobReply::Once(outcome) => error_response(outcome.code, &outcome.text),
-        JobReply::Refused { code, message } => error_response(code, &message),
+        JobReply::Job(view) => Ok(json_response(200, &view)),
+        JobReply::Jobs(views) => match views.first() {
+            Some(view) => Ok(json_response(200, view)),
+            None => Err(refuse(ResultCode::NotFound, "no such job")),
+        },
+        JobReply::Explanation(lines) => Ok(json_response(200, &json!({"explanation": lines}))),
+        JobReply::Once(outcome) => Ok(error_response(outcome.code, &outcome.text)),
+        JobReply::Refused { code, message } => Err(refuse(code, &message)),
     }
 }
--- a/crates/magnolia-daemon/src/callers/operator_routes.rs
+++ b/crates/magnolia-daemon/src/callers/operator_routes.rs
@@ -16,10 +16,11 @@
 pub fn ready(context: &DaemonContext) -> HttpResponse {
     match *context.phase.borrow() {
         LifecyclePhase::Ready => json_response(200, &json!({"ready": true})),
-        LifecyclePhase::Starting => {
-            error_response(ResultCode::NoConfiguration, "no configuration yet")
-        }
-        LifecyclePhase::Draining => error_response(ResultCode::Draining, "draining"),
+        LifecyclePhase::Starting => error_response(
+            ResultCode::NoConfiguration,
+            "the daemon has no configuration yet",
+        ),
+        LifecyclePhase::Draining => error_response(ResultCode::Draining, "the daemon is draining"),
     }
 }
 
@@ -28,14 +29,25 @@
     let claims: Vec<ClaimRecord> = context
         .claims
         .with_table(|table| table.iter().cloned().collect());
+    let feed = context.config_feed.status();
+    let now = context.clock.now();
+    let age = |at| now.saturating_sub(at);
     json_response(
         200,
         &json!({
             "identity": context.identity,
             "phase": *context.phase.borrow(),
             "listen": context.settings.listen,
-            "uptime_ms": context.clock.now(),
+            "uptime_ms": now,
+            "config": {
+                "version": context.config().version,
+                "source": feed.source,
+                "in_force_ms": feed.adopted_at.map(age),
+                "confirmed_ms_ago": feed.confirmed_at.map(age),
+                "waiting_for_snapshot": feed.waiting_for_snapshot,
+            },
             "config_version": context.config().version,
+            "log_unavailable_ms": feed.log_away_since.map(age),
             "members": context.members.dump(),
             "partitions": context.partitions.dump(),
             "groups": context.groups.dump(),
--- /dev/null
+++ b/crates/magnolia-daemon/src/config_feed/publisher.rs
@@ -0,0 +1,129 @@
+//! Publishes changes: appends them and reports what the log order decides.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use magnolia_config::{ApplyError, ConfigPublication, ConfigRecord, PublicationVerdict};
+use magnolia_protocol::encode;
+use magnolia_types::{ConfigVersion, ResultCode};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+use super::CONFIG_STREAM;
+use super::reader::unix_ms;
+use crate::context::DaemonContext;
+use crate::metrics::names;
+
+/// Time that a daemon gets to learn of the version on which a publication is based.
+const BASE_LIMIT: Duration = Duration::from_secs(2);
+/// Longest time during which an append is repeated.
+const APPEND_LIMIT: Duration = Duration::from_secs(3);
+/// Longest wait for the decision after the append.
+const VERDICT_LIMIT: Duration = Duration::from_secs(4);
+/// Pause before an append is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// A refusal or an unknown result.
+type PublishError = (ResultCode, String);
+
+/// How the appends of a publication ended.
+enum AppendEnd {
+    /// The log has the record.
+    Written,
+    /// The log has not got the record.
+    NotWritten(String),
+    /// An answer was lost; the log may have the record.
+    Unknown(String),
+}
+
+/// Appends a publication and returns the version that it makes.
+///
+/// # Errors
+///
+/// Fails with the code and the reason when the publication is not accepted, or when its result is
+/// not known in time.
+pub async fn publish(
+    context: &DaemonContext,
+    publication: ConfigPublication,
+) -> Result<ConfigVersion, PublishError> {
+    wait_for_base(context, publication.base).await;
+    context.config().apply(&publication).map_err(refusal)?;
+    let id = rand::random();
+    let record = ConfigRecord::Publication {
+        id,
+        written_unix_ms: unix_ms(),
+        publication,
+    };
+    let data = encode(&record).map_err(|error| (ResultCode::Internal, error.to_string()))?;
+    let mut verdict = context.config_feed.expect(id);
+    let result = tokio::select! {
+        biased;
+        Ok(verdict) = &mut verdict => report(verdict),
+        end = append(context, Bytes::from(data)) => match end {
+            AppendEnd::NotWritten(reason) => Err((ResultCode::LogUnavailable, reason)),
+            AppendEnd::Written => match timeout(VERDICT_LIMIT, verdict).await {
+                Ok(Ok(verdict)) => report(verdict),
+                _ => Err(unknown("the log has the publication, but it was not read back in time")),
+            },
+            AppendEnd::Unknown(reason) => match timeout(VERDICT_LIMIT, verdict).await {
+                Ok(Ok(verdict)) => report(verdict),
+                _ => Err(unknown(&reason)),
+            },
+        },
+    };
+    context.config_feed.forget(id);
+    result
+}
+
+/// Appends until the log acknowledges; repeats carry the same id and are decided once.
+async fn append(context: &DaemonContext, data: Bytes) -> AppendEnd {
+    let deadline = Instant::now() + APPEND_LIMIT;
+    let mut lost = false;
+    loop {
+        let append = context.log.append(CONFIG_STREAM, data.clone());
+        let reason = match timeout_at(deadline, append).await {
+            Ok(Ok(_)) => return AppendEnd::Written,
+            Ok(Err(error)) => {
+                lost |= !error.is_without_effect();
+                error.to_string()
+            }
+            Err(_) => {
+                lost = true;
+                "the log did not answer in time".to_owned()
+            }
+        };
+        context.metrics.count(names::CONFIG_APPEND_FAILED);
+        if Instant::now() + RETRY_PAUSE >= deadline {
+            return match lost {
+                true => AppendEnd::Unknown(reason),
+                false => AppendEnd::NotWritten(reason),
+            };
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+async fn wait_for_base(context: &DaemonContext, base: ConfigVersion) {
+    let mut watcher = context.config.subscribe();
+    let reached = watcher.wait_for(|config| config.version >= base);
+    // A base that is still unknown is refused by the check that follows.
+    timeout(BASE_LIMIT, reached).await.ok();
+}
+
+fn report(verdict: PublicationVerdict) -> Result<ConfigVersion, PublishError> {
+    verdict.map_err(refusal)
+}
+
+fn unknown(reason: &str) -> PublishError {
+    let message = format!(
+        "the result is unknown ({reason}); compare the configuration in force before publishing again"
+    );
+    (ResultCode::OutcomeUnknown, message)
+}
+
+fn refusal(error: ApplyError) -> PublishError {
+    let code = match error {
+        ApplyError::Conflict { .. } | ApplyError::FutureBase { .. } => ResultCode::ConfigConflict,
+        _ => ResultCode::ConfigInvalid,
+    };
+    (code, error.to_string())
+}
--- a/crates/magnolia-daemon/src/context.rs
+++ b/crates/magnolia-daemon/src/context.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::clock::DaemonClock;
+use crate::config_feed::ConfigFeed;
 use crate::identity::DaemonIdentity;
 use crate::membership::MemberList;
 use crate::metrics::MetricRecorder;
@@ -55,6 +56,8 @@
     pub peers: PeerLink,
     /// Configuration in force.
     pub config: watch::Sender<Arc<CellConfig>>,
+    /// How the configuration came here.
+    pub config_feed: ConfigFeed,
     /// Known claims.
     pub claims: ClaimBook,
     /// Live daemons.
@@ -89,6 +92,7 @@
             executors: Arc::new(HttpExecutorClient::new(client.clone())),
             peers: PeerLink::new(client),
             config: watch::Sender::new(Arc::new(CellConfig::new())),
+            config_feed: ConfigFeed::new(),
             claims: ClaimBook::new(),
             members: MemberList::new(),
             partitions: PartitionRegistry::new(),
--- a/crates/magnolia-daemon/src/daemon.rs
+++ b/crates/magnolia-daemon/src/daemon.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use logforth::append::Stderr;
+use logforth::layout::TextLayout;
 use magnolia_http::serve;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -57,7 +59,7 @@
             };
         }
     };
-    logforth::starter_log::stderr().apply();
+    start_logging(settings.log_level);
     let runtime = match tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -77,6 +79,15 @@
     }
 }
 
+/// Writes log lines of at least this level to standard error, without colours.
+fn start_logging(level: log::LevelFilter) {
+    let append = Stderr::default().with_layout(TextLayout::default().no_color());
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.append(append))
+        .apply();
+    log::set_max_level(level);
+}
+
 async fn run(settings: DaemonSettings) -> std::io::Result<ExitStatus> {
     let callers = TcpListener::bind(settings.listen).await?;
     let inner = TcpListener::bind(settings.inner_listen).await?;
--- a/crates/magnolia-daemon/src/lib.rs
+++ b/crates/magnolia-daemon/src/lib.rs
@@ -16,4 +16,5 @@
 mod settings;
 
 pub use daemon::{ExitStatus, run_main};
+pub use metrics::names::{METRICS, MetricDescription, MetricKind};
 pub use settings::{DaemonSettings, SettingsError};
--- a/crates/magnolia-daemon/src/metrics/mod.rs
+++ b/crates/magnolia-daemon/src/metrics/mod.rs
@@ -1,5 +1,7 @@
 //! Counters and gauges, sent to a statsd address and kept for the state dump.
 
+pub mod names;
+
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::{Mutex, PoisonError};
--- a/crates/magnolia-daemon/src/peers.rs
+++ b/crates/magnolia-daemon/src/peers.rs
@@ -63,9 +63,10 @@
     }
 
     /// Takes note of what an envelope says besides its body.
-    pub fn hear<T>(&self, envelope: &PeerEnvelope<T>, _address: SocketAddr) {
+    pub fn hear<T>(&self, envelope: &PeerEnvelope<T>, address: SocketAddr) {
         if envelope.config_version > self.config().version {
             self.metrics.count("config.behind_peer");
+            self.config_feed.note_peer(address, envelope.config_version);
         }
     }
 
--- a/crates/magnolia-daemon/src/settings.rs
+++ b/crates/magnolia-daemon/src/settings.rs
@@ -3,8 +3,20 @@
 use std::ffi::OsString;
 use std::net::SocketAddr;
 
+use clap::builder::PossibleValuesParser;
+use clap::error::ErrorKind;
 use clap::{Arg, ArgMatches, Command};
-use magnolia_types::{DaemonId, DataCentreName};
+use log::LevelFilter;
+use magnolia_types::{DaemonId, DataCentreName, Millis};
+
+/// Retention of the log when no flag names it, in milliseconds: one day.
+const DEFAULT_LOG_RETENTION_MS: &str = "86400000";
+/// Shortest retention with which snapshots can be re-appended in time.
+const MIN_LOG_RETENTION: Millis = Millis::from_secs(10);
+/// Levels of log lines, the least first.
+const LOG_LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+/// Form of an address in messages.
+const ALLOWED_ADDRESS: &str = "allowed: an IP address and a port from 1, such as 127.0.0.1:7700";
 
 /// Everything that a daemon learns from its surroundings at start.
 #[derive(Clone, Debug)]
@@ -21,10 +33,14 @@
     pub inner_advertise: SocketAddr,
     /// Address of the log service.
     pub log: SocketAddr,
+    /// How long the log keeps a record.
+    pub log_retention_ms: Millis,
     /// Address of the instance list.
     pub instances: SocketAddr,
     /// Address of a statsd server; metrics go nowhere when absent.
     pub statsd: Option<SocketAddr>,
+    /// Least urgent level of log lines that are written.
+    pub log_level: LevelFilter,
 }
 
 /// A setting that is missing or malformed, or a request for help.
@@ -37,20 +53,28 @@
     ///
     /// # Errors
     ///
-    /// Fails when a setting is missing or malformed; the error names the flag and the value.
+    /// Fails when a setting is missing or malformed; the error names the flag, the value and what
+    /// is allowed.
     pub fn from_args(args: impl IntoIterator<Item = OsString>) -> Result<Self, SettingsError> {
-        let matches = Self::command().try_get_matches_from(args)?;
+        let mut command = Self::command();
+        let matches = command.try_get_matches_from_mut(args)?;
         let inner_listen = required(&matches, "inner-listen");
-        Ok(Self {
+        let settings = Self {
             daemon: required(&matches, "daemon"),
             data_centre: required(&matches, "data-centre"),
             listen: required(&matches, "listen"),
             inner_listen,
             inner_advertise: optional(&matches, "inner-advertise").unwrap_or(inner_listen),
             log: required(&matches, "log"),
+            log_retention_ms: required(&matches, "log-retention-ms"),
             instances: required(&matches, "instances"),
             statsd: optional(&matches, "statsd"),
-        })
+            log_level: log_level(&matches),
+        };
+        match settings.check() {
+            Ok(()) => Ok(settings),
+            Err(message) => Err(command.error(ErrorKind::ValueValidation, message).into()),
+        }
     }
 
     /// Describes the flags and environment variables.
@@ -58,49 +82,90 @@
         Command::new("magnoliad")
             .about("Scheduler daemon of a magnoliawing cell")
             .version(env!("CARGO_PKG_VERSION"))
+            .after_help(
+                "Exit codes: 0 stopped as asked, 1 failed to start or failed, 2 a setting is \
+                 missing or malformed, 3 requests were still in flight at the end of the drain \
+                 time.",
+            )
             .arg(flag::<DaemonId>(
                 "daemon",
                 "MAGNOLIA_DAEMON",
-                "Name of this daemon",
+                "Name of this daemon, unique in the cell",
             ))
             .arg(flag::<DataCentreName>(
                 "data-centre",
                 "MAGNOLIA_DATA_CENTRE",
                 "Data centre of this daemon",
             ))
-            .arg(flag::<SocketAddr>(
+            .arg(address(
                 "listen",
                 "MAGNOLIA_LISTEN",
-                "Address for callers",
+                "Address for callers and operators",
             ))
-            .arg(flag::<SocketAddr>(
+            .arg(address(
                 "inner-listen",
                 "MAGNOLIA_INNER_LISTEN",
                 "Address for other daemons",
             ))
             .arg(
-                flag::<SocketAddr>(
+                address(
                     "inner-advertise",
                     "MAGNOLIA_INNER_ADVERTISE",
                     "Address that other daemons use; the default is that of --inner-listen",
                 )
                 .required(false),
             )
-            .arg(flag::<SocketAddr>(
-                "log",
-                "MAGNOLIA_LOG",
-                "Address of the log service",
-            ))
-            .arg(flag::<SocketAddr>(
+            .arg(address("log", "MAGNOLIA_LOG", "Address of the log service"))
+            .arg(
+                flag::<Millis>(
+                    "log-retention-ms",
+                    "MAGNOLIA_LOG_RETENTION_MS",
+                    "How long the log keeps a record, in milliseconds",
+                )
+                .default_value(DEFAULT_LOG_RETENTION_MS)
+                .required(false),
+            )
+            .arg(address(
                 "instances",
                 "MAGNOLIA_INSTANCES",
                 "Address of the instance list",
             ))
+            .arg(address("statsd", "MAGNOLIA_STATSD", "UDP address for metrics").required(false))
             .arg(
-                flag::<SocketAddr>("statsd", "MAGNOLIA_STATSD", "UDP address for metrics")
-                    .required(false),
+                Arg::new("log-level")
+                    .long("log-level")
+                    .env("MAGNOLIA_LOG_LEVEL")
+                    .value_name("LEVEL")
+                    .value_parser(PossibleValuesParser::new(LOG_LEVELS))
+                    .default_value("info")
+                    .help("Least urgent level of log lines on standard error"),
             )
     }
+
+    /// Checks what one flag alone does not show.
+    fn check(&self) -> Result<(), String> {
+        if self.inner_advertise.ip().is_unspecified() {
+            return Err(format!(
+                "--inner-advertise: {} is not an address that other daemons can reach; allowed: \
+                 the address of one host (give --inner-advertise when --inner-listen names all)",
+                self.inner_advertise
+            ));
+        }
+        if self.listen == self.inner_listen {
+            return Err(format!(
+                "--inner-listen: {} is also the address of --listen; allowed: another address",
+                self.inner_listen
+            ));
+        }
+        if self.log_retention_ms < MIN_LOG_RETENTION {
+            return Err(format!(
+                "--log-retention-ms: {} is not allowed; allowed: {} or more",
+                self.log_retention_ms.get(),
+                MIN_LOG_RETENTION.get()
+            ));
+        }
+        Ok(())
+    }
 }
 
 /// Describes a required flag that also reads an environment variable.
@@ -118,6 +183,25 @@
         .help(help)
 }
 
+/// Describes a flag that takes an address.
+fn address(name: &'static str, variable: &'static str, help: &'static str) -> Arg {
+    flag::<SocketAddr>(name, variable, help)
+        .value_name("IP:PORT")
+        .value_parser(parse_address)
+}
+
+fn parse_address(text: &str) -> Result<SocketAddr, String> {
+    match text.parse::<SocketAddr>() {
+        Ok(address) if address.port() > 0 => Ok(address),
+        _ => Err(ALLOWED_ADDRESS.into()),
+    }
+}
+
+fn log_level(matches: &ArgMatches) -> LevelFilter {
+    let name: String = required(matches, "log-level");
+    name.parse().unwrap_or(LevelFilter::Info)
+}
+
 fn required<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> T {
     optional(matches, name).expect("clap refuses a missing required flag")
 }
