Probe members on a ring and claim units only on evidence

Cause: a unit was claimed as soon as its owner was missing from the instance list, which lags, and nothing noticed a dead, paused or superseded owner.

Change: each daemon probes its next two neighbours every 500 ms, and daemons whose end is in doubt. A refused connection, another incarnation or ten seconds off the instance list prove the end of a run. Superseded epochs travel on envelopes, claims are confirmed from the log or a peer, and a paused daemon confirms its claims first. ReadLog is answered.

--- a/crates/magnolia-daemon/src/context.rs
+++ b/crates/magnolia-daemon/src/context.rs
@@ -15,7 +15,7 @@
 use crate::identity::DaemonIdentity;
 use crate::membership::MemberList;
 use crate::metrics::MetricRecorder;
-use crate::ownership::ClaimBook;
+use crate::ownership::{ClaimBook, PauseGuard};
 use crate::partition::PartitionRegistry;
 use crate::peers::PeerLink;
 use crate::quick::GroupRegistry;
@@ -51,6 +51,9 @@
     pub workers: Arc<dyn WorkerClient>,
     /// Executors.
     pub executors: Arc<dyn ExecutorClient>,
+    /// Connections to all peers.
+    #[allow(dead_code)]
+    pub http: HttpClient,
     /// Calls to other daemons.
     pub peers: PeerLink,
     /// Configuration in force.
@@ -63,6 +66,8 @@
     pub partitions: PartitionRegistry,
     /// Executor groups that this daemon owns.
     pub groups: GroupRegistry,
+    /// Notices pauses of this process.
+    pub pause: PauseGuard,
     /// Phase of life.
     pub phase: watch::Sender<LifecyclePhase>,
 }
@@ -75,6 +80,7 @@
     /// Fails when the metrics socket cannot be opened.
     pub fn new(settings: DaemonSettings) -> std::io::Result<Self> {
         let client = HttpClient::new(PoolSettings::new());
+        let clock = DaemonClock::new();
         let identity = DaemonIdentity {
             daemon: settings.daemon.clone(),
             incarnation: Incarnation::new(rand::random()),
@@ -87,14 +93,16 @@
             instances: Arc::new(HttpInstanceList::new(client.clone(), settings.instances)),
             workers: Arc::new(HttpWorkerClient::new(client.clone())),
             executors: Arc::new(HttpExecutorClient::new(client.clone())),
-            peers: PeerLink::new(client),
+            peers: PeerLink::new(client.clone()),
+            http: client,
             config: watch::Sender::new(Arc::new(CellConfig::new())),
             claims: ClaimBook::new(),
-            members: MemberList::new(),
+            members: MemberList::new(clock),
             partitions: PartitionRegistry::new(),
             groups: GroupRegistry::new(),
+            pause: PauseGuard::new(),
             phase: watch::Sender::new(LifecyclePhase::Starting),
-            clock: DaemonClock::new(),
+            clock,
             identity,
             settings,
         })
--- a/crates/magnolia-daemon/src/daemon.rs
+++ b/crates/magnolia-daemon/src/daemon.rs
@@ -14,7 +14,8 @@
 use crate::context::{DaemonContext, LifecyclePhase};
 use crate::inner::InnerHandler;
 use crate::membership::follow_instances;
-use crate::ownership::{follow_claims, keep_claiming};
+use crate::ownership::{follow_claims, follow_hints, keep_claiming, keep_fresh, watch_pauses};
+use crate::probing::keep_probing;
 use crate::settings::DaemonSettings;
 
 /// Longest time that a stop waits for requests in flight.
@@ -84,7 +85,11 @@
     log::info!("daemon {} started", context.identity.daemon);
     tokio::spawn(follow_instances(Arc::clone(&context)));
     tokio::spawn(follow_config(Arc::clone(&context)));
+    tokio::spawn(watch_pauses(Arc::clone(&context)));
     tokio::spawn(follow_claims(Arc::clone(&context)));
+    tokio::spawn(follow_hints(Arc::clone(&context)));
+    tokio::spawn(keep_fresh(Arc::clone(&context)));
+    tokio::spawn(keep_probing(Arc::clone(&context)));
     tokio::spawn(keep_claiming(Arc::clone(&context)));
     let inner_handler = Arc::new(InnerHandler::new(Arc::clone(&context)));
     tokio::spawn(serve(
--- a/crates/magnolia-daemon/src/inner/mod.rs
+++ b/crates/magnolia-daemon/src/inner/mod.rs
@@ -8,15 +8,19 @@
 use http_body_util::Full;
 use magnolia_http::{HttpHandler, HttpRequest, HttpResponse, error_response, read_body};
 use magnolia_protocol::{
-    INNER_PATH, PROTOCOL_VERSION, PeerEnvelope, PeerReply, PeerRequest, PingReply, decode, encode,
+    Handover, INNER_PATH, PROTOCOL_VERSION, PeerEnvelope, PeerReply, PeerRequest, decode, encode,
 };
-use magnolia_types::ResultCode;
+use magnolia_types::{LogOffset, Millis, ResultCode};
+use serde_bytes::ByteBuf;
 
 use crate::context::{DaemonContext, LifecyclePhase};
+use crate::probing::ping_reply;
 use crate::{partition, quick};
 
 /// Largest message in bytes.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
+/// Most records of the log read for a peer at once.
+const MAX_LOG_RECORDS: usize = 256;
 
 /// Handler of the address for other daemons.
 pub struct InnerHandler {
@@ -42,9 +46,12 @@
             Ok(_) => return error_response(ResultCode::ProtocolMismatch, "other version"),
             Err(error) => return error_response(ResultCode::ProtocolMismatch, &error.to_string()),
         };
-        let sender = (message.from.clone(), message.incarnation);
+        if let Some(address) = self.context.address_of(&message.from) {
+            self.context.hear(&message, address);
+        }
+        let (sender, run) = (message.from, message.incarnation);
         let reply = self.dispatch(message.body).await;
-        let envelope = self.context.envelope(reply, Some((&sender.0, sender.1)));
+        let envelope = self.context.envelope(reply, Some((&sender, Some(run))));
         match encode(&envelope) {
             Ok(bytes) => {
                 let mut response = Response::new(Full::new(Bytes::from(bytes)));
@@ -57,10 +64,7 @@
 
     async fn dispatch(&self, request: PeerRequest) -> PeerReply {
         match request {
-            PeerRequest::Ping => PeerReply::Pong(PingReply {
-                draining: *self.context.phase.borrow() == LifecyclePhase::Draining,
-                suspects: Vec::new(),
-            }),
+            PeerRequest::Ping => PeerReply::Pong(ping_reply(&self.context)),
             PeerRequest::Quick(forward) => {
                 PeerReply::Quick(quick::run_in_group(&self.context, &forward).await)
             }
@@ -76,14 +80,50 @@
                     .claims
                     .with_table(|table| table.iter().cloned().collect()),
             ),
-            PeerRequest::Handover(_) | PeerRequest::ReadLog { .. } => PeerReply::Refused {
-                code: ResultCode::NotFound,
-                message: "the request is not supported".into(),
+            PeerRequest::Handover(handover) => self.take_handover(handover),
+            PeerRequest::ReadLog { stream, from, max } => self.read_log(&stream, from, max).await,
+        }
+    }
+}
+
+impl InnerHandler {
+    /// Takes a unit over from an owner that has stopped; the claimer claims it at once.
+    fn take_handover(&self, handover: Handover) -> PeerReply {
+        if *self.context.phase.borrow() != LifecyclePhase::Ready {
+            return refused(ResultCode::Draining, "this daemon takes no units");
+        }
+        let (unit, epoch) = (handover.unit.clone(), handover.epoch);
+        self.context.claims.record_release(&unit, epoch);
+        PeerReply::HandoverTaken
+    }
+
+    async fn read_log(&self, stream: &str, from: LogOffset, max: u32) -> PeerReply {
+        let max = usize::try_from(max)
+            .unwrap_or(usize::MAX)
+            .min(MAX_LOG_RECORDS);
+        let page = self.context.log.read(stream, from, Millis::new(0), max);
+        match page.await {
+            Ok(page) => PeerReply::Log {
+                first: page.first,
+                next: page.next,
+                records: page
+                    .records
+                    .into_iter()
+                    .map(|record| (record.offset, ByteBuf::from(record.data.to_vec())))
+                    .collect(),
             },
+            Err(error) => refused(ResultCode::LogUnavailable, &error.to_string()),
         }
     }
 }
 
+fn refused(code: ResultCode, message: &str) -> PeerReply {
+    PeerReply::Refused {
+        code,
+        message: message.into(),
+    }
+}
+
 impl HttpHandler for InnerHandler {
     fn handle(self: Arc<Self>, request: HttpRequest) -> BoxFuture<'static, HttpResponse> {
         Box::pin(async move { self.answer(request).await })
--- a/crates/magnolia-daemon/src/lib.rs
+++ b/crates/magnolia-daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod ownership;
 mod partition;
 mod peers;
+mod probing;
 mod quick;
 mod settings;
 
--- a/crates/magnolia-daemon/src/membership.rs
+++ b/crates/magnolia-daemon/src/membership.rs
@@ -1,17 +1,32 @@
-//! Live daemons, from the platform's instance list.
+//! Members of the cell: the platform's instance list and the evidence of probes.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use magnolia_platform::{InstanceEntry, InstanceKind, InstanceState};
-use magnolia_types::{DaemonId, DataCentreName};
+use magnolia_state::SuspicionTracker;
+use magnolia_types::{DaemonId, DataCentreName, Incarnation, Millis};
 use tokio::sync::watch;
 
+use crate::clock::DaemonClock;
 use crate::context::DaemonContext;
 
-/// Time between two readings of the instance list.
-const LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest time between two readings of the instance list.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time between two readings of the instance list.
+const MAX_LIST_INTERVAL: Duration = Duration::from_secs(60);
+/// Pause after a failed reading of the instance list.
+const LIST_RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Bytes a second spent on the list; a longer list is read less often.
+const LIST_BYTES_PER_SECOND: u64 = 8_000;
+/// Size of one entry of the list as JSON.
+const ENTRY_BYTES: u64 = 120;
+/// Longest time by which the instance list lags.
+const LIST_LAG: Millis = Millis::from_secs(10);
+/// Time for which a daemon is probed after somebody asked for its end or called it.
+const INTEREST_LIFETIME: Millis = Millis::from_secs(3);
 
 /// One daemon of the cell.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
@@ -24,26 +39,207 @@
     pub data_centre: DataCentreName,
 }
 
-/// The live daemons and the leaving back ends.
+/// The instance list with what this daemon knows of the daemons on it.
 pub struct MemberList {
+    clock: DaemonClock,
     entries: watch::Sender<Arc<Vec<InstanceEntry>>>,
+    tracker: Mutex<SuspicionTracker>,
+    list: Mutex<ListHistory>,
+    /// Daemons that somebody asked about or called, with the time of the last such call.
+    interest: Mutex<BTreeMap<DaemonId, Millis>>,
+}
+
+/// When the list was read and since when it lacks daemons.
+#[derive(Default)]
+struct ListHistory {
+    read_at: Option<Millis>,
+    absent_since: BTreeMap<DaemonId, Millis>,
 }
 
 impl MemberList {
     /// Creates an empty list.
-    pub fn new() -> Self {
+    pub fn new(clock: DaemonClock) -> Self {
         Self {
+            clock,
             entries: watch::Sender::new(Arc::default()),
+            tracker: Mutex::default(),
+            list: Mutex::default(),
+            interest: Mutex::default(),
         }
     }
 
-    /// Returns the live daemons in order of their names.
+    /// Returns the listed daemons that are not leaving, in order of their names.
     pub fn live_daemons(&self) -> Vec<MemberEntry> {
-        let entries = Arc::clone(&self.entries.borrow());
+        self.daemons(|entry| entry.state == InstanceState::Live)
+    }
+
+    /// Returns all listed daemons in order of their names.
+    pub fn listed_daemons(&self) -> Vec<MemberEntry> {
+        self.daemons(|_| true)
+    }
+
+    /// Returns the daemons that may get new units: live, not suspected and not draining.
+    pub fn candidates(&self) -> Vec<MemberEntry> {
+        let now = self.clock.now();
+        let mut members = self.live_daemons();
+        self.with_tracker(|tracker| {
+            members.retain(|member| {
+                !tracker.is_suspect(&member.daemon, now) && !tracker.is_draining(&member.daemon)
+            });
+        });
+        members
+    }
+
+    /// Returns the listed instances.
+    pub fn entries(&self) -> Arc<Vec<InstanceEntry>> {
+        Arc::clone(&self.entries.borrow())
+    }
+
+    /// Tells whether the instance list says that an instance of this name is leaving.
+    pub fn is_leaving(&self, kind: InstanceKind, name: &str) -> bool {
+        self.entries().iter().any(|entry| {
+            entry.kind == kind && &*entry.instance == name && entry.state == InstanceState::Leaving
+        })
+    }
+
+    /// Returns the listed daemon at an address.
+    pub fn daemon_at(&self, address: SocketAddr) -> Option<DaemonId> {
+        let members = self.listed_daemons();
+        let found = members.into_iter().find(|member| member.address == address);
+        found.map(|member| member.daemon)
+    }
+
+    /// Returns the address of a listed daemon.
+    pub fn address_of(&self, daemon: &DaemonId) -> Option<SocketAddr> {
+        let members = self.listed_daemons();
+        let found = members.into_iter().find(|member| member.daemon == *daemon);
+        found.map(|member| member.address)
+    }
+
+    /// Returns when the end of a run of a daemon was proved, on this daemon's clock.
+    ///
+    /// Asking makes this daemon probe the other one for some seconds, so that a caller that waits
+    /// for the proof asks again.
+    #[allow(dead_code)]
+    pub fn proof_of_end(&self, daemon: &DaemonId, incarnation: Incarnation) -> Option<Millis> {
+        self.learn(daemon, incarnation);
+        let proof = self.with_tracker(|tracker| tracker.proof_of_end(daemon, incarnation));
+        if proof.is_none() {
+            self.note_interest(daemon);
+        }
+        proof
+    }
+
+    /// Tells whether a daemon is suspected.
+    pub fn is_suspect(&self, daemon: &DaemonId) -> bool {
+        let now = self.clock.now();
+        self.with_tracker(|tracker| tracker.is_suspect(daemon, now))
+    }
+
+    /// Tells whether a daemon is draining or the instance list says that it leaves.
+    #[allow(dead_code)]
+    pub fn is_draining(&self, daemon: &DaemonId) -> bool {
+        self.with_tracker(|tracker| tracker.is_draining(daemon))
+            || self.is_leaving(InstanceKind::Entry, daemon.as_str())
+    }
+
+    /// Takes note that a run of a daemon exists.
+    pub fn learn(&self, daemon: &DaemonId, incarnation: Incarnation) {
+        let now = self.clock.now();
+        self.with_tracker(|tracker| tracker.learn(daemon, incarnation, now));
+    }
+
+    /// Takes note that a daemon is used or asked about, which makes this daemon probe it.
+    pub fn note_interest(&self, daemon: &DaemonId) {
+        let now = self.clock.now();
+        let mut interest = self.interest.lock().unwrap_or_else(PoisonError::into_inner);
+        interest.insert(daemon.clone(), now);
+    }
+
+    /// Returns the daemons of recent interest.
+    pub fn interesting(&self) -> Vec<DaemonId> {
+        let now = self.clock.now();
+        let mut interest = self.interest.lock().unwrap_or_else(PoisonError::into_inner);
+        interest.retain(|_, time| now.saturating_sub(*time) < INTEREST_LIFETIME);
+        interest.keys().cloned().collect()
+    }
+
+    /// Tells whether the list was read within `age` and names no daemon besides `own`.
+    pub fn is_alone(&self, own: &DaemonId, age: Millis) -> bool {
+        let now = self.clock.now();
+        let list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        let recent = list
+            .read_at
+            .is_some_and(|read| now.saturating_sub(read) < age);
+        drop(list);
+        recent
+            && self
+                .listed_daemons()
+                .iter()
+                .all(|member| member.daemon == *own)
+    }
+
+    /// Runs `action` on the evidence of probes.
+    pub fn with_tracker<T>(&self, action: impl FnOnce(&mut SuspicionTracker) -> T) -> T {
+        action(&mut self.tracker.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Takes over a reading of the list that was asked for at `asked`.
+    pub fn replace_entries(&self, entries: Vec<InstanceEntry>, asked: Millis) {
+        let now = self.clock.now();
+        self.entries.send_replace(Arc::new(entries));
+        let listed = self.listed_daemons();
+        let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        list.read_at = Some(now);
+        self.with_tracker(|tracker| {
+            let missing: Vec<DaemonId> = tracker
+                .open_runs()
+                .map(|(daemon, _)| daemon.clone())
+                .filter(|daemon| listed.iter().all(|member| member.daemon != *daemon))
+                .collect();
+            list.absent_since
+                .retain(|daemon, _| missing.contains(daemon));
+            for daemon in missing {
+                let since = *list.absent_since.entry(daemon.clone()).or_insert(now);
+                if asked.saturating_sub(since) > LIST_LAG {
+                    tracker.record_dropped(&daemon, since, now);
+                }
+            }
+            tracker.forget_old(now);
+        });
+    }
+
+    /// Describes the members for the state dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let now = self.clock.now();
+        let listed = self.listed_daemons();
+        let described = self.with_tracker(|tracker| {
+            let lines = listed.iter().map(|member| {
+                let age = tracker.answered(&member.daemon);
+                serde_json::json!({
+                    "daemon": member.daemon,
+                    "address": member.address,
+                    "data_centre": member.data_centre,
+                    "suspect": tracker.is_suspect(&member.daemon, now),
+                    "draining": tracker.is_draining(&member.daemon),
+                    "leaving": self.is_leaving(InstanceKind::Entry, member.daemon.as_str()),
+                    "answered_ms_ago": age.map(|sent| now.saturating_sub(sent)),
+                })
+            });
+            lines.collect::<Vec<_>>()
+        });
+        let list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        serde_json::json!({
+            "daemons": described,
+            "list_read_ms_ago": list.read_at.map(|read| now.saturating_sub(read)),
+        })
+    }
+
+    fn daemons(&self, wanted: impl Fn(&InstanceEntry) -> bool) -> Vec<MemberEntry> {
+        let entries = self.entries();
         let mut members: Vec<MemberEntry> = entries
             .iter()
-            .filter(|entry| entry.kind == InstanceKind::Entry)
-            .filter(|entry| entry.state == InstanceState::Live)
+            .filter(|entry| entry.kind == InstanceKind::Entry && wanted(entry))
             .filter_map(|entry| {
                 let daemon = DaemonId::new(&entry.instance).ok()?;
                 let (address, data_centre) = (entry.address, entry.data_centre.clone());
@@ -57,25 +253,30 @@
         members.sort_by(|a, b| a.daemon.cmp(&b.daemon));
         members
     }
-
-    /// Describes the members for the state dump.
-    pub fn dump(&self) -> serde_json::Value {
-        serde_json::json!(self.live_daemons())
-    }
 }
 
 /// Reads the instance list until the daemon ends.
 pub async fn follow_instances(context: Arc<DaemonContext>) {
     loop {
-        match context.instances.list().await {
+        let asked = context.clock.now();
+        let pause = match context.instances.list().await {
             Ok(entries) => {
-                context
-                    .metrics
-                    .gauge("instances.listed", entries.len() as u64);
-                context.members.entries.send_replace(Arc::new(entries));
+                let count = entries.len() as u64;
+                context.metrics.gauge("instances.listed", count);
+                context.members.replace_entries(entries, asked);
+                list_interval(count)
             }
-            Err(_) => context.metrics.count("instances.read_failed"),
-        }
-        tokio::time::sleep(LIST_INTERVAL).await;
+            Err(_) => {
+                context.metrics.count("instances.read_failed");
+                LIST_RETRY_PAUSE
+            }
+        };
+        tokio::time::sleep(pause).await;
     }
 }
+
+/// Returns the time until the next reading of a list with `count` entries.
+fn list_interval(count: u64) -> Duration {
+    let paced = Duration::from_millis(count * ENTRY_BYTES * 1000 / LIST_BYTES_PER_SECOND);
+    paced.clamp(LIST_INTERVAL, MAX_LIST_INTERVAL)
+}
--- /dev/null
+++ b/crates/magnolia-daemon/src/ownership/confirmation.rs
@@ -0,0 +1,70 @@
+//! Confirmation that this daemon's claims are still current.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use magnolia_state::ClaimRecord;
+use magnolia_types::{Millis, UnitId};
+
+use super::claim_reader::{fetch_from_peers, read_to_end};
+use crate::context::DaemonContext;
+
+/// Longest time since the log or a peer showed the claims to be current within which the owner of
+/// an executor group sends.
+const FRESHNESS: Millis = Millis::from_secs(2);
+/// Age of the last confirmation at which an owner of groups asks for the next one.
+const REFRESH_AGE: Millis = Millis::new(1000);
+/// Time between two looks at the age of the last confirmation.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest age of the instance list by which this daemon knows that it is alone.
+const ALONE_AGE: Millis = Millis::from_secs(5);
+
+impl DaemonContext {
+    /// Returns this daemon's claim of a unit if it is the current one as far as known.
+    pub fn own_claim(&self, unit: &UnitId) -> Option<ClaimRecord> {
+        let claim = self.claims.get(unit)?;
+        let mine =
+            claim.daemon == self.identity.daemon && claim.incarnation == self.identity.incarnation;
+        (mine && self.claims.is_current(&claim)).then_some(claim)
+    }
+
+    /// Tells whether this daemon still owns a unit by the newest claims of the log, or by a peer's
+    /// word while the log is away.
+    pub async fn confirm_claim(&self, unit: &UnitId) -> bool {
+        let asked = self.clock.now();
+        if read_to_end(self).await.is_err() && !fetch_from_peers(self).await {
+            // Nobody else can have claimed anything when no other daemon is listed.
+            if !self.members.is_alone(&self.identity.daemon, ALONE_AGE) {
+                return false;
+            }
+            self.claims.record_word(asked);
+        }
+        self.own_claim(unit).is_some()
+    }
+
+    #[allow(dead_code)]
+    /// Tells whether the owner of an executor group may send: its claim was current within the last
+    /// two seconds, and this daemon was not paused since.
+    pub fn is_fresh(&self) -> bool {
+        let now = self.clock.now();
+        let word = self.claims.last_word();
+        self.pause.is_steady(now)
+            && word.is_some_and(|asked| now.saturating_sub(asked) <= FRESHNESS)
+    }
+}
+
+/// Keeps the claims of executor groups confirmed until the daemon ends.
+pub async fn keep_fresh(context: Arc<DaemonContext>) {
+    loop {
+        tokio::time::sleep(REFRESH_INTERVAL).await;
+        let now = context.clock.now();
+        let word = context.claims.last_word();
+        let aged = word.is_none_or(|asked| now.saturating_sub(asked) > REFRESH_AGE);
+        if !aged {
+            continue;
+        }
+        if let Some(unit) = context.groups.units().first() {
+            context.confirm_claim(unit).await;
+        }
+    }
+}
--- a/crates/magnolia-daemon/src/ownership/mod.rs
+++ b/crates/magnolia-daemon/src/ownership/mod.rs
@@ -1,7 +1,14 @@
 //! Ownership of partitions and executor groups.
 
 mod claim_book;
+mod claim_reader;
 mod claimer;
+mod confirmation;
+mod pause_guard;
+mod unit_watch;
 
-pub use claim_book::{ClaimBook, follow_claims};
+pub use claim_book::ClaimBook;
+pub use claim_reader::{follow_claims, follow_hints};
 pub use claimer::keep_claiming;
+pub use confirmation::keep_fresh;
+pub use pause_guard::{PauseGuard, watch_pauses};
--- /dev/null
+++ b/crates/magnolia-daemon/src/ownership/unit_watch.rs
@@ -0,0 +1,58 @@
+//! Judges whether a unit may be claimed.
+
+use magnolia_state::ClaimRecord;
+use magnolia_types::{Millis, UnitId};
+
+use crate::context::DaemonContext;
+
+/// Time of failed probes after which a partition is claimed without a proof; the first failure is
+/// noted when its probe has already lasted half a second.
+const PARTITION_FAILING: Millis = Millis::new(1000);
+/// Time of failed probes after which an executor group is claimed without a proof. Longer than the
+/// freshness rule, so that the old owner has stopped sending.
+const GROUP_FAILING: Millis = Millis::from_secs(3);
+
+/// Tells whether a unit has no owner that could still act, as far as claims go.
+pub fn is_free(context: &DaemonContext, unit: &UnitId) -> bool {
+    match context.claims.get(unit) {
+        None => true,
+        Some(claim) => context.claims.is_released(&claim) || has_ended(context, &claim),
+    }
+}
+
+fn has_ended(context: &DaemonContext, claim: &ClaimRecord) -> bool {
+    let members = &context.members;
+    members.learn(&claim.daemon, claim.incarnation);
+    if claim.daemon == context.identity.daemon {
+        // An earlier run of this daemon; two runs never overlap.
+        return claim.incarnation != context.identity.incarnation;
+    }
+    let proof = members.with_tracker(|tracker| {
+        tracker
+            .proof_of_end(&claim.daemon, claim.incarnation)
+            .is_some()
+    });
+    if proof {
+        return true;
+    }
+    let listed = members.address_of(&claim.daemon).is_some();
+    if members.is_suspect(&claim.daemon) || !listed {
+        // Reports and the list only start probes; a claim needs evidence of this daemon's own.
+        members.note_interest(&claim.daemon);
+    }
+    is_failing(context, claim)
+}
+
+fn is_failing(context: &DaemonContext, claim: &ClaimRecord) -> bool {
+    let limit = if claim.unit.group().is_some() {
+        GROUP_FAILING
+    } else {
+        PARTITION_FAILING
+    };
+    let now = context.clock.now();
+    let since = context
+        .members
+        .with_tracker(|tracker| tracker.failing_since(&claim.daemon));
+    let lasted = since.is_some_and(|since| now.saturating_sub(since) >= limit);
+    lasted && context.members.is_suspect(&claim.daemon)
+}
--- a/crates/magnolia-daemon/src/partition/owner.rs
+++ b/crates/magnolia-daemon/src/partition/owner.rs
@@ -8,7 +8,7 @@
 use magnolia_platform::{AttemptEnd, AttemptState, StartCommand, WorkerReport};
 use magnolia_protocol::{JobOperation, JobReply, encode};
 use magnolia_state::ClaimRecord;
-use magnolia_types::{AttemptId, JobId, JobSpec, ResultCode, TaskRef, WorkerId};
+use magnolia_types::{AttemptId, Epoch, JobId, JobSpec, ResultCode, TaskRef, UnitId, WorkerId};
 use tokio::sync::{mpsc, oneshot};
 
 use super::job_table::{JobTable, TaskState};
@@ -32,6 +32,11 @@
     tokio::spawn(owner.run(receiver));
 }
 
+/// Stops to serve a partition whose claim is superseded.
+pub fn stop_owner(context: &DaemonContext, unit: &UnitId, _superseded_by: Epoch) {
+    context.partitions.remove(unit);
+}
+
 /// State of the owner.
 struct PartitionOwner {
     context: Arc<DaemonContext>,
--- a/crates/magnolia-daemon/src/partition/registry.rs
+++ b/crates/magnolia-daemon/src/partition/registry.rs
@@ -47,6 +47,12 @@
         true
     }
 
+    /// Forgets an owner, which ends when its last operation is answered.
+    pub fn remove(&self, unit: &UnitId) {
+        let mut owners = self.owners.lock().unwrap_or_else(PoisonError::into_inner);
+        owners.remove(unit);
+    }
+
     /// Describes the owners for the state dump.
     pub fn dump(&self) -> serde_json::Value {
         let owners = self.owners.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/magnolia-daemon/src/peers.rs
+++ b/crates/magnolia-daemon/src/peers.rs
@@ -37,17 +37,40 @@
         body: PeerRequest,
         limit: Duration,
     ) -> Result<PeerEnvelope<PeerReply>, PeerError> {
-        let message = self.envelope(body, None);
-        let reply = self.peers.client.call(peer, &message, limit).await?;
-        self.hear(&reply, peer);
-        Ok(reply)
+        let sent = self.clock.now();
+        let receiver = self.members.daemon_at(peer);
+        let receiver = receiver.as_ref().map(|daemon| (daemon, None));
+        let message = self.envelope(body, receiver);
+        match self.peers.client.call(peer, &message, limit).await {
+            Ok(reply) => {
+                let now = self.clock.now();
+                self.members.with_tracker(|tracker| {
+                    tracker.record_answer(&reply.from, reply.incarnation, sent, now);
+                });
+                self.hear(&reply, peer);
+                if !self.claims.names_newer(&reply.superseded) {
+                    self.claims.record_word(sent);
+                }
+                Ok(reply)
+            }
+            Err(error) => {
+                if error.is_refused()
+                    && let Some(daemon) = self.members.daemon_at(peer)
+                {
+                    let now = self.clock.now();
+                    self.members
+                        .with_tracker(|tracker| tracker.record_refusal(&daemon, sent, now));
+                }
+                Err(error)
+            }
+        }
     }
 
-    /// Wraps a body; `receiver` is known for replies and for calls to a known owner.
+    /// Wraps a body for `receiver`, whose run is known when the message is a reply.
     pub fn envelope<T>(
         &self,
         body: T,
-        receiver: Option<(&DaemonId, Incarnation)>,
+        receiver: Option<(&DaemonId, Option<Incarnation>)>,
     ) -> PeerEnvelope<T> {
         PeerEnvelope {
             protocol: PROTOCOL_VERSION,
@@ -56,20 +79,43 @@
             data_centre: self.identity.data_centre.clone(),
             config_version: self.config().version,
             superseded: receiver
-                .map(|_| self.superseded_claims())
+                .map(|(daemon, run)| self.superseded_claims(daemon, run))
                 .unwrap_or_default(),
             body,
         }
     }
 
     /// Takes note of what an envelope says besides its body.
-    pub fn hear<T>(&self, envelope: &PeerEnvelope<T>, _address: SocketAddr) {
+    pub fn hear<T>(&self, envelope: &PeerEnvelope<T>, address: SocketAddr) {
         if envelope.config_version > self.config().version {
             self.metrics.count("config.behind_peer");
         }
+        self.members.learn(&envelope.from, envelope.incarnation);
+        for superseded in &envelope.superseded {
+            self.claims
+                .record_superseded(&superseded.unit, superseded.epoch, address);
+        }
     }
 
-    fn superseded_claims(&self) -> Vec<SupersededClaim> {
-        Vec::new()
+    /// Returns the address of a daemon from the instance list, or else from its claims.
+    pub fn address_of(&self, daemon: &DaemonId) -> Option<SocketAddr> {
+        let listed = self.members.address_of(daemon);
+        listed.or_else(|| self.claims.address_of(daemon))
+    }
+
+    /// Returns the claims that the receiver may still believe in; ended runs need no news.
+    fn superseded_claims(
+        &self,
+        daemon: &DaemonId,
+        run: Option<Incarnation>,
+    ) -> Vec<SupersededClaim> {
+        let lost = self.claims.lost_by(daemon);
+        let relevant = lost.into_iter().filter(|(holder, _)| match run {
+            Some(run) => run == *holder,
+            None => self
+                .members
+                .with_tracker(|tracker| tracker.proof_of_end(daemon, *holder).is_none()),
+        });
+        relevant.map(|(_, superseded)| superseded).collect()
     }
 }
--- /dev/null
+++ b/crates/magnolia-daemon/src/probing.rs
@@ -0,0 +1,130 @@
+//! Probes of other daemons: the next two on a ring, owners in use, and those whose end is in doubt.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use magnolia_protocol::{PeerReply, PeerRequest, PingReply, SuspectReport};
+use magnolia_types::{DaemonId, Millis};
+
+use crate::context::{DaemonContext, LifecyclePhase};
+use crate::membership::MemberEntry;
+
+/// Time between two rounds of probes, and the longest time of a probe.
+pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Neighbours that each daemon probes; two, so that each daemon is seen by two others and one
+/// paused daemon hides nobody.
+const RING_NEIGHBOURS: usize = 2;
+/// Age of an answer that makes a probe of an owner in use unnecessary.
+const FRESH_ANSWER: Millis = Millis::new(450);
+
+/// Probes other daemons until this one ends.
+pub async fn keep_probing(context: Arc<DaemonContext>) {
+    let mut rounds = tokio::time::interval(PROBE_INTERVAL);
+    rounds.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        rounds.tick().await;
+        for (daemon, address) in probe_targets(&context) {
+            tokio::spawn(probe(Arc::clone(&context), daemon, address));
+        }
+    }
+}
+
+/// Describes this daemon for a probe.
+pub fn ping_reply(context: &DaemonContext) -> PingReply {
+    let now = context.clock.now();
+    let suspects = context
+        .members
+        .with_tracker(|tracker| tracker.suspects(now));
+    let reports = suspects
+        .into_iter()
+        .map(|(daemon, evidence)| SuspectReport {
+            daemon,
+            age_ms: now.saturating_sub(evidence),
+        });
+    PingReply {
+        draining: *context.phase.borrow() == LifecyclePhase::Draining,
+        suspects: reports.collect(),
+    }
+}
+
+/// Returns the daemons to probe in this round; their number does not grow with the cell.
+fn probe_targets(context: &DaemonContext) -> BTreeMap<DaemonId, SocketAddr> {
+    let members = context.members.listed_daemons();
+    let own = &context.identity.daemon;
+    let ring = ring_neighbours(&members, own)
+        .into_iter()
+        .map(|member| (member.daemon.clone(), member.address));
+    let mut targets: BTreeMap<DaemonId, SocketAddr> = ring.collect();
+    let now = context.clock.now();
+    for daemon in context.members.interesting() {
+        let answered = context
+            .members
+            .with_tracker(|tracker| tracker.answered(&daemon));
+        let fresh = answered.is_some_and(|sent| now.saturating_sub(sent) < FRESH_ANSWER);
+        if fresh || daemon == *own || targets.contains_key(&daemon) {
+            continue;
+        }
+        if let Some(address) = context.address_of(&daemon) {
+            targets.insert(daemon, address);
+        }
+    }
+    targets
+}
+
+/// Returns the members that follow `own` on the ring of names.
+fn ring_neighbours<'a>(members: &'a [MemberEntry], own: &DaemonId) -> Vec<&'a MemberEntry> {
+    let start = members.partition_point(|member| member.daemon <= *own);
+    let around = members[start..].iter().chain(&members[..start]);
+    around
+        .filter(|member| member.daemon != *own)
+        .take(RING_NEIGHBOURS)
+        .collect()
+}
+
+async fn probe(context: Arc<DaemonContext>, daemon: DaemonId, address: SocketAddr) {
+    let asked = context.clock.now();
+    let was_suspect = context.members.is_suspect(&daemon);
+    match context
+        .call_peer(address, PeerRequest::Ping, PROBE_INTERVAL)
+        .await
+    {
+        Ok(reply) => {
+            if let PeerReply::Pong(pong) = reply.body {
+                take_pong(&context, &reply.from, &pong);
+            }
+        }
+        Err(error) => {
+            context.metrics.count("probes.failed");
+            let now = context.clock.now();
+            context.members.with_tracker(|tracker| {
+                if error.is_refused() {
+                    tracker.record_refusal(&daemon, asked, now);
+                } else {
+                    tracker.record_failure(&daemon, now);
+                }
+            });
+        }
+    }
+    let is_suspect = context.members.is_suspect(&daemon);
+    if is_suspect != was_suspect {
+        let change = if is_suspect {
+            "suspected"
+        } else {
+            "trusted again"
+        };
+        log::info!("daemon {daemon} is {change}");
+    }
+}
+
+fn take_pong(context: &DaemonContext, from: &DaemonId, pong: &PingReply) {
+    let now = context.clock.now();
+    context.members.with_tracker(|tracker| {
+        tracker.record_draining(from, pong.draining);
+        let reports = pong.suspects.iter();
+        for report in reports.filter(|report| report.daemon != context.identity.daemon) {
+            tracker.record_report(&report.daemon, now.saturating_sub(report.age_ms));
+        }
+    });
+}
--- a/crates/magnolia-daemon/src/quick/group.rs
+++ b/crates/magnolia-daemon/src/quick/group.rs
@@ -56,6 +56,12 @@
         serde_json::json!({ "free_slots": free })
     }
 
+    /// Returns the groups that this daemon serves.
+    pub fn units(&self) -> Vec<UnitId> {
+        let groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
+        groups.keys().cloned().collect()
+    }
+
     fn get(&self, unit: &UnitId) -> Option<Arc<ExecutorGroup>> {
         self.groups
             .lock()
@@ -97,6 +103,16 @@
     log::info!("owner of {} at epoch {}", claim.unit, claim.epoch);
 }
 
+/// Stops to serve a group.
+pub fn stop_group(context: &DaemonContext, unit: &UnitId) {
+    let mut groups = context
+        .groups
+        .groups
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    groups.remove(unit);
+}
+
 /// Runs a request on an executor of a group of this daemon.
 pub async fn run_in_group(context: &DaemonContext, forward: &QuickForward) -> QuickOutcome {
     let group = UnitId::new_group(&forward.group)
--- a/crates/magnolia-daemon/src/quick/mod.rs
+++ b/crates/magnolia-daemon/src/quick/mod.rs
@@ -3,5 +3,5 @@
 mod group;
 mod router;
 
-pub use group::{GroupRegistry, run_in_group, start_group};
+pub use group::{GroupRegistry, run_in_group, start_group, stop_group};
 pub use router::run_request;
--- a/crates/magnolia-protocol/src/lib.rs
+++ b/crates/magnolia-protocol/src/lib.rs
@@ -8,5 +8,6 @@
 pub use codec::{CodecError, decode, encode};
 pub use message::{
     Handover, INNER_PATH, JobOperation, JobReply, JobView, PROTOCOL_VERSION, PeerEnvelope,
-    PeerReply, PeerRequest, PingReply, QuickForward, QuickOutcome, SupersededClaim, TaskCounts,
+    PeerReply, PeerRequest, PingReply, QuickForward, QuickOutcome, SupersededClaim, SuspectReport,
+    TaskCounts,
 };
--- a/crates/magnolia-protocol/src/message.rs
+++ b/crates/magnolia-protocol/src/message.rs
@@ -174,12 +174,21 @@
         pub snapshot: ByteBuf,
     }
 
+    /// A daemon that is suspected.
+    pub struct SuspectReport {
+        /// The daemon.
+        pub daemon: DaemonId,
+        /// Age of the newest evidence against it; a report that is passed on only grows older, so
+        /// that it ends when nobody sees the failure any more.
+        pub age_ms: Millis,
+    }
+
     /// Answer to a ping.
     pub struct PingReply {
         /// Whether the receiver is draining.
         pub draining: bool,
         /// Daemons that the receiver suspects.
-        pub suspects: Vec<DaemonId>,
+        pub suspects: Vec<SuspectReport>,
     }
 
     /// A request between daemons.
--- a/crates/magnolia-state/src/claim_table.rs
+++ b/crates/magnolia-state/src/claim_table.rs
@@ -1,6 +1,6 @@
 //! Ownership of units by claims in log order.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use magnolia_types::{DaemonId, Epoch, Incarnation, UnitId, wire_types};
@@ -47,6 +47,8 @@
     claims: BTreeMap<UnitId, ClaimRecord>,
     /// Whether records before the first one read are lost to retention.
     trimmed: bool,
+    /// Units whose claim was read without the records before it and is not restated yet.
+    provisional: BTreeSet<UnitId>,
 }
 
 impl ClaimTable {
@@ -62,6 +64,14 @@
         self
     }
 
+    /// Tells the table that records before the next one were lost to retention.
+    ///
+    /// Claims read so far may be outdated, so they count as provisional.
+    pub fn mark_trimmed(&mut self) {
+        self.trimmed = true;
+        self.provisional.extend(self.claims.keys().cloned());
+    }
+
     /// Applies the next record in offset order.
     pub fn apply(&mut self, change: &ClaimChange) -> ClaimVerdict {
         match change {
@@ -94,24 +104,42 @@
         if known == Some(claim) {
             return ClaimVerdict::Repeated;
         }
-        let provisional = known.is_none() && self.trimmed;
-        if claim.epoch == self.next_epoch(&claim.unit) || provisional {
+        let follows = claim.epoch == self.next_epoch(&claim.unit);
+        if follows || self.is_provisionally_newer(claim) {
+            if known.is_none() && self.trimmed {
+                self.provisional.insert(claim.unit.clone());
+            }
             self.claims.insert(claim.unit.clone(), claim.clone());
             return ClaimVerdict::Accepted;
         }
         ClaimVerdict::Rejected
     }
 
+    /// Tells whether a claim may be the winner although its predecessor was not read.
+    ///
+    /// Claimants only write epochs up to the current one plus 1, so a claim that is newer than a
+    /// provisional one is at least as good.
+    fn is_provisionally_newer(&self, claim: &ClaimRecord) -> bool {
+        match self.claims.get(&claim.unit) {
+            None => self.trimmed,
+            Some(known) => self.provisional.contains(&claim.unit) && claim.epoch > known.epoch,
+        }
+    }
+
     /// A restatement is written only by a holder that read itself back as the winner, so it also
     /// replaces a claim of the same epoch that was accepted provisionally on a trimmed stream.
     fn apply_restatement(&mut self, claim: &ClaimRecord) -> ClaimVerdict {
-        match self.claims.get(&claim.unit) {
-            Some(known) if known == claim => ClaimVerdict::Repeated,
-            Some(known) if known.epoch > claim.epoch => ClaimVerdict::Rejected,
-            _ => {
-                self.claims.insert(claim.unit.clone(), claim.clone());
-                ClaimVerdict::Accepted
-            }
+        let known = self.claims.get(&claim.unit);
+        if known.is_some_and(|known| known.epoch > claim.epoch) {
+            return ClaimVerdict::Rejected;
+        }
+        let repeated = known == Some(claim);
+        self.provisional.remove(&claim.unit);
+        self.claims.insert(claim.unit.clone(), claim.clone());
+        if repeated {
+            ClaimVerdict::Repeated
+        } else {
+            ClaimVerdict::Accepted
         }
     }
 }
