--- a/crates/magnolia-state/src/claim_table.rs
+++ b/crates/magnolia-state/src/claim_table.rs
@@ -1,6 +1,6 @@
 //! Ownership of units by claims in log order.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use magnolia_types::{DaemonId, Epoch, Incarnation, UnitId, wire_types};
@@ -47,8 +47,6 @@
     claims: BTreeMap<UnitId, ClaimRecord>,
     /// Whether records before the first one read are lost to retention.
     trimmed: bool,
-    /// Units whose claim was read without the records before it and is not restated yet.
-    provisional: BTreeSet<UnitId>,
 }
 
 impl ClaimTable {
@@ -65,11 +63,8 @@
     }
 
     /// Tells the table that records before the next one were lost to retention.
-    ///
-    /// Claims read so far may be outdated, so they count as provisional.
     pub fn mark_trimmed(&mut self) {
         self.trimmed = true;
-        self.provisional.extend(self.claims.keys().cloned());
     }
 
     /// Applies the next record in offset order.
@@ -105,41 +100,32 @@
             return ClaimVerdict::Repeated;
         }
         let follows = claim.epoch == self.next_epoch(&claim.unit);
-        if follows || self.is_provisionally_newer(claim) {
-            if known.is_none() && self.trimmed {
-                self.provisional.insert(claim.unit.clone());
-            }
+        if follows || self.may_follow_trimmed(claim) {
             self.claims.insert(claim.unit.clone(), claim.clone());
             return ClaimVerdict::Accepted;
         }
         ClaimVerdict::Rejected
     }
 
-    /// Tells whether a claim may be the winner although its predecessor was not read.
+    /// Tells whether the predecessor of a claim may be among the records lost to retention.
     ///
-    /// Claimants only write epochs up to the current one plus 1, so a claim that is newer than a
-    /// provisional one is at least as good.
-    fn is_provisionally_newer(&self, claim: &ClaimRecord) -> bool {
-        match self.claims.get(&claim.unit) {
-            None => self.trimmed,
-            Some(known) => self.provisional.contains(&claim.unit) && claim.epoch > known.epoch,
-        }
+    /// Claimants only write epochs up to the current one plus 1, so of two claims on a trimmed
+    /// stream the one with the higher epoch is the newer.
+    fn may_follow_trimmed(&self, claim: &ClaimRecord) -> bool {
+        let known = self.claims.get(&claim.unit);
+        self.trimmed && known.is_none_or(|known| known.epoch < claim.epoch)
     }
 
     /// A restatement is written only by a holder that read itself back as the winner, so it also
     /// replaces a claim of the same epoch that was accepted provisionally on a trimmed stream.
     fn apply_restatement(&mut self, claim: &ClaimRecord) -> ClaimVerdict {
-        let known = self.claims.get(&claim.unit);
-        if known.is_some_and(|known| known.epoch > claim.epoch) {
-            return ClaimVerdict::Rejected;
-        }
-        let repeated = known == Some(claim);
-        self.provisional.remove(&claim.unit);
-        self.claims.insert(claim.unit.clone(), claim.clone());
-        if repeated {
-            ClaimVerdict::Repeated
-        } else {
-            ClaimVerdict::Accepted
+        match self.claims.get(&claim.unit) {
+            Some(known) if known == claim => ClaimVerdict::Repeated,
+            Some(known) if known.epoch > claim.epoch => ClaimVerdict::Rejected,
+            _ => {
+                self.claims.insert(claim.unit.clone(), claim.clone());
+                ClaimVerdict::Accepted
+            }
         }
     }
 }
