Bound connections to a peer and drop silent ones at a progress deadline

Cause: the pool counted only idle connections, so an executor could get more connections than it allows; a silent path was noticed only at the end of a call; pools of gone peers were kept for ever.

Change: open connections are counted until their socket is closed and bounded per peer. Calls that wait on purpose name the time of silence.

--- a/crates/magnolia-http/src/client.rs
+++ b/crates/magnolia-http/src/client.rs
@@ -2,18 +2,18 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 
-use crate::pool::{PeerPool, PooledConnection};
+use crate::pool::{PeerPool, PoolOffer, PooledConnection};
 use crate::{HttpError, PoolSettings};
 
 /// A whole answer.
@@ -38,23 +38,75 @@
     }
 }
 
+/// Time between two sweeps of the pools.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Longest time until a call that waits for a connection looks again; two connections returned at
+/// the same moment wake only one of the waiting calls.
+const LIMIT_RECHECK: Duration = Duration::from_millis(20);
+
 /// HTTP/1.1 client; cheap to clone, clones share the pools.
 #[derive(Clone)]
 pub struct HttpClient {
     settings: PoolSettings,
-    peers: Arc<Mutex<HashMap<SocketAddr, PeerPool>>>,
+    pools: Arc<Mutex<PoolMap>>,
+}
+
+/// The pool of each peer.
+struct PoolMap {
+    peers: HashMap<SocketAddr, PeerPool>,
+    swept: Instant,
+}
+
+/// Counts an open connection; held by the task that drives it, until the socket is closed.
+struct OpenGuard {
+    pools: Arc<Mutex<PoolMap>>,
+    peer: SocketAddr,
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(pool) = pools.peers.get_mut(&self.peer) {
+            pool.closed();
+        }
+    }
+}
+
+/// How a call may wait.
+#[derive(Clone, Copy, Debug)]
+pub struct CallLimits {
+    /// Longest time of the whole call.
+    pub limit: Duration,
+    /// Time for which the peer may be silent on purpose, as in a long poll.
+    pub silence: Duration,
+}
+
+impl From<Duration> for CallLimits {
+    fn from(limit: Duration) -> Self {
+        Self {
+            limit,
+            silence: Duration::ZERO,
+        }
+    }
 }
 
 impl HttpClient {
     /// Creates a client without connections.
     pub fn new(settings: PoolSettings) -> Self {
+        let pools = PoolMap {
+            peers: HashMap::new(),
+            swept: Instant::now(),
+        };
         Self {
             settings,
-            peers: Arc::default(),
+            pools: Arc::new(Mutex::new(pools)),
         }
     }
 
-    /// Sends a request and waits for the whole answer, at most `limit`.
+    /// Sends a request and waits for the whole answer, at most as long as `limits` say.
+    ///
+    /// A request that provably was not sent on a kept connection is sent on another one.
     ///
     /// # Errors
     ///
@@ -64,29 +116,212 @@
         &self,
         peer: SocketAddr,
         mut request: Request<Full<Bytes>>,
-        limit: Duration,
+        limits: impl Into<CallLimits>,
     ) -> Result<HttpAnswer, HttpError> {
-        let started = Instant::now();
+        let limits = limits.into();
+        let deadline = Instant::now() + limits.limit;
         let host = header::HeaderValue::from_str(&peer.to_string())
             .map_err(|error| HttpError::NotConnected(error.to_string()))?;
         request.headers_mut().insert(header::HOST, host);
-        let mut connection = self.connection(peer, limit).await?;
-        let remaining = limit.saturating_sub(started.elapsed());
-        let exchange = exchange(&mut connection, request, self.settings.max_answer_bytes);
-        match timeout(remaining, exchange).await {
-            Ok(Ok(answer)) => {
-                self.keep(peer, connection);
-                Ok(answer)
+        loop {
+            let (mut connection, reused) = self.connection(peer, deadline).await?;
+            let result = self
+                .exchange(peer, &mut connection, request, deadline, limits.silence)
+                .await;
+            match result {
+                Ok(answer) => {
+                    self.with_pool(peer, |pool| pool.put(connection, &self.settings));
+                    return Ok(answer);
+                }
+                Err(ExchangeError::NotSent(recovered, _)) if reused => request = *recovered,
+                Err(ExchangeError::NotSent(_, reason)) => {
+                    return Err(HttpError::NotConnected(reason));
+                }
+                Err(ExchangeError::Failed(error)) => return Err(error),
             }
-            Ok(Err(error)) => Err(error),
-            Err(_) => {
-                self.distrust(peer, connection.opened);
-                Err(HttpError::Lost(format!(
-                    "timeout after {} ms",
-                    limit.as_millis()
-                )))
+        }
+    }
+
+    /// Bounds the connections to a peer, in use or idle; `None` restores the default.
+    pub fn set_limit(&self, peer: SocketAddr, limit: Option<usize>) {
+        self.with_pool(peer, |pool| pool.set_limit(limit));
+    }
+
+    /// Forgets a peer: closes its idle connections and removes its bound.
+    pub fn forget(&self, peer: SocketAddr) {
+        self.with_pool(peer, |pool| {
+            pool.set_limit(None);
+            pool.retire();
+        });
+        self.sweep(Instant::now());
+    }
+
+    /// Returns the number of open connections to a peer, in use or idle.
+    pub fn open_connections(&self, peer: SocketAddr) -> usize {
+        self.with_pool(peer, |pool| pool.open())
+    }
+
+    /// Returns the number of peers that the client remembers.
+    pub fn known_peers(&self) -> usize {
+        self.sweep(Instant::now());
+        self.lock().peers.len()
+    }
+
+    /// Gives up every connection to `peer` opened up to `opened`.
+    pub fn distrust(&self, peer: SocketAddr, opened: Instant) {
+        self.with_pool(peer, |pool| pool.distrust(opened));
+    }
+
+    /// Sends the request on a connection and reads the whole answer.
+    ///
+    /// A connection without a byte for the progress deadline is suspect: older ones to the peer are
+    /// dropped at once, while this call goes on to its own deadline.
+    async fn exchange(
+        &self,
+        peer: SocketAddr,
+        connection: &mut PooledConnection,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+        silence: Duration,
+    ) -> Result<HttpAnswer, ExchangeError> {
+        let opened = connection.opened;
+        let progress = self.settings.progress_deadline;
+        let head = connection.sender.try_send_request(request);
+        let head = self.watch(peer, opened, head, progress + silence, deadline);
+        let (parts, body) = match head.await? {
+            Ok(response) => response.into_parts(),
+            Err(mut failure) => {
+                let reason = failure.error().to_string();
+                return Err(match failure.take_message() {
+                    Some(request) => ExchangeError::NotSent(Box::new(request), reason),
+                    None => ExchangeError::Failed(HttpError::Lost(reason)),
+                });
+            }
+        };
+        let mut body = Limited::new(body, self.settings.max_answer_bytes);
+        let mut collected = BytesMut::new();
+        while let Some(frame) = self
+            .watch(peer, opened, body.frame(), progress, deadline)
+            .await?
+        {
+            let frame = frame.map_err(|error| self.body_error(&*error))?;
+            if let Ok(data) = frame.into_data() {
+                collected.extend_from_slice(&data);
             }
         }
+        Ok(HttpAnswer {
+            status: parts.status,
+            headers: parts.headers,
+            body: collected.freeze(),
+        })
+    }
+
+    /// Waits for a step of an exchange until `deadline`; gives up older connections to the peer
+    /// when it takes longer than `progress`.
+    async fn watch<T>(
+        &self,
+        peer: SocketAddr,
+        opened: Instant,
+        step: impl Future<Output = T>,
+        progress: Duration,
+        deadline: Instant,
+    ) -> Result<T, HttpError> {
+        tokio::pin!(step);
+        let suspect_at = deadline.min(Instant::now() + progress);
+        if let Ok(result) = timeout_at(suspect_at.into(), &mut step).await {
+            return Ok(result);
+        }
+        self.distrust(peer, opened);
+        let late = timeout_at(deadline.into(), step).await;
+        late.map_err(|_| HttpError::Lost("no whole answer in time".into()))
+    }
+
+    fn body_error(&self, error: &(dyn std::error::Error + Send + Sync + 'static)) -> HttpError {
+        if error.is::<LengthLimitError>() {
+            let limit = self.settings.max_answer_bytes;
+            HttpError::TooLarge { limit }
+        } else {
+            HttpError::Lost(error.to_string())
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PoolMap> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn with_pool<T>(&self, peer: SocketAddr, action: impl FnOnce(&mut PeerPool) -> T) -> T {
+        let now = Instant::now();
+        if now.duration_since(self.lock().swept) > SWEEP_INTERVAL {
+            self.sweep(now);
+        }
+        action(self.lock().peers.entry(peer).or_default())
+    }
+
+    /// Drops idle connections past their time and forgets peers without connections.
+    fn sweep(&self, now: Instant) {
+        let mut pools = self.lock();
+        pools.swept = now;
+        pools.peers.retain(|_, pool| {
+            pool.drop_unusable(&self.settings);
+            !pool.is_forgettable()
+        });
+    }
+
+    /// Returns a connection and whether it was used before.
+    async fn connection(
+        &self,
+        peer: SocketAddr,
+        deadline: Instant,
+    ) -> Result<(PooledConnection, bool), HttpError> {
+        loop {
+            match self.with_pool(peer, |pool| pool.offer(&self.settings)) {
+                PoolOffer::Reuse(mut connection) => {
+                    let ready = timeout_at(deadline.into(), connection.sender.ready()).await;
+                    if matches!(ready, Ok(Ok(()))) {
+                        return Ok((connection, true));
+                    }
+                }
+                PoolOffer::Open => {
+                    let connection = self.open(peer, deadline).await?;
+                    return Ok((connection, false));
+                }
+                PoolOffer::Wait(changed) => {
+                    let again = deadline.min(Instant::now() + LIMIT_RECHECK);
+                    timeout_at(again.into(), changed.notified()).await.ok();
+                    if Instant::now() >= deadline {
+                        return Err(HttpError::NotConnected("connection limit".into()));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Opens a connection that the pool already counts.
+    async fn open(
+        &self,
+        peer: SocketAddr,
+        deadline: Instant,
+    ) -> Result<PooledConnection, HttpError> {
+        let guard = OpenGuard {
+            pools: Arc::clone(&self.pools),
+            peer,
+        };
+        let bound = deadline.min(Instant::now() + self.settings.connect_timeout);
+        let opened = Instant::now();
+        let (sender, connection) = timeout_at(bound.into(), connect(peer))
+            .await
+            .map_err(|_| HttpError::NotConnected("connect timeout".into()))??;
+        tokio::spawn(async move {
+            // The caller learns of a broken connection through its own request.
+            connection.await.ok();
+            drop(guard);
+        });
+        let jitter = rand::random_range(0.8..=1.0);
+        Ok(PooledConnection {
+            sender,
+            opened,
+            expires: opened + self.settings.max_age.mul_f64(jitter),
+        })
     }
 
     /// Sends a GET request.
@@ -98,10 +333,10 @@
         &self,
         peer: SocketAddr,
         path: &str,
-        limit: Duration,
+        limits: impl Into<CallLimits>,
     ) -> Result<HttpAnswer, HttpError> {
-        self.call(peer, build_request(Method::GET, path, Bytes::new())?, limit)
-            .await
+        let request = build_request(Method::GET, path, Bytes::new())?;
+        self.call(peer, request, limits).await
     }
 
     /// Sends a POST request with a JSON body.
@@ -123,39 +358,6 @@
         request.headers_mut().insert(header::CONTENT_TYPE, json);
         self.call(peer, request, limit).await
     }
-
-    /// Gives up every connection to `peer` opened up to `opened`.
-    pub fn distrust(&self, peer: SocketAddr, opened: Instant) {
-        self.with_pool(peer, |pool| pool.distrust(opened));
-    }
-
-    fn keep(&self, peer: SocketAddr, connection: PooledConnection) {
-        self.with_pool(peer, |pool| pool.put(connection, &self.settings));
-    }
-
-    fn with_pool<T>(&self, peer: SocketAddr, action: impl FnOnce(&mut PeerPool) -> T) -> T {
-        let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
-        action(peers.entry(peer).or_default())
-    }
-
-    async fn connection(
-        &self,
-        peer: SocketAddr,
-        limit: Duration,
-    ) -> Result<PooledConnection, HttpError> {
-        while let Some(mut connection) =
-            self.with_pool(peer, |pool| pool.take(self.settings.max_age))
-        {
-            if connection.sender.ready().await.is_ok() {
-                return Ok(connection);
-            }
-        }
-        let bound = self.settings.connect_timeout.min(limit);
-        match timeout(bound, open(peer)).await {
-            Ok(result) => result,
-            Err(_) => Err(HttpError::NotConnected("connect timeout".into())),
-        }
-    }
 }
 
 /// Builds a request without a host.
@@ -171,8 +373,29 @@
         .map_err(|error| HttpError::NotConnected(error.to_string()))
 }
 
-async fn open(peer: SocketAddr) -> Result<PooledConnection, HttpError> {
-    let opened = Instant::now();
+/// Why an exchange has no answer.
+enum ExchangeError {
+    /// The request was not written; it comes back with the reason.
+    NotSent(Box<Request<Full<Bytes>>>, String),
+    /// The request may have been written.
+    Failed(HttpError),
+}
+
+impl From<HttpError> for ExchangeError {
+    fn from(error: HttpError) -> Self {
+        Self::Failed(error)
+    }
+}
+
+async fn connect(
+    peer: SocketAddr,
+) -> Result<
+    (
+        http1::SendRequest<Full<Bytes>>,
+        http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    ),
+    HttpError,
+> {
     let stream = TcpStream::connect(peer)
         .await
         .map_err(|error| match error.kind() {
@@ -180,48 +403,7 @@
             _ => HttpError::NotConnected(error.to_string()),
         })?;
     stream.set_nodelay(true).ok();
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    http1::handshake(TokioIo::new(stream))
         .await
-        .map_err(|error| HttpError::NotConnected(error.to_string()))?;
-    tokio::spawn(async move {
-        // The caller learns of a broken connection through its own request.
-        connection.await.ok();
-    });
-    Ok(PooledConnection { sender, opened })
-}
-
-async fn exchange(
-    connection: &mut PooledConnection,
-    request: Request<Full<Bytes>>,
-    max_bytes: usize,
-) -> Result<HttpAnswer, HttpError> {
-    let response = connection
-        .sender
-        .send_request(request)
-        .await
-        .map_err(|error| send_error(&error))?;
-    let (parts, body) = response.into_parts();
-    let collected = Limited::new(body, max_bytes)
-        .collect()
-        .await
-        .map_err(
-            |error| match error.downcast_ref::<http_body_util::LengthLimitError>() {
-                Some(_) => HttpError::TooLarge { limit: max_bytes },
-                None => HttpError::Lost(error.to_string()),
-            },
-        )?;
-    Ok(HttpAnswer {
-        status: parts.status,
-        headers: parts.headers,
-        body: collected.to_bytes(),
-    })
-}
-
-/// Tells a request that never left this process from one that may have arrived.
-fn send_error(error: &hyper::Error) -> HttpError {
-    if error.is_canceled() {
-        HttpError::NotConnected(error.to_string())
-    } else {
-        HttpError::Lost(error.to_string())
-    }
+        .map_err(|error| HttpError::NotConnected(error.to_string()))
 }
--- a/crates/magnolia-http/src/lib.rs
+++ b/crates/magnolia-http/src/lib.rs
@@ -9,7 +9,7 @@
 mod pool;
 mod server;
 
-pub use client::{HttpAnswer, HttpClient};
+pub use client::{CallLimits, HttpAnswer, HttpClient};
 pub use error::HttpError;
 pub use json::{ErrorBody, error_response, json_response, read_body};
 pub use pool::PoolSettings;
--- a/crates/magnolia-platform/src/http_executor.rs
+++ b/crates/magnolia-platform/src/http_executor.rs
@@ -47,10 +47,8 @@
     ) -> BoxFuture<'a, Result<ExecuteAnswer, PlatformError>> {
         Box::pin(async move {
             let request = execute_request(call)?;
-            let answer = self
-                .client
-                .call(executor, request, call.remaining.into())
-                .await?;
+            let limit = Duration::from(call.remaining);
+            let answer = self.client.call(executor, request, limit).await?;
             execute_answer(call, &answer)
         })
     }
--- a/crates/magnolia-platform/src/http_log.rs
+++ b/crates/magnolia-platform/src/http_log.rs
@@ -6,7 +6,7 @@
 use base64::prelude::{BASE64_STANDARD, Engine};
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use magnolia_http::{HttpAnswer, HttpClient, HttpError};
+use magnolia_http::{CallLimits, HttpAnswer, HttpClient, HttpError};
 use magnolia_types::{LogOffset, Millis, wire_types};
 
 use crate::{LogPage, LogRecord, LogService, PlatformError};
@@ -141,8 +141,11 @@
             let (from, wait_ms) = (from.get(), wait.get());
             let path =
                 format!("/v1/streams/{stream}/records?from={from}&wait_ms={wait_ms}&max={max}");
-            let limit = self.call_timeout + Duration::from(wait);
-            let answer = self.client.get(self.address, &path, limit).await?;
+            let limits = CallLimits {
+                limit: self.call_timeout + Duration::from(wait),
+                silence: wait.into(),
+            };
+            let answer = self.client.get(self.address, &path, limits).await?;
             Ok(LogPage::try_from(success(answer)?.json::<ReadAnswer>()?)?)
         })
     }
