--- a/crates/magnolia-state/tests/claim_table.rs
+++ b/crates/magnolia-state/tests/claim_table.rs
@@ -85,7 +85,7 @@
         let records = stream(&steps);
         let cut = cut % (records.len() + 1);
         let mut table = ClaimTable::new().with_trimmed(cut > 0);
-        let mut highest = vec![Epoch::new(0); UNITS];
+        let mut highest = [Epoch::new(0); UNITS];
         records[cut..].iter().all(|change| {
             table.apply(change);
             (0..UNITS).all(|index| {
