--- /dev/null
+++ b/crates/magnolia-state/src/jobs/job_table.rs
@@ -0,0 +1,366 @@
+//! All jobs and keys of a partition.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use magnolia_types::{
+    AttemptId, CustomerName, Epoch, IdempotencyKey, JobId, JobOutcome, JobSpec, Millis, RequestId,
+    ResultCode, TaskRef, WorkerId, stable_hash,
+};
+use serde::{Deserialize, Serialize};
+
+use super::job_entry::{
+    AttemptResult, JobEffects, JobEntry, RunningAttempt, TaskState, attempt_order,
+};
+use super::key_book::{KeyEntry, KeyLookup, KeyUse};
+use crate::journal::{JournalEntry, JournalError};
+
+/// Bounds of what is remembered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobLimits {
+    /// How long idempotency keys and their results are kept.
+    pub key_age: Millis,
+    /// How long final jobs without a key are kept.
+    pub final_age: Millis,
+    /// Most final jobs without a key.
+    pub final_jobs: usize,
+}
+
+impl Default for JobLimits {
+    fn default() -> Self {
+        Self {
+            key_age: Millis::from_secs(24 * 3600),
+            final_age: Millis::from_secs(3600),
+            final_jobs: 20_000,
+        }
+    }
+}
+
+/// What a worker's report of an attempt means at takeover.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FoundAttempt {
+    /// The attempt is the current one of its task.
+    Current,
+    /// The job is unknown or over, or a later attempt exists: the attempt has to end.
+    Superfluous,
+}
+
+/// All jobs and keys of a partition.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct JobTable {
+    jobs: BTreeMap<JobId, JobEntry>,
+    keys: BTreeMap<(CustomerName, IdempotencyKey), KeyEntry>,
+    /// Final jobs in the order of their ends.
+    finals: BTreeSet<(Millis, JobId)>,
+    #[serde(skip)]
+    limits: JobLimits,
+}
+
+impl JobTable {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the bounds of what is remembered.
+    #[must_use]
+    pub fn with_limits(mut self, limits: JobLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Returns the bounds of what is remembered.
+    pub fn limits(&self) -> JobLimits {
+        self.limits
+    }
+
+    /// Encodes the table as a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a value has no MessagePack form.
+    pub fn to_snapshot(&self) -> Result<Vec<u8>, JournalError> {
+        Ok(rmp_serde::to_vec(self)?)
+    }
+
+    /// Reads a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are not a snapshot of this version.
+    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, JournalError> {
+        Ok(rmp_serde::from_slice(bytes)?)
+    }
+
+    /// Applies an entry of the journal; entries that are in effect already change nothing.
+    pub fn apply(&mut self, epoch: Epoch, entry: &JournalEntry) {
+        match entry {
+            JournalEntry::JobAccepted { job, spec, at } => {
+                self.accept(job.clone(), Arc::clone(spec), *at, epoch);
+            }
+            JournalEntry::AttemptStarted {
+                task,
+                attempt,
+                worker,
+            } => {
+                self.start(task, attempt.clone(), worker.clone());
+            }
+            JournalEntry::AttemptEnded {
+                task,
+                attempt,
+                result,
+                at,
+            } => {
+                self.end(task, attempt, *result, *at);
+            }
+            JournalEntry::JobEnded { job, outcome, at } => {
+                self.end_job(job, outcome.clone(), *at);
+            }
+            JournalEntry::IntentRecorded {
+                customer,
+                key,
+                request,
+                content,
+                key_set,
+                at,
+            } => {
+                let used_for = KeyUse::Request {
+                    request: request.clone(),
+                    key_set: *key_set,
+                    outcome: None,
+                };
+                self.remember_key(customer, key, *content, *at, used_for);
+            }
+            JournalEntry::IntentResolved {
+                customer,
+                key,
+                code,
+                text,
+            } => self.resolve_intent(customer, key, *code, text),
+            JournalEntry::Opened { .. } | JournalEntry::SnapshotPart { .. } => {}
+        }
+    }
+
+    /// Accepts a job; `false` when it is known.
+    pub fn accept(&mut self, job: JobId, spec: Arc<JobSpec>, at: Millis, epoch: Epoch) -> bool {
+        if self.jobs.contains_key(&job) {
+            return false;
+        }
+        if let Some(key) = &spec.idempotency_key {
+            let used_for = KeyUse::Job(job.clone());
+            self.remember_key(&spec.customer, key, job_content(&spec), at, used_for);
+        }
+        self.jobs.insert(job, JobEntry::new(spec, at, epoch));
+        true
+    }
+
+    /// Takes note of a started attempt; `false` when the task does not wait.
+    pub fn start(&mut self, task: &TaskRef, attempt: AttemptId, worker: WorkerId) -> bool {
+        let running = RunningAttempt { attempt, worker };
+        self.jobs
+            .get_mut(&task.job)
+            .is_some_and(|entry| entry.start(task.task, running))
+    }
+
+    /// Takes note of the end of an attempt; `None` when it is not the task's current attempt.
+    pub fn end(
+        &mut self,
+        task: &TaskRef,
+        attempt: &AttemptId,
+        result: AttemptResult,
+        at: Millis,
+    ) -> Option<JobEffects> {
+        let entry = self.jobs.get_mut(&task.job)?;
+        let effects = entry.end(task.task, attempt, result, at)?;
+        self.note_final(&task.job, at, &effects);
+        Some(effects)
+    }
+
+    /// Cancels a job or gives it up; `None` when it is unknown.
+    pub fn end_job(&mut self, job: &JobId, outcome: JobOutcome, at: Millis) -> Option<JobEffects> {
+        let effects = self.jobs.get_mut(job)?.end_job(outcome, at);
+        self.note_final(job, at, &effects);
+        Some(effects)
+    }
+
+    /// Names the next attempt of a task by the owner at `epoch`.
+    pub fn next_attempt(&self, task: &TaskRef, epoch: Epoch) -> Option<AttemptId> {
+        let entry = self.jobs.get(&task.job)?.tasks.get(task.task as usize)?;
+        let number = match entry.latest {
+            (latest, number) if latest == epoch => number + 1,
+            _ => 1,
+        };
+        task.attempt(epoch, number).ok()
+    }
+
+    /// Decides about an attempt that a worker reports, and adopts it when it is newer than what
+    /// the journal says: starts are journalled afterwards, so the journal may lack the last ones.
+    pub fn found(
+        &mut self,
+        task: &TaskRef,
+        attempt: &AttemptId,
+        worker: &WorkerId,
+    ) -> FoundAttempt {
+        let Some(entry) = self.jobs.get_mut(&task.job) else {
+            return FoundAttempt::Superfluous;
+        };
+        let Some(known) = entry.tasks.get(task.task as usize) else {
+            return FoundAttempt::Superfluous;
+        };
+        let (replaced, newest) = match &known.state {
+            TaskState::Running(running) if running.attempt == *attempt => {
+                return FoundAttempt::Current;
+            }
+            TaskState::Running(running) => (Some(running.attempt.clone()), known.latest),
+            TaskState::Waiting => (None, known.latest),
+            _ => return FoundAttempt::Superfluous,
+        };
+        if entry.ending.is_some() || attempt_order(attempt) <= Some(newest) {
+            return FoundAttempt::Superfluous;
+        }
+        if let Some(replaced) = replaced {
+            // The earlier owner started a newer attempt only after the known one had ended.
+            entry.end(
+                task.task,
+                &replaced,
+                AttemptResult::NotStarted,
+                Millis::new(0),
+            );
+        }
+        let running = RunningAttempt {
+            attempt: attempt.clone(),
+            worker: worker.clone(),
+        };
+        entry.start(task.task, running);
+        FoundAttempt::Current
+    }
+
+    /// Returns what the key of a new job means.
+    pub fn lookup_job(&self, spec: &JobSpec) -> KeyLookup {
+        match &spec.idempotency_key {
+            Some(key) => self.lookup(&spec.customer, key, job_content(spec)),
+            None => KeyLookup::Unused,
+        }
+    }
+
+    /// Returns what a key means that comes with this content.
+    pub fn lookup(&self, customer: &CustomerName, key: &IdempotencyKey, content: u64) -> KeyLookup {
+        match self.keys.get(&(customer.clone(), key.clone())) {
+            None => KeyLookup::Unused,
+            Some(entry) if entry.content == content => KeyLookup::Same(entry.used_for.clone()),
+            Some(_) => KeyLookup::Reused,
+        }
+    }
+
+    /// Returns the requests whose outcome is not known.
+    pub fn open_intents(&self) -> Vec<(CustomerName, IdempotencyKey, RequestId)> {
+        let open = self
+            .keys
+            .iter()
+            .filter_map(|((customer, key), entry)| match &entry.used_for {
+                KeyUse::Request {
+                    request,
+                    outcome: None,
+                    ..
+                } => Some((customer.clone(), key.clone(), request.clone())),
+                _ => None,
+            });
+        open.collect()
+    }
+
+    /// Forgets old final jobs and old keys.
+    pub fn forget(&mut self, now: Millis) {
+        let limits = self.limits;
+        self.keys.retain(|_, entry| {
+            let is_open = matches!(&entry.used_for, KeyUse::Job(job)
+                if self.jobs.get(job).is_some_and(|job| job.outcome.is_none()));
+            is_open || now.saturating_sub(entry.at) < limits.key_age
+        });
+        let mut unkeyed = 0;
+        let old: Vec<(Millis, JobId)> = self
+            .finals
+            .iter()
+            .rev()
+            .filter(|(at, job)| {
+                if self.has_key(job) {
+                    return false;
+                }
+                unkeyed += 1;
+                unkeyed > limits.final_jobs || now.saturating_sub(*at) >= limits.final_age
+            })
+            .cloned()
+            .collect();
+        for key in old {
+            self.jobs.remove(&key.1);
+            self.finals.remove(&key);
+        }
+    }
+
+    /// Returns a job.
+    pub fn get(&self, job: &JobId) -> Option<&JobEntry> {
+        self.jobs.get(job)
+    }
+
+    /// Returns all jobs in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = (&JobId, &JobEntry)> {
+        self.jobs.iter()
+    }
+
+    /// Returns the number of remembered keys.
+    pub fn keys(&self) -> usize {
+        self.keys.len()
+    }
+
+    fn remember_key(
+        &mut self,
+        customer: &CustomerName,
+        key: &IdempotencyKey,
+        content: u64,
+        at: Millis,
+        used_for: KeyUse,
+    ) {
+        let entry = KeyEntry {
+            content,
+            at,
+            used_for,
+        };
+        self.keys
+            .entry((customer.clone(), key.clone()))
+            .or_insert(entry);
+    }
+
+    fn resolve_intent(
+        &mut self,
+        customer: &CustomerName,
+        key: &IdempotencyKey,
+        code: ResultCode,
+        text: &Arc<str>,
+    ) {
+        let entry = self.keys.get_mut(&(customer.clone(), key.clone()));
+        if let Some(KeyUse::Request { outcome, .. }) = entry.map(|entry| &mut entry.used_for) {
+            outcome.get_or_insert_with(|| (code, Arc::clone(text)));
+        }
+    }
+
+    fn note_final(&mut self, job: &JobId, at: Millis, effects: &JobEffects) {
+        if effects.finished {
+            self.finals.insert((at, job.clone()));
+        }
+    }
+
+    fn has_key(&self, job: &JobId) -> bool {
+        let Some(entry) = self.jobs.get(job) else {
+            return false;
+        };
+        let Some(key) = &entry.spec.idempotency_key else {
+            return false;
+        };
+        self.keys
+            .contains_key(&(entry.spec.customer.clone(), key.clone()))
+    }
+}
+
+/// Hashes the content of a job, by which a repeated submission is told from another one.
+fn job_content(spec: &JobSpec) -> u64 {
+    stable_hash(&rmp_serde::to_vec(spec).unwrap_or_default())
+}
--- /dev/null
+++ b/crates/magnolia-state/src/journal/mod.rs
@@ -0,0 +1,12 @@
+//! The journal of a partition: records in the partition's stream, and their replay.
+
+mod reader;
+mod record;
+mod replay;
+
+pub use reader::{JournalCounts, JournalReader, JournalVerdict};
+pub use record::{
+    JournalBatch, JournalEntry, JournalError, MAX_BATCH_WEIGHT, RecordFault, SNAPSHOT_PART_BYTES,
+    split_snapshot,
+};
+pub use replay::JournalReplay;
--- /dev/null
+++ b/crates/magnolia-state/src/journal/replay.rs
@@ -0,0 +1,133 @@
+//! Rebuilds the state of a partition from its stream.
+
+use magnolia_types::{Epoch, LogOffset};
+
+use super::reader::{JournalCounts, JournalReader, JournalVerdict};
+use super::record::{JournalBatch, JournalEntry};
+use crate::JobTable;
+
+/// Parts of a snapshot read so far.
+struct PartialSnapshot {
+    epoch: Epoch,
+    snapshot: u64,
+    first: LogOffset,
+    bytes: Vec<u8>,
+    parts: u32,
+}
+
+/// State of a partition after the records read so far.
+pub struct JournalReplay {
+    reader: JournalReader,
+    table: JobTable,
+    partial: Option<PartialSnapshot>,
+    base: LogOffset,
+    since_base: u64,
+}
+
+impl JournalReplay {
+    /// Creates a replay that starts from `table`.
+    pub fn new(table: JobTable) -> Self {
+        Self {
+            reader: JournalReader::new(),
+            table,
+            partial: None,
+            base: LogOffset::new(0),
+            since_base: 0,
+        }
+    }
+
+    /// Reads the next record; `true` when it counts.
+    pub fn read(&mut self, offset: LogOffset, data: &[u8]) -> bool {
+        let JournalVerdict::Accepted(batch) = self.reader.read(data) else {
+            return false;
+        };
+        self.since_base += 1;
+        self.apply(offset, batch);
+        true
+    }
+
+    /// Returns the state.
+    pub fn table(&self) -> &JobTable {
+        &self.table
+    }
+
+    /// Returns the state and ends the replay.
+    pub fn into_table(self) -> JobTable {
+        self.table
+    }
+
+    /// Returns the offset of the newest complete snapshot; 0 when there is none.
+    pub fn base(&self) -> LogOffset {
+        self.base
+    }
+
+    /// Returns the number of accepted records since the newest complete snapshot.
+    pub fn since_base(&self) -> u64 {
+        self.since_base
+    }
+
+    /// Returns the highest epoch read.
+    pub fn epoch(&self) -> Epoch {
+        self.reader.epoch()
+    }
+
+    /// Returns the number of records by verdict.
+    pub fn counts(&self) -> JournalCounts {
+        self.reader.counts()
+    }
+
+    fn apply(&mut self, offset: LogOffset, batch: JournalBatch) {
+        let epoch = batch.epoch;
+        for entry in batch.entries {
+            match entry {
+                JournalEntry::SnapshotPart {
+                    snapshot,
+                    index,
+                    count,
+                    data,
+                } => self.take_part(epoch, offset, snapshot, (index, count), &data),
+                JournalEntry::Opened { .. } => self.partial = None,
+                entry => self.table.apply(epoch, &entry),
+            }
+        }
+    }
+
+    fn take_part(
+        &mut self,
+        epoch: Epoch,
+        offset: LogOffset,
+        snapshot: u64,
+        (index, count): (u32, u32),
+        data: &[u8],
+    ) {
+        if index == 0 {
+            self.partial = Some(PartialSnapshot {
+                epoch,
+                snapshot,
+                first: offset,
+                bytes: Vec::new(),
+                parts: 0,
+            });
+        }
+        let Some(partial) = &mut self.partial else {
+            return;
+        };
+        if (partial.epoch, partial.snapshot, partial.parts) != (epoch, snapshot, index) {
+            self.partial = None;
+            return;
+        }
+        partial.bytes.extend_from_slice(data);
+        partial.parts += 1;
+        if partial.parts < count {
+            return;
+        }
+        let Some(whole) = self.partial.take() else {
+            return;
+        };
+        if let Ok(table) = JobTable::from_snapshot(&whole.bytes) {
+            self.table = table.with_limits(self.table.limits());
+            self.base = whole.first;
+            self.since_base = 0;
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnolia-state/src/lease_book.rs
@@ -0,0 +1,167 @@
+//! What an owner knows of the leases that it has granted.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use magnolia_types::{AttemptId, Incarnation, Millis, WorkerId};
+
+/// Two clocks drift apart by less than one part in this many.
+const DRIFT_DIVISOR: u64 = 100;
+
+/// Adds the drift margin of 1% to a duration that another clock measures.
+pub fn with_drift(duration: Millis) -> Millis {
+    duration.saturating_add(Millis::new(duration.get().div_ceil(DRIFT_DIVISOR)))
+}
+
+/// A reading of a worker's clock that a command may cite.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkerCitation {
+    /// The run of the worker's process.
+    pub incarnation: Incarnation,
+    /// The reading on the worker's clock.
+    pub reading: Millis,
+    /// When it was received, on the owner's clock.
+    pub received: Millis,
+}
+
+/// What an answer of a worker says about its process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WorkerNews {
+    /// The first answer of this worker.
+    First,
+    /// The same process as before.
+    Same,
+    /// Another process; these attempts ended with the old one.
+    Restarted(Vec<AttemptId>),
+    /// An answer of a process that was replaced since, or an older reading.
+    Outdated,
+}
+
+/// Leases of one worker.
+#[derive(Clone, Debug, Default)]
+struct WorkerLeases {
+    citation: Option<WorkerCitation>,
+    replaced: BTreeSet<Incarnation>,
+    until: Millis,
+    attempts: BTreeSet<AttemptId>,
+}
+
+/// The leases of all workers of a partition, on the owner's clock.
+///
+/// A lease runs from the reading that a command cites. The reading was taken before it was
+/// received, so the lease ends at the latest at the time of receipt plus the lease plus the drift
+/// margin, however late the command arrives.
+#[derive(Clone, Debug, Default)]
+pub struct LeaseBook {
+    workers: BTreeMap<WorkerId, WorkerLeases>,
+}
+
+impl LeaseBook {
+    /// Creates an empty book.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes note of an answer received at `now`.
+    pub fn heard(
+        &mut self,
+        worker: &WorkerId,
+        incarnation: Incarnation,
+        reading: Millis,
+        now: Millis,
+    ) -> WorkerNews {
+        let leases = self.workers.entry(worker.clone()).or_default();
+        let citation = WorkerCitation {
+            incarnation,
+            reading,
+            received: now,
+        };
+        if leases.replaced.contains(&incarnation) {
+            return WorkerNews::Outdated;
+        }
+        match leases.citation {
+            None => {
+                leases.citation = Some(citation);
+                WorkerNews::First
+            }
+            Some(known) if known.incarnation == incarnation && reading < known.reading => {
+                WorkerNews::Outdated
+            }
+            Some(known) if known.incarnation == incarnation => {
+                leases.citation = Some(citation);
+                WorkerNews::Same
+            }
+            Some(known) => {
+                leases.replaced.insert(known.incarnation);
+                leases.citation = Some(citation);
+                leases.until = Millis::new(0);
+                WorkerNews::Restarted(std::mem::take(&mut leases.attempts).into_iter().collect())
+            }
+        }
+    }
+
+    /// Returns the reading that the next command to a worker cites.
+    pub fn citation(&self, worker: &WorkerId) -> Option<WorkerCitation> {
+        self.workers.get(worker)?.citation
+    }
+
+    /// Takes note that a command with a renewal or a start goes out; it counts even when no
+    /// answer comes.
+    pub fn sent(&mut self, worker: &WorkerId, cited: &WorkerCitation, lease: Millis) {
+        let leases = self.workers.entry(worker.clone()).or_default();
+        let current = leases.citation.map(|citation| citation.incarnation);
+        if current == Some(cited.incarnation) {
+            let until = cited.received.saturating_add(with_drift(lease));
+            leases.until = leases.until.max(until);
+        }
+    }
+
+    /// Takes note that an attempt may run on a worker from now on.
+    pub fn placed(&mut self, worker: &WorkerId, attempt: AttemptId) {
+        let leases = self.workers.entry(worker.clone()).or_default();
+        leases.attempts.insert(attempt);
+    }
+
+    /// Takes note of an attempt of an earlier owner whose lease ends by `until`.
+    pub fn adopted(&mut self, worker: &WorkerId, attempt: AttemptId, until: Millis) {
+        let leases = self.workers.entry(worker.clone()).or_default();
+        leases.until = leases.until.max(until);
+        leases.attempts.insert(attempt);
+    }
+
+    /// Takes note that an attempt no longer runs on a worker.
+    pub fn released(&mut self, worker: &WorkerId, attempt: &AttemptId) {
+        if let Some(leases) = self.workers.get_mut(worker) {
+            leases.attempts.remove(attempt);
+        }
+    }
+
+    /// Returns the attempts that may run on a worker.
+    pub fn attempts_on(&self, worker: &WorkerId) -> impl Iterator<Item = &AttemptId> {
+        self.workers
+            .get(worker)
+            .into_iter()
+            .flat_map(|leases| &leases.attempts)
+    }
+
+    /// Returns the time from which on no lease of the worker is alive.
+    pub fn until(&self, worker: &WorkerId) -> Millis {
+        self.workers
+            .get(worker)
+            .map_or(Millis::new(0), |leases| leases.until)
+    }
+
+    /// Removes and returns the attempts of a worker whose leases have all ended.
+    pub fn expire(&mut self, worker: &WorkerId, now: Millis) -> Vec<AttemptId> {
+        match self.workers.get_mut(worker) {
+            Some(leases) if now >= leases.until => {
+                std::mem::take(&mut leases.attempts).into_iter().collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Forgets a worker.
+    pub fn remove(&mut self, worker: &WorkerId) {
+        self.workers.remove(worker);
+    }
+}
--- a/crates/magnolia-state/src/lib.rs
+++ b/crates/magnolia-state/src/lib.rs
@@ -1,5 +1,19 @@
 //! State machines without clock or I/O: ownership claims, leases, journal, requests, retries.
 
 mod claim_table;
+mod jobs;
+mod journal;
+mod lease_book;
+mod takeover;
 
 pub use claim_table::{ClaimChange, ClaimRecord, ClaimTable, ClaimVerdict};
+pub use jobs::{
+    AttemptResult, FoundAttempt, JobEffects, JobEntry, JobLimits, JobTable, KeyEntry, KeyLookup,
+    KeyUse, RunningAttempt, TaskEntry, TaskState, TaskTally,
+};
+pub use journal::{
+    JournalBatch, JournalCounts, JournalEntry, JournalError, JournalReader, JournalReplay,
+    JournalVerdict, MAX_BATCH_WEIGHT, RecordFault, SNAPSHOT_PART_BYTES, split_snapshot,
+};
+pub use lease_book::{LeaseBook, WorkerCitation, WorkerNews, with_drift};
+pub use takeover::{TakeoverProgress, TakeoverTracker};
--- /dev/null
+++ b/crates/magnolia-state/src/takeover.rs
@@ -0,0 +1,106 @@
+//! The rule that decides when the tasks of an earlier owner may be placed again.
+
+use std::collections::BTreeSet;
+
+use magnolia_types::{Epoch, Millis, WorkerId};
+
+use crate::with_drift;
+
+/// How far a takeover has come.
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+pub struct TakeoverProgress {
+    /// Whether tasks of earlier owners may be placed.
+    pub complete: bool,
+    /// Workers that have neither accepted the fence nor been waited out.
+    pub unfenced: Vec<WorkerId>,
+    /// When the end of the earlier owner was proved.
+    pub proved_at: Option<Millis>,
+}
+
+/// Follows the fencing of the workers of a partition after a claim.
+///
+/// An earlier owner may have continued without the log, so any worker may run any task that was
+/// accepted before. Such a task waits for every worker. The time since the claim proves nothing;
+/// only the proved end of the earlier owner starts the wait, and one lease later nothing that it
+/// sent can run, because leases run from readings that it received before its end.
+#[derive(Clone, Debug)]
+pub struct TakeoverTracker {
+    epoch: Epoch,
+    lease: Millis,
+    unfenced: BTreeSet<WorkerId>,
+    proved_at: Option<Millis>,
+    complete: bool,
+}
+
+impl TakeoverTracker {
+    /// Creates the tracker of the owner at `epoch`; no worker is fenced yet.
+    pub fn new(epoch: Epoch, lease: Millis, workers: impl IntoIterator<Item = WorkerId>) -> Self {
+        let unfenced: BTreeSet<WorkerId> = workers.into_iter().collect();
+        Self {
+            epoch,
+            lease,
+            complete: unfenced.is_empty(),
+            unfenced,
+            proved_at: None,
+        }
+    }
+
+    /// Tells that there is no earlier owner, or that it has confirmed to send nothing more.
+    #[must_use]
+    pub fn with_confirmed_end(mut self) -> Self {
+        self.complete = true;
+        self
+    }
+
+    /// Takes note that a worker accepted the fence; `true` when that completes the takeover.
+    pub fn fenced(&mut self, worker: &WorkerId) -> bool {
+        self.unfenced.remove(worker);
+        let completes = !self.complete && self.unfenced.is_empty();
+        self.complete |= completes;
+        completes
+    }
+
+    /// Takes note of the time at which the end of the earlier owner was proved.
+    ///
+    /// The first proof counts: a later one cannot shorten or lengthen the wait.
+    pub fn proved(&mut self, at: Millis) {
+        self.proved_at.get_or_insert(at);
+    }
+
+    /// Checks the wait; `true` when it completes the takeover.
+    pub fn advance(&mut self, now: Millis) -> bool {
+        if self.complete {
+            return false;
+        }
+        let waited = self
+            .proved_at
+            .is_some_and(|at| now >= at.saturating_add(with_drift(self.lease)));
+        self.complete = waited;
+        waited
+    }
+
+    /// Tells whether tasks of earlier owners may be placed.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Tells whether a task accepted under `accepted` may be placed on `worker`, which has to be
+    /// fenced in any case.
+    pub fn may_place(&self, accepted: Epoch, worker: &WorkerId) -> bool {
+        !self.unfenced.contains(worker) && (self.complete || accepted == self.epoch)
+    }
+
+    /// Tells whether a worker has accepted the fence of this owner.
+    pub fn is_fenced(&self, worker: &WorkerId) -> bool {
+        !self.unfenced.contains(worker)
+    }
+
+    /// Describes the progress.
+    pub fn progress(&self) -> TakeoverProgress {
+        TakeoverProgress {
+            complete: self.complete,
+            unfenced: self.unfenced.iter().cloned().collect(),
+            proved_at: self.proved_at,
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnolia-state/tests/jobs.rs
@@ -0,0 +1,272 @@
+//! Jobs and keys: retries, gangs, services, cancellation, what is remembered.
+
+use std::sync::Arc;
+
+use magnolia_state::{
+    AttemptResult, FoundAttempt, JobLimits, JobTable, JournalEntry, KeyLookup, KeyUse,
+};
+use magnolia_types::{
+    AttemptId, Epoch, JobId, JobKind, JobOutcome, JobSpec, JobState, Millis, ResourceVector,
+    ResultCode, TaskRef, WorkerId,
+};
+use quickcheck::{TestResult, quickcheck};
+
+const EPOCH: Epoch = Epoch::new(1);
+const NOW: Millis = Millis::new(1000);
+
+fn spec(kind: JobKind, tasks: u32) -> JobSpec {
+    JobSpec {
+        customer: "guild".parse().expect("a name"),
+        class: "batch".parse().expect("a name"),
+        kind,
+        tasks,
+        size: ResourceVector::new(1000, 512, 0),
+        run_ms: None,
+        repeatable: true,
+        idempotency_key: None,
+        max_attempts: 2,
+    }
+}
+
+fn job(number: u64) -> JobId {
+    JobId::new_in("p0", number).expect("an id")
+}
+
+fn worker() -> WorkerId {
+    "w1".parse().expect("a name")
+}
+
+fn table_with(spec: JobSpec) -> JobTable {
+    let mut table = JobTable::new();
+    assert!(table.accept(job(1), Arc::new(spec), NOW, EPOCH));
+    table
+}
+
+fn start(table: &mut JobTable, task: u32) -> (TaskRef, AttemptId) {
+    let task = TaskRef::new(job(1), task);
+    let attempt = table.next_attempt(&task, EPOCH).expect("an attempt");
+    assert!(table.start(&task, attempt.clone(), worker()));
+    (task, attempt)
+}
+
+fn run(table: &mut JobTable, task: u32, result: AttemptResult) -> magnolia_state::JobEffects {
+    let (task, attempt) = start(table, task);
+    table.end(&task, &attempt, result, NOW).expect("an end")
+}
+
+fn state(table: &JobTable) -> JobState {
+    table.get(&job(1)).expect("the job").state()
+}
+
+/// Guards against a batch task that is retried more or less often than `max_attempts` allows,
+/// and against interruptions by the system counting as failures.
+#[test]
+fn a_batch_task_is_retried_up_to_its_limit() {
+    let mut table = table_with(spec(JobKind::Batch, 2));
+    assert_eq!(run(&mut table, 0, AttemptResult::Interrupted).requeue, [0]);
+    assert_eq!(run(&mut table, 0, AttemptResult::Lost).requeue, [0]);
+    assert_eq!(run(&mut table, 0, AttemptResult::Failed).requeue, [0]);
+    let (_, other) = start(&mut table, 1);
+    let effects = run(&mut table, 0, AttemptResult::Failed);
+    assert_eq!(effects.stops.len(), 1, "the other task is stopped");
+    assert_eq!(
+        state(&table),
+        JobState::Running,
+        "final only when nothing runs"
+    );
+    let task = TaskRef::new(job(1), 1);
+    let effects = table.end(&task, &other, AttemptResult::Interrupted, NOW);
+    assert!(effects.expect("an end").finished);
+    assert_eq!(state(&table), JobState::Failed);
+}
+
+/// Guards against a report that a worker repeats being counted as a second failure.
+#[test]
+fn a_repeated_end_has_no_effect() {
+    let mut table = table_with(spec(JobKind::Batch, 1));
+    let (task, attempt) = start(&mut table, 0);
+    assert!(
+        table
+            .end(&task, &attempt, AttemptResult::Failed, NOW)
+            .is_some()
+    );
+    assert!(
+        table
+            .end(&task, &attempt, AttemptResult::Failed, NOW)
+            .is_none()
+    );
+    start(&mut table, 0);
+    assert!(
+        table
+            .end(&task, &attempt, AttemptResult::Failed, NOW)
+            .is_none()
+    );
+    assert_eq!(state(&table), JobState::Running);
+}
+
+/// Guards against a service that ends by itself being taken for done.
+#[test]
+fn a_service_is_restarted_until_it_is_cancelled() {
+    let mut table = table_with(spec(JobKind::Service, 1));
+    for result in [
+        AttemptResult::Succeeded,
+        AttemptResult::Failed,
+        AttemptResult::Failed,
+    ] {
+        assert_eq!(run(&mut table, 0, result).requeue, [0]);
+    }
+    let (task, attempt) = start(&mut table, 0);
+    let outcome = JobOutcome {
+        state: JobState::Cancelled,
+        code: ResultCode::Cancelled,
+        reason: "cancelled".into(),
+    };
+    let effects = table.end_job(&job(1), outcome, NOW).expect("the job");
+    assert_eq!(effects.stops.len(), 1);
+    let effects = table.end(&task, &attempt, AttemptResult::Interrupted, NOW);
+    assert!(effects.expect("an end").finished);
+    assert_eq!(state(&table), JobState::Cancelled);
+}
+
+/// Guards against a gang that goes on without one of its members, or restarts in pieces.
+#[test]
+fn a_gang_stops_and_restarts_as_a_whole() {
+    let mut table = table_with(spec(JobKind::Gang, 3));
+    let members: Vec<_> = (0..3).map(|task| start(&mut table, task)).collect();
+    let (task, attempt) = &members[0];
+    let effects = table
+        .end(task, attempt, AttemptResult::Failed, NOW)
+        .expect("an end");
+    assert_eq!((effects.requeue.len(), effects.stops.len()), (0, 2));
+    let (task, attempt) = &members[1];
+    let effects = table
+        .end(task, attempt, AttemptResult::Interrupted, NOW)
+        .expect("an end");
+    assert_eq!(effects.requeue.len(), 0, "one member may still run");
+    let (task, attempt) = &members[2];
+    let effects = table
+        .end(task, attempt, AttemptResult::Interrupted, NOW)
+        .expect("an end");
+    assert_eq!(effects.requeue, [0, 1, 2]);
+}
+
+/// Guards against work marked as not repeatable running twice.
+#[test]
+fn a_lost_task_that_may_not_repeat_is_unknown() {
+    let mut not_repeatable = spec(JobKind::Batch, 2);
+    not_repeatable.repeatable = false;
+    let mut table = table_with(not_repeatable);
+    assert_eq!(run(&mut table, 0, AttemptResult::NotStarted).requeue, [0]);
+    assert!(run(&mut table, 0, AttemptResult::Lost).requeue.is_empty());
+    run(&mut table, 1, AttemptResult::Succeeded);
+    assert_eq!(state(&table), JobState::Unknown);
+}
+
+/// Guards against a second run of a task whose start the journal lacks, and against keeping an
+/// attempt that a newer one has replaced.
+#[test]
+fn the_newest_attempt_found_on_workers_is_adopted() {
+    let mut table = table_with(spec(JobKind::Batch, 1));
+    let (task, first) = start(&mut table, 0);
+    assert_eq!(table.found(&task, &first, &worker()), FoundAttempt::Current);
+    let second = task.attempt(EPOCH, 2).expect("an id");
+    assert_eq!(
+        table.found(&task, &second, &worker()),
+        FoundAttempt::Current
+    );
+    assert_eq!(
+        table.found(&task, &first, &worker()),
+        FoundAttempt::Superfluous
+    );
+    let next = table.next_attempt(&task, EPOCH).expect("an id");
+    assert_eq!(next, task.attempt(EPOCH, 3).expect("an id"));
+    let unknown = TaskRef::new(job(2), 0);
+    let attempt = unknown.attempt(EPOCH, 1).expect("an id");
+    assert_eq!(
+        table.found(&unknown, &attempt, &worker()),
+        FoundAttempt::Superfluous
+    );
+}
+
+/// Guards against a key that is forgotten early, kept for ever, or mixed up with another content.
+#[test]
+fn keys_give_the_first_result_for_a_day() {
+    let mut keyed = spec(JobKind::Batch, 1);
+    keyed.idempotency_key = Some("k1".parse().expect("a key"));
+    let mut table = table_with(keyed.clone());
+    run(&mut table, 0, AttemptResult::Succeeded);
+    let day = JobLimits::default().key_age;
+    table.forget(NOW.saturating_add(Millis::new(day.get() - 1)));
+    assert_eq!(
+        table.lookup_job(&keyed),
+        KeyLookup::Same(KeyUse::Job(job(1)))
+    );
+    assert_eq!(
+        state(&table),
+        JobState::Done,
+        "the first result is kept as well"
+    );
+    let mut other = keyed.clone();
+    other.tasks = 2;
+    assert_eq!(table.lookup_job(&other), KeyLookup::Reused);
+    table.forget(NOW.saturating_add(day));
+    assert_eq!(table.lookup_job(&keyed), KeyLookup::Unused);
+    assert!(table.get(&job(1)).is_none());
+}
+
+/// Guards against final jobs that fill the memory.
+#[test]
+fn final_jobs_are_forgotten_by_age_and_number() {
+    let limits = JobLimits {
+        final_jobs: 2,
+        ..JobLimits::default()
+    };
+    let mut table = JobTable::new().with_limits(limits);
+    for number in 1..=5 {
+        let at = Millis::new(number);
+        table.accept(job(number), Arc::new(spec(JobKind::Batch, 1)), at, EPOCH);
+        let task = TaskRef::new(job(number), 0);
+        let attempt = table.next_attempt(&task, EPOCH).expect("an id");
+        table.start(&task, attempt.clone(), worker());
+        table.end(&task, &attempt, AttemptResult::Succeeded, at);
+    }
+    table.forget(NOW);
+    assert_eq!(table.iter().count(), 2);
+    assert!(table.get(&job(5)).is_some(), "the newest are kept");
+    table.forget(NOW.saturating_add(limits.final_age));
+    assert_eq!(table.iter().count(), 0);
+}
+
+quickcheck! {
+    /// Guards against entries that do not replay to the same state, or that count twice when a
+    /// snapshot already has their effect.
+    fn replay_is_idempotent(steps: Vec<(u8, u8)>) -> TestResult {
+        let mut table = table_with(spec(JobKind::Batch, 4));
+        let mut entries = vec![JournalEntry::JobAccepted {
+            job: job(1),
+            spec: Arc::new(spec(JobKind::Batch, 4)),
+            at: NOW,
+        }];
+        for (task, result) in steps {
+            let task = TaskRef::new(job(1), u32::from(task % 4));
+            let Some(attempt) = table.next_attempt(&task, EPOCH) else { break };
+            let started = JournalEntry::AttemptStarted {
+                task: task.clone(), attempt: attempt.clone(), worker: worker(),
+            };
+            table.apply(EPOCH, &started);
+            entries.push(started);
+            let result = [AttemptResult::Succeeded, AttemptResult::Failed,
+                AttemptResult::Interrupted, AttemptResult::Lost][usize::from(result % 4)];
+            let ended = JournalEntry::AttemptEnded { task, attempt, result, at: NOW };
+            table.apply(EPOCH, &ended);
+            entries.push(ended);
+        }
+        let mut rebuilt = JobTable::new();
+        entries.iter().for_each(|entry| rebuilt.apply(EPOCH, entry));
+        let once = rebuilt == table;
+        entries.iter().for_each(|entry| rebuilt.apply(EPOCH, entry));
+        let bytes = table.to_snapshot().expect("a snapshot");
+        let copy = JobTable::from_snapshot(&bytes).expect("a table");
+        TestResult::from_bool(once && rebuilt == table && copy == table)
+    }
+}
