--- /dev/null
+++ b/crates/magnolia-state/tests/takeover_model/mod.rs
@@ -0,0 +1,284 @@
+//! Two owners, several workers and a network that delays, drops and repeats messages.
+
+mod owner;
+mod worker;
+
+use std::collections::BTreeMap;
+
+use magnolia_state::TakeoverTracker;
+use magnolia_types::{Epoch, Millis, TaskIndex, WorkerId};
+
+use owner::{ModelOwner, ModelTask};
+use worker::{ModelAnswer, ModelCommand, ModelWorker};
+
+pub const LEASE: Millis = Millis::new(100);
+pub const START_WINDOW: Millis = Millis::new(40);
+const WORKERS: usize = 2;
+const TASKS: TaskIndex = 3;
+/// Tasks with this index or above are accepted by the second owner.
+const NEW_TASKS: TaskIndex = 100;
+
+/// The rules, or the rules without one of their parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Variant {
+    Complete,
+    NoFence,
+    LeaseFromArrival,
+    NoWaitAfterProof,
+    TargetOnly,
+}
+
+/// A message on its way.
+#[derive(Clone)]
+enum Message {
+    ToWorker {
+        owner: usize,
+        worker: usize,
+        command: ModelCommand,
+    },
+    ToOwner {
+        owner: usize,
+        worker: usize,
+        answer: ModelAnswer,
+    },
+}
+
+/// One run of the model.
+pub struct TakeoverModel {
+    now: Millis,
+    workers: Vec<ModelWorker>,
+    owners: Vec<ModelOwner>,
+    journal: BTreeMap<TaskIndex, ModelTask>,
+    messages: Vec<Message>,
+    crashed_at: Option<Millis>,
+    variant: Variant,
+}
+
+fn worker_id(index: usize) -> WorkerId {
+    format!("w{index}").parse().expect("a name")
+}
+
+impl TakeoverModel {
+    /// Creates the first owner with fenced workers and waiting tasks.
+    pub fn new(variant: Variant) -> Self {
+        let task = ModelTask {
+            accepted: Epoch::new(1),
+            running: None,
+            unseen: false,
+            done: false,
+        };
+        let tasks: BTreeMap<_, _> = (0..TASKS).map(|index| (index, task.clone())).collect();
+        let tracker = TakeoverTracker::new(Epoch::new(1), LEASE, []);
+        let mut model = Self {
+            now: Millis::new(1000),
+            workers: (0..WORKERS)
+                .map(|index| ModelWorker::new(index as u64 * 500, 996 + index as u64 * 4))
+                .collect(),
+            owners: vec![ModelOwner::new(Epoch::new(1), tracker, tasks.clone())],
+            journal: tasks,
+            messages: Vec::new(),
+            crashed_at: None,
+            variant,
+        };
+        for worker in 0..WORKERS {
+            let command = model.owners[0].fence();
+            let answer = model.workers[worker].command(model.now, &command, variant);
+            model.owners[0].answer(&worker_id(worker), &answer, model.now);
+        }
+        model
+    }
+
+    /// Makes one step; `false` when a task runs in two places.
+    pub fn step(&mut self, (kind, first, second): (u8, u8, u8)) -> bool {
+        let worker = usize::from(first) % WORKERS;
+        let owner = usize::from(second) % self.owners.len();
+        match kind % 32 {
+            0..=12 => self.deliver(usize::from(first), kind % 32 == 0),
+            13 => self.drop_message(usize::from(first)),
+            14..=15 => self.now = self.now.saturating_add(Millis::new(u64::from(first) % 30)),
+            16 => self.now = self.now.saturating_add(Millis::new(u64::from(first) % 150)),
+            17..=21 => self.start(owner, worker, TaskIndex::from(second) / 2),
+            22..=23 => self.renew(owner, worker, TaskIndex::from(second) / 2),
+            24 => self.owners[0].paused = !self.owners[0].paused,
+            25..=26 => self.claim(first),
+            27 if second < 100 => self.prove_end(),
+            28 => self.fence(),
+            29 if second < 40 => self.workers[worker].restart(),
+            30 => self.record(),
+            _ => self.tick(),
+        }
+        self.is_safe()
+    }
+
+    /// Tells whether each task runs in at most one place.
+    fn is_safe(&mut self) -> bool {
+        let now = self.now;
+        let mut running: BTreeMap<TaskIndex, u32> = BTreeMap::new();
+        for worker in &mut self.workers {
+            worker.advance(now);
+            for attempt in worker.attempts.values().filter(|attempt| !attempt.ended) {
+                *running.entry(attempt.task).or_default() += 1;
+            }
+        }
+        running.values().all(|count| *count <= 1)
+    }
+
+    fn can_act(&self, owner: usize) -> bool {
+        let entry = &self.owners[owner];
+        let crashed = owner == 0 && self.crashed_at.is_some();
+        entry.active && !entry.paused && !crashed
+    }
+
+    fn deliver(&mut self, choice: usize, keep_copy: bool) {
+        if self.messages.is_empty() {
+            return;
+        }
+        // Mostly in order, so that runs get far; else any message.
+        let index = if choice < 160 {
+            0
+        } else {
+            choice % self.messages.len()
+        };
+        let message = if keep_copy {
+            self.messages[index].clone()
+        } else {
+            self.messages.remove(index)
+        };
+        match message {
+            Message::ToWorker {
+                owner,
+                worker,
+                command,
+            } => {
+                let answer = self.workers[worker].command(self.now, &command, self.variant);
+                self.messages.push(Message::ToOwner {
+                    owner,
+                    worker,
+                    answer,
+                });
+            }
+            // An answer to a paused owner waits for it in the socket.
+            Message::ToOwner { owner, .. } if self.owners[owner].paused => {
+                self.messages.push(message);
+            }
+            Message::ToOwner {
+                owner,
+                worker,
+                answer,
+            } if self.can_act(owner) => {
+                self.owners[owner].answer(&worker_id(worker), &answer, self.now);
+            }
+            Message::ToOwner { .. } => {}
+        }
+    }
+
+    fn drop_message(&mut self, choice: usize) {
+        if !self.messages.is_empty() {
+            let index = choice % self.messages.len();
+            self.messages.remove(index);
+        }
+    }
+
+    fn start(&mut self, owner: usize, worker: usize, task: TaskIndex) {
+        if !self.can_act(owner) {
+            return;
+        }
+        let task = match task % (TASKS + 1) {
+            TASKS if owner == 1 => NEW_TASKS,
+            task => task % TASKS,
+        };
+        let claimed = self
+            .owners
+            .last()
+            .map(|owner| owner.epoch)
+            .unwrap_or_default();
+        let variant = self.variant;
+        if let Some(command) = self.owners[owner].start(&worker_id(worker), task, claimed, variant)
+        {
+            self.messages.push(Message::ToWorker {
+                owner,
+                worker,
+                command,
+            });
+        }
+    }
+
+    fn renew(&mut self, owner: usize, worker: usize, task: TaskIndex) {
+        if !self.can_act(owner) {
+            return;
+        }
+        let repeat = (task % 2 == 0).then_some(task / 2 % TASKS);
+        if let Some(command) = self.owners[owner].renew(&worker_id(worker), repeat) {
+            self.messages.push(Message::ToWorker {
+                owner,
+                worker,
+                command,
+            });
+        }
+    }
+
+    /// Lets the first owner journal its starts, as long as no other owner has opened.
+    fn record(&mut self) {
+        if self.owners.len() == 1 && self.can_act(0) {
+            self.journal = self.owners[0].tasks.clone();
+        }
+    }
+
+    fn claim(&mut self, choice: u8) {
+        if self.owners.len() > 1 || choice >= 120 {
+            return;
+        }
+        let lease = match self.variant {
+            Variant::NoWaitAfterProof => Millis::new(0),
+            _ => LEASE,
+        };
+        let epoch = Epoch::new(2);
+        let tracker = TakeoverTracker::new(epoch, lease, (0..WORKERS).map(worker_id));
+        let mut tasks = self.journal.clone();
+        tasks
+            .values_mut()
+            .for_each(|task| task.unseen = task.running.is_some());
+        let new = ModelTask {
+            accepted: epoch,
+            running: None,
+            unseen: false,
+            done: false,
+        };
+        tasks.insert(NEW_TASKS, new);
+        self.owners.push(ModelOwner::new(epoch, tracker, tasks));
+    }
+
+    /// Ends the first owner for good after the claim; the next time, the second one has the proof.
+    fn prove_end(&mut self) {
+        if self.owners.len() < 2 {
+            return;
+        }
+        if self.crashed_at.is_some() {
+            let now = self.now;
+            self.owners[1].tracker.proved(now);
+        }
+        self.crashed_at.get_or_insert(self.now);
+    }
+
+    /// Fences all workers in parallel.
+    fn fence(&mut self) {
+        if self.owners.len() > 1 {
+            let command = self.owners[1].fence();
+            let fences = (0..WORKERS).map(|worker| Message::ToWorker {
+                owner: 1,
+                worker,
+                command: command.clone(),
+            });
+            self.messages.extend(fences);
+        }
+    }
+
+    fn tick(&mut self) {
+        for owner in 0..self.owners.len() {
+            if self.can_act(owner) {
+                (0..WORKERS)
+                    .for_each(|worker| self.owners[owner].tick(&worker_id(worker), self.now));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnolia-state/tests/takeover_model/owner.rs
@@ -0,0 +1,202 @@
+//! A small owner over the lease book and the takeover tracker.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use magnolia_state::{LeaseBook, TakeoverTracker, WorkerNews, with_drift};
+use magnolia_types::{AttemptId, Epoch, Incarnation, JobId, Millis, TaskIndex, TaskRef, WorkerId};
+
+use super::worker::{ModelAnswer, ModelCommand};
+use super::{LEASE, Variant};
+
+/// A task as the owner knows it.
+#[derive(Clone, Debug)]
+pub struct ModelTask {
+    pub accepted: Epoch,
+    pub running: Option<(AttemptId, WorkerId)>,
+    /// Whether the running attempt is known from the journal only.
+    pub unseen: bool,
+    pub done: bool,
+}
+
+/// One owner.
+pub struct ModelOwner {
+    pub epoch: Epoch,
+    pub tasks: BTreeMap<TaskIndex, ModelTask>,
+    pub tracker: TakeoverTracker,
+    leases: LeaseBook,
+    confirmed: BTreeSet<(WorkerId, Incarnation)>,
+    next_attempt: u32,
+    pub active: bool,
+    pub paused: bool,
+}
+
+impl ModelOwner {
+    /// Creates an owner with the tasks that it found in the journal.
+    pub fn new(
+        epoch: Epoch,
+        tracker: TakeoverTracker,
+        tasks: BTreeMap<TaskIndex, ModelTask>,
+    ) -> Self {
+        Self {
+            epoch,
+            tasks,
+            tracker,
+            leases: LeaseBook::new(),
+            confirmed: BTreeSet::new(),
+            next_attempt: 1,
+            active: true,
+            paused: false,
+        }
+    }
+
+    /// Makes a fence.
+    pub fn fence(&self) -> ModelCommand {
+        ModelCommand {
+            epoch: self.epoch,
+            incarnation: Incarnation::new(0),
+            reading: Millis::new(0),
+            start: None,
+            is_fence: true,
+        }
+    }
+
+    /// Makes a renewal, with a repeated start of an unanswered attempt if `repeat` names one.
+    pub fn renew(&mut self, worker: &WorkerId, repeat: Option<TaskIndex>) -> Option<ModelCommand> {
+        // A start that is known from the journal only was not sent by this owner; repeating it
+        // would start the attempt of a worker that has restarted since.
+        let task = repeat.and_then(|task| {
+            let entry = self.tasks.get(&task).filter(|entry| !entry.unseen)?;
+            Some((task, entry.running.clone()?))
+        });
+        let start = task.filter(|(_, running)| running.1 == *worker);
+        self.command(worker, start.map(|(task, (attempt, _))| (attempt, task)))
+    }
+
+    /// Starts a waiting task if the rules allow it; `claimed` is the newest epoch of the claims.
+    pub fn start(
+        &mut self,
+        worker: &WorkerId,
+        task: TaskIndex,
+        claimed: Epoch,
+        variant: Variant,
+    ) -> Option<ModelCommand> {
+        let entry = self.tasks.get(&task)?;
+        if entry.done || entry.running.is_some() || !self.tracker.is_fenced(worker) {
+            return None;
+        }
+        let allowed = self.tracker.may_place(entry.accepted, worker);
+        if !allowed && variant != Variant::TargetOnly {
+            return None;
+        }
+        let citation = self.leases.citation(worker)?;
+        if !self
+            .confirmed
+            .contains(&(worker.clone(), citation.incarnation))
+        {
+            if claimed > self.epoch {
+                self.active = false;
+                return None;
+            }
+            self.confirmed
+                .insert((worker.clone(), citation.incarnation));
+        }
+        let job = JobId::new_in("p0", 1).expect("an id");
+        let attempt = TaskRef::new(job, task)
+            .attempt(self.epoch, self.next_attempt)
+            .expect("an id");
+        self.next_attempt += 1;
+        self.leases.placed(worker, attempt.clone());
+        let entry = self.tasks.get_mut(&task)?;
+        entry.running = Some((attempt.clone(), worker.clone()));
+        entry.unseen = false;
+        self.command(worker, Some((attempt, task)))
+    }
+
+    /// Takes an answer in.
+    pub fn answer(&mut self, worker: &WorkerId, answer: &ModelAnswer, now: Millis) {
+        if answer.superseded {
+            self.active = false;
+            return;
+        }
+        match self
+            .leases
+            .heard(worker, answer.incarnation, answer.reading, now)
+        {
+            WorkerNews::Outdated => return,
+            WorkerNews::Restarted(lost) => self.requeue(&lost),
+            WorkerNews::First | WorkerNews::Same => {}
+        }
+        if answer.is_fence && !self.tracker.is_fenced(worker) {
+            self.adopt(worker, answer, now);
+            if self.tracker.fenced(worker) {
+                self.requeue_unseen();
+            }
+        }
+        let ended = answer.attempts.iter().filter(|(_, attempt)| attempt.ended);
+        let ended: Vec<AttemptId> = ended
+            .map(|(id, _)| id.clone())
+            .chain(answer.refused.clone())
+            .collect();
+        for attempt in &ended {
+            self.leases.released(worker, attempt);
+        }
+        self.requeue(&ended);
+    }
+
+    /// Ends attempts whose lease is over and the wait after the proof.
+    pub fn tick(&mut self, worker: &WorkerId, now: Millis) {
+        let expired = self.leases.expire(worker, now);
+        self.requeue(&expired);
+        if self.tracker.advance(now) {
+            self.requeue_unseen();
+        }
+    }
+
+    fn command(
+        &mut self,
+        worker: &WorkerId,
+        start: Option<(AttemptId, TaskIndex)>,
+    ) -> Option<ModelCommand> {
+        if !self.tracker.is_fenced(worker) {
+            return None;
+        }
+        let citation = self.leases.citation(worker)?;
+        self.leases.sent(worker, &citation, LEASE);
+        Some(ModelCommand {
+            epoch: self.epoch,
+            incarnation: citation.incarnation,
+            reading: citation.reading,
+            start,
+            is_fence: false,
+        })
+    }
+
+    fn adopt(&mut self, worker: &WorkerId, answer: &ModelAnswer, now: Millis) {
+        for (id, attempt) in answer.attempts.iter().filter(|(_, attempt)| !attempt.ended) {
+            let left = attempt.lease_until.saturating_sub(answer.reading);
+            self.leases
+                .adopted(worker, id.clone(), now.saturating_add(with_drift(left)));
+            if let Some(task) = self.tasks.get_mut(&attempt.task) {
+                task.running = Some((id.clone(), worker.clone()));
+                task.unseen = false;
+            }
+        }
+    }
+
+    fn requeue(&mut self, attempts: &[AttemptId]) {
+        for task in self.tasks.values_mut() {
+            if task
+                .running
+                .as_ref()
+                .is_some_and(|(id, _)| attempts.contains(id))
+            {
+                task.running = None;
+            }
+        }
+    }
+
+    fn requeue_unseen(&mut self) {
+        let unseen = self.tasks.values_mut().filter(|task| task.unseen);
+        unseen.for_each(|task| task.running = None);
+    }
+}
