--- a/crates/magnolia-state/tests/takeover_model/mod.rs
+++ b/crates/magnolia-state/tests/takeover_model/mod.rs
@@ -207,7 +207,7 @@
         if !self.can_act(owner) {
             return;
         }
-        let repeat = (task % 2 == 0).then_some(task / 2 % TASKS);
+        let repeat = task.is_multiple_of(2).then_some(task / 2 % TASKS);
         if let Some(command) = self.owners[owner].renew(&worker_id(worker), repeat) {
             self.messages.push(Message::ToWorker {
                 owner,
