--- a/crates/magnolia-state/src/lib.rs
+++ b/crates/magnolia-state/src/lib.rs
@@ -9,3 +9,18 @@
 pub use request_state::{RequestEventError, RequestPhase, RequestState};
 pub use retry_budget::RetryBudget;
 pub use suspicion_tracker::SuspicionTracker;
+mod jobs;
+mod journal;
+mod lease_book;
+mod takeover;
+
+pub use jobs::{
+    AttemptResult, FoundAttempt, JobEffects, JobEntry, JobLimits, JobTable, KeyEntry, KeyLookup,
+    KeyUse, RunningAttempt, TaskEntry, TaskState, TaskTally,
+};
+pub use journal::{
+    JournalBatch, JournalCounts, JournalEntry, JournalError, JournalReader, JournalReplay,
+    JournalVerdict, MAX_BATCH_WEIGHT, RecordFault, SNAPSHOT_PART_BYTES, split_snapshot,
+};
+pub use lease_book::{LeaseBook, WorkerCitation, WorkerNews, with_drift};
+pub use takeover::{TakeoverProgress, TakeoverTracker};
