--- a/crates/magnolia-lab/src/cell/process.rs
+++ b/crates/magnolia-lab/src/cell/process.rs
@@ -1,7 +1,17 @@
 //! One process of a cell.
 
+use std::fs::OpenOptions;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+/// Environment variable that makes a process of the lab end with its parent.
+pub const CHILD_VARIABLE: &str = "MAGNOLIA_LAB_CHILD";
+/// Time between two looks at a process that is about to end.
+const EXIT_POLL: Duration = Duration::from_millis(10);
 
 /// A process that ends with its owner.
 pub struct ChildProcess {
@@ -9,17 +19,19 @@
 }
 
 impl ChildProcess {
-    /// Starts `program` with arguments; its output goes to this process's standard error.
+    /// Starts `program` with arguments; its output is appended to the file `output`.
     ///
     /// # Errors
     ///
-    /// Fails when the program cannot be started.
-    pub fn new(program: &Path, args: &[String]) -> std::io::Result<Self> {
+    /// Fails when the file cannot be opened or the program cannot be started.
+    pub fn new(program: &Path, args: &[String], output: &Path) -> std::io::Result<Self> {
+        let output = OpenOptions::new().create(true).append(true).open(output)?;
         let child = Command::new(program)
             .args(args)
+            .env(CHILD_VARIABLE, "1")
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::inherit())
+            .stdout(output.try_clone()?)
+            .stderr(output)
             .spawn()?;
         Ok(Self { child })
     }
@@ -34,6 +46,34 @@
         self.child.wait().map(|_| ())
     }
 
+    /// Sends a signal.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended.
+    pub fn signal(&self, signal: Signal) -> std::io::Result<()> {
+        let id = i32::try_from(self.child.id()).map_err(std::io::Error::other)?;
+        kill(Pid::from_raw(id), signal).map_err(std::io::Error::from)
+    }
+
+    /// Waits until the process has ended; returns its exit status, unless a signal ended it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has not ended after `limit`.
+    pub async fn wait(&mut self, limit: Duration) -> std::io::Result<Option<i32>> {
+        let deadline = Instant::now() + limit;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status.code());
+            }
+            if Instant::now() > deadline {
+                return Err(std::io::ErrorKind::TimedOut.into());
+            }
+            tokio::time::sleep(EXIT_POLL).await;
+        }
+    }
+
     /// Returns the process id.
     pub fn id(&self) -> u32 {
         self.child.id()
--- /dev/null
+++ b/crates/magnolia-lab/src/checker/capacity.rs
@@ -0,0 +1,129 @@
+//! Point 1: nothing is allocated beyond what a worker or executor has.
+
+use std::collections::HashMap;
+
+use magnolia_types::{AttemptId, ExecutorId, ResourceVector, WorkerId};
+
+use super::Violation;
+use crate::history::{History, HistoryEvent};
+
+const CHECK: &str = "capacity";
+
+#[derive(Default)]
+struct WorkerLoad {
+    capacity: ResourceVector,
+    running: HashMap<AttemptId, ResourceVector>,
+}
+
+impl WorkerLoad {
+    fn total(&self) -> ResourceVector {
+        let sizes = self.running.values();
+        sizes.fold(ResourceVector::default(), |sum, size| {
+            sum.saturating_add(size)
+        })
+    }
+}
+
+#[derive(Default)]
+struct ExecutorLoad {
+    slots: u32,
+    connections: u32,
+    running: u32,
+}
+
+/// Checks resources of workers, and slots and connections of executors, at every event.
+pub fn check_capacity(history: &History) -> Vec<Violation> {
+    let mut workers: HashMap<WorkerId, WorkerLoad> = HashMap::new();
+    let mut executors: HashMap<ExecutorId, ExecutorLoad> = HashMap::new();
+    let mut violations = Vec::new();
+    for (at_us, event) in history.iter() {
+        let seen =
+            apply_worker(&mut workers, event).or_else(|| apply_executor(&mut executors, event));
+        violations.extend(seen.map(|seen| Violation {
+            at_us,
+            check: CHECK,
+            seen,
+        }));
+    }
+    violations
+}
+
+fn apply_worker(
+    workers: &mut HashMap<WorkerId, WorkerLoad>,
+    event: &HistoryEvent,
+) -> Option<String> {
+    match event {
+        HistoryEvent::WorkerUp {
+            worker, capacity, ..
+        } => {
+            let load = workers.entry(worker.clone()).or_default();
+            load.capacity = *capacity;
+            load.running.clear();
+        }
+        HistoryEvent::AttemptStarted {
+            worker,
+            attempt,
+            size,
+            ..
+        } => {
+            let load = workers.entry(worker.clone()).or_default();
+            load.running.insert(attempt.clone(), *size);
+            let (total, capacity) = (load.total(), load.capacity);
+            if !total.fits_in(&capacity) {
+                return Some(format!(
+                    "{worker} holds {total} of {capacity} with {attempt}"
+                ));
+            }
+        }
+        HistoryEvent::AttemptEnded {
+            worker, attempt, ..
+        } => {
+            workers
+                .entry(worker.clone())
+                .or_default()
+                .running
+                .remove(attempt);
+        }
+        _ => {}
+    }
+    None
+}
+
+fn apply_executor(
+    executors: &mut HashMap<ExecutorId, ExecutorLoad>,
+    event: &HistoryEvent,
+) -> Option<String> {
+    match event {
+        HistoryEvent::ExecutorUp {
+            executor,
+            slots,
+            connections,
+        } => {
+            let load = executors.entry(executor.clone()).or_default();
+            (load.slots, load.connections) = (*slots, *connections);
+        }
+        HistoryEvent::RequestStarted { executor, .. } => {
+            let load = executors.entry(executor.clone()).or_default();
+            load.running += 1;
+            if load.running > load.slots {
+                let (running, slots) = (load.running, load.slots);
+                return Some(format!(
+                    "{executor} runs {running} requests in {slots} slots"
+                ));
+            }
+        }
+        HistoryEvent::RequestEnded { executor, .. } => {
+            let load = executors.entry(executor.clone()).or_default();
+            load.running = load.running.saturating_sub(1);
+        }
+        HistoryEvent::Connections { executor, open } => {
+            let load = executors.entry(executor.clone()).or_default();
+            if *open > load.connections {
+                let allowed = load.connections;
+                return Some(format!("{executor} has {open} connections of {allowed}"));
+            }
+        }
+        _ => {}
+    }
+    None
+}
--- /dev/null
+++ b/crates/magnolia-lab/src/checker/configuration.rs
@@ -0,0 +1,60 @@
+//! Point 8: an accepted configuration is in force everywhere in time and never reverts.
+
+use std::collections::HashMap;
+
+use super::Violation;
+use super::faults::FaultWindows;
+use crate::history::{History, HistoryEvent};
+
+/// Time from acceptance after which every daemon must show the version.
+const FORCE_LIMIT_US: u64 = 4_000_000;
+
+/// Checks every version that a client read from a daemon.
+///
+/// Version 0 is that of a daemon that has no configuration yet and is not ready. The bound in
+/// time is not applied when a fault was in force between acceptance and question.
+pub fn check_configuration(history: &History) -> Vec<Violation> {
+    let faults = FaultWindows::new(history);
+    let mut accepted: Vec<(u64, u64)> = Vec::new();
+    let mut newest: HashMap<&str, u64> = HashMap::new();
+    let mut violations = Vec::new();
+    for (at_us, event) in history.iter() {
+        match event {
+            HistoryEvent::ConfigAccepted { version } => accepted.push((at_us, *version)),
+            HistoryEvent::ConfigSeen {
+                daemon,
+                asked_us,
+                version,
+            } if *version > 0 => {
+                let known = newest.entry(daemon).or_default();
+                if version < known {
+                    violations.push(violation(
+                        at_us,
+                        format!("{daemon} went from version {known} to {version}"),
+                    ));
+                }
+                *known = (*known).max(*version);
+                let late = accepted.iter().find(|(accepted_us, newer)| {
+                    newer > version
+                        && asked_us.saturating_sub(*accepted_us) > FORCE_LIMIT_US
+                        && !faults.overlap(*accepted_us, *asked_us)
+                });
+                violations.extend(late.map(|(accepted_us, newer)| {
+                    let waited = asked_us - accepted_us;
+                    let seen = format!("{daemon} shows {version}, not {newer}, after {waited} us");
+                    violation(at_us, seen)
+                }));
+            }
+            _ => {}
+        }
+    }
+    violations
+}
+
+fn violation(at_us: u64, seen: String) -> Violation {
+    Violation {
+        at_us,
+        check: "configuration",
+        seen,
+    }
+}
--- a/crates/magnolia-lab/src/command.rs
+++ b/crates/magnolia-lab/src/command.rs
@@ -2,15 +2,29 @@
 
 use std::ffi::OsString;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::{Arg, ArgMatches, Command};
 
-use crate::standin::{self, StandinError};
+use crate::cell::CHILD_VARIABLE;
+use crate::checker::check_all;
+use crate::history::{History, HistoryWriter};
+use crate::load::{LoadClient, LoadMix, LoadSettings, RunReport};
+use crate::proxy::run_proxy;
+use crate::standin::{self, StandinOptions};
+
+/// Why a command failed.
+type CommandError = Box<dyn std::error::Error>;
 
 /// Runs the command that the arguments name.
 pub fn run_main(args: Vec<OsString>) -> ExitCode {
-    // These two take every further argument as it is and report their own usage.
+    if std::env::var_os(CHILD_VARIABLE).is_some() {
+        // A lab that is killed must not leave its cell behind.
+        nix::sys::prctl::set_pdeathsig(nix::sys::signal::Signal::SIGKILL).ok();
+    }
+    // This one takes every further argument as it is and reports its own usage.
     if args.get(1).is_some_and(|name| name == "daemon") {
         return magnolia_daemon::run_main(args.into_iter().skip(1)).into();
     }
@@ -24,8 +38,9 @@
         Err(error) => return fail(&error),
     };
     match runtime.block_on(dispatch(&matches)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(&error),
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => fail(&*error),
     }
 }
 
@@ -40,34 +55,103 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .subcommand(Command::new("daemon").about("Runs magnoliad with the arguments that follow"))
+        .subcommand(standin_command("log", "Runs a stand-in of the log service").arg(listen_arg()))
+        .subcommand(
+            standin_command("instances", "Runs a stand-in of the instance list").arg(listen_arg()),
+        )
         .subcommand(
-            Command::new("log")
-                .about("Runs a stand-in of the log service")
-                .arg(listen_arg()),
+            standin_command(
+                "workers",
+                "Runs stand-ins of the workers of a configuration file",
+            )
+            .arg(config_arg()),
         )
         .subcommand(
-            Command::new("instances")
-                .about("Runs a stand-in of the instance list")
-                .arg(listen_arg()),
+            standin_command(
+                "executors",
+                "Runs stand-ins of the executors of a configuration file",
+            )
+            .arg(config_arg()),
         )
         .subcommand(
-            Command::new("workers")
-                .about("Runs stand-ins of the workers of a configuration file")
-                .arg(config_arg()),
+            Command::new("proxy")
+                .about("Runs a fault-injecting TCP proxy")
+                .args([
+                    listen_arg(),
+                    address_arg("target", "Address to connect to"),
+                    address_arg("control", "Address of PUT /faults and POST /black-hole"),
+                    history_arg("Appends events to this file"),
+                ]),
         )
         .subcommand(
-            Command::new("executors")
-                .about("Runs stand-ins of the executors of a configuration file")
-                .arg(config_arg()),
+            Command::new("load")
+                .about("Sends work to daemons and reports the results")
+                .arg(
+                    address_arg("daemon", "Address of a daemon for callers; may repeat")
+                        .action(clap::ArgAction::Append),
+                )
+                .args(load_args())
+                .arg(history_arg("Folder of the histories").required(true)),
         )
+        .subcommand(
+            Command::new("check")
+                .about("Checks the histories of a folder")
+                .arg(Arg::new("folder").required(true)),
+        )
+}
+
+fn standin_command(name: &'static str, about: &'static str) -> Command {
+    Command::new(name).about(about).args([
+        history_arg("Appends events to this file"),
+        number_arg::<u64>("seed", "0", "Seed of the random choices"),
+        Arg::new("faults")
+            .long("faults")
+            .help("Faults from the start, as the body of PUT /faults"),
+    ])
+}
+
+fn load_args() -> [Arg; 4] {
+    [
+        number_arg::<u32>("rate", "50", "Operations a second"),
+        number_arg::<u64>("duration", "10", "Seconds in which work is sent"),
+        number_arg::<u64>("seed", "1", "Seed of the choices"),
+        Arg::new("mix")
+            .long("mix")
+            .default_value("quick=76,once=10,batch=10,batch-once=1,gang=2,service=1")
+            .value_parser(|text: &str| text.parse::<LoadMix>())
+            .help("Weights of the kinds of work"),
+    ]
 }
 
 fn listen_arg() -> Arg {
-    Arg::new("listen")
-        .long("listen")
+    address_arg("listen", "Address to listen on")
+}
+
+fn address_arg(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
         .required(true)
         .value_parser(|text: &str| text.parse::<SocketAddr>())
-        .help("Address to listen on")
+        .help(help)
+}
+
+fn number_arg<T>(name: &'static str, default: &'static str, help: &'static str) -> Arg
+where
+    T: std::str::FromStr + Clone + Send + Sync + 'static,
+    T::Err: std::error::Error + Send + Sync + 'static,
+{
+    Arg::new(name)
+        .long(name)
+        .default_value(default)
+        .value_parser(|text: &str| text.parse::<T>())
+        .help(help)
+}
+
+fn history_arg(help: &'static str) -> Arg {
+    Arg::new("history")
+        .long("history")
+        .value_parser(clap::value_parser!(PathBuf))
+        .help(help)
 }
 
 fn config_arg() -> Arg {
@@ -77,26 +161,87 @@
         .help("TOML file with inventory and rules")
 }
 
-async fn dispatch(matches: &ArgMatches) -> Result<(), StandinError> {
-    match matches.subcommand() {
-        Some(("log", matches)) => standin::run_log(listen(matches)).await,
-        Some(("instances", matches)) => standin::run_instances(listen(matches)).await,
-        Some(("workers", matches)) => standin::run_workers(&standin::load(path(matches))?).await,
-        Some(("executors", matches)) => {
-            standin::run_executors(&standin::load(path(matches))?).await
+async fn dispatch(matches: &ArgMatches) -> Result<bool, CommandError> {
+    let Some((name, matches)) = matches.subcommand() else {
+        return Ok(false);
+    };
+    match name {
+        "log" => standin::run_log(value(matches, "listen"), &options(matches)?).await?,
+        "instances" => standin::run_instances(value(matches, "listen"), &options(matches)?).await?,
+        "workers" => {
+            let document = standin::load(&value::<String>(matches, "config"))?;
+            standin::run_workers(&document, &options(matches)?).await?;
+        }
+        "executors" => {
+            let document = standin::load(&value::<String>(matches, "config"))?;
+            standin::run_executors(&document, &options(matches)?).await?;
         }
-        _ => Ok(()),
+        "proxy" => {
+            let (listen, target) = (value(matches, "listen"), value(matches, "target"));
+            run_proxy(listen, target, value(matches, "control"), history(matches)?).await?;
+        }
+        "load" => load(matches).await?,
+        "check" => return check(Path::new(&value::<String>(matches, "folder"))),
+        _ => return Ok(false),
     }
+    Ok(true)
 }
 
-fn listen(matches: &ArgMatches) -> SocketAddr {
-    *matches
-        .get_one("listen")
+/// Returns the value of a flag that is required or has a default.
+fn value<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> T {
+    matches
+        .get_one::<T>(name)
+        .cloned()
         .expect("clap refuses a missing required flag")
 }
 
-fn path(matches: &ArgMatches) -> &str {
-    matches
-        .get_one::<String>("config")
-        .expect("clap refuses a missing required flag")
+fn history(matches: &ArgMatches) -> std::io::Result<HistoryWriter> {
+    match matches.get_one::<PathBuf>("history") {
+        Some(path) => HistoryWriter::open(path),
+        None => Ok(HistoryWriter::new()),
+    }
+}
+
+fn options(matches: &ArgMatches) -> std::io::Result<StandinOptions> {
+    Ok(StandinOptions {
+        history: history(matches)?,
+        seed: value(matches, "seed"),
+        faults: matches.get_one::<String>("faults").cloned(),
+    })
+}
+
+async fn load(matches: &ArgMatches) -> Result<(), CommandError> {
+    let folder: PathBuf = value(matches, "history");
+    std::fs::create_dir_all(&folder)?;
+    let daemons = matches.get_many::<SocketAddr>("daemon").unwrap_or_default();
+    let duration = Duration::from_secs(value(matches, "duration"));
+    let settings = LoadSettings {
+        entries: daemons
+            .map(|daemon| (daemon.to_string().into(), *daemon))
+            .collect(),
+        rate: value(matches, "rate"),
+        mix: value(matches, "mix"),
+        duration,
+        settle: duration,
+        seed: value(matches, "seed"),
+        history: HistoryWriter::open(&folder.join("load.jsonl"))?,
+    };
+    LoadClient::new(settings).run().await;
+    print!("{}", RunReport::new(&History::read(&folder)?));
+    Ok(())
+}
+
+fn check(folder: &Path) -> Result<bool, CommandError> {
+    let history = History::read(folder)?;
+    let violations = check_all(&history);
+    print!("{}", RunReport::new(&history));
+    for violation in &violations {
+        println!("{violation}");
+    }
+    println!(
+        "{} events, {} violations",
+        history.records.len(),
+        violations.len()
+    );
+    Ok(violations.is_empty())
 }
--- /dev/null
+++ b/crates/magnolia-lab/src/load/client.rs
@@ -0,0 +1,204 @@
+//! Clients that send work at a steady rate.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use magnolia_http::{ErrorBody, HttpClient, PoolSettings};
+use magnolia_types::Ran;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+
+use super::{LoadMix, WorkKind};
+use crate::history::{HistoryEvent, HistoryWriter, QuickResult};
+
+/// Deadline of a quick request.
+const QUICK_DEADLINE: Duration = Duration::from_secs(2);
+/// Time that a client waits for an answer beyond the deadline.
+const ANSWER_MARGIN: Duration = Duration::from_secs(1);
+/// Calls of a request that may not repeat, all with the same key.
+const MAX_ONCE_CALLS: u32 = 4;
+/// Pause between two calls with the same key.
+const REPEAT_PAUSE: Duration = Duration::from_millis(300);
+/// Longest padding of a body.
+const MAX_PADDING_BYTES: usize = 200;
+
+/// Numbers clients and jobs of this process, so that several loads of a run do not collide.
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
+
+/// What a load sends and where.
+#[derive(Clone)]
+pub struct LoadSettings {
+    /// Names and addresses of the daemons; each call goes to a random one.
+    pub entries: Vec<(Arc<str>, SocketAddr)>,
+    /// Operations a second.
+    pub rate: u32,
+    /// Shares of the kinds of work.
+    pub mix: LoadMix,
+    /// Time in which work is sent.
+    pub duration: Duration,
+    /// Longest time after that for accepted jobs to end.
+    pub settle: Duration,
+    /// Seed of the choices.
+    pub seed: u64,
+    /// Where events are written.
+    pub history: HistoryWriter,
+}
+
+/// A load of clients.
+pub struct LoadClient {
+    pub(super) http: HttpClient,
+    pub(super) settings: LoadSettings,
+    /// Set when no more work is sent.
+    pub(super) is_over: AtomicBool,
+    random: Mutex<ChaCha8Rng>,
+    prefix: String,
+    calls: AtomicU64,
+}
+
+impl LoadClient {
+    /// Creates the clients.
+    pub fn new(settings: LoadSettings) -> Self {
+        let number = NEXT_NUMBER.fetch_add(1, Ordering::SeqCst);
+        Self {
+            http: HttpClient::new(PoolSettings::new()),
+            random: Mutex::new(ChaCha8Rng::seed_from_u64(settings.seed)),
+            prefix: format!("{}-{number}", std::process::id()),
+            calls: AtomicU64::new(0),
+            is_over: AtomicBool::new(false),
+            settings,
+        }
+    }
+
+    /// Sends work for the set time, then waits until every call and job has ended.
+    pub async fn run(self) {
+        let client = Arc::new(self);
+        let interval = Duration::from_secs(1) / client.settings.rate.max(1);
+        let mut ticks = tokio::time::interval(interval);
+        let end = tokio::time::Instant::now() + client.settings.duration;
+        let mut running = JoinSet::new();
+        while ticks.tick().await < end {
+            let total = client.settings.mix.total();
+            let kind = client.settings.mix.pick(client.draw(0, total));
+            running.spawn(Arc::clone(&client).send(kind));
+        }
+        client.is_over.store(true, Ordering::SeqCst);
+        while running.join_next().await.is_some() {}
+    }
+
+    async fn send(self: Arc<Self>, kind: WorkKind) {
+        match kind {
+            WorkKind::Quick => {
+                let body = self.body();
+                self.call_quick(&body, None).await;
+            }
+            WorkKind::Once => self.call_once().await,
+            _ => self.run_job(kind).await,
+        }
+    }
+
+    /// Repeats a key until the first call's outcome is known.
+    async fn call_once(&self) {
+        let body = self.body();
+        for _ in 0..MAX_ONCE_CALLS {
+            let result = self.call_quick(&body, Some(&body)).await;
+            let is_open = match result {
+                QuickResult::Answered(_) => false,
+                QuickResult::Refused { ran, .. } => ran != Ran::Yes,
+                QuickResult::Lost { .. } => true,
+            };
+            if !is_open {
+                return;
+            }
+            tokio::time::sleep(REPEAT_PAUSE).await;
+        }
+    }
+
+    async fn call_quick(&self, body: &str, key: Option<&str>) -> QuickResult {
+        let (daemon, address) = self.entry();
+        let id: Arc<str> = self.next_id().into();
+        let is_guild = self.draw(0, 2) == 1;
+        let mut request = json!({
+            "customer": if is_guild { "guild" } else { "board" },
+            "class": "quick",
+            "deadline_ms": u64::try_from(QUICK_DEADLINE.as_millis()).unwrap_or(u64::MAX),
+            "body": body,
+            "repeatable": key.is_none(),
+        });
+        if let Some(key) = key {
+            // The padding of the body is no part of the key: keys are short.
+            request["idempotency_key"] = key.split('/').next().into();
+        }
+        self.settings.history.write(HistoryEvent::QuickSent {
+            id: Arc::clone(&id),
+            daemon,
+            body: body.into(),
+            repeatable: key.is_none(),
+        });
+        let result = self.exchange_quick(address, &request).await;
+        self.settings.history.write(HistoryEvent::QuickDone {
+            id,
+            result: result.clone(),
+        });
+        result
+    }
+
+    async fn exchange_quick(&self, address: SocketAddr, request: &Value) -> QuickResult {
+        let limit = QUICK_DEADLINE + ANSWER_MARGIN;
+        let answer = self
+            .http
+            .post_json(address, "/v1/requests", request, limit)
+            .await;
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(error) => {
+                let sent = !error.is_not_sent();
+                return QuickResult::Lost { sent };
+            }
+        };
+        if !answer.status.is_success() {
+            return match answer.json::<ErrorBody>() {
+                Ok(ErrorBody { code, ran, .. }) => QuickResult::Refused { code, ran },
+                Err(_) => QuickResult::Lost { sent: true },
+            };
+        }
+        let text = answer.json::<Value>().ok();
+        let text = text.and_then(|body| body["answer"].as_str().map(Arc::from));
+        text.map_or(QuickResult::Lost { sent: true }, QuickResult::Answered)
+    }
+
+    /// Makes the body of a new request: a unique number and padding of random length.
+    fn body(&self) -> String {
+        let padding = self.draw(0, MAX_PADDING_BYTES);
+        format!("{}/{}", self.next_id(), "x".repeat(padding))
+    }
+
+    pub(super) fn next_id(&self) -> String {
+        let call = self.calls.fetch_add(1, Ordering::SeqCst);
+        format!("{}-{call}", self.prefix)
+    }
+
+    /// Returns a number that no other job of this process has.
+    pub(super) fn next_job_number() -> u64 {
+        NEXT_NUMBER.fetch_add(1, Ordering::SeqCst)
+    }
+
+    /// Returns the name and address of a random daemon.
+    pub(super) fn entry(&self) -> (Arc<str>, SocketAddr) {
+        let entries = &self.settings.entries;
+        let (daemon, address) = &entries[self.draw(0, entries.len())];
+        (Arc::clone(daemon), *address)
+    }
+
+    /// Draws a number from `from` up to, but not including, `until`.
+    pub(super) fn draw<T>(&self, from: T, until: T) -> T
+    where
+        T: rand::distr::uniform::SampleUniform + PartialOrd,
+    {
+        let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
+        random.random_range(from..until)
+    }
+}
--- /dev/null
+++ b/crates/magnolia-lab/src/load/jobs.rs
@@ -0,0 +1,191 @@
+//! Jobs of a load.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use magnolia_http::ErrorBody;
+use magnolia_types::{JobId, JobKind, JobState, Ran, ResourceVector};
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use super::{LoadClient, WorkKind};
+use crate::history::HistoryEvent;
+
+/// Longest time of a submission.
+const SUBMIT_LIMIT: Duration = Duration::from_secs(8);
+/// Submissions of a job whose acceptance is not known, all with the same key.
+const MAX_SUBMISSIONS: u32 = 4;
+/// Longest wait for the end of a job in one call.
+const WAIT_MS: u64 = 2000;
+/// Longest time of a call that waits for the end of a job.
+const WAIT_LIMIT: Duration = Duration::from_secs(4);
+/// Pause between two calls about a job.
+const CALL_PAUSE: Duration = Duration::from_millis(200);
+/// Memory of a task besides the number of its job.
+const BASE_MEMORY_MIB: u64 = 64;
+
+/// A job to submit.
+struct LoadJob {
+    kind: WorkKind,
+    tasks: u32,
+    size: ResourceVector,
+    body: Value,
+}
+
+enum Submission {
+    Accepted(JobId),
+    Refused,
+    Unknown,
+}
+
+impl LoadClient {
+    /// Submits a job and follows it to its end.
+    pub(super) async fn run_job(&self, kind: WorkKind) {
+        let job = self.job(kind);
+        for _ in 0..MAX_SUBMISSIONS {
+            match self.submit(&job).await {
+                Submission::Accepted(id) => {
+                    if kind == WorkKind::Service {
+                        self.hold_service(&id).await;
+                    }
+                    return self.follow(&id).await;
+                }
+                Submission::Refused => return,
+                Submission::Unknown => tokio::time::sleep(CALL_PAUSE).await,
+            }
+        }
+    }
+
+    /// Describes a job. The memory of its tasks is unique, so that histories of workers name the
+    /// job even when its submission got no answer.
+    fn job(&self, kind: WorkKind) -> LoadJob {
+        let number = Self::next_job_number();
+        let size = ResourceVector::new(self.draw(250, 2000), BASE_MEMORY_MIB + number, 0);
+        let tasks = match kind {
+            WorkKind::Gang => self.draw(2, 5),
+            WorkKind::Service => 1,
+            _ => self.draw(1, 4),
+        };
+        let mut body = json!({
+            "customer": if self.draw(0, 2) == 1 { "guild" } else { "board" },
+            "class": if kind == WorkKind::Service { "service" } else { "batch" },
+            "kind": job_kind(kind),
+            "tasks": tasks,
+            "size": size,
+            "repeatable": kind != WorkKind::BatchOnce,
+            "idempotency_key": format!("job-{}", self.next_id()),
+        });
+        if kind != WorkKind::Service {
+            body["run_ms"] = self.draw(50, 500).into();
+        }
+        LoadJob {
+            kind,
+            tasks,
+            size,
+            body,
+        }
+    }
+
+    async fn submit(&self, job: &LoadJob) -> Submission {
+        let (_, address) = self.entry();
+        let id: Arc<str> = self.next_id().into();
+        let history = &self.settings.history;
+        history.write(HistoryEvent::JobSent {
+            id: Arc::clone(&id),
+            kind: job_kind(job.kind),
+            tasks: job.tasks,
+            size: job.size,
+            repeatable: job.kind != WorkKind::BatchOnce,
+        });
+        let answer = self
+            .http
+            .post_json(address, "/v1/jobs", &job.body, SUBMIT_LIMIT)
+            .await;
+        let (ran, code) = match answer {
+            Ok(answer) if answer.status.is_success() => match accepted_id(answer.json().ok()) {
+                Some(job) => {
+                    let name = job.clone();
+                    history.write(HistoryEvent::JobAccepted { id, job: name });
+                    return Submission::Accepted(job);
+                }
+                None => (Ran::Unknown, None),
+            },
+            Ok(answer) => match answer.json::<ErrorBody>() {
+                Ok(body) => (body.ran, Some(body.code)),
+                Err(_) => (Ran::Unknown, None),
+            },
+            Err(error) if error.is_not_sent() => (Ran::No, None),
+            Err(_) => (Ran::Unknown, None),
+        };
+        history.write(HistoryEvent::JobNotAccepted { id, ran, code });
+        match ran {
+            Ran::Unknown => Submission::Unknown,
+            Ran::No | Ran::Yes => Submission::Refused,
+        }
+    }
+
+    async fn hold_service(&self, job: &JobId) {
+        while !self.is_over.load(Ordering::SeqCst) {
+            tokio::time::sleep(CALL_PAUSE).await;
+        }
+        for _ in 0..MAX_SUBMISSIONS {
+            let (_, address) = self.entry();
+            let path = format!("/v1/jobs/{job}/cancel");
+            let answer = self
+                .http
+                .post_json(address, &path, &json!({}), WAIT_LIMIT)
+                .await;
+            if answer.is_ok_and(|answer| answer.status.is_success()) {
+                return;
+            }
+            tokio::time::sleep(CALL_PAUSE).await;
+        }
+    }
+
+    /// Waits for the end of a job, until the load has settled.
+    async fn follow(&self, job: &JobId) {
+        let mut deadline = None;
+        loop {
+            if self.is_over.load(Ordering::SeqCst) {
+                let last = *deadline.get_or_insert(Instant::now() + self.settings.settle);
+                if Instant::now() > last {
+                    return;
+                }
+            }
+            if let Some(state) = self.wait(job).await {
+                let job = job.clone();
+                self.settings
+                    .history
+                    .write(HistoryEvent::JobFinal { job, state });
+                return;
+            }
+        }
+    }
+
+    async fn wait(&self, job: &JobId) -> Option<JobState> {
+        let (_, address) = self.entry();
+        let path = format!("/v1/jobs/{job}/wait?timeout_ms={WAIT_MS}");
+        let answer = self.http.get(address, &path, WAIT_LIMIT).await.ok();
+        let answer = answer.filter(|answer| answer.status.is_success());
+        let state = answer
+            .and_then(|answer| answer.json::<Value>().ok())
+            .and_then(|view| serde_json::from_value::<JobState>(view["state"].clone()).ok());
+        if state.is_none() {
+            tokio::time::sleep(CALL_PAUSE).await;
+        }
+        state.filter(|state| state.is_final())
+    }
+}
+
+fn job_kind(kind: WorkKind) -> JobKind {
+    match kind {
+        WorkKind::Gang => JobKind::Gang,
+        WorkKind::Service => JobKind::Service,
+        _ => JobKind::Batch,
+    }
+}
+
+fn accepted_id(body: Option<Value>) -> Option<JobId> {
+    JobId::new(body?["job"].as_str()?).ok()
+}
--- /dev/null
+++ b/crates/magnolia-lab/src/load/mod.rs
@@ -0,0 +1,12 @@
+//! Load of clients with a seed, and reports from the joined histories.
+
+mod client;
+mod gaps;
+mod jobs;
+mod mix;
+mod report;
+
+pub use client::{LoadClient, LoadSettings};
+pub use gaps::{PlacementGap, placement_gap};
+pub use mix::{LoadMix, WorkKind};
+pub use report::{ClassReport, RunReport};
--- /dev/null
+++ b/crates/magnolia-lab/src/load/report.rs
@@ -0,0 +1,234 @@
+//! A readable report of a run, from the joined histories.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::sync::Arc;
+
+use hdrhistogram::Histogram;
+use magnolia_types::{JobKind, JobState, Ran, ResourceVector};
+
+use crate::history::{History, HistoryEvent, QuickResult};
+
+/// Longest time that a histogram tells apart, in microseconds.
+const MAX_WAIT_US: u64 = 600_000_000;
+/// Significant digits of a histogram.
+const DIGITS: u8 = 3;
+
+/// Counts and waiting times of one class of work.
+#[derive(Clone)]
+pub struct ClassReport {
+    /// Calls or jobs.
+    pub sent: u64,
+    /// Answers, or jobs that ended well or were cancelled.
+    pub done: u64,
+    /// Refusals that say the work did not run.
+    pub refused: u64,
+    /// Work whose outcome is not known.
+    pub unknown: u64,
+    /// Calls without an answer.
+    pub lost: u64,
+    /// Failures of the work.
+    pub failed: u64,
+    /// Waiting times in microseconds: until the answer, or until the first task of a job starts.
+    pub waits: Histogram<u64>,
+    /// Refusals by code.
+    pub codes: BTreeMap<String, u64>,
+}
+
+impl ClassReport {
+    fn new() -> Self {
+        Self {
+            sent: 0,
+            done: 0,
+            refused: 0,
+            unknown: 0,
+            lost: 0,
+            failed: 0,
+            waits: Histogram::new_with_max(MAX_WAIT_US, DIGITS)
+                .expect("the bounds of the histogram are valid"),
+            codes: BTreeMap::new(),
+        }
+    }
+
+    fn wait(&mut self, micros: u64) {
+        self.waits.saturating_record(micros);
+    }
+
+    fn refuse(&mut self, ran: Ran, code: String) {
+        match ran {
+            Ran::No => self.refused += 1,
+            Ran::Unknown => self.unknown += 1,
+            Ran::Yes => self.failed += 1,
+        }
+        *self.codes.entry(code).or_default() += 1;
+    }
+}
+
+/// Counts and waiting times by class.
+pub struct RunReport {
+    /// The classes by name.
+    pub classes: BTreeMap<&'static str, ClassReport>,
+    /// Tasks started.
+    pub starts: u64,
+    /// Starts refused by workers.
+    pub refused_starts: BTreeMap<String, u64>,
+    /// Requests refused by executors.
+    pub refused_requests: BTreeMap<String, u64>,
+}
+
+impl RunReport {
+    /// Makes the report of a history.
+    pub fn new(history: &History) -> Self {
+        let mut report = Self {
+            classes: BTreeMap::new(),
+            starts: 0,
+            refused_starts: BTreeMap::new(),
+            refused_requests: BTreeMap::new(),
+        };
+        report.add_requests(history);
+        report.add_jobs(history);
+        report.add_backends(history);
+        report
+    }
+
+    fn class(&mut self, name: &'static str) -> &mut ClassReport {
+        self.classes.entry(name).or_insert_with(ClassReport::new)
+    }
+
+    fn add_requests(&mut self, history: &History) {
+        let mut sent: HashMap<&Arc<str>, (u64, &'static str)> = HashMap::new();
+        for (at_us, event) in history.iter() {
+            match event {
+                HistoryEvent::QuickSent { id, repeatable, .. } => {
+                    let name = if *repeatable { "quick" } else { "once" };
+                    sent.insert(id, (at_us, name));
+                    self.class(name).sent += 1;
+                }
+                HistoryEvent::QuickDone { id, result } => {
+                    let Some((sent_us, name)) = sent.remove(id) else {
+                        continue;
+                    };
+                    let class = self.class(name);
+                    match result {
+                        QuickResult::Answered(_) => {
+                            class.done += 1;
+                            class.wait(at_us - sent_us);
+                        }
+                        QuickResult::Refused { code, ran } => class.refuse(*ran, code.to_string()),
+                        QuickResult::Lost { sent: true } => class.lost += 1,
+                        QuickResult::Lost { .. } => class.refuse(Ran::No, "not connected".into()),
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn add_jobs(&mut self, history: &History) {
+        let mut calls: HashMap<&Arc<str>, (&'static str, ResourceVector)> = HashMap::new();
+        let mut jobs = HashMap::new();
+        let mut waiting: HashMap<ResourceVector, (u64, &'static str)> = HashMap::new();
+        for (at_us, event) in history.iter() {
+            match event {
+                HistoryEvent::JobSent { id, kind, size, .. } => {
+                    let name = kind_name(*kind);
+                    calls.insert(id, (name, *size));
+                    waiting.entry(*size).or_insert((at_us, name));
+                    self.class(name).sent += 1;
+                }
+                HistoryEvent::JobAccepted { id, job } => {
+                    jobs.insert(job, calls.get(id).map_or("batch", |(name, _)| name));
+                }
+                HistoryEvent::JobNotAccepted { id, ran, code } => {
+                    let name = calls.get(id).map_or("batch", |(name, _)| name);
+                    let code = code.map_or_else(|| "no answer".into(), |code| code.to_string());
+                    self.class(name).refuse(*ran, code);
+                }
+                HistoryEvent::JobFinal { job, state } => {
+                    let class = self.class(jobs.get(job).copied().unwrap_or("batch"));
+                    match state {
+                        JobState::Done | JobState::Cancelled => class.done += 1,
+                        JobState::Unknown => class.unknown += 1,
+                        _ => class.failed += 1,
+                    }
+                }
+                HistoryEvent::AttemptStarted { size, .. } => {
+                    if let Some((sent_us, name)) = waiting.remove(size) {
+                        self.class(name).wait(at_us - sent_us);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn add_backends(&mut self, history: &History) {
+        for (_, event) in history.iter() {
+            match event {
+                HistoryEvent::AttemptStarted { .. } => self.starts += 1,
+                HistoryEvent::StartRefused { reason, .. } => {
+                    *self.refused_starts.entry(reason.to_string()).or_default() += 1;
+                }
+                HistoryEvent::RequestRefused { reason, .. } => {
+                    *self.refused_requests.entry(reason.to_string()).or_default() += 1;
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn kind_name(kind: JobKind) -> &'static str {
+    match kind {
+        JobKind::Service => "service",
+        JobKind::Batch => "batch",
+        JobKind::Gang => "gang",
+    }
+}
+
+impl fmt::Display for RunReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let heads = [
+            "class", "sent", "done", "refused", "unknown", "lost", "failed",
+        ];
+        write!(f, "{:8}", heads[0])?;
+        heads[1..]
+            .iter()
+            .try_for_each(|head| write!(f, "{head:>9}"))?;
+        writeln!(f, "{:>12}{:>12}{:>12}", "wait p50 ms", "p99 ms", "max ms")?;
+        for (name, class) in &self.classes {
+            let counts = [
+                class.sent,
+                class.done,
+                class.refused,
+                class.unknown,
+                class.lost,
+                class.failed,
+            ];
+            write!(f, "{name:8}")?;
+            counts
+                .iter()
+                .try_for_each(|count| write!(f, "{count:>9}"))?;
+            let waits = &class.waits;
+            let times = [
+                waits.value_at_quantile(0.5),
+                waits.value_at_quantile(0.99),
+                waits.max(),
+            ];
+            let times = times.map(|micros| format!("{}.{}", micros / 1000, micros % 1000 / 100));
+            times.iter().try_for_each(|time| write!(f, "{time:>12}"))?;
+            writeln!(f)?;
+            for (code, count) in &class.codes {
+                writeln!(f, "    {count} x {code}")?;
+            }
+        }
+        writeln!(f, "tasks started: {}", self.starts)?;
+        for (reason, count) in &self.refused_starts {
+            writeln!(f, "    {count} starts refused by workers: {reason}")?;
+        }
+        for (reason, count) in &self.refused_requests {
+            writeln!(f, "    {count} requests refused by executors: {reason}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/magnolia-lab/src/proxy/mod.rs
@@ -0,0 +1,133 @@
+//! Fault-injecting TCP proxy for loopback.
+
+mod control;
+mod faults;
+mod pipe;
+
+pub use control::run_proxy;
+pub use faults::ProxyFaults;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::history::{HistoryEvent, HistoryWriter, monotonic_us};
+
+/// Pause after a failed accept or bind.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// A running proxy; it ends when dropped.
+pub struct TcpProxy {
+    name: Arc<str>,
+    faults: watch::Sender<ProxyFaults>,
+    history: HistoryWriter,
+    task: JoinHandle<()>,
+}
+
+impl TcpProxy {
+    /// Starts a proxy from `listen` to `target`; the name is that of the party in the history.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be used.
+    pub async fn start(
+        name: &str,
+        listen: SocketAddr,
+        target: SocketAddr,
+        history: HistoryWriter,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let faults = watch::Sender::new(ProxyFaults::default());
+        let task = tokio::spawn(accept(listener, listen, target, faults.subscribe()));
+        Ok(Self {
+            name: name.into(),
+            faults,
+            history,
+            task,
+        })
+    }
+
+    /// Returns the faults in force.
+    pub fn faults(&self) -> ProxyFaults {
+        self.faults.borrow().clone()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: ProxyFaults) {
+        let party = Arc::clone(&self.name);
+        self.history.write(if faults == ProxyFaults::default() {
+            HistoryEvent::FaultCleared { party }
+        } else {
+            let fault = serde_json::to_string(&faults).unwrap_or_default().into();
+            HistoryEvent::FaultSet { party, fault }
+        });
+        self.faults.send_replace(faults);
+    }
+
+    /// Makes the connections that are open now silent, while new ones work.
+    pub fn black_hole_open_connections(&self) {
+        let mut faults = self.faults();
+        faults.silent_before_us = monotonic_us();
+        self.set_faults(faults);
+    }
+}
+
+impl Drop for TcpProxy {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    address: SocketAddr,
+    target: SocketAddr,
+    mut faults: watch::Receiver<ProxyFaults>,
+) {
+    let mut listener = Some(listener);
+    loop {
+        let refuses = faults.borrow_and_update().refuse;
+        let Some(open) = listener.as_ref().filter(|_| !refuses) else {
+            // Only a closed listener makes the kernel refuse connections.
+            listener = None;
+            if refuses {
+                if faults.changed().await.is_err() {
+                    return;
+                }
+            } else {
+                listener = TcpListener::bind(address).await.ok();
+                if listener.is_none() {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+            continue;
+        };
+        let accepted = tokio::select! {
+            accepted = open.accept() => accepted,
+            changed = faults.changed() => match changed {
+                Ok(()) => continue,
+                Err(_) => return,
+            },
+        };
+        match accepted {
+            Ok((client, _)) => {
+                tokio::spawn(connect(client, target, faults.clone()));
+            }
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+async fn connect(client: TcpStream, target: SocketAddr, faults: watch::Receiver<ProxyFaults>) {
+    let opened_us = monotonic_us();
+    if faults.borrow().cut {
+        return;
+    }
+    if let Ok(server) = TcpStream::connect(target).await {
+        pipe::join(client, server, opened_us, faults).await;
+    }
+}
--- a/crates/magnolia-lab/src/standin/executor_server.rs
+++ b/crates/magnolia-lab/src/standin/executor_server.rs
@@ -1,49 +1,87 @@
 //! Stand-ins of executors, one address each; the answer is the body behind a fixed prefix.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use futures_util::future::{BoxFuture, try_join_all};
 use http::HeaderValue;
 use http_body_util::Full;
 use magnolia_config::ConfigDocument;
-use magnolia_http::{
-    HttpHandler, HttpRequest, HttpResponse, error_response, json_response, read_body,
-};
+use magnolia_http::{HttpResponse, error_response, json_response};
 use magnolia_platform::{ExecutorStatus, HEADER_NOT_RUN, HEADER_REQUEST_ID};
-use magnolia_types::{ExecutorId, ResultCode};
+use magnolia_types::{ExecutorId, ResultCode, wire_types};
+
+use super::{
+    FaultCell, StandinError, StandinHandler, StandinOptions, StandinReply, StandinRequest,
+    serve_forever,
+};
+use crate::history::{HistoryEvent, HistoryWriter, monotonic_us};
 
-use super::{StandinError, serve_forever};
+/// Time that a request takes, unless a fault sets another.
+const SERVICE_TIME_MS: u64 = 2;
+/// Time between two looks of a hanging request at its fault.
+const HANG_POLL: Duration = Duration::from_millis(20);
 
-/// Largest request in bytes.
-const MAX_REQUEST_BYTES: usize = 1 << 20;
-/// Time that a request takes.
-const SERVICE_TIME: Duration = Duration::from_millis(2);
+wire_types! {
+    /// Faults of an executor.
+    #[serde(deny_unknown_fields, default)]
+    #[derive(Default)]
+    pub struct ExecutorFaults {
+        /// Time that a request takes, instead of the default.
+        pub service_ms: Option<u64>,
+        /// Percentage of requests that run and fail.
+        pub fail_percent: u8,
+        /// Percentage of requests that run without an answer.
+        pub lose_answers_percent: u8,
+        /// Whether requests hold their slot until the fault is cleared.
+        pub hang: bool,
+        /// Whether no request of any kind is answered or run.
+        pub unreachable: bool,
+        /// Whether the executor is leaving.
+        pub leaving: bool,
+        /// Connections opened before this monotonic time are silent; 0 for none.
+        pub silent_before_us: u64,
+        /// Broken variant: takes requests and connections beyond its limits.
+        pub ignore_limits: bool,
+    }
+}
 
 struct ExecutorServer {
     executor: ExecutorId,
     slots: u32,
     max_connections: u32,
     busy: AtomicU32,
+    open: AtomicU32,
+    runs: AtomicU64,
+    faults: FaultCell<ExecutorFaults>,
+    history: HistoryWriter,
 }
 
 impl ExecutorServer {
-    async fn answer(&self, request: HttpRequest) -> HttpResponse {
-        let (parts, body) = request.into_parts();
-        let Ok(body) = read_body(body, MAX_REQUEST_BYTES).await else {
-            return error_response(ResultCode::BadRequest, "the body could not be read");
-        };
-        match (parts.method.as_str(), parts.uri.path()) {
-            ("GET", "/v1/status") => json_response(200, &self.status()),
-            ("POST", "/v1/execute") => {
-                let mut response = self.execute(&String::from_utf8_lossy(&body)).await;
-                if let Some(id) = parts.headers.get(HEADER_REQUEST_ID) {
-                    response.headers_mut().insert(HEADER_REQUEST_ID, id.clone());
-                }
-                response
-            }
-            _ => error_response(ResultCode::NotFound, "no such path"),
+    async fn answer(&self, request: StandinRequest) -> StandinReply {
+        if request.path == "/faults" {
+            let was_leaving = self.faults.get().leaving;
+            let response = self.faults.answer(&request);
+            self.note_leaving(was_leaving);
+            return response.into();
+        }
+        if self.faults.get().unreachable {
+            return StandinReply::Hold;
+        }
+        match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/v1/status") => json_response(200, &self.status()).into(),
+            ("POST", "/v1/execute") => self.execute(&request).await,
+            _ => error_response(ResultCode::NotFound, "no such path").into(),
+        }
+    }
+
+    fn note_leaving(&self, was_leaving: bool) {
+        let leaving = self.faults.get().leaving;
+        if leaving != was_leaving {
+            let endpoint = self.executor.as_str().into();
+            self.history
+                .write(HistoryEvent::Leaving { endpoint, leaving });
         }
     }
 
@@ -53,31 +91,91 @@
             slots: self.slots,
             busy: self.busy.load(Ordering::SeqCst),
             max_connections: self.max_connections,
-            connections: 0,
-            leaving: false,
+            connections: self.open.load(Ordering::SeqCst),
+            leaving: self.faults.get().leaving,
         }
     }
 
-    async fn execute(&self, body: &str) -> HttpResponse {
+    async fn execute(&self, request: &StandinRequest) -> StandinReply {
+        let faults = self.faults.get();
         let busy = self.busy.fetch_add(1, Ordering::SeqCst) + 1;
-        let response = if busy > self.slots {
-            let mut response = error_response(ResultCode::NoBackend, "no free slot");
-            response
-                .headers_mut()
-                .insert(HEADER_NOT_RUN, HeaderValue::from_static("1"));
-            response
+        let reply = if faults.leaving {
+            self.refuse("leaving").into()
+        } else if busy > self.slots && !faults.ignore_limits {
+            self.refuse("no free slot").into()
         } else {
-            tokio::time::sleep(SERVICE_TIME).await;
-            HttpResponse::new(Full::from(format!("answer to {body}")))
+            self.run(&String::from_utf8_lossy(&request.body), &faults)
+                .await
         };
         self.busy.fetch_sub(1, Ordering::SeqCst);
+        let StandinReply::Answer(mut response) = reply else {
+            return reply;
+        };
+        if let Some(id) = request.headers.get(HEADER_REQUEST_ID) {
+            response.headers_mut().insert(HEADER_REQUEST_ID, id.clone());
+        }
+        StandinReply::Answer(response)
+    }
+
+    fn refuse(&self, reason: &str) -> HttpResponse {
+        self.history.write(HistoryEvent::RequestRefused {
+            executor: self.executor.clone(),
+            reason: reason.into(),
+        });
+        let mut response = error_response(ResultCode::NoBackend, reason);
+        response
+            .headers_mut()
+            .insert(HEADER_NOT_RUN, HeaderValue::from_static("1"));
         response
     }
+
+    async fn run(&self, body: &str, faults: &ExecutorFaults) -> StandinReply {
+        let run = self.runs.fetch_add(1, Ordering::SeqCst);
+        self.history.write(HistoryEvent::RequestStarted {
+            executor: self.executor.clone(),
+            run,
+            body: body.into(),
+        });
+        while self.faults.get().hang {
+            tokio::time::sleep(HANG_POLL).await;
+        }
+        let service = Duration::from_millis(faults.service_ms.unwrap_or(SERVICE_TIME_MS));
+        tokio::time::sleep(service).await;
+        self.history.write(HistoryEvent::RequestEnded {
+            executor: self.executor.clone(),
+            run,
+        });
+        if self.faults.hits(faults.lose_answers_percent) {
+            StandinReply::Drop
+        } else if self.faults.hits(faults.fail_percent) {
+            error_response(ResultCode::WorkFailed, "the request failed").into()
+        } else {
+            HttpResponse::new(Full::from(format!("answer to {body}"))).into()
+        }
+    }
 }
 
-impl HttpHandler for ExecutorServer {
-    fn handle(self: Arc<Self>, request: HttpRequest) -> BoxFuture<'static, HttpResponse> {
-        Box::pin(async move { self.answer(request).await })
+impl StandinHandler for ExecutorServer {
+    fn handle(self: Arc<Self>, request: StandinRequest) -> BoxFuture<'static, StandinReply> {
+        // A started request runs to its end even when the caller closes its connection.
+        let running = tokio::spawn(async move { self.answer(request).await });
+        Box::pin(async move { running.await.unwrap_or(StandinReply::Drop) })
+    }
+
+    fn connections(&self, open: u32) -> bool {
+        self.open.store(open, Ordering::SeqCst);
+        let is_allowed = open <= self.max_connections || self.faults.get().ignore_limits;
+        if is_allowed {
+            self.history.write(HistoryEvent::Connections {
+                executor: self.executor.clone(),
+                open,
+            });
+        }
+        is_allowed
+    }
+
+    fn is_silent(&self, opened_us: u64) -> bool {
+        opened_us < self.faults.get().silent_before_us.min(monotonic_us())
     }
 }
 
@@ -85,19 +183,32 @@
 ///
 /// # Errors
 ///
-/// Fails when an address cannot be used.
-pub async fn run_executors(document: &ConfigDocument) -> Result<(), StandinError> {
-    let servers = document.executor_blocks.iter().flat_map(|block| {
-        block.executors.iter().map(|executor| {
+/// Fails when an address cannot be used or a fault is malformed.
+pub async fn run_executors(
+    document: &ConfigDocument,
+    options: &StandinOptions,
+) -> Result<(), StandinError> {
+    let mut servers = Vec::new();
+    for block in &document.executor_blocks {
+        for executor in &block.executors {
+            options.history.write(HistoryEvent::ExecutorUp {
+                executor: executor.name.clone(),
+                slots: block.slots,
+                connections: block.connections,
+            });
             let server = ExecutorServer {
                 executor: executor.name.clone(),
                 slots: block.slots,
                 max_connections: block.connections,
                 busy: AtomicU32::new(0),
+                open: AtomicU32::new(0),
+                runs: AtomicU64::new(0),
+                faults: FaultCell::new(executor.name.as_str(), options)?,
+                history: options.history.clone(),
             };
-            serve_forever(executor.address, Arc::new(server))
-        })
-    });
+            servers.push(serve_forever(executor.address, Arc::new(server)));
+        }
+    }
     try_join_all(servers).await?;
     Ok(())
 }
--- a/crates/magnolia-lab/src/standin/instance_server.rs
+++ b/crates/magnolia-lab/src/standin/instance_server.rs
@@ -1,57 +1,79 @@
-//! Stand-in of the instance list; `PUT /v1/instances` replaces the list.
+//! Stand-in of the instance list; `PUT /v1/instances` replaces the list after the lag.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use futures_util::future::BoxFuture;
-use magnolia_http::{
-    HttpHandler, HttpRequest, HttpResponse, error_response, json_response, read_body,
-};
+use magnolia_http::{error_response, json_response};
 use magnolia_platform::InstanceEntry;
-use magnolia_types::ResultCode;
+use magnolia_types::{ResultCode, wire_types};
 
-use super::{StandinError, serve_forever};
+use super::{
+    FaultCell, StandinError, StandinHandler, StandinOptions, StandinReply, StandinRequest,
+    serve_forever,
+};
 
-/// Largest list in bytes.
-const MAX_LIST_BYTES: usize = 4 << 20;
+wire_types! {
+    /// Faults of the instance list.
+    #[serde(deny_unknown_fields, default)]
+    #[derive(Default)]
+    pub struct InstanceFaults {
+        /// Time until a change is visible.
+        pub lag_ms: u64,
+        /// Whether no call is answered.
+        pub hang: bool,
+    }
+}
 
-#[derive(Default)]
 struct InstanceServer {
-    entries: Mutex<Vec<InstanceEntry>>,
+    /// Lists and when each becomes visible, oldest first.
+    lists: Mutex<VecDeque<(Instant, Vec<InstanceEntry>)>>,
+    faults: FaultCell<InstanceFaults>,
 }
 
 impl InstanceServer {
-    async fn answer(&self, request: HttpRequest) -> HttpResponse {
-        let (parts, body) = request.into_parts();
-        match (parts.method.as_str(), parts.uri.path()) {
-            ("GET", "/v1/instances") => {
-                let entries = self
-                    .entries
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .clone();
-                json_response(200, &entries)
-            }
-            ("PUT", "/v1/instances") => {
-                let Ok(body) = read_body(body, MAX_LIST_BYTES).await else {
-                    return error_response(ResultCode::BadRequest, "the body could not be read");
-                };
-                match serde_json::from_slice(&body) {
-                    Ok(entries) => {
-                        *self.entries.lock().unwrap_or_else(PoisonError::into_inner) = entries;
-                        json_response(200, &serde_json::json!({}))
-                    }
-                    Err(error) => error_response(ResultCode::BadRequest, &error.to_string()),
+    fn visible(&self) -> Vec<InstanceEntry> {
+        let mut lists = self.lists.lock().unwrap_or_else(PoisonError::into_inner);
+        while lists
+            .get(1)
+            .is_some_and(|(visible, _)| *visible <= Instant::now())
+        {
+            lists.pop_front();
+        }
+        lists
+            .front()
+            .map(|(_, list)| list.clone())
+            .unwrap_or_default()
+    }
+
+    fn replace(&self, entries: Vec<InstanceEntry>) {
+        let visible = Instant::now() + Duration::from_millis(self.faults.get().lag_ms);
+        let mut lists = self.lists.lock().unwrap_or_else(PoisonError::into_inner);
+        lists.push_back((visible, entries));
+    }
+
+    fn answer(&self, request: &StandinRequest) -> StandinReply {
+        match (request.method.as_str(), request.path.as_str()) {
+            (_, "/faults") => self.faults.answer(request).into(),
+            (_, _) if self.faults.get().hang => StandinReply::Hold,
+            ("GET", "/v1/instances") => json_response(200, &self.visible()).into(),
+            ("PUT", "/v1/instances") => match serde_json::from_slice(&request.body) {
+                Ok(entries) => {
+                    self.replace(entries);
+                    json_response(200, &serde_json::json!({})).into()
                 }
-            }
-            _ => error_response(ResultCode::NotFound, "no such path"),
+                Err(error) => error_response(ResultCode::BadRequest, &error.to_string()).into(),
+            },
+            _ => error_response(ResultCode::NotFound, "no such path").into(),
         }
     }
 }
 
-impl HttpHandler for InstanceServer {
-    fn handle(self: Arc<Self>, request: HttpRequest) -> BoxFuture<'static, HttpResponse> {
-        Box::pin(async move { self.answer(request).await })
+impl StandinHandler for InstanceServer {
+    fn handle(self: Arc<Self>, request: StandinRequest) -> BoxFuture<'static, StandinReply> {
+        Box::pin(async move { self.answer(&request) })
     }
 }
 
@@ -59,7 +81,14 @@
 ///
 /// # Errors
 ///
-/// Fails when the address cannot be used.
-pub async fn run_instances(address: SocketAddr) -> Result<(), StandinError> {
-    serve_forever(address, Arc::new(InstanceServer::default())).await
+/// Fails when the address cannot be used or a fault is malformed.
+pub async fn run_instances(
+    address: SocketAddr,
+    options: &StandinOptions,
+) -> Result<(), StandinError> {
+    let server = InstanceServer {
+        lists: Mutex::new(VecDeque::from([(Instant::now(), Vec::new())])),
+        faults: FaultCell::new("instances", options)?,
+    };
+    serve_forever(address, Arc::new(server)).await
 }
--- a/crates/magnolia-lab/src/standin/log_server.rs
+++ b/crates/magnolia-lab/src/standin/log_server.rs
@@ -1,55 +1,131 @@
 //! Stand-in of the log service.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use base64::prelude::{BASE64_STANDARD, Engine};
 use futures_util::future::BoxFuture;
-use magnolia_http::{
-    HttpHandler, HttpRequest, HttpResponse, error_response, json_response, read_body,
-};
+use magnolia_http::{HttpResponse, error_response, json_response};
 use magnolia_platform::{AppendAnswer, AppendBody, ReadAnswer, RecordBody};
-use magnolia_types::{LogOffset, ResultCode};
+use magnolia_types::{LogOffset, ResultCode, value_types, wire_types};
 use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use super::{
+    FaultCell, StandinError, StandinHandler, StandinOptions, StandinReply, StandinRequest,
+    query_value, serve_forever,
+};
+use crate::history::{HistoryEvent, HistoryWriter};
 
-use super::{StandinError, query_value, serve_forever};
+/// Appends a second of all clients together, unless a fault sets another rate.
+const APPENDS_PER_SECOND: u32 = 300;
+/// Longest wait for a turn before an append is refused.
+const MAX_TURN_WAIT: Duration = Duration::from_secs(1);
+/// Records of a read that names no limit.
+const DEFAULT_READ_RECORDS: u64 = 100;
+
+value_types! {
+    /// How the log is unavailable.
+    #[serde(rename_all = "snake_case")]
+    #[derive(Default)]
+    pub enum LogOutage {
+        /// It is available.
+        #[default]
+        None,
+        /// Each call is refused with status 503.
+        Refuse,
+        /// No call is answered or takes effect.
+        Hang,
+    }
+}
 
-/// Largest record in bytes of base64.
-const MAX_RECORD_BYTES: usize = 8 << 20;
+wire_types! {
+    /// Faults of the log.
+    #[serde(deny_unknown_fields, default)]
+    #[derive(Default)]
+    pub struct LogFaults {
+        /// Appends a second, instead of the default.
+        pub appends_per_second: Option<u32>,
+        /// Records older than this are trimmed; offsets stay.
+        pub retention_ms: Option<u64>,
+        /// Outage.
+        pub outage: LogOutage,
+        /// Time before an append takes effect.
+        pub append_delay_ms: u64,
+        /// Percentage of appends that take effect without an answer.
+        pub lose_answers_percent: u8,
+        /// Percentage of appends before which a foreign or torn record is stored.
+        pub foreign_percent: u8,
+    }
+}
 
-/// Streams in memory.
 #[derive(Default)]
+struct LogStream {
+    first: u64,
+    records: VecDeque<(Instant, String)>,
+}
+
+impl LogStream {
+    fn next(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn trim(&mut self, retention: Duration) {
+        while self
+            .records
+            .front()
+            .is_some_and(|(stored, _)| stored.elapsed() > retention)
+        {
+            self.records.pop_front();
+            self.first += 1;
+        }
+    }
+}
+
 struct LogServer {
-    streams: Mutex<HashMap<String, Vec<String>>>,
+    streams: Mutex<HashMap<String, LogStream>>,
     appended: Notify,
+    next_turn: Mutex<Instant>,
+    faults: FaultCell<LogFaults>,
+    history: HistoryWriter,
 }
 
 impl LogServer {
-    fn append(&self, stream: &str, data: String) -> LogOffset {
+    fn store(&self, stream: &str, data: String, answered: bool) -> u64 {
         let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
         let records = streams.entry(stream.to_owned()).or_default();
-        records.push(data);
-        let offset = LogOffset::new(records.len() as u64 - 1);
+        let offset = records.next();
+        records.records.push_back((Instant::now(), data));
         drop(streams);
+        self.history.write(HistoryEvent::LogAppended {
+            stream: stream.into(),
+            offset,
+            answered,
+        });
         self.appended.notify_waiters();
         offset
     }
 
     fn read(&self, stream: &str, from: u64, max: usize) -> ReadAnswer {
-        let streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
-        let records = streams.get(stream).map(Vec::as_slice).unwrap_or_default();
-        let found = (0..)
-            .zip(records)
-            .skip(usize::try_from(from).unwrap_or(usize::MAX))
+        let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
+        let stream = streams.entry(stream.to_owned()).or_default();
+        if let Some(retention) = self.faults.get().retention_ms {
+            stream.trim(Duration::from_millis(retention));
+        }
+        let skipped = usize::try_from(from.saturating_sub(stream.first)).unwrap_or(usize::MAX);
+        let found = (stream.first..)
+            .zip(&stream.records)
+            .skip(skipped)
             .take(max);
-        let found = found.map(|(offset, data)| RecordBody {
+        let found = found.map(|(offset, (_, data))| RecordBody {
             offset: LogOffset::new(offset),
             data: data.clone(),
         });
         ReadAnswer {
-            first: LogOffset::new(0),
-            next: LogOffset::new(records.len() as u64),
+            first: LogOffset::new(stream.first),
+            next: LogOffset::new(stream.next()),
             records: found.collect(),
         }
     }
@@ -57,9 +133,9 @@
     async fn read_waiting(&self, stream: &str, query: Option<&str>) -> ReadAnswer {
         let number = |name| query_value(query, name).and_then(|text| text.parse::<u64>().ok());
         let from = number("from").unwrap_or(0);
-        let max = usize::try_from(number("max").unwrap_or(100)).unwrap_or(100);
-        let deadline =
-            tokio::time::Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
+        let max = number("max").unwrap_or(DEFAULT_READ_RECORDS);
+        let max = usize::try_from(max).unwrap_or(usize::MAX);
+        let deadline = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
         loop {
             let appended = self.appended.notified();
             tokio::pin!(appended);
@@ -73,32 +149,99 @@
         }
     }
 
-    async fn answer(&self, request: HttpRequest) -> HttpResponse {
-        let (parts, body) = request.into_parts();
-        let segments: Vec<&str> = parts.uri.path().trim_matches('/').split('/').collect();
-        match (parts.method.as_str(), segments.as_slice()) {
+    /// Waits until the append rate has room; `false` when that takes too long.
+    async fn take_turn(&self, per_second: u32) -> bool {
+        let now = Instant::now();
+        let turn = {
+            let mut next = self
+                .next_turn
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            let turn = (*next).max(now);
+            if turn - now > MAX_TURN_WAIT {
+                return false;
+            }
+            *next = turn + Duration::from_secs(1) / per_second.max(1);
+            turn
+        };
+        tokio::time::sleep_until(turn).await;
+        true
+    }
+
+    async fn append(&self, stream: &str, body: &[u8]) -> StandinReply {
+        let data = match serde_json::from_slice::<AppendBody>(body) {
+            Ok(body) => body.data,
+            Err(error) => return error_response(ResultCode::BadRequest, &error.to_string()).into(),
+        };
+        let faults = self.faults.get();
+        let per_second = faults.appends_per_second.unwrap_or(APPENDS_PER_SECOND);
+        if !self.take_turn(per_second).await {
+            return refusal("too many appends").into();
+        }
+        tokio::time::sleep(Duration::from_millis(faults.append_delay_ms)).await;
+        // An outage that began during the wait holds for this append too.
+        if let Some(reply) = self.outage() {
+            return reply;
+        }
+        if self.faults.hits(faults.foreign_percent) {
+            self.store(stream, foreign_record(&data), false);
+        }
+        let is_lost = self.faults.hits(faults.lose_answers_percent);
+        let offset = LogOffset::new(self.store(stream, data, !is_lost));
+        if is_lost {
+            StandinReply::Drop
+        } else {
+            json_response(200, &AppendAnswer { offset }).into()
+        }
+    }
+
+    fn outage(&self) -> Option<StandinReply> {
+        match self.faults.get().outage {
+            LogOutage::None => None,
+            LogOutage::Refuse => Some(refusal("the log is unavailable").into()),
+            LogOutage::Hang => Some(StandinReply::Hold),
+        }
+    }
+
+    async fn answer(&self, request: StandinRequest) -> StandinReply {
+        if request.path == "/faults" {
+            return self.faults.answer(&request).into();
+        }
+        if let Some(reply) = self.outage() {
+            return reply;
+        }
+        let segments: Vec<&str> = request.path.trim_matches('/').split('/').collect();
+        match (request.method.as_str(), segments.as_slice()) {
             ("GET", ["v1", "streams", stream, "records"]) => {
-                json_response(200, &self.read_waiting(stream, parts.uri.query()).await)
+                let answer = self.read_waiting(stream, request.query.as_deref()).await;
+                match self.outage() {
+                    Some(reply) => reply,
+                    None => json_response(200, &answer).into(),
+                }
             }
             ("POST", ["v1", "streams", stream, "records"]) => {
-                let Ok(body) = read_body(body, MAX_RECORD_BYTES).await else {
-                    return error_response(ResultCode::BadRequest, "the body could not be read");
-                };
-                match serde_json::from_slice::<AppendBody>(&body) {
-                    Ok(body) => {
-                        let offset = self.append(stream, body.data);
-                        json_response(200, &AppendAnswer { offset })
-                    }
-                    Err(error) => error_response(ResultCode::BadRequest, &error.to_string()),
-                }
+                self.append(stream, &request.body).await
             }
-            _ => error_response(ResultCode::NotFound, "no such path"),
+            _ => error_response(ResultCode::NotFound, "no such path").into(),
         }
     }
 }
 
-impl HttpHandler for LogServer {
-    fn handle(self: Arc<Self>, request: HttpRequest) -> BoxFuture<'static, HttpResponse> {
+fn refusal(message: &str) -> HttpResponse {
+    error_response(ResultCode::LogUnavailable, message)
+}
+
+/// Makes a torn copy of a record, or bytes of another writer when it cannot be halved.
+fn foreign_record(data: &str) -> String {
+    let bytes = BASE64_STANDARD.decode(data).unwrap_or_default();
+    match bytes.len() / 2 {
+        0 => BASE64_STANDARD.encode(b"foreign"),
+        half => BASE64_STANDARD.encode(&bytes[..half]),
+    }
+}
+
+impl StandinHandler for LogServer {
+    fn handle(self: Arc<Self>, request: StandinRequest) -> BoxFuture<'static, StandinReply> {
         Box::pin(async move { self.answer(request).await })
     }
 }
@@ -107,7 +250,14 @@
 ///
 /// # Errors
 ///
-/// Fails when the address cannot be used.
-pub async fn run_log(address: SocketAddr) -> Result<(), StandinError> {
-    serve_forever(address, Arc::new(LogServer::default())).await
+/// Fails when the address cannot be used or a fault is malformed.
+pub async fn run_log(address: SocketAddr, options: &StandinOptions) -> Result<(), StandinError> {
+    let server = LogServer {
+        streams: Mutex::default(),
+        appended: Notify::new(),
+        next_turn: Mutex::new(Instant::now()),
+        faults: FaultCell::new("log", options)?,
+        history: options.history.clone(),
+    };
+    serve_forever(address, Arc::new(server)).await
 }
--- /dev/null
+++ b/crates/magnolia-lab/src/standin/server.rs
@@ -0,0 +1,141 @@
+//! HTTP server of the stand-ins: counts connections and can drop or hold answers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::HeaderMap;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use magnolia_http::{HttpRequest, HttpResponse, read_body};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::StandinError;
+use crate::history::monotonic_us;
+
+/// Largest body in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+/// Pause after a failed accept, so that a lack of descriptors does not become a busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A request with its whole body.
+pub struct StandinRequest {
+    /// Method.
+    pub method: String,
+    /// Path without the query.
+    pub path: String,
+    /// Query string.
+    pub query: Option<String>,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// What happens to a request.
+pub enum StandinReply {
+    /// An answer.
+    Answer(Box<HttpResponse>),
+    /// The connection is closed without an answer.
+    Drop,
+    /// No answer ever comes; the connection stays open.
+    Hold,
+}
+
+impl From<HttpResponse> for StandinReply {
+    fn from(response: HttpResponse) -> Self {
+        Self::Answer(Box::new(response))
+    }
+}
+
+/// A stand-in behind one address.
+pub trait StandinHandler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(self: Arc<Self>, request: StandinRequest) -> BoxFuture<'static, StandinReply>;
+
+    /// Takes note of the number of open connections; `false` closes the newest one at once.
+    fn connections(&self, _open: u32) -> bool {
+        true
+    }
+
+    /// Tells whether connections opened at this time have gone silent.
+    fn is_silent(&self, _opened_us: u64) -> bool {
+        false
+    }
+}
+
+/// Serves one address until the process ends.
+pub async fn serve_forever(
+    address: SocketAddr,
+    handler: Arc<dyn StandinHandler>,
+) -> Result<(), StandinError> {
+    let listener = TcpListener::bind(address).await?;
+    let open = Arc::new(AtomicU32::new(0));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let (handler, open) = (Arc::clone(&handler), Arc::clone(&open));
+        let count = open.fetch_add(1, Ordering::SeqCst) + 1;
+        let is_allowed = handler.connections(count);
+        tokio::spawn(async move {
+            if is_allowed {
+                serve_connection(stream, Arc::clone(&handler)).await;
+            }
+            let count = open.fetch_sub(1, Ordering::SeqCst) - 1;
+            handler.connections(count);
+        });
+    }
+}
+
+async fn serve_connection(stream: TcpStream, handler: Arc<dyn StandinHandler>) {
+    stream.set_nodelay(true).ok();
+    let opened_us = monotonic_us();
+    let service = service_fn(move |request| {
+        let handler = Arc::clone(&handler);
+        async move { respond(handler, request, opened_us).await }
+    });
+    // A client that breaks its connection is not an event of the stand-in.
+    http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await
+        .ok();
+}
+
+async fn respond(
+    handler: Arc<dyn StandinHandler>,
+    request: HttpRequest,
+    opened_us: u64,
+) -> std::io::Result<HttpResponse> {
+    let (parts, body) = request.into_parts();
+    let body = read_body(body, MAX_BODY_BYTES)
+        .await
+        .map_err(|code| std::io::Error::other(code.name()))?;
+    // The lab itself can always reach a stand-in to change its faults.
+    let is_silent = {
+        let (handler, is_control) = (Arc::clone(&handler), parts.uri.path() == "/faults");
+        move || !is_control && handler.is_silent(opened_us)
+    };
+    if is_silent() {
+        return std::future::pending().await;
+    }
+    let request = StandinRequest {
+        method: parts.method.to_string(),
+        path: parts.uri.path().to_owned(),
+        query: parts.uri.query().map(str::to_owned),
+        headers: parts.headers,
+        body,
+    };
+    match handler.handle(request).await {
+        // Connections may have gone silent while the request was worked on.
+        StandinReply::Answer(_) if is_silent() => std::future::pending().await,
+        StandinReply::Answer(response) => Ok(*response),
+        StandinReply::Drop => Err(std::io::Error::other("the answer is dropped")),
+        StandinReply::Hold => std::future::pending().await,
+    }
+}
--- a/crates/magnolia-lab/src/standin/worker_model.rs
+++ b/crates/magnolia-lab/src/standin/worker_model.rs
@@ -1,13 +1,39 @@
 //! What a worker does with fences, commands and leases; without clock or I/O.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use magnolia_platform::{
     AttemptEnd, AttemptReport, AttemptState, CommandAnswer, CommandBatch, FenceRequest,
     RefusedStart, StartCommand, StartRefusal, WorkerReport,
 };
-use magnolia_types::{AttemptId, Epoch, Incarnation, Millis, ResourceVector, WorkerId};
+use magnolia_types::{
+    AttemptId, CpuMillis, Epoch, Incarnation, MemoryMib, Millis, ResourceVector, TaskRef, WorkerId,
+};
+
+use super::WorkerFaults;
+
+/// Time that a task needs to end by itself after a stop; a shorter grace cuts it off.
+const STOP_TIME: Millis = Millis::new(20);
+/// Time after its start at which a failing task fails.
+const FAIL_TIME: Millis = Millis::new(20);
+/// Time after its start at which the usage of a task is first measured.
+const USAGE_LAG: Millis = Millis::new(500);
+/// Full speed of a task.
+const FULL_PERCENT: u8 = 100;
+
+/// Progress of checkpointed tasks, common to all workers as a shared store would be.
+pub type CheckpointStore = Arc<Mutex<HashMap<TaskRef, Millis>>>;
+
+/// Something that a worker did.
+pub enum WorkerAction {
+    /// An attempt started.
+    Started(Box<StartCommand>, Epoch),
+    /// An attempt ended.
+    Ended(AttemptId, AttemptEnd),
+    /// A start was refused.
+    Refused(AttemptId, StartRefusal),
+}
 
 /// One attempt on the worker.
 struct AttemptEntry {
@@ -15,6 +41,11 @@
     start: StartCommand,
     started: Millis,
     lease_until: Millis,
+    /// Work still to do at `since`, in time at full speed.
+    left: Option<Millis>,
+    since: Millis,
+    percent: u8,
+    stop: Option<(Millis, AttemptEnd)>,
     end: Option<AttemptEnd>,
 }
 
@@ -23,9 +54,11 @@
     worker: WorkerId,
     incarnation: Incarnation,
     capacity: ResourceVector,
-    leaving: bool,
+    faults: WorkerFaults,
     epochs: HashMap<Arc<str>, Epoch>,
     attempts: BTreeMap<AttemptId, AttemptEntry>,
+    checkpoints: CheckpointStore,
+    actions: Vec<(Millis, WorkerAction)>,
 }
 
 impl WorkerModel {
@@ -35,25 +68,54 @@
             worker,
             incarnation,
             capacity,
-            leaving: false,
+            faults: WorkerFaults::default(),
             epochs: HashMap::new(),
             attempts: BTreeMap::new(),
+            checkpoints: CheckpointStore::default(),
+            actions: Vec::new(),
         }
     }
 
-    /// Ends the attempts whose run time or lease is over.
+    /// Sets the store of checkpoints.
+    #[must_use]
+    pub fn with_checkpoints(mut self, checkpoints: CheckpointStore) -> Self {
+        self.checkpoints = checkpoints;
+        self
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&mut self, faults: WorkerFaults) {
+        self.faults = faults;
+    }
+
+    /// Starts the worker again: tasks, fences and unacknowledged ends are lost.
+    pub fn restart(&mut self, now: Millis, incarnation: Incarnation) {
+        self.advance(now);
+        let running: Vec<AttemptId> = self.running().map(|(id, _)| id.clone()).collect();
+        for attempt in running {
+            self.end(&attempt, now, AttemptEnd::Stopped);
+        }
+        self.attempts.clear();
+        self.epochs.clear();
+        self.incarnation = incarnation;
+    }
+
+    /// Takes what the worker did since the last call, with the times.
+    pub fn take_actions(&mut self) -> Vec<(Millis, WorkerAction)> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Ends the attempts whose run time, grace or lease is over.
     pub fn advance(&mut self, now: Millis) {
-        for entry in self
-            .attempts
-            .values_mut()
-            .filter(|entry| entry.end.is_none())
-        {
-            let ran = now.saturating_sub(entry.started);
-            if entry.start.run_ms.is_some_and(|run| ran >= run) {
-                entry.end = Some(AttemptEnd::Succeeded);
-            } else if now >= entry.lease_until {
-                entry.end = Some(AttemptEnd::LeaseExpired);
-            }
+        let due = self
+            .running()
+            .filter_map(|(id, entry)| {
+                let (at, end) = entry.next_end()?;
+                (at <= now).then(|| (id.clone(), at, end))
+            })
+            .collect::<Vec<_>>();
+        for (id, at, end) in due {
+            self.end(&id, at, end);
         }
     }
 
@@ -61,12 +123,7 @@
     pub fn fence(&mut self, now: Millis, request: &FenceRequest) -> CommandAnswer {
         self.advance(now);
         let superseded_by = self.check_epoch(&request.partition, request.epoch);
-        let report = self.report(now, &request.partition, None);
-        CommandAnswer {
-            superseded_by,
-            refused: Vec::new(),
-            report,
-        }
+        self.answer(now, superseded_by, &request.partition, None)
     }
 
     /// Carries a batch out.
@@ -74,39 +131,35 @@
         self.advance(now);
         let superseded_by = self.check_epoch(&batch.partition, batch.epoch);
         if superseded_by.is_some() {
-            let report = self.report(now, &batch.partition, None);
-            return CommandAnswer {
-                superseded_by,
-                refused: Vec::new(),
-                report,
-            };
+            return self.answer(now, superseded_by, &batch.partition, None);
         }
         self.attempts
             .retain(|id, entry| entry.end.is_none() || !batch.acknowledged.contains(id));
+        if batch.renew && batch.incarnation == self.incarnation {
+            let until = batch.reading_ms.saturating_add(batch.lease_ms);
+            self.renew(&batch.partition, until);
+        }
         for stop in &batch.stops {
-            self.end(&stop.attempt, AttemptEnd::Stopped);
+            let at = now.saturating_add(stop.grace_ms.min(STOP_TIME));
+            self.stop(&stop.attempt, at, AttemptEnd::Stopped);
         }
         for attempt in &batch.checkpoints {
-            self.end(attempt, AttemptEnd::Checkpointed);
+            self.save(now, attempt);
+            self.stop(attempt, now, AttemptEnd::Checkpointed);
         }
-        if batch.renew && batch.incarnation == self.incarnation {
-            self.renew(
-                &batch.partition,
-                batch.reading_ms.saturating_add(batch.lease_ms),
-            );
+        for throttle in &batch.throttles {
+            self.throttle(now, &throttle.attempt, throttle.percent);
         }
+        self.advance(now);
         let refused = batch
             .starts
             .iter()
             .filter_map(|start| self.start(now, batch, start));
         let refused = refused.collect();
         let named = (!batch.full_report).then_some(batch);
-        let report = self.report(now, &batch.partition, named);
-        CommandAnswer {
-            superseded_by: None,
-            refused,
-            report,
-        }
+        let mut answer = self.answer(now, None, &batch.partition, named);
+        answer.refused = refused;
+        answer
     }
 
     /// Describes the worker; with a batch, only its starts and the ended attempts.
@@ -130,29 +183,83 @@
             incarnation: self.incarnation,
             clock_ms: now,
             epoch: self.epochs.get(partition).copied().unwrap_or_default(),
-            leaving: self.leaving,
+            leaving: self.faults.leaving,
             capacity: self.capacity,
-            attempts: attempts.map(|(_, entry)| entry.report(now)).collect(),
+            attempts: attempts
+                .map(|(_, entry)| entry.report(now, self.faults.usage_percent))
+                .collect(),
             full: batch.is_none(),
         }
     }
 
+    fn answer(
+        &self,
+        now: Millis,
+        superseded_by: Option<Epoch>,
+        partition: &str,
+        batch: Option<&CommandBatch>,
+    ) -> CommandAnswer {
+        CommandAnswer {
+            superseded_by,
+            refused: Vec::new(),
+            report: self.report(now, partition, batch),
+        }
+    }
+
+    fn running(&self) -> impl Iterator<Item = (&AttemptId, &AttemptEntry)> {
+        self.attempts
+            .iter()
+            .filter(|(_, entry)| entry.end.is_none())
+    }
+
+    fn running_entry(&mut self, attempt: &AttemptId) -> Option<&mut AttemptEntry> {
+        self.attempts
+            .get_mut(attempt)
+            .filter(|entry| entry.end.is_none())
+    }
+
     fn check_epoch(&mut self, partition: &Arc<str>, epoch: Epoch) -> Option<Epoch> {
         let known = self.epochs.entry(Arc::clone(partition)).or_default();
-        if epoch < *known {
+        if epoch < *known && !self.faults.ignore_fences {
             return Some(*known);
         }
-        *known = epoch;
+        *known = (*known).max(epoch);
         None
     }
 
-    fn end(&mut self, attempt: &AttemptId, end: AttemptEnd) {
-        if let Some(entry) = self
-            .attempts
-            .get_mut(attempt)
-            .filter(|entry| entry.end.is_none())
-        {
+    fn end(&mut self, attempt: &AttemptId, at: Millis, end: AttemptEnd) {
+        if let Some(entry) = self.running_entry(attempt) {
             entry.end = Some(end);
+            self.actions
+                .push((at, WorkerAction::Ended(attempt.clone(), end)));
+        }
+    }
+
+    fn stop(&mut self, attempt: &AttemptId, at: Millis, end: AttemptEnd) {
+        if let Some(entry) = self.running_entry(attempt) {
+            entry.stop.get_or_insert((at, end));
+        }
+    }
+
+    fn save(&mut self, now: Millis, attempt: &AttemptId) {
+        let Some(entry) = self.running_entry(attempt) else {
+            return;
+        };
+        entry.settle(now);
+        if let Some(left) = entry.left {
+            let task = entry.start.task.clone();
+            let mut store = self
+                .checkpoints
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            store.insert(task, left);
+        }
+    }
+
+    fn throttle(&mut self, now: Millis, attempt: &AttemptId, percent: u8) {
+        if let Some(entry) = self.running_entry(attempt) {
+            entry.settle(now);
+            entry.percent = percent.clamp(1, FULL_PERCENT);
         }
     }
 
@@ -170,43 +277,64 @@
         batch: &CommandBatch,
         start: &StartCommand,
     ) -> Option<RefusedStart> {
-        if self.attempts.contains_key(&start.attempt) {
+        let attempt = start.attempt.clone();
+        if self.attempts.contains_key(&attempt) {
             return None;
         }
         if let Some(reason) = self.refusal(now, batch, start) {
-            return Some(RefusedStart {
-                attempt: start.attempt.clone(),
-                reason,
-            });
+            self.actions
+                .push((now, WorkerAction::Refused(attempt.clone(), reason)));
+            return Some(RefusedStart { attempt, reason });
         }
         let entry = AttemptEntry {
             partition: Arc::clone(&batch.partition),
             start: start.clone(),
             started: now,
             lease_until: batch.reading_ms.saturating_add(batch.lease_ms),
+            left: self.work(start),
+            since: now,
+            percent: FULL_PERCENT,
+            stop: self
+                .faults
+                .fail_tasks
+                .then(|| (now.saturating_add(FAIL_TIME), AttemptEnd::Failed)),
             end: None,
         };
-        self.attempts.insert(start.attempt.clone(), entry);
+        self.attempts.insert(attempt, entry);
+        let action = WorkerAction::Started(Box::new(start.clone()), batch.epoch);
+        self.actions.push((now, action));
         None
     }
 
+    /// Returns the work of a task: the true run time, less what a checkpoint saved.
+    fn work(&self, start: &StartCommand) -> Option<Millis> {
+        let mut store = self
+            .checkpoints
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        store.remove(&start.task).or_else(|| {
+            let percent = self.faults.run_time_percent.unwrap_or(100);
+            let declared = start.run_ms?.get();
+            Some(Millis::new(declared.saturating_mul(percent) / 100))
+        })
+    }
+
     fn refusal(
         &self,
         now: Millis,
         batch: &CommandBatch,
         start: &StartCommand,
     ) -> Option<StartRefusal> {
-        let held = self.attempts.values().filter(|entry| entry.end.is_none());
-        let held = held.fold(start.size, |sum, entry| {
+        let held = self.running().fold(start.size, |sum, (_, entry)| {
             sum.saturating_add(&entry.start.size)
         });
         if batch.incarnation != self.incarnation {
             Some(StartRefusal::OtherIncarnation)
         } else if now.saturating_sub(batch.reading_ms) > batch.start_window_ms {
             Some(StartRefusal::StaleReading)
-        } else if self.leaving {
+        } else if self.faults.leaving {
             Some(StartRefusal::Leaving)
-        } else if !held.fits_in(&self.capacity) {
+        } else if !held.fits_in(&self.capacity) && !self.faults.ignore_limits {
             Some(StartRefusal::NoRoom)
         } else {
             None
@@ -215,15 +343,55 @@
 }
 
 impl AttemptEntry {
-    fn report(&self, now: Millis) -> AttemptReport {
+    /// Returns when and how the attempt ends if nothing changes.
+    fn next_end(&self) -> Option<(Millis, AttemptEnd)> {
+        let finished = self.left.map(|left| {
+            let needed = left
+                .get()
+                .saturating_mul(100)
+                .div_ceil(u64::from(self.percent));
+            let at = self.since.saturating_add(Millis::new(needed));
+            (at, AttemptEnd::Succeeded)
+        });
+        let expired = Some((self.lease_until, AttemptEnd::LeaseExpired));
+        let ends = [finished, expired, self.stop];
+        ends.into_iter().flatten().min_by_key(|(at, _)| *at)
+    }
+
+    /// Subtracts the work done since the speed last changed.
+    fn settle(&mut self, now: Millis) {
+        let done = now.saturating_sub(self.since).get() * u64::from(self.percent) / 100;
+        self.left = self.left.map(|left| left.saturating_sub(Millis::new(done)));
+        self.since = now;
+    }
+
+    fn report(&self, now: Millis, usage_percent: Option<u64>) -> AttemptReport {
+        let state = match self.end {
+            Some(end) => AttemptState::Ended(end),
+            None if self.percent < FULL_PERCENT => AttemptState::Throttled,
+            None => AttemptState::Running,
+        };
+        let ran_ms = now.saturating_sub(self.started);
         AttemptReport {
             attempt: self.start.attempt.clone(),
             task: self.start.task.clone(),
             size: self.start.size,
-            state: self.end.map_or(AttemptState::Running, AttemptState::Ended),
+            state,
             lease_until_ms: self.lease_until,
-            usage: self.start.size,
-            ran_ms: now.saturating_sub(self.started),
+            usage: if ran_ms < USAGE_LAG {
+                ResourceVector::default()
+            } else {
+                scaled(&self.start.size, usage_percent.unwrap_or(100))
+            },
+            ran_ms,
         }
     }
 }
+
+fn scaled(size: &ResourceVector, percent: u64) -> ResourceVector {
+    ResourceVector {
+        cpu_millis: CpuMillis::new(size.cpu_millis.get() * percent / 100),
+        memory_mib: MemoryMib::new(size.memory_mib.get() * percent / 100),
+        accelerators: size.accelerators,
+    }
+}
