--- a/crates/magnolia-lab/src/checker/single_run.rs
+++ b/crates/magnolia-lab/src/checker/single_run.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
-use magnolia_types::{AttemptId, TaskRef, WorkerId};
+use magnolia_types::{AttemptId, JobId, ResourceVector, TaskRef, WorkerId};
 
 use super::Violation;
 use crate::history::{History, HistoryEvent};
@@ -50,6 +50,7 @@
 pub fn check_at_most_once(history: &History) -> Vec<Violation> {
     let mut violations = check_requests_once(history);
     violations.extend(check_tasks_once(history));
+    violations.extend(check_one_job(history));
     violations
 }
 
@@ -81,7 +82,34 @@
         .collect()
 }
 
-/// The size of a job is unique in a run, so a second job of the same key shows as well.
+/// The size of a job is unique in a run, so two jobs with the same size are one key accepted
+/// twice.
+fn check_one_job(history: &History) -> Vec<Violation> {
+    let sizes: HashSet<ResourceVector> = history
+        .iter()
+        .filter_map(|(_, event)| match event {
+            HistoryEvent::JobSent { size, .. } => Some(*size),
+            _ => None,
+        })
+        .collect();
+    let mut jobs: HashMap<ResourceVector, &JobId> = HashMap::new();
+    let mut violations = Vec::new();
+    for (at_us, event) in history.iter() {
+        let HistoryEvent::AttemptStarted { task, size, .. } = event else {
+            continue;
+        };
+        let first = *jobs.entry(*size).or_insert(&task.job);
+        if sizes.contains(size) && *first != task.job {
+            violations.push(Violation {
+                at_us,
+                check: "at most once",
+                seen: format!("job {} is a second one of the key of {first}", task.job),
+            });
+        }
+    }
+    violations
+}
+
 fn check_tasks_once(history: &History) -> Vec<Violation> {
     let mut allowed: HashMap<_, u32> = HashMap::new();
     for (_, event) in history.iter() {
--- a/crates/magnolia-lab/src/standin/mod.rs
+++ b/crates/magnolia-lab/src/standin/mod.rs
@@ -8,6 +8,8 @@
 mod log_server;
 mod server;
 mod worker_model;
+#[cfg(test)]
+mod worker_model_tests;
 mod worker_server;
 
 pub use executor_server::{ExecutorFaults, run_executors};
