--- a/crates/magnolia-lab/src/lib.rs
+++ b/crates/magnolia-lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod history;
 pub mod load;
 pub mod proxy;
+pub mod scenario;
 pub mod standin;
 
 pub use command::run_main;
--- a/crates/magnolia-lab/src/load/client.rs
+++ b/crates/magnolia-lab/src/load/client.rs
@@ -21,6 +21,8 @@
 const ANSWER_MARGIN: Duration = Duration::from_secs(1);
 /// Calls of a request that may not repeat, all with the same key.
 const MAX_ONCE_CALLS: u32 = 4;
+/// Daemons that are tried until one takes the connection.
+pub(super) const MAX_ENTRIES: u32 = 8;
 /// Pause between two calls with the same key.
 const REPEAT_PAUSE: Duration = Duration::from_millis(300);
 /// Longest padding of a body.
@@ -117,7 +119,20 @@
         }
     }
 
+    /// Sends a request; as a load balancer does, chooses another daemon when one refuses the
+    /// connection.
     async fn call_quick(&self, body: &str, key: Option<&str>) -> QuickResult {
+        let mut result = self.call_entry(body, key).await;
+        for _ in 1..MAX_ENTRIES {
+            if result != (QuickResult::Lost { sent: false }) {
+                break;
+            }
+            result = self.call_entry(body, key).await;
+        }
+        result
+    }
+
+    async fn call_entry(&self, body: &str, key: Option<&str>) -> QuickResult {
         let (daemon, address) = self.entry();
         let id: Arc<str> = self.next_id().into();
         let is_guild = self.draw(0, 2) == 1;
--- a/crates/magnolia-lab/src/load/mod.rs
+++ b/crates/magnolia-lab/src/load/mod.rs
@@ -4,9 +4,11 @@
 mod gaps;
 mod jobs;
 mod mix;
+mod observer;
 mod report;
 
 pub use client::{LoadClient, LoadSettings};
 pub use gaps::{PlacementGap, placement_gap};
 pub use mix::{LoadMix, WorkKind};
+pub use observer::ConfigObserver;
 pub use report::{ClassReport, RunReport};
--- a/crates/magnolia-lab/src/load/report.rs
+++ b/crates/magnolia-lab/src/load/report.rs
@@ -27,6 +27,8 @@
     pub unknown: u64,
     /// Calls without an answer.
     pub lost: u64,
+    /// Calls refused at connect and sent to another daemon.
+    pub moved: u64,
     /// Failures of the work.
     pub failed: u64,
     /// Waiting times in microseconds: until the answer, or until the first task of a job starts.
@@ -43,6 +45,7 @@
             refused: 0,
             unknown: 0,
             lost: 0,
+            moved: 0,
             failed: 0,
             waits: Histogram::new_with_max(MAX_WAIT_US, DIGITS)
                 .expect("the bounds of the histogram are valid"),
@@ -116,7 +119,7 @@
                         }
                         QuickResult::Refused { code, ran } => class.refuse(*ran, code.to_string()),
                         QuickResult::Lost { sent: true } => class.lost += 1,
-                        QuickResult::Lost { .. } => class.refuse(Ran::No, "not connected".into()),
+                        QuickResult::Lost { .. } => class.moved += 1,
                     }
                 }
                 _ => {}
@@ -141,8 +144,12 @@
                 }
                 HistoryEvent::JobNotAccepted { id, ran, code } => {
                     let name = calls.get(id).map_or("batch", |(name, _)| name);
-                    let code = code.map_or_else(|| "no answer".into(), |code| code.to_string());
-                    self.class(name).refuse(*ran, code);
+                    let class = self.class(name);
+                    match code {
+                        Some(code) => class.refuse(*ran, code.to_string()),
+                        None if *ran == Ran::No => class.moved += 1,
+                        None => class.lost += 1,
+                    }
                 }
                 HistoryEvent::JobFinal { job, state } => {
                     let class = self.class(jobs.get(job).copied().unwrap_or("batch"));
@@ -189,7 +196,7 @@
 impl fmt::Display for RunReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let heads = [
-            "class", "sent", "done", "refused", "unknown", "lost", "failed",
+            "class", "sent", "done", "refused", "unknown", "lost", "moved", "failed",
         ];
         write!(f, "{:8}", heads[0])?;
         heads[1..]
@@ -203,6 +210,7 @@
                 class.refused,
                 class.unknown,
                 class.lost,
+                class.moved,
                 class.failed,
             ];
             write!(f, "{name:8}")?;
--- /dev/null
+++ b/crates/magnolia-lab/src/scenario/action.rs
@@ -0,0 +1,180 @@
+//! Faults that a torture run injects.
+
+use std::fmt;
+use std::time::Duration;
+
+use rand::RngExt;
+use serde_json::{Value, json};
+
+use super::ScenarioError;
+use crate::cell::RunningCell;
+use crate::proxy::ProxyFaults;
+
+/// A fault with its target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FaultAction {
+    /// Kills a daemon and starts it again.
+    Kill(usize),
+    /// Pauses a daemon.
+    Pause(usize),
+    /// Stops a daemon as planned and starts it again.
+    Stop(usize),
+    /// Cuts a daemon from the log.
+    CutLog(usize),
+    /// Cuts a daemon from the other daemons.
+    CutInner(usize),
+    /// Makes the open connections to a daemon's inner address silent.
+    BlackHoleInner(usize),
+    /// Refuses all calls of the log.
+    LogOutage,
+    /// Delays appends by 5 s.
+    SlowLog,
+    /// Drops a part of the answers to appends after they took effect.
+    LostAppends,
+    /// Makes a worker unreachable.
+    WorkerUnreachable(usize),
+    /// Drops and doubles a part of the calls of a worker.
+    WorkerLoses(usize),
+    /// Restarts a worker.
+    WorkerRestart(usize),
+    /// Drops a part of the answers of an executor.
+    ExecutorLoses(usize),
+    /// Makes the open connections to an executor silent.
+    BlackHoleExecutor(usize),
+}
+
+impl fmt::Display for FaultAction {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self:?}")
+    }
+}
+
+impl FaultAction {
+    /// Draws a fault for a cell of these sizes.
+    pub fn draw(
+        random: &mut impl RngExt,
+        daemons: usize,
+        workers: usize,
+        executors: usize,
+    ) -> Self {
+        let kind = random.random_range(0..14);
+        let daemon = random.random_range(0..daemons);
+        let worker = random.random_range(0..workers);
+        let executor = random.random_range(0..executors);
+        match kind {
+            0 => Self::Kill(daemon),
+            1 => Self::Pause(daemon),
+            2 => Self::Stop(daemon),
+            3 => Self::CutLog(daemon),
+            4 => Self::CutInner(daemon),
+            5 => Self::BlackHoleInner(daemon),
+            6 => Self::LogOutage,
+            7 => Self::SlowLog,
+            8 => Self::LostAppends,
+            9 => Self::WorkerUnreachable(worker),
+            10 => Self::WorkerLoses(worker),
+            11 => Self::WorkerRestart(worker),
+            12 => Self::ExecutorLoses(executor),
+            _ => Self::BlackHoleExecutor(executor),
+        }
+    }
+
+    /// Injects the fault, holds it and clears it again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the cell does not obey.
+    pub async fn run(&self, cell: &mut RunningCell, hold: Duration) -> Result<(), ScenarioError> {
+        self.begin(cell).await?;
+        tokio::time::sleep(hold).await;
+        self.end(cell).await
+    }
+
+    /// Injects the fault.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the cell does not obey.
+    pub async fn begin(&self, cell: &mut RunningCell) -> Result<(), ScenarioError> {
+        match self {
+            Self::Kill(daemon) if is_running(cell, *daemon) => cell.kill_daemon(*daemon).await?,
+            Self::Pause(daemon) if is_running(cell, *daemon) => cell.pause_daemon(*daemon)?,
+            Self::Stop(daemon) if is_running(cell, *daemon) => {
+                cell.stop_daemon(*daemon).await?;
+            }
+            Self::Kill(_) | Self::Pause(_) | Self::Stop(_) => {}
+            Self::CutLog(daemon) => set(cell, "log:d", *daemon, ProxyFaults::new_cut()),
+            Self::CutInner(daemon) => set(cell, "inner:d", *daemon, ProxyFaults::new_cut()),
+            Self::BlackHoleInner(daemon) => {
+                cell.proxy(&format!("inner:d{daemon}"))
+                    .black_hole_open_connections();
+            }
+            Self::BlackHoleExecutor(executor) => {
+                cell.proxy(&format!("executor:e{executor:03}"))
+                    .black_hole_open_connections();
+            }
+            _ => self.set_standin(cell, &self.standin_faults()).await?,
+        }
+        Ok(())
+    }
+
+    /// Clears the fault.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the cell does not obey.
+    pub async fn end(&self, cell: &mut RunningCell) -> Result<(), ScenarioError> {
+        match self {
+            Self::Kill(daemon) | Self::Stop(daemon) => {
+                if !is_running(cell, *daemon) {
+                    cell.start_daemon(*daemon)?;
+                    cell.announce_instances().await?;
+                }
+            }
+            Self::Pause(daemon) if is_running(cell, *daemon) => cell.resume_daemon(*daemon)?,
+            Self::Pause(_) => {}
+            Self::CutLog(daemon) => set(cell, "log:d", *daemon, ProxyFaults::default()),
+            Self::CutInner(daemon) | Self::BlackHoleInner(daemon) => {
+                set(cell, "inner:d", *daemon, ProxyFaults::default());
+            }
+            Self::BlackHoleExecutor(executor) => {
+                cell.proxy(&format!("executor:e{executor:03}"))
+                    .set_faults(ProxyFaults::default());
+            }
+            _ => self.set_standin(cell, &json!({})).await?,
+        }
+        Ok(())
+    }
+
+    fn standin_faults(&self) -> Value {
+        match self {
+            Self::LogOutage => json!({"outage": "refuse"}),
+            Self::SlowLog => json!({"append_delay_ms": 5000}),
+            Self::LostAppends => json!({"lose_answers_percent": 50, "foreign_percent": 20}),
+            Self::WorkerUnreachable(_) => json!({"unreachable": true}),
+            Self::WorkerLoses(_) => json!({"lose_answers_percent": 30, "double_percent": 30}),
+            Self::WorkerRestart(_) => json!({"restarts": 1}),
+            Self::ExecutorLoses(_) => json!({"lose_answers_percent": 30}),
+            _ => json!({}),
+        }
+    }
+
+    async fn set_standin(&self, cell: &RunningCell, faults: &Value) -> Result<(), ScenarioError> {
+        let address = match self {
+            Self::WorkerUnreachable(worker)
+            | Self::WorkerLoses(worker)
+            | Self::WorkerRestart(worker) => cell.worker(*worker),
+            Self::ExecutorLoses(executor) => cell.executor(*executor),
+            _ => cell.log,
+        };
+        Ok(cell.set_faults(address, faults).await?)
+    }
+}
+
+fn is_running(cell: &RunningCell, daemon: usize) -> bool {
+    cell.daemons[daemon].process.is_some()
+}
+
+fn set(cell: &RunningCell, kind: &str, daemon: usize, faults: ProxyFaults) {
+    cell.proxy(&format!("{kind}{daemon}")).set_faults(faults);
+}
--- /dev/null
+++ b/crates/magnolia-lab/src/scenario/measure.rs
@@ -0,0 +1,253 @@
+//! Measures what failures, stops and changes cost, as medians of several runs.
+
+use std::path::Path;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use magnolia_config::{ConfigPublication, ConfigSection, SectionChange};
+use magnolia_types::{ConfigVersion, Ran, ResultCode};
+use serde_json::json;
+
+use super::{ScenarioError, ScenarioRun, lab_rules};
+use crate::cell::{CellBuilder, RunningCell};
+use crate::history::{History, HistoryEvent, QuickResult, monotonic_us};
+use crate::load::{LoadMix, placement_gap};
+
+/// Daemons of a measured cell.
+const DAEMONS: usize = 7;
+/// Operations a second, batch jobs and quick requests alike.
+const RATE: u32 = 80;
+/// Time in which work is sent in a run with a stop.
+const SECONDS: u64 = 14;
+/// Time after which the owner is stopped.
+const STOP_AFTER: Duration = Duration::from_secs(3);
+/// Publications of a run.
+const PUBLICATIONS: u64 = 20;
+/// Time from one publication to the next.
+const PUBLICATION_INTERVAL: Duration = Duration::from_millis(200);
+/// Unit whose owner is stopped.
+const UNIT: &str = "partition:p0";
+
+/// Results of one stop of an owner.
+struct StopCost {
+    seconds: f64,
+    lost: u64,
+    refused: u64,
+}
+
+/// Measures and prints the medians.
+///
+/// # Errors
+///
+/// Fails when a cell does not start or obey.
+pub async fn run_measure(program: &Path, folder: &Path, runs: u64) -> Result<(), ScenarioError> {
+    println!("{runs} runs with {DAEMONS} daemons, {RATE} operations a second");
+    for is_planned in [false, true] {
+        let name = if is_planned { "planned stop" } else { "kill" };
+        let mut costs = Vec::new();
+        for seed in 1..=runs {
+            match measure_stop(program, folder, seed, is_planned).await? {
+                Some(cost) => costs.push(cost),
+                None => println!("{name} of the owner, seed {seed}: no later owner placed work"),
+            }
+        }
+        print_costs(name, &costs);
+    }
+    let mut latency = new_histogram();
+    for _ in 0..runs {
+        measure_configuration(program, folder, &mut latency).await?;
+    }
+    println!(
+        "configuration accepted until in force at {DAEMONS} daemons: p50 {} ms, p99 {} ms, {} samples",
+        latency.value_at_quantile(0.5) / 1000,
+        latency.value_at_quantile(0.99) / 1000,
+        latency.len()
+    );
+    for endpoint in ["worker", "executor"] {
+        let mut times = Vec::new();
+        for seed in 1..=runs {
+            times.push(measure_leaving(program, folder, seed, endpoint).await?);
+        }
+        println!(
+            "leaving {endpoint} until its last new work: {:.2} s (median)",
+            median(times)
+        );
+    }
+    Ok(())
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new(3).expect("three digits are valid")
+}
+
+fn builder(program: &Path, folder: &Path, seed: u64) -> CellBuilder {
+    CellBuilder::new(program, folder)
+        .with_daemons(DAEMONS)
+        .with_backends(8, 6)
+        .with_data_centres(3)
+        .with_rules(lab_rules())
+        .with_seed(seed)
+}
+
+fn measured_mix() -> LoadMix {
+    "quick=50,batch=50".parse().expect("the mix is valid")
+}
+
+async fn measure_stop(
+    program: &Path,
+    folder: &Path,
+    seed: u64,
+    is_planned: bool,
+) -> Result<Option<StopCost>, ScenarioError> {
+    let mut run = ScenarioRun::start(builder(program, folder, seed)).await?;
+    let load = run.load(RATE, measured_mix(), SECONDS, seed)?;
+    run.start_load(load);
+    tokio::time::sleep(STOP_AFTER).await;
+    let owner = run.cell.owner(0, UNIT).await?;
+    let stopped_us = monotonic_us();
+    if is_planned {
+        run.cell.stop_daemon(owner).await?;
+    } else {
+        run.cell.kill_daemon(owner).await?;
+    }
+    // Clients choose among all daemons, so calls to the stopped one are refused until the end.
+    let history = run.finish().await?;
+    let gap = placement_gap(&history, stopped_us);
+    Ok(gap.map(|gap| {
+        let (lost, refused) = count_results(&history, stopped_us);
+        StopCost {
+            seconds: gap.seconds(),
+            lost,
+            refused,
+        }
+    }))
+}
+
+/// Counts quick requests with unknown outcome and refused ones, without refused connections.
+fn count_results(history: &History, since_us: u64) -> (u64, u64) {
+    let results = history.iter().filter_map(|(at_us, event)| match event {
+        HistoryEvent::QuickDone { result, .. } if at_us >= since_us => Some(result),
+        _ => None,
+    });
+    let mut counts = (0, 0);
+    for result in results {
+        match result {
+            QuickResult::Lost { sent: true } => counts.0 += 1,
+            QuickResult::Refused {
+                ran: Ran::Unknown, ..
+            } => counts.0 += 1,
+            QuickResult::Refused { code, .. } if *code != ResultCode::WorkFailed => counts.1 += 1,
+            _ => {}
+        }
+    }
+    counts
+}
+
+fn print_costs(name: &str, costs: &[StopCost]) {
+    if costs.is_empty() {
+        return;
+    }
+    let of = |read: fn(&StopCost) -> f64| median(costs.iter().map(read).collect());
+    println!(
+        "{name} of the owner: {:.2} s without placements, {} requests lost, {} refused (medians \
+         of {} runs)",
+        of(|cost| cost.seconds),
+        of(|cost| u32::try_from(cost.lost).map_or(f64::MAX, f64::from)),
+        of(|cost| u32::try_from(cost.refused).map_or(f64::MAX, f64::from)),
+        costs.len()
+    );
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
+}
+
+async fn measure_configuration(
+    program: &Path,
+    folder: &Path,
+    latency: &mut Histogram<u64>,
+) -> Result<(), ScenarioError> {
+    let mut run = ScenarioRun::start(builder(program, folder, 0)).await?;
+    for round in 0..PUBLICATIONS {
+        let publication = rules_change(&run.cell, round).await?;
+        let through = usize::try_from(round).unwrap_or_default() % DAEMONS;
+        run.cell.publish(through, &publication).await?;
+        tokio::time::sleep(PUBLICATION_INTERVAL).await;
+    }
+    let history = run.finish().await?;
+    for (accepted_us, event) in history.iter() {
+        let HistoryEvent::ConfigAccepted { version: accepted } = event else {
+            continue;
+        };
+        for daemon in &run.cell.daemons {
+            let seen = history.iter().find_map(|(at_us, event)| match event {
+                HistoryEvent::ConfigSeen {
+                    daemon: name,
+                    version,
+                    ..
+                } if *name == daemon.name && version >= accepted => Some(at_us),
+                _ => None,
+            });
+            if let Some(seen) = seen {
+                latency.saturating_record(seen.saturating_sub(accepted_us));
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Makes a publication that changes a rule without an effect on the run.
+async fn rules_change(cell: &RunningCell, round: u64) -> Result<ConfigPublication, ScenarioError> {
+    let state = cell.state(0).await?;
+    let version = state["config_version"].as_u64().unwrap_or_default();
+    let mut rules = cell.document.rules.clone();
+    rules.max_tasks = 50_000 + u32::try_from(round).unwrap_or_default();
+    Ok(ConfigPublication {
+        base: ConfigVersion::new(version),
+        author: "lab".into(),
+        changes: vec![SectionChange {
+            name: "rules".into(),
+            section: Some(ConfigSection::Rules(rules)),
+        }],
+    })
+}
+
+/// Returns the time from the beginning of a leave to the last new work of the endpoint.
+async fn measure_leaving(
+    program: &Path,
+    folder: &Path,
+    seed: u64,
+    endpoint: &str,
+) -> Result<f64, ScenarioError> {
+    let mut run = ScenarioRun::start(builder(program, folder, seed)).await?;
+    let load = run.load(RATE, measured_mix(), 6, seed)?;
+    run.start_load(load);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let is_worker = endpoint == "worker";
+    let (name, address) = if is_worker {
+        ("w000", run.cell.worker(0))
+    } else {
+        ("e000", run.cell.executor(0))
+    };
+    run.cell
+        .set_faults(address, &json!({"leaving": true}))
+        .await?;
+    let history = run.finish().await?;
+    let began = history.iter().find_map(|(at_us, event)| match event {
+        HistoryEvent::Leaving { .. } => Some(at_us),
+        _ => None,
+    });
+    let began = began.unwrap_or_default();
+    let work = history.iter().filter(|(_, event)| match event {
+        HistoryEvent::AttemptStarted { worker, .. } | HistoryEvent::StartRefused { worker, .. } => {
+            worker.as_str() == name
+        }
+        HistoryEvent::RequestStarted { executor, .. }
+        | HistoryEvent::RequestRefused { executor, .. } => executor.as_str() == name,
+        _ => false,
+    });
+    let last = work.map(|(at_us, _)| at_us).max().unwrap_or(began);
+    let millis = last.saturating_sub(began) / 1000;
+    Ok(f64::from(u32::try_from(millis).unwrap_or(u32::MAX)) / 1000.0)
+}
--- /dev/null
+++ b/crates/magnolia-lab/src/scenario/run.rs
@@ -0,0 +1,124 @@
+//! A cell under load.
+
+use std::path::Path;
+use std::time::Duration;
+
+use magnolia_config::RulesSection;
+use magnolia_types::Millis;
+use tokio::task::JoinHandle;
+
+use crate::cell::{CellBuilder, CellError, RunningCell};
+use crate::checker::check_all;
+use crate::history::{History, HistoryError, HistoryWriter};
+use crate::load::{ConfigObserver, LoadClient, LoadMix, LoadSettings};
+
+/// Lease of workers in the lab; short, so that a run sees leases expire.
+pub const LAB_LEASE: Millis = Millis::from_secs(3);
+/// Start window of workers in the lab, in the default proportion to the lease.
+const LAB_START_WINDOW: Millis = Millis::new(1200);
+
+/// Why a scenario could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum ScenarioError {
+    /// The cell did not start or obey.
+    #[error(transparent)]
+    Cell(#[from] CellError),
+    /// A history cannot be read.
+    #[error(transparent)]
+    History(#[from] HistoryError),
+    /// A file cannot be used.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+}
+
+/// Returns the rules of a cell with short leases.
+pub fn lab_rules() -> RulesSection {
+    RulesSection {
+        lease_ms: LAB_LEASE,
+        start_window_ms: LAB_START_WINDOW,
+        ..RulesSection::default()
+    }
+}
+
+/// A running cell with its load.
+pub struct ScenarioRun {
+    /// The cell.
+    pub cell: RunningCell,
+    load: Vec<JoinHandle<()>>,
+    _observer: ConfigObserver,
+}
+
+impl ScenarioRun {
+    /// Starts a cell and waits until every unit has an owner.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the cell does not start.
+    pub async fn start(builder: CellBuilder) -> Result<Self, ScenarioError> {
+        let cell = builder.start().await?;
+        cell.wait_owners(0).await?;
+        let writer = HistoryWriter::open(&cell.history_folder().join("observer.jsonl"))?;
+        let observer = ConfigObserver::start(cell.entries(), writer);
+        Ok(Self {
+            cell,
+            load: Vec::new(),
+            _observer: observer,
+        })
+    }
+
+    /// Describes a load on all daemons.
+    ///
+    /// # Errors
+    ///
+    /// Fails when its history cannot be opened.
+    pub fn load(
+        &self,
+        rate: u32,
+        mix: LoadMix,
+        seconds: u64,
+        seed: u64,
+    ) -> std::io::Result<LoadSettings> {
+        let name = format!("load-{}.jsonl", self.load.len());
+        Ok(LoadSettings {
+            entries: self.cell.entries(),
+            rate,
+            mix,
+            duration: Duration::from_secs(seconds),
+            settle: Duration::from_secs(20),
+            seed,
+            history: HistoryWriter::open(&self.cell.history_folder().join(name))?,
+        })
+    }
+
+    /// Starts a load in the background.
+    pub fn start_load(&mut self, settings: LoadSettings) {
+        self.load
+            .push(tokio::spawn(LoadClient::new(settings).run()));
+    }
+
+    /// Waits for the loads and joins the histories.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a history cannot be read.
+    pub async fn finish(&mut self) -> Result<History, ScenarioError> {
+        for load in self.load.drain(..) {
+            load.await.map_err(std::io::Error::other)?;
+        }
+        Ok(self.cell.read_history()?)
+    }
+}
+
+/// Prints the violations of a history and returns whether there are none.
+pub(super) fn report_violations(history: &History, folder: &Path) -> bool {
+    let violations = check_all(history);
+    violations
+        .iter()
+        .for_each(|violation| println!("  {violation}"));
+    let (events, count) = (history.records.len(), violations.len());
+    println!(
+        "checked {events} events in {}: {count} violations",
+        folder.display()
+    );
+    violations.is_empty() && events > 0
+}
--- /dev/null
+++ b/crates/magnolia-lab/tests/broken_backends.rs
@@ -0,0 +1,114 @@
+//! The checks catch broken back ends end to end, with the daemons in between.
+
+mod common;
+
+use common::{PARTITION, UNLIMITED, cell};
+use magnolia_config::ConfigDocument;
+use magnolia_http::HttpClient;
+use magnolia_lab::checker::{check_capacity, check_single_place};
+use magnolia_lab::load::LoadMix;
+use magnolia_lab::scenario::ScenarioRun;
+use serde_json::{Value, json};
+
+/// Starts a cell whose inventory claims more than the back ends have.
+async fn start_overstated(name: &str, change: impl Fn(&mut ConfigDocument)) -> ScenarioRun {
+    let faults = r#"{"ignore_limits": true, "service_ms": 200}"#;
+    let builder = cell(name, 1).with_backends(1, 1).with_data_centres(1);
+    let builder = builder.with_backend_faults(UNLIMITED, faults);
+    let run = ScenarioRun::start(builder).await.expect("the cell starts");
+    let old = run.cell.document.clone();
+    let mut document = old.clone();
+    change(&mut document);
+    let state = run.cell.state(0).await.expect("a state");
+    let mut config = magnolia_config::CellConfig::new();
+    config.document = Some(old);
+    let mut publication = config.publication_to(&document, "lab");
+    let version = state["config_version"].as_u64().expect("a version");
+    publication.base = magnolia_types::ConfigVersion::new(version);
+    run.cell
+        .publish(0, &publication)
+        .await
+        .expect("a publication");
+    run
+}
+
+/// Guards against a capacity check that misses a ninth request in eight slots.
+#[tokio::test(flavor = "multi_thread")]
+async fn executor_that_allows_a_ninth_slot_is_caught() {
+    let change = |document: &mut ConfigDocument| document.executor_blocks[0].slots = 64;
+    let mut run = start_overstated("ninth_slot", change).await;
+    // The daemon may learn of the new slots only when it owns the group again.
+    run.cell.kill_daemon(0).await.expect("a kill");
+    run.cell.start_daemon(0).expect("a start");
+    run.cell.announce_instances().await.expect("a list");
+    run.cell.wait_ready().await.expect("a ready daemon");
+    run.cell.wait_owners(0).await.expect("owners");
+    let load = run.load(200, LoadMix::new_quick(), 3, 41).expect("a load");
+    run.start_load(load);
+    let history = run.finish().await.expect("histories");
+    let found = check_capacity(&history);
+    assert!(!found.is_empty(), "nothing was found");
+    assert!(
+        found
+            .iter()
+            .all(|violation| violation.seen.contains("slots"))
+    );
+}
+
+async fn post(
+    client: &HttpClient,
+    worker: std::net::SocketAddr,
+    path: &str,
+    body: &Value,
+) -> Value {
+    let answer = client.post_json(worker, path, body, common::LIMIT).await;
+    answer.expect("an answer").json().expect("JSON")
+}
+
+/// Guards against a check of single places that misses a worker which obeys a superseded owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn worker_that_ignores_fences_is_caught() {
+    for (faults, is_broken) in [("{}", false), (r#"{"ignore_fences": true}"#, true)] {
+        let name = format!("ignored_fences_{is_broken}");
+        let builder = cell(&name, 1).with_backend_faults(faults, "{}");
+        let cell = builder
+            .start_unpublished()
+            .await
+            .expect("the stand-ins start");
+        let workers = [cell.worker(0), cell.worker(1)];
+        for worker in workers {
+            while cell
+                .client
+                .get(worker, "/faults", common::LIMIT)
+                .await
+                .is_err()
+            {
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
+        }
+        let partition = PARTITION.trim_start_matches("partition:");
+        // The new owner has fenced both workers and placed the task on the second one.
+        for (epoch, worker) in [(2, workers[1]), (1, workers[0])] {
+            for fenced in workers.iter().filter(|_| epoch == 2) {
+                let fence = json!({"partition": partition, "epoch": 2});
+                post(&cell.client, *fenced, "/v1/fence", &fence).await;
+            }
+            let status = cell.client.get(worker, "/v1/status", common::LIMIT).await;
+            let status: Value = status.expect("an answer").json().expect("JSON");
+            let batch = json!({
+                "partition": partition, "epoch": epoch, "incarnation": status["incarnation"],
+                "reading_ms": status["clock_ms"], "lease_ms": 30_000, "start_window_ms": 12_000,
+                "renew": false, "full_report": false,
+                "starts": [{
+                    "attempt": format!("a{epoch}"), "task": {"job": "p0.1", "task": 0},
+                    "size": {"cpu_millis": 1, "memory_mib": 1, "accelerators": 0},
+                    "run_ms": 60_000,
+                }],
+            });
+            post(&cell.client, worker, "/v1/commands", &batch).await;
+        }
+        let history = cell.read_history().expect("histories");
+        let found = check_single_place(&history);
+        assert_eq!(!found.is_empty(), is_broken, "{found:?}");
+    }
+}
--- /dev/null
+++ b/crates/magnolia-lab/tests/log_failures.rs
@@ -0,0 +1,118 @@
+//! The log is unavailable, slow, or loses answers.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{cell, count_answers, count_refusals, count_results, finish_clean, start_mixed};
+use magnolia_lab::history::{HistoryEvent, QuickResult, monotonic_us};
+use magnolia_types::ResultCode;
+use serde_json::json;
+
+/// Time of load before a failure.
+const BEFORE: Duration = Duration::from_secs(2);
+/// Length of a failure, longer than the lease of workers.
+const OUTAGE: Duration = Duration::from_secs(5);
+
+/// Guards against a log outage that stops work which does not need the log, or that lets work
+/// through which may run at most once.
+async fn log_outage(name: &str, outage: &str, seed: u64) {
+    let mut run = start_mixed(cell(name, 3), 9, seed).await;
+    tokio::time::sleep(BEFORE).await;
+    let job = json!({
+        "customer": "guild", "class": "batch", "kind": "batch", "tasks": 12, "run_ms": 4000,
+        "size": {"cpu_millis": 900, "memory_mib": 9000},
+    });
+    let job = common::submit(&run, 0, &job).await;
+    let log = run.cell.log;
+    let fault = json!({"outage": outage});
+    run.cell.set_faults(log, &fault).await.expect("a fault");
+    let from_us = monotonic_us();
+    tokio::time::sleep(OUTAGE).await;
+    let until_us = monotonic_us();
+    run.cell
+        .set_faults(log, &json!({}))
+        .await
+        .expect("no fault");
+    let view = common::wait_job(&run, 1, &job).await;
+    assert_eq!(view["state"], "done", "{view}");
+    let history = finish_clean(&mut run).await;
+    assert!(
+        count_answers(&history, from_us, until_us) > 0,
+        "no quick request was answered"
+    );
+    let refused = count_refusals(&history, from_us, until_us, ResultCode::LogUnavailable);
+    assert!(refused > 0, "no request was refused for the log");
+    let once = count_results(&history, from_us, until_us, |is_repeatable, result| {
+        !is_repeatable && matches!(result, QuickResult::Answered(_))
+    });
+    assert_eq!(once, 0, "work that may not repeat ran without the log");
+    // A job that was accepted during the outage cannot have been recorded.
+    let accepted = history.iter().filter(|(at_us, event)| {
+        (from_us..until_us).contains(at_us) && matches!(event, HistoryEvent::JobAccepted { .. })
+    });
+    let stored = history.iter().filter(|(at_us, event)| {
+        (from_us..until_us).contains(at_us) && matches!(event, HistoryEvent::LogAppended { .. })
+    });
+    assert_eq!(stored.count(), 0, "the log stored records in its outage");
+    // One append may have been answered just before the outage.
+    assert!(accepted.count() <= 3, "jobs were accepted without the log");
+}
+
+/// See [`log_outage`]; calls are refused at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn log_outage_with_refusals() {
+    log_outage("log_outage_refuse", "refuse", 11).await;
+}
+
+/// See [`log_outage`]; calls get no answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn log_outage_with_silence() {
+    log_outage("log_outage_hang", "hang", 12).await;
+}
+
+/// Guards against a slow log that slows quick requests or makes repeated appends take effect
+/// twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_log() {
+    let mut run = start_mixed(cell("slow_log", 3), 9, 13).await;
+    tokio::time::sleep(BEFORE).await;
+    let log = run.cell.log;
+    let fault = json!({"append_delay_ms": 5000});
+    run.cell.set_faults(log, &fault).await.expect("a fault");
+    let from_us = monotonic_us();
+    tokio::time::sleep(OUTAGE).await;
+    let until_us = monotonic_us();
+    run.cell
+        .set_faults(log, &json!({}))
+        .await
+        .expect("no fault");
+    let history = finish_clean(&mut run).await;
+    assert!(
+        count_answers(&history, from_us, until_us) > 0,
+        "no quick request was answered"
+    );
+}
+
+/// Guards against work that is doubled or lost when appends took effect without an answer, and
+/// against readers that stop at torn or foreign records.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_to_appends() {
+    let mut run = start_mixed(cell("lost_appends", 3), 8, 14).await;
+    let log = run.cell.log;
+    let fault = json!({"lose_answers_percent": 50, "foreign_percent": 20});
+    run.cell.set_faults(log, &fault).await.expect("a fault");
+    tokio::time::sleep(OUTAGE).await;
+    let owner = run
+        .cell
+        .owner(0, common::PARTITION)
+        .await
+        .expect("an owner");
+    run.cell.kill_daemon(owner).await.expect("a kill");
+    tokio::time::sleep(BEFORE).await;
+    run.cell
+        .set_faults(log, &json!({}))
+        .await
+        .expect("no fault");
+    finish_clean(&mut run).await;
+}
