--- a/crates/magnolia-state/src/lib.rs
+++ b/crates/magnolia-state/src/lib.rs
@@ -1,19 +1,15 @@
 //! State machines without clock or I/O: ownership claims, leases, journal, requests, retries.
 
 mod claim_table;
-mod request_state;
-mod retry_budget;
-mod suspicion_tracker;
-
-pub use claim_table::{ClaimChange, ClaimRecord, ClaimTable, ClaimVerdict};
-pub use request_state::{RequestEventError, RequestPhase, RequestState};
-pub use retry_budget::RetryBudget;
-pub use suspicion_tracker::SuspicionTracker;
 mod jobs;
 mod journal;
 mod lease_book;
+mod request_state;
+mod retry_budget;
+mod suspicion_tracker;
 mod takeover;
 
+pub use claim_table::{ClaimChange, ClaimRecord, ClaimTable, ClaimVerdict};
 pub use jobs::{
     AttemptResult, FoundAttempt, JobEffects, JobEntry, JobLimits, JobTable, KeyEntry, KeyLookup,
     KeyUse, RunningAttempt, TaskEntry, TaskState, TaskTally,
@@ -23,4 +19,7 @@
     JournalVerdict, MAX_BATCH_WEIGHT, RecordFault, SNAPSHOT_PART_BYTES, split_snapshot,
 };
 pub use lease_book::{LeaseBook, WorkerCitation, WorkerNews, with_drift};
+pub use request_state::{RequestEventError, RequestPhase, RequestState};
+pub use retry_budget::RetryBudget;
+pub use suspicion_tracker::SuspicionTracker;
 pub use takeover::{TakeoverProgress, TakeoverTracker};
