Add magnoliactl

It tries the next endpoint only when the call certainly did not arrive or may be repeated, and its exit codes tell refusals, unreachable endpoints and unknown outcomes apart.

--- /dev/null
+++ b/crates/magnolia-cli/src/endpoint.rs
@@ -0,0 +1,194 @@
+//! Calls to the first endpoint that answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, header};
+use http_body_util::Full;
+use magnolia_http::{ErrorBody, HttpAnswer, HttpClient, HttpError, PoolSettings};
+use magnolia_types::ResultCode;
+use serde_json::{Value, json};
+
+use crate::ExitStatus;
+
+/// Time that a call gets besides the time that its work may take.
+const CALL_MARGIN: Duration = Duration::from_secs(10);
+
+/// Whether a call may be sent a second time after its answer was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallRepeat {
+    /// A second call has no further effect.
+    Safe,
+    /// A second call may take effect twice.
+    Unsafe,
+}
+
+/// Why a call has no result.
+#[derive(Clone, Debug)]
+pub struct CallFailure {
+    /// Exit status of the command.
+    pub status: ExitStatus,
+    /// Code of a refusal.
+    pub code: Option<ResultCode>,
+    /// For people.
+    pub message: String,
+    /// For programs.
+    pub json: Value,
+}
+
+impl CallFailure {
+    /// Makes a failure of the command line, a file or the connection.
+    pub fn new(status: ExitStatus, message: &str) -> Self {
+        Self {
+            status,
+            code: None,
+            message: message.into(),
+            json: json!({"message": message}),
+        }
+    }
+
+    fn new_refusal(body: ErrorBody) -> Self {
+        let message = format!("{} ({}): {}", body.name, body.code.number(), body.message);
+        Self {
+            status: body.code.into(),
+            code: Some(body.code),
+            message,
+            json: json!(body),
+        }
+    }
+
+    /// Tells whether another endpoint may do better: this one refused because of its own state,
+    /// and nothing ran.
+    fn is_local(&self) -> bool {
+        matches!(
+            self.code,
+            Some(ResultCode::Draining | ResultCode::NoConfiguration)
+        )
+    }
+}
+
+/// Client of the endpoints of one cell.
+pub struct EndpointClient {
+    client: HttpClient,
+    endpoints: Vec<SocketAddr>,
+}
+
+impl EndpointClient {
+    /// Creates a client that tries the endpoints in order.
+    pub fn new(endpoints: Vec<SocketAddr>) -> Self {
+        Self {
+            client: HttpClient::new(PoolSettings::new()),
+            endpoints,
+        }
+    }
+
+    /// Reads `path`; the work at the endpoint may take `work`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no endpoint answers or the call is refused.
+    pub async fn get(&self, path: &str, work: Duration) -> Result<Value, CallFailure> {
+        self.call(Method::GET, path, None, CallRepeat::Safe, work)
+            .await
+    }
+
+    /// Posts `body` to `path`; the work at the endpoint may take `work`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no endpoint answers or the call is refused.
+    pub async fn post(
+        &self,
+        path: &str,
+        body: &Value,
+        repeat: CallRepeat,
+        work: Duration,
+    ) -> Result<Value, CallFailure> {
+        self.call(Method::POST, path, Some(body), repeat, work)
+            .await
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+        repeat: CallRepeat,
+        work: Duration,
+    ) -> Result<Value, CallFailure> {
+        let mut failures = Vec::new();
+        let mut lost = false;
+        let mut refusal = None;
+        for endpoint in &self.endpoints {
+            let request = build(&method, path, body)?;
+            match self
+                .client
+                .call(*endpoint, request, work + CALL_MARGIN)
+                .await
+            {
+                Ok(answer) => match read_answer(&answer) {
+                    Ok(value) => return Ok(value),
+                    Err(failure) if failure.is_local() => refusal = Some(failure),
+                    Err(failure) => return Err(failure),
+                },
+                Err(error) => {
+                    lost |= !error.is_not_sent();
+                    failures.push(format!("{endpoint}: {error}"));
+                    if lost && repeat == CallRepeat::Unsafe {
+                        break;
+                    }
+                }
+            }
+        }
+        Err(self.summarize(lost, refusal, &failures, repeat))
+    }
+
+    fn summarize(
+        &self,
+        lost: bool,
+        refusal: Option<CallFailure>,
+        failures: &[String],
+        repeat: CallRepeat,
+    ) -> CallFailure {
+        let reasons = failures.join("; ");
+        match (lost, repeat, refusal) {
+            (true, CallRepeat::Unsafe, _) => CallFailure::new(
+                ExitStatus::Unknown,
+                &format!("the answer was lost, so the call may have taken effect ({reasons})"),
+            ),
+            (_, _, Some(refusal)) => refusal,
+            (true, CallRepeat::Safe, None) => CallFailure::new(
+                ExitStatus::Unknown,
+                &format!("no endpoint answered in time ({reasons})"),
+            ),
+            (false, _, None) => CallFailure::new(
+                ExitStatus::Unreachable,
+                &format!("no endpoint could be reached, and nothing was sent ({reasons})"),
+            ),
+        }
+    }
+}
+
+fn build(
+    method: &Method,
+    path: &str,
+    body: Option<&Value>,
+) -> Result<Request<Full<Bytes>>, CallFailure> {
+    let bytes = body.map(|body| Bytes::from(body.to_string()));
+    Request::builder()
+        .method(method.clone())
+        .uri(path)
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(bytes.unwrap_or_default()))
+        .map_err(|error| CallFailure::new(ExitStatus::Usage, &error.to_string()))
+}
+
+fn read_answer(answer: &HttpAnswer) -> Result<Value, CallFailure> {
+    let malformed = |error: HttpError| CallFailure::new(ExitStatus::Unknown, &error.to_string());
+    if answer.status.is_success() {
+        return answer.json().map_err(malformed);
+    }
+    let body: ErrorBody = answer.json().map_err(malformed)?;
+    Err(CallFailure::new_refusal(body))
+}
--- a/crates/magnolia-lab/src/command.rs
+++ b/crates/magnolia-lab/src/command.rs
@@ -14,6 +14,9 @@
     if args.get(1).is_some_and(|name| name == "daemon") {
         return magnolia_daemon::run_main(args.into_iter().skip(1)).into();
     }
+    if args.get(1).is_some_and(|name| name == "ctl") {
+        return magnolia_cli::run_main(args.into_iter().skip(1)).into();
+    }
     let matches = command().get_matches_from(args);
     logforth::starter_log::stderr().apply();
     let runtime = match tokio::runtime::Builder::new_multi_thread()
@@ -40,6 +43,7 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .subcommand(Command::new("daemon").about("Runs magnoliad with the arguments that follow"))
+        .subcommand(Command::new("ctl").about("Runs magnoliactl with the arguments that follow"))
         .subcommand(
             Command::new("log")
                 .about("Runs a stand-in of the log service")
