--- a/crates/magnolia-daemon/src/context.rs
+++ b/crates/magnolia-daemon/src/context.rs
@@ -16,7 +16,7 @@
 use crate::identity::DaemonIdentity;
 use crate::membership::MemberList;
 use crate::metrics::MetricRecorder;
-use crate::ownership::ClaimBook;
+use crate::ownership::{ClaimBook, PauseGuard};
 use crate::partition::PartitionRegistry;
 use crate::peers::PeerLink;
 use crate::quick::GroupRegistry;
@@ -52,6 +52,9 @@
     pub workers: Arc<dyn WorkerClient>,
     /// Executors.
     pub executors: Arc<dyn ExecutorClient>,
+    /// Connections to all peers.
+    #[allow(dead_code)]
+    pub http: HttpClient,
     /// Calls to other daemons.
     pub peers: PeerLink,
     /// Configuration in force.
@@ -66,6 +69,8 @@
     pub partitions: PartitionRegistry,
     /// Executor groups that this daemon owns.
     pub groups: GroupRegistry,
+    /// Notices pauses of this process.
+    pub pause: PauseGuard,
     /// Phase of life.
     pub phase: watch::Sender<LifecyclePhase>,
 }
@@ -78,6 +83,7 @@
     /// Fails when the metrics socket cannot be opened.
     pub fn new(settings: DaemonSettings) -> std::io::Result<Self> {
         let client = HttpClient::new(PoolSettings::new());
+        let clock = DaemonClock::new();
         let identity = DaemonIdentity {
             daemon: settings.daemon.clone(),
             incarnation: Incarnation::new(rand::random()),
@@ -90,15 +96,17 @@
             instances: Arc::new(HttpInstanceList::new(client.clone(), settings.instances)),
             workers: Arc::new(HttpWorkerClient::new(client.clone())),
             executors: Arc::new(HttpExecutorClient::new(client.clone())),
-            peers: PeerLink::new(client),
+            peers: PeerLink::new(client.clone()),
+            http: client,
             config: watch::Sender::new(Arc::new(CellConfig::new())),
             config_feed: ConfigFeed::new(),
             claims: ClaimBook::new(),
-            members: MemberList::new(),
+            members: MemberList::new(clock),
             partitions: PartitionRegistry::new(),
             groups: GroupRegistry::new(),
+            pause: PauseGuard::new(),
             phase: watch::Sender::new(LifecyclePhase::Starting),
-            clock: DaemonClock::new(),
+            clock,
             identity,
             settings,
         })
--- /dev/null
+++ b/crates/magnolia-policy/src/choosers.rs
@@ -0,0 +1,98 @@
+//! Ways to choose among executors or owners of executors.
+
+use rand::RngExt;
+
+use crate::{BackendView, RoutingChooser};
+
+/// Round-trip times within this part of the least one count as equal.
+const NOISE_DIVISOR: u32 = 10;
+
+/// Baseline: any candidate with room, each with the same chance.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RandomChooser;
+
+impl RandomChooser {
+    /// Creates the chooser.
+    pub const fn new() -> Self {
+        Self
+    }
+}
+
+impl RoutingChooser for RandomChooser {
+    fn choose(&self, candidates: &[BackendView], random: &mut dyn rand::Rng) -> Option<usize> {
+        draw(candidates, random, |backend| backend.free_slots > 0).map(|backend| backend.index)
+    }
+}
+
+/// Draws one of the candidates that pass `filter`, each with the same chance.
+fn draw<'a>(
+    candidates: &'a [BackendView],
+    random: &mut dyn rand::Rng,
+    filter: impl Fn(&BackendView) -> bool,
+) -> Option<&'a BackendView> {
+    let count = candidates.iter().filter(|backend| filter(backend)).count();
+    if count == 0 {
+        return None;
+    }
+    let drawn = random.random_range(0..count);
+    candidates
+        .iter()
+        .filter(|backend| filter(backend))
+        .nth(drawn)
+}
+
+/// Two random choices by free slots, candidates of the same data centre first.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TwoChoiceChooser;
+
+impl TwoChoiceChooser {
+    /// Creates the chooser.
+    pub const fn new() -> Self {
+        Self
+    }
+}
+
+impl RoutingChooser for TwoChoiceChooser {
+    fn choose(&self, candidates: &[BackendView], random: &mut dyn rand::Rng) -> Option<usize> {
+        let near = |backend: &BackendView| backend.free_slots > 0 && backend.same_centre;
+        let any = |backend: &BackendView| backend.free_slots > 0;
+        let first = draw(candidates, random, near).or_else(|| draw(candidates, random, any))?;
+        let second = draw(candidates, random, |backend| {
+            any(backend) && backend.same_centre == first.same_centre && backend.index != first.index
+        });
+        let best = second
+            .filter(|second| second.free_slots > first.free_slots)
+            .unwrap_or(first);
+        Some(best.index)
+    }
+}
+
+/// The candidate with the least smoothed round-trip time; candidates without a measurement first.
+///
+/// Follows the idea of choosing by estimated round-trip time of "Proxima: Towards Lightweight and
+/// Flexible Anycast Service"; docs/POLICY.md has the comparison.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RoundTripChooser;
+
+impl RoundTripChooser {
+    /// Creates the chooser.
+    pub const fn new() -> Self {
+        Self
+    }
+}
+
+impl RoutingChooser for RoundTripChooser {
+    fn choose(&self, candidates: &[BackendView], random: &mut dyn rand::Rng) -> Option<usize> {
+        let open = candidates.iter().filter(|backend| backend.free_slots > 0);
+        let least = open.map(|backend| backend.round_trip).min()?;
+        let is_least = |backend: &BackendView| {
+            backend.free_slots > 0
+                && match (backend.round_trip, least) {
+                    // Times this close do not tell candidates apart.
+                    (Some(time), Some(least)) => time <= least + least / NOISE_DIVISOR,
+                    (time, least) => time == least,
+                }
+        };
+        draw(candidates, random, is_least).map(|backend| backend.index)
+    }
+}
--- a/crates/magnolia-policy/src/placement.rs
+++ b/crates/magnolia-policy/src/placement.rs
@@ -147,7 +147,7 @@
     /// Takes note of measured usage.
     fn observe_usage(&mut self, attempt: &AttemptId, usage: ResourceVector);
 
-    /// Decides, at most `limit` starts.
+    /// Decides, at most `limit` starts; a gang is never split and may go beyond the limit.
     fn decide(&mut self, now: Millis, limit: usize) -> Vec<PlacementDecision>;
 
     /// Explains why a job waits, a sentence a line.
@@ -155,4 +155,9 @@
 
     /// Returns the number of waiting tasks.
     fn waiting_tasks(&self) -> usize;
+
+    /// Returns the workers that get no work except probes, because unlike jobs failed on them.
+    fn quarantined_workers(&self) -> Vec<WorkerId> {
+        Vec::new()
+    }
 }
