--- /dev/null
+++ b/crates/magnolia-lab/tests/command_line.rs
@@ -0,0 +1,222 @@
+//! magnoliactl as a user types it.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+
+use common::cell;
+use magnolia_lab::cell::RunningCell;
+use serde_json::Value;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+
+/// Runs `magnoliactl` with arguments that are separated by spaces.
+async fn ctl(endpoints: &[SocketAddr], line: &str) -> Output {
+    let program = env!("CARGO_BIN_EXE_magnolia-lab");
+    let mut command = Command::new(program);
+    command.arg("ctl").args(line.split(' '));
+    let list: Vec<String> = endpoints.iter().map(SocketAddr::to_string).collect();
+    match list.is_empty() {
+        true => command.env_remove("MAGNOLIA_ENDPOINTS"),
+        false => command.env("MAGNOLIA_ENDPOINTS", list.join(",")),
+    };
+    command.stdin(Stdio::null());
+    tokio::task::spawn_blocking(move || command.output())
+        .await
+        .expect("a thread")
+        .expect("a process")
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+/// Runs a command and expects an exit code and a part of its output.
+async fn expect(endpoints: &[SocketAddr], line: &str, code: i32, part: &str) -> String {
+    let output = ctl(endpoints, line).await;
+    let (out, err) = (stdout(&output), stderr(&output));
+    let shown = format!("$ magnoliactl {line}\n{out}{err}");
+    assert_eq!(output.status.code(), Some(code), "{shown}");
+    assert!(out.contains(part) || err.contains(part), "{part}: {shown}");
+    out
+}
+
+fn endpoints(cell: &RunningCell) -> Vec<SocketAddr> {
+    cell.daemons.iter().map(|daemon| daemon.callers).collect()
+}
+
+fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../../examples")
+        .join(name)
+}
+
+/// Finds an address at which nothing listens.
+async fn closed_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    listener.local_addr().expect("an address")
+}
+
+/// Starts a server that reads each request and closes the connection without an answer.
+async fn silent_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 1024];
+            stream.read(&mut request).await.ok();
+        }
+    });
+    address
+}
+
+/// Guards against a session of a new user that breaks anywhere: configuration, a quick request,
+/// a job, and the looks at both.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_first_session() {
+    let cell = cell("first_session", 2).start().await.expect("a cell");
+    cell.wait_owners(0).await.expect("owners");
+    cell.wait_owners(1).await.expect("owners");
+    let to = endpoints(&cell);
+    expect(&to, "status", 0, "It is not down").await;
+    expect(&to, "config show", 0, "version 1").await;
+    let quick = "request --customer board --class quick stock-of-goatskin";
+    expect(&to, quick, 0, "answer to stock-of-goatskin").await;
+    let submit = "submit --customer guild --class batch --tasks 4 --cpu-millis 1000 \
+                  --memory-mib 256 --run-ms 50 --wait";
+    let shown = expect(&to, submit, 0, "4 done").await;
+    let job = shown
+        .lines()
+        .nth(1)
+        .and_then(|line| line.split_whitespace().next());
+    let job = job.expect("the row of the job").to_owned();
+    expect(&to, &format!("get {job}"), 0, "done").await;
+    expect(&to, &format!("wait {job} --timeout-ms 1000"), 0, "done").await;
+    let json = expect(&to, &format!("get {job} --json"), 0, "").await;
+    let json: Value = serde_json::from_str(&json).expect("JSON");
+    assert_eq!(json["tasks"]["done"], 4, "{json}");
+    let state = expect(&to, "state", 0, "claims").await;
+    serde_json::from_str::<Value>(&state).expect("the state is JSON");
+}
+
+/// Guards against a change of configuration that is lost, or that reverts a change of another
+/// operator.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_is_shown_edited_and_published() {
+    let cell = cell("edit_config", 1).start().await.expect("a cell");
+    let to = endpoints(&cell);
+    let shown = expect(&to, "config show --toml", 0, "# version 1").await;
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("edit_config");
+    let (first, second) = (folder.join("first.toml"), folder.join("second.toml"));
+    assert_eq!(shown.matches("weight = 1").count(), 2, "{shown}");
+    std::fs::write(&first, shown.replacen("weight = 1", "weight = 5", 1)).expect("a file");
+    std::fs::write(&second, shown.replacen("weight = 1", "weight = 6", 1)).expect("a file");
+    let publish = |file: &Path| format!("config publish --author test {}", file.display());
+    let diff = format!("config diff {}", first.display());
+    expect(&to, &diff, 0, "weight: 1 -> 5").await;
+    expect(
+        &to,
+        &publish(&first),
+        0,
+        "version 2 is in force, 1 sections",
+    )
+    .await;
+    expect(&to, &publish(&first), 0, "already is").await;
+    expect(&to, &publish(&second), 1, "was changed by version 2").await;
+    expect(&to, "config show", 0, "customer/board changed by version 2").await;
+    let faulty = folder.join("faulty.toml");
+    std::fs::write(&faulty, "[cell]\nname = 3\n[rack]\n").expect("a file");
+    let check = format!("config check {}", faulty.display());
+    let output = ctl(&to, &check).await;
+    let text = stderr(&output);
+    assert_eq!(output.status.code(), Some(1), "{text}");
+    assert!(
+        text.contains("line 2: cell: name") && text.contains("line 3: rack"),
+        "{text}"
+    );
+}
+
+/// Guards against example files that the tool refuses.
+#[tokio::test]
+async fn the_examples_pass_the_check() {
+    for name in ["board.toml", "hradecky.toml"] {
+        let line = format!("config check {}", example(name).display());
+        expect(&[], &line, 0, "50 workers, 50 executors").await;
+    }
+}
+
+/// Guards against refusals that look like success, and against wrong exit codes in scripts.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_have_their_exit_codes() {
+    let cell = cell("exit_codes", 1).start().await.expect("a cell");
+    cell.wait_owners(0).await.expect("owners");
+    let to = endpoints(&cell);
+    let unknown = "request --customer nobody --class quick x";
+    expect(&to, unknown, 1, "UnknownCustomer (104)").await;
+    let json = expect(&to, &format!("--json {unknown}"), 1, "").await;
+    let json: Value = serde_json::from_str(&json).expect("JSON");
+    assert_eq!((&json["code"], &json["ran"]), (&104.into(), &"no".into()));
+    expect(&to, "get p0.0000000000000000", 1, "no such job").await;
+    expect(&to, "get a/b", 2, "ASCII letters").await;
+    expect(&to, "list --state asleep", 2, "possible values").await;
+    expect(
+        &to,
+        "config check no-such-file.toml",
+        2,
+        "no-such-file.toml",
+    )
+    .await;
+    let no_key = "request --customer board --class quick --not-repeatable x";
+    expect(&to, no_key, 2, "--key").await;
+    expect(&to, "status --endpoint here", 2, "IP address and a port").await;
+}
+
+/// Guards against a call that is repeated at another endpoint although the first may have run it,
+/// and against giving up although the next endpoint is safe to try.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_next_endpoint_is_tried_only_when_that_is_safe() {
+    let cell = cell("endpoints", 1).start().await.expect("a cell");
+    cell.wait_owners(0).await.expect("owners");
+    let daemon = cell.daemons[0].callers;
+    let (closed, silent) = (closed_address().await, silent_server().await);
+    expect(&[closed, daemon], "status", 0, "It is not down").await;
+    expect(&[silent, daemon], "status", 0, "It is not down").await;
+    expect(&[closed], "status", 3, "nothing was sent").await;
+    let job = "submit --customer guild --class batch --cpu-millis 1 --memory-mib 1 --run-ms 1";
+    expect(&[closed, daemon], job, 0, "p0.").await;
+    expect(&[silent, daemon], job, 4, "may have taken effect").await;
+    let keyed = format!("{job} --key endpoints-1");
+    expect(&[silent, daemon], &keyed, 0, "p0.").await;
+    let quick = "request --customer board --class quick --deadline-ms 2000 again";
+    expect(&[silent, daemon], quick, 0, "answer to again").await;
+}
+
+/// Guards against help and completion that fail or miss a command.
+#[tokio::test]
+async fn help_and_completion_name_every_command() {
+    let commands = [
+        "config",
+        "submit",
+        "request",
+        "list",
+        "get",
+        "wait",
+        "cancel",
+        "explain",
+        "status",
+        "state",
+        "completion",
+    ];
+    for command in commands {
+        expect(&[], "--help", 0, command).await;
+        expect(&[], "completion bash", 0, command).await;
+    }
+    expect(&[], "--help", 0, "4  the outcome is unknown").await;
+    expect(&[], "", 2, "").await;
+}
--- /dev/null
+++ b/crates/magnolia-types/tests/result_codes.rs
@@ -0,0 +1,48 @@
+//! The page of result codes and the code list the same.
+
+use std::collections::BTreeSet;
+
+use magnolia_types::{Ran, ResultCode};
+
+const PAGE: &str = include_str!("../../../docs/RESULT-CODES.md");
+
+/// Guards against a code that callers cannot look up, or a page that is out of date.
+#[test]
+fn the_page_lists_every_code() {
+    let rows = PAGE.lines().filter(|line| {
+        let cell = line.split('|').nth(1).map(str::trim);
+        cell.is_some_and(|cell| cell.parse::<u16>().is_ok())
+    });
+    let listed: Vec<String> = rows
+        .map(|row| {
+            let cells: Vec<&str> = row.split('|').map(str::trim).collect();
+            assert!(
+                cells.len() == 8 && cells[5..7].iter().all(|cell| !cell.is_empty()),
+                "{row}"
+            );
+            cells[1..5].join(" ")
+        })
+        .collect();
+    let expected = ResultCode::ALL.iter().map(|code| {
+        let ran = match code.ran() {
+            Ran::Yes => "yes",
+            Ran::No => "no",
+            Ran::Unknown => "unknown",
+        };
+        let (number, name) = (code.number(), code.name());
+        format!("{number} {name} {} {ran}", code.http_status())
+    });
+    assert_eq!(listed, expected.collect::<Vec<_>>());
+}
+
+/// Guards against two codes with one number or name.
+#[test]
+fn numbers_and_names_are_unique_and_in_order() {
+    let numbers: Vec<u16> = ResultCode::ALL.iter().map(|code| code.number()).collect();
+    assert!(numbers.is_sorted_by(|a, b| a < b), "{numbers:?}");
+    let names: BTreeSet<&str> = ResultCode::ALL.iter().map(|code| code.name()).collect();
+    assert_eq!(names.len(), ResultCode::ALL.len());
+    for code in ResultCode::ALL {
+        assert_eq!(ResultCode::from_number(code.number()), Some(*code));
+    }
+}
