Read past log records that are not base64 and pages that are too large

One such record made every reader of its stream fail at the same page for ever. It now counts as a foreign record.

--- a/crates/magnolia-cli/src/config_commands.rs
+++ b/crates/magnolia-cli/src/config_commands.rs
@@ -232,3 +232,7 @@
         failure
     })
 }
+
+#[cfg(test)]
+#[path = "config_commands_tests.rs"]
+mod tests;
--- a/crates/magnolia-daemon/src/config_feed/reader.rs
+++ b/crates/magnolia-daemon/src/config_feed/reader.rs
@@ -15,7 +15,8 @@
 /// Longest wait of one read for a new record. With the call timeout of the log client (2 s) a read
 /// that hangs is repeated within 3 s, so that a publication reaches every daemon within 4 s.
 const POLL_WAIT: Millis = Millis::from_secs(1);
-/// Most records of one read.
+/// Most records of one read. After a failed read the number is halved, because a page of many
+/// snapshots may be larger than the client takes.
 const POLL_RECORDS: usize = 64;
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -31,17 +32,18 @@
 /// Reads stream `config` until the daemon ends.
 pub(super) async fn read_log(context: &DaemonContext) {
     let mut reader = LogReader::new();
+    let mut page_size = POLL_RECORDS;
     loop {
         let next = reader.replay.next();
-        let read = context
-            .log
-            .read(CONFIG_STREAM, next, POLL_WAIT, POLL_RECORDS);
+        let read = context.log.read(CONFIG_STREAM, next, POLL_WAIT, page_size);
         match read.await {
             Ok(page) => {
+                page_size = POLL_RECORDS;
                 reader.apply_page(context, page);
                 reader.keep_snapshot(context).await;
             }
             Err(error) => {
+                page_size = (page_size / 2).max(1);
                 context.metrics.count(names::CONFIG_READ_FAILED);
                 context
                     .config_feed
--- a/crates/magnolia-lab/tests/config_feed.rs
+++ b/crates/magnolia-lab/tests/config_feed.rs
@@ -58,6 +58,11 @@
         .expect("a cell");
     let faults = json!({"lose_answers_percent": 60, "foreign_percent": 50});
     cell.set_faults(cell.log, &faults).await.expect("faults");
+    let foreign = json!({"data": "this is not base64"});
+    let path = "/v1/streams/config/records";
+    let stored = cell.client.post_json(cell.log, path, &foreign, LIMIT).await;
+    // The answer may be lost; the record is stored all the same.
+    drop(stored);
     for round in 0..6_u32 {
         let base = 1 + u64::from(round);
         let daemon = round as usize % 3;
--- a/crates/magnolia-platform/src/http_log.rs
+++ b/crates/magnolia-platform/src/http_log.rs
@@ -6,7 +6,7 @@
 use base64::prelude::{BASE64_STANDARD, Engine};
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use magnolia_http::{CallLimits, HttpAnswer, HttpClient, HttpError};
+use magnolia_http::{CallLimits, HttpAnswer, HttpClient};
 use magnolia_types::{LogOffset, Millis, wire_types};
 
 use crate::{LogPage, LogRecord, LogService, PlatformError};
@@ -44,30 +44,25 @@
     }
 }
 
-impl TryFrom<ReadAnswer> for LogPage {
-    type Error = HttpError;
-
-    fn try_from(answer: ReadAnswer) -> Result<Self, Self::Error> {
-        let records = answer.records.into_iter().map(LogRecord::try_from);
-        Ok(Self {
+impl From<ReadAnswer> for LogPage {
+    fn from(answer: ReadAnswer) -> Self {
+        Self {
             first: answer.first,
             next: answer.next,
-            records: records.collect::<Result<_, _>>()?,
-        })
+            records: answer.records.into_iter().map(LogRecord::from).collect(),
+        }
     }
 }
 
-impl TryFrom<RecordBody> for LogRecord {
-    type Error = HttpError;
-
-    fn try_from(record: RecordBody) -> Result<Self, Self::Error> {
-        let data = BASE64_STANDARD
-            .decode(record.data)
-            .map_err(|error| HttpError::Malformed(error.to_string()))?;
-        Ok(Self {
+impl From<RecordBody> for LogRecord {
+    /// Content that is not base64 becomes empty, which readers skip and count as foreign; a
+    /// failure of the whole page would stop every reader at that record.
+    fn from(record: RecordBody) -> Self {
+        let data = BASE64_STANDARD.decode(record.data).unwrap_or_default();
+        Self {
             offset: record.offset,
             data: Bytes::from(data),
-        })
+        }
     }
 }
 
@@ -146,7 +141,7 @@
                 silence: wait.into(),
             };
             let answer = self.client.get(self.address, &path, limits).await?;
-            Ok(LogPage::try_from(success(answer)?.json::<ReadAnswer>()?)?)
+            Ok(success(answer)?.json::<ReadAnswer>()?.into())
         })
     }
 }
