--- a/crates/magnolia-daemon/src/config_feed/reader.rs
+++ b/crates/magnolia-daemon/src/config_feed/reader.rs
@@ -161,7 +161,7 @@
         let Some(since) = self.durable_since else {
             return false;
         };
-        let retention = context.settings.log_retention.get();
+        let retention = context.settings.log_retention_ms.get();
         let steps = candidate_rank(context).min(MAX_CANDIDATE_STEPS);
         let wait = retention / 2 + steps * (retention / CANDIDATE_STEPS);
         unix_ms().saturating_sub(since) >= wait
--- a/crates/magnolia-daemon/src/settings.rs
+++ b/crates/magnolia-daemon/src/settings.rs
@@ -34,7 +34,7 @@
     /// Address of the log service.
     pub log: SocketAddr,
     /// How long the log keeps records.
-    pub log_retention: Millis,
+    pub log_retention_ms: Millis,
     /// Address of the instance list.
     pub instances: SocketAddr,
     /// Address of a statsd server; metrics go nowhere when absent.
@@ -66,7 +66,7 @@
             inner_listen,
             inner_advertise: optional(&matches, "inner-advertise").unwrap_or(inner_listen),
             log: required(&matches, "log"),
-            log_retention: required(&matches, "log-retention-ms"),
+            log_retention_ms: required(&matches, "log-retention-ms"),
             instances: required(&matches, "instances"),
             statsd: optional(&matches, "statsd"),
             log_level: log_level(&matches),
@@ -157,10 +157,10 @@
                 self.inner_listen
             ));
         }
-        if self.log_retention < MIN_LOG_RETENTION {
+        if self.log_retention_ms < MIN_LOG_RETENTION {
             return Err(format!(
                 "--log-retention-ms: {} is not allowed; allowed: {} or more",
-                self.log_retention.get(),
+                self.log_retention_ms.get(),
                 MIN_LOG_RETENTION.get()
             ));
         }
