--- a/crates/magnolia-daemon/src/settings.rs
+++ b/crates/magnolia-daemon/src/settings.rs
@@ -33,7 +33,7 @@
     pub inner_advertise: SocketAddr,
     /// Address of the log service.
     pub log: SocketAddr,
-    /// How long the log keeps a record.
+    /// How long the log keeps records.
     pub log_retention_ms: Millis,
     /// Address of the instance list.
     pub instances: SocketAddr,
