--- a/crates/magnolia-daemon/src/inner/mod.rs
+++ b/crates/magnolia-daemon/src/inner/mod.rs
@@ -76,7 +76,8 @@
                     .claims
                     .with_table(|table| table.iter().cloned().collect()),
             ),
-            PeerRequest::Handover(_) | PeerRequest::ReadLog { .. } => PeerReply::Refused {
+            PeerRequest::Handover(handover) => partition::take_handover(&self.context, handover),
+            PeerRequest::ReadLog { .. } => PeerReply::Refused {
                 code: ResultCode::NotFound,
                 message: "the request is not supported".into(),
             },
--- a/crates/magnolia-daemon/src/lib.rs
+++ b/crates/magnolia-daemon/src/lib.rs
@@ -10,10 +10,13 @@
 mod membership;
 mod metrics;
 mod ownership;
-mod partition;
+pub mod partition;
 mod peers;
 mod quick;
 mod settings;
 
+pub use context::DaemonContext;
 pub use daemon::{ExitStatus, run_main};
+pub use inner::InnerHandler;
+pub use membership::MemberEntry;
 pub use settings::{DaemonSettings, SettingsError};
--- /dev/null
+++ b/crates/magnolia-daemon/src/partition/describe.rs
@@ -0,0 +1,51 @@
+//! Describes an owner for the state dump.
+
+use std::collections::BTreeMap;
+
+use magnolia_policy::WorkerCondition;
+use serde_json::{Value, json};
+
+use super::owner::{OwnerPhase, PartitionOwner};
+
+impl PartitionOwner {
+    /// Describes jobs by state, workers by condition, the journal and the takeover.
+    pub(super) fn describe(&self) -> Value {
+        let mut jobs: BTreeMap<String, u32> = BTreeMap::new();
+        for (_, entry) in self.table.iter() {
+            let state = format!("{:?}", entry.state()).to_lowercase();
+            *jobs.entry(state).or_default() += 1;
+        }
+        let mut workers: BTreeMap<&str, u32> = BTreeMap::new();
+        for link in self.links.values() {
+            let condition = link.view.as_ref().map(|view| view.condition);
+            let name = match condition {
+                Some(WorkerCondition::Usable) => "usable",
+                Some(WorkerCondition::Leaving) => "leaving",
+                Some(WorkerCondition::Unavailable) | None => "unavailable",
+            };
+            *workers.entry(name).or_default() += 1;
+        }
+        let phase = match self.phase {
+            OwnerPhase::Opening => "opening",
+            OwnerPhase::Serving => "serving",
+            OwnerPhase::Draining(_) => "draining",
+            OwnerPhase::Stopped => "stopped",
+        };
+        json!({
+            "epoch": self.claim.epoch,
+            "phase": phase,
+            "jobs": jobs,
+            "keys": self.table.keys(),
+            "attempts": self.attempts.len(),
+            "waiting_tasks": self.engine.waiting_tasks(),
+            "workers": workers,
+            "journal": {
+                "next": self.committer.next_offset(),
+                "healthy": self.committer.is_healthy(),
+                "pending": self.committer.pending(),
+                "counts": self.committer.counts(),
+            },
+            "takeover": self.tracker.progress(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/magnolia-daemon/src/partition/exchange.rs
@@ -0,0 +1,388 @@
+//! Exchanges with workers: one at a time for each worker, all workers at once.
+
+use std::sync::Arc;
+
+use magnolia_platform::{
+    AttemptEnd, AttemptReport, AttemptState, CommandAnswer, CommandBatch, FenceRequest,
+    RefusedStart, StartRefusal,
+};
+use magnolia_policy::WorkerView;
+use magnolia_state::{AttemptResult, WorkerNews};
+use magnolia_types::{AttemptId, Millis, WorkerId};
+
+use super::events::{ExchangeResult, OwnerEvent};
+use super::evidence;
+use super::owner::{OwnerPhase, PartitionOwner};
+use super::worker_link::{AttemptOrder, WorkerLink};
+
+/// Pause before the claim is asked about again after it was not confirmed.
+const CONFIRM_PAUSE: Millis = Millis::new(500);
+
+impl PartitionOwner {
+    /// Sends each worker what is due.
+    pub(super) fn drive_workers(&mut self) {
+        let now = self.now();
+        if matches!(self.phase, OwnerPhase::Draining(_)) {
+            return;
+        }
+        self.drop_unsent_stops();
+        let mut unconfirmed = false;
+        let workers: Vec<WorkerId> = self.links.keys().cloned().collect();
+        for worker in workers {
+            let citation = self.book.citation(&worker);
+            let Some(link) = self.links.get(&worker) else {
+                continue;
+            };
+            let incarnation = citation.map(|citation| citation.incarnation);
+            let may_start = incarnation.is_some() && link.confirmed == incarnation;
+            unconfirmed |= incarnation.is_some() && !may_start;
+            if !link.is_due(now, may_start) {
+                continue;
+            }
+            if self.tracker.is_fenced(&worker) {
+                self.send_commands(&worker, may_start, now);
+            } else if !self.early_reports.contains_key(&worker) {
+                self.send_fence(&worker, now);
+            }
+        }
+        if unconfirmed && self.confirming.is_none() && now >= self.confirm_after {
+            self.ask_for_confirmation(now);
+        }
+    }
+
+    fn send_fence(&mut self, worker: &WorkerId, now: Millis) {
+        let request = FenceRequest {
+            partition: Arc::clone(&self.partition),
+            epoch: self.claim.epoch,
+        };
+        let lease = self.lease;
+        let Some(link) = self.links.get_mut(worker) else {
+            return;
+        };
+        link.sent(now, lease);
+        let (context, events) = (Arc::clone(&self.context), self.events.clone());
+        let (worker, address) = (worker.clone(), link.address);
+        tokio::spawn(async move {
+            let answer = context.workers.fence(address, &request).await;
+            let result = ExchangeResult {
+                worker,
+                is_fence: true,
+                starts: Vec::new(),
+                acknowledged: Vec::new(),
+                answer,
+            };
+            events.send(OwnerEvent::Exchanged(Box::new(result))).ok();
+        });
+    }
+
+    fn send_commands(&mut self, worker: &WorkerId, may_start: bool, now: Millis) {
+        let Some(citation) = self.book.citation(worker) else {
+            return;
+        };
+        let Some(link) = self.links.get_mut(worker) else {
+            return;
+        };
+        let mut starts = Vec::new();
+        if may_start {
+            for start in link.starts.values_mut() {
+                start.sends += 1;
+                starts.push(start.command.clone());
+            }
+        }
+        let batch = CommandBatch {
+            partition: Arc::clone(&self.partition),
+            epoch: self.claim.epoch,
+            incarnation: citation.incarnation,
+            reading_ms: citation.reading,
+            lease_ms: self.lease,
+            start_window_ms: self.start_window,
+            renew: true,
+            full_report: link.needs_full_report(now),
+            starts,
+            stops: link.stop_commands(),
+            checkpoints: link.checkpoint_commands(),
+            throttles: link.throttle_commands(),
+            acknowledged: link.acknowledged.iter().cloned().collect(),
+        };
+        link.sent(now, self.lease);
+        self.book.sent(worker, &citation, self.lease);
+        self.context.metrics.count("workers.exchanges");
+        let (context, events) = (Arc::clone(&self.context), self.events.clone());
+        let (worker, address) = (worker.clone(), link.address);
+        tokio::spawn(async move {
+            let answer = context.workers.command(address, &batch).await;
+            let starts = batch.starts.into_iter().map(|start| start.attempt);
+            let result = ExchangeResult {
+                worker,
+                is_fence: false,
+                starts: starts.collect(),
+                acknowledged: batch.acknowledged,
+                answer,
+            };
+            events.send(OwnerEvent::Exchanged(Box::new(result))).ok();
+        });
+    }
+
+    /// Takes the end of an exchange in.
+    pub(super) fn take_exchange(&mut self, result: ExchangeResult) {
+        let now = self.now();
+        let ExchangeResult { answer, .. } = &result;
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.context.metrics.count("workers.no_answer");
+                if let Some(link) = self.links.get_mut(&result.worker) {
+                    link.failed(now);
+                }
+                if error.is_without_effect() {
+                    self.take_back_starts(&result.worker, &result.starts);
+                }
+                self.update_view(&result.worker);
+                return;
+            }
+        };
+        if let Some(epoch) = answer.superseded_by {
+            if epoch > self.claim.epoch {
+                self.step_down(epoch);
+            } else if let Some(link) = self.links.get_mut(&result.worker) {
+                link.failed(now);
+            }
+            return;
+        }
+        if answer.report.worker != result.worker {
+            // Another process listens at the address of the inventory.
+            self.context.metrics.count("workers.wrong_name");
+            if let Some(link) = self.links.get_mut(&result.worker) {
+                link.failed(now);
+            }
+            return;
+        }
+        self.note_answer(&result, answer, now);
+        if result.is_fence {
+            self.take_fence_report(&result.worker, &answer.report, now);
+        } else {
+            self.take_report(&result, answer, now);
+        }
+        self.update_view(&result.worker);
+    }
+
+    /// Takes note of incarnation, clock and condition.
+    fn note_answer(&mut self, result: &ExchangeResult, answer: &CommandAnswer, now: Millis) {
+        let worker = &result.worker;
+        for refused in &answer.refused {
+            self.start_refused(worker, refused);
+        }
+        let report = &answer.report;
+        let news = self
+            .book
+            .heard(worker, report.incarnation, report.clock_ms, now);
+        if let Some(link) = self.links.get_mut(worker) {
+            link.answered(now);
+            link.reported = Some(report.capacity);
+            link.reports_leaving = report.leaving;
+            for attempt in &result.acknowledged {
+                link.acknowledged.remove(attempt);
+            }
+            if matches!(news, WorkerNews::First | WorkerNews::Restarted(_)) {
+                link.learned = now;
+                link.confirmed = None;
+            }
+        }
+        if let WorkerNews::Restarted(lost) = news {
+            log::info!("{}: worker {worker} has restarted", self.claim.unit);
+            self.context.metrics.count("workers.restarts");
+            self.lose_attempts(worker, lost);
+        }
+    }
+
+    /// A start that was refused has not run; one that was sent to an earlier process of the worker
+    /// as well may have run there.
+    fn start_refused(&mut self, worker: &WorkerId, refused: &RefusedStart) {
+        let link = self.links.get(worker);
+        let sends = link.and_then(|link| Some(link.starts.get(&refused.attempt)?.sends));
+        let result = match (refused.reason, sends) {
+            (StartRefusal::OtherIncarnation, Some(2..)) => AttemptResult::Lost,
+            (_, Some(_)) => AttemptResult::NotStarted,
+            (_, None) => return,
+        };
+        self.context.metrics.count("starts.refused");
+        self.end_attempt(&refused.attempt, result, false);
+    }
+
+    /// Ends starts that certainly did not reach their worker.
+    fn take_back_starts(&mut self, worker: &WorkerId, starts: &[AttemptId]) {
+        for attempt in starts {
+            let link = self.links.get(worker);
+            let sends = link.and_then(|link| Some(link.starts.get(attempt)?.sends));
+            if sends == Some(1) {
+                self.end_attempt(attempt, AttemptResult::NotStarted, false);
+            }
+        }
+    }
+
+    fn take_report(&mut self, result: &ExchangeResult, answer: &CommandAnswer, now: Millis) {
+        for report in &answer.report.attempts {
+            self.take_attempt_report(&result.worker, report, now);
+        }
+        if answer.report.full {
+            self.check_missing(result, answer, now);
+        }
+    }
+
+    fn take_attempt_report(&mut self, worker: &WorkerId, report: &AttemptReport, now: Millis) {
+        let is_ours = self
+            .attempts
+            .get(&report.attempt)
+            .is_some_and(|known| known.worker == *worker);
+        match report.state {
+            AttemptState::Ended(end) if is_ours => {
+                self.end_attempt(&report.attempt, result_of(end), true);
+            }
+            AttemptState::Ended(_) => self.acknowledge_now(worker, &report.attempt),
+            AttemptState::Running | AttemptState::Throttled if is_ours => {
+                self.engine.observe_usage(&report.attempt, report.usage);
+                if let Some(link) = self.links.get_mut(worker) {
+                    link.start_answered(&report.attempt, report.ran_ms, now);
+                }
+            }
+            AttemptState::Running | AttemptState::Throttled => {
+                // The attempt was given up here, for example after its lease had ended.
+                if let Some(link) = self.links.get_mut(worker) {
+                    link.order(&report.attempt, AttemptOrder::Stop);
+                    link.still_running(&report.attempt, now);
+                }
+            }
+        }
+    }
+
+    /// An answered attempt that a full report lacks is gone: the worker forgets ended attempts
+    /// only when told, so its process must have changed, or it broke its promise.
+    fn check_missing(&mut self, result: &ExchangeResult, answer: &CommandAnswer, now: Millis) {
+        let Some(link) = self.links.get_mut(&result.worker) else {
+            return;
+        };
+        link.full_report_taken(now);
+        let reported = |id: &AttemptId| answer.report.attempts.iter().any(|it| it.attempt == *id);
+        let intents = &self.intents;
+        let held = self.book.attempts_on(&result.worker);
+        let missing: Vec<AttemptId> = held
+            .filter(|id| !link.starts.contains_key(*id) && !intents.contains_key(*id))
+            .filter(|id| !reported(id))
+            .cloned()
+            .collect();
+        for attempt in missing {
+            self.context.metrics.count("attempts.missing");
+            self.end_attempt(&attempt, AttemptResult::Lost, false);
+        }
+    }
+
+    /// Lets a worker forget an ended attempt that the owner does not need, unless its record is
+    /// still on the way to the log.
+    pub(super) fn acknowledge_now(&mut self, worker: &WorkerId, attempt: &AttemptId) {
+        if self.journalling.contains(attempt) {
+            return;
+        }
+        if let Some(link) = self.links.get_mut(worker) {
+            link.forget(attempt);
+            link.acknowledged.insert(attempt.clone());
+        }
+    }
+
+    /// Ends attempts whose leases are over on workers that do not answer.
+    pub(super) fn expire_leases(&mut self, now: Millis) {
+        for (worker, lost) in self.book.expire(now) {
+            self.context
+                .metrics
+                .add("attempts.waited_out", lost.len() as u64);
+            self.lose_attempts(&worker, lost);
+        }
+    }
+
+    /// Ends attempts that can no longer run on a worker, with an end that nobody knows.
+    fn lose_attempts(&mut self, worker: &WorkerId, lost: Vec<AttemptId>) {
+        for attempt in lost {
+            let link = self.links.get(worker);
+            let sends = link.and_then(|link| Some(link.starts.get(&attempt)?.sends));
+            let result = match sends {
+                Some(0) => AttemptResult::NotStarted,
+                None if self.intents.contains_key(&attempt) => AttemptResult::NotStarted,
+                _ => AttemptResult::Lost,
+            };
+            self.end_attempt(&attempt, result, false);
+        }
+    }
+
+    /// Ends stopped attempts whose start was never sent.
+    fn drop_unsent_stops(&mut self) {
+        let unsent: Vec<AttemptId> = self
+            .links
+            .values()
+            .flat_map(WorkerLink::unsent_stops)
+            .collect();
+        for attempt in unsent {
+            self.end_attempt(&attempt, AttemptResult::NotStarted, false);
+        }
+    }
+
+    /// Tells the placement what a worker has and whether it takes tasks.
+    pub(super) fn update_view(&mut self, worker: &WorkerId) {
+        let fenced = self.tracker.is_fenced(worker) && !self.early_reports.contains_key(worker);
+        let citation = self.book.citation(worker);
+        let Some(link) = self.links.get_mut(worker) else {
+            return;
+        };
+        let view = WorkerView {
+            worker: worker.clone(),
+            rack: link.rack.clone(),
+            capacity: link.usable_capacity(),
+            condition: link.condition(fenced, citation.map(|citation| citation.incarnation)),
+        };
+        if link.view.as_ref() != Some(&view) {
+            link.view = Some(view.clone());
+            self.engine.upsert_worker(view);
+            self.place_due = true;
+        }
+    }
+
+    fn ask_for_confirmation(&mut self, now: Millis) {
+        self.confirming = Some(now);
+        let (context, events) = (Arc::clone(&self.context), self.events.clone());
+        let claim = self.claim.clone();
+        tokio::spawn(async move {
+            let confirmed = evidence::confirm_claim(&context, &claim).await;
+            let asked = now;
+            events.send(OwnerEvent::Confirmed { asked, confirmed }).ok();
+        });
+    }
+
+    /// Allows starts on the incarnations that were known before the question was asked.
+    pub(super) fn claim_confirmed(&mut self, asked: Millis, confirmed: bool) {
+        self.confirming = None;
+        if !confirmed {
+            self.context.metrics.count("claims.not_confirmed");
+            self.confirm_after = self.now().saturating_add(CONFIRM_PAUSE);
+            return;
+        }
+        let workers: Vec<WorkerId> = self.links.keys().cloned().collect();
+        for worker in workers {
+            let citation = self.book.citation(&worker);
+            if let Some(link) = self.links.get_mut(&worker)
+                && link.learned <= asked
+            {
+                link.confirmed = citation.map(|citation| citation.incarnation);
+            }
+            self.update_view(&worker);
+        }
+    }
+}
+
+/// Translates the end that a worker reports.
+pub(super) fn result_of(end: AttemptEnd) -> AttemptResult {
+    match end {
+        AttemptEnd::Succeeded => AttemptResult::Succeeded,
+        AttemptEnd::Failed => AttemptResult::Failed,
+        AttemptEnd::Stopped | AttemptEnd::LeaseExpired | AttemptEnd::Checkpointed => {
+            AttemptResult::Interrupted
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnolia-daemon/src/partition/inventory.rs
@@ -0,0 +1,77 @@
+//! Takes changes of the inventory and the rules over while the owner runs.
+
+use std::collections::BTreeSet;
+
+use magnolia_config::ConfigDocument;
+use magnolia_types::WorkerId;
+
+use super::owner::{OwnerPhase, PartitionOwner};
+use super::worker_link::{AttemptOrder, WorkerLink};
+
+impl PartitionOwner {
+    /// Takes a configuration over.
+    pub(super) fn take_config(&mut self, document: &ConfigDocument) {
+        self.lease = document.rules.lease_ms;
+        self.start_window = document.rules.start_window_ms;
+        self.engine.set_rules(document);
+        let added = self.take_inventory(document);
+        if !matches!(self.phase, OwnerPhase::Opening) {
+            // Until the journal is open, the tracker is built anew from all links.
+            for worker in added {
+                self.tracker.add_worker(worker);
+            }
+        }
+        let workers: Vec<WorkerId> = self.links.keys().cloned().collect();
+        workers.iter().for_each(|worker| self.update_view(worker));
+        self.stop_removed();
+        self.move_services();
+        self.place_due = true;
+    }
+
+    /// Updates the links from the inventory; returns the workers that were added.
+    pub(super) fn take_inventory(&mut self, document: &ConfigDocument) -> Vec<WorkerId> {
+        let mut added = Vec::new();
+        let mut known: BTreeSet<WorkerId> = BTreeSet::new();
+        for (rack, worker, capacity) in document.workers_of(&self.partition) {
+            known.insert(worker.name.clone());
+            let link = self.links.entry(worker.name.clone()).or_insert_with(|| {
+                added.push(worker.name.clone());
+                WorkerLink::new(worker.name.clone(), worker.address, rack.name.clone())
+            });
+            link.address = worker.address;
+            link.rack = rack.name.clone();
+            link.capacity = capacity;
+            link.rack_leaving = rack.leaving;
+            link.removed = false;
+        }
+        for (worker, link) in &mut self.links {
+            link.removed = !known.contains(worker);
+        }
+        added
+    }
+
+    /// Stops what runs on removed workers, and forgets those on which nothing can run.
+    pub(super) fn stop_removed(&mut self) {
+        let removed: Vec<WorkerId> = self
+            .links
+            .values()
+            .filter(|link| link.removed)
+            .map(|link| link.worker.clone())
+            .collect();
+        for worker in removed {
+            let attempts: Vec<_> = self.book.attempts_on(&worker).cloned().collect();
+            let is_known = self.tracker.is_fenced(&worker) || self.tracker.is_complete();
+            let Some(link) = self.links.get_mut(&worker) else {
+                continue;
+            };
+            attempts
+                .iter()
+                .for_each(|attempt| link.order(attempt, AttemptOrder::Stop));
+            if attempts.is_empty() && is_known && !link.is_busy && link.acknowledged.is_empty() {
+                self.links.remove(&worker);
+                self.book.remove(&worker);
+                self.engine.remove_worker(&worker);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnolia-daemon/src/partition/lifecycle.rs
@@ -0,0 +1,132 @@
+//! Start, stop and planned handover of owners.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use magnolia_protocol::{Handover, PeerReply, PeerRequest};
+use magnolia_state::ClaimRecord;
+use magnolia_types::{Epoch, ResultCode, UnitId};
+use tokio::sync::{mpsc, oneshot};
+
+use super::events::OwnerEvent;
+use super::opening::open_journal;
+use super::owner::PartitionOwner;
+use super::registry::{OwnerHandle, OwnerInsertion};
+use crate::context::DaemonContext;
+use crate::membership::MemberEntry;
+
+/// Most operations that wait for the owner.
+const COMMAND_QUEUE: usize = 1024;
+/// Longest time until an owner has drained for a handover.
+const DRAIN_LIMIT: Duration = Duration::from_secs(10);
+/// Longest time of the handover message.
+const HANDOVER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Starts to serve a claimed partition, once per epoch.
+pub fn start_owner(context: &Arc<DaemonContext>, claim: &ClaimRecord) {
+    let (commands, command_receiver) = mpsc::channel(COMMAND_QUEUE);
+    let (events, event_receiver) = mpsc::unbounded_channel();
+    let handle = OwnerHandle {
+        epoch: claim.epoch,
+        commands,
+        events: events.clone(),
+        description: Arc::new(Mutex::default()),
+    };
+    match context.partitions.insert(&claim.unit, handle.clone()) {
+        OwnerInsertion::Added(None) => {}
+        OwnerInsertion::Added(Some(replaced)) => {
+            replaced
+                .events
+                .send(OwnerEvent::Superseded(claim.epoch))
+                .ok();
+        }
+        OwnerInsertion::Refused => return,
+    }
+    log::info!("owner of {} at epoch {}", claim.unit, claim.epoch);
+    let handover = context.partitions.take_handover(&claim.unit, claim.epoch);
+    tokio::spawn(open(
+        Arc::clone(context),
+        claim.clone(),
+        handover,
+        events.clone(),
+    ));
+    let owner = PartitionOwner::new(
+        Arc::clone(context),
+        claim.clone(),
+        events,
+        handle.description,
+    );
+    tokio::spawn(owner.run(command_receiver, event_receiver));
+}
+
+async fn open(
+    context: Arc<DaemonContext>,
+    claim: ClaimRecord,
+    handover: Option<Handover>,
+    events: mpsc::UnboundedSender<OwnerEvent>,
+) {
+    tokio::select! {
+        opened = open_journal(&context, &claim, handover) => {
+            let event = match opened {
+                Ok(journal) => OwnerEvent::Opened(Box::new(journal)),
+                Err(epoch) => OwnerEvent::Superseded(epoch),
+            };
+            events.send(event).ok();
+        }
+        () = events.closed() => {}
+    }
+}
+
+/// Stops the owner of a partition that was superseded at `superseded_by`.
+pub fn stop_owner(context: &DaemonContext, unit: &UnitId, superseded_by: Epoch) {
+    if let Some(owner) = context.partitions.get(unit)
+        && owner.epoch < superseded_by
+    {
+        owner
+            .events
+            .send(OwnerEvent::Superseded(superseded_by))
+            .ok();
+    }
+}
+
+/// Stops the owner of a partition as planned and passes its state to `successor`.
+///
+/// Returns whether the successor has taken it. The owner has stopped in either case.
+pub async fn hand_over(
+    context: &Arc<DaemonContext>,
+    unit: &UnitId,
+    successor: &MemberEntry,
+) -> bool {
+    let Some(owner) = context.partitions.get(unit) else {
+        return false;
+    };
+    let (reply, drained) = oneshot::channel();
+    if owner.events.send(OwnerEvent::HandOver(reply)).is_err() {
+        return false;
+    }
+    let Ok(Ok(Some(handover))) = tokio::time::timeout(DRAIN_LIMIT, drained).await else {
+        log::warn!("{unit} was not drained for a handover");
+        return false;
+    };
+    let request = PeerRequest::Handover(handover);
+    let reply = context
+        .call_peer(successor.address, request, HANDOVER_TIMEOUT)
+        .await;
+    let taken = matches!(reply.map(|reply| reply.body), Ok(PeerReply::HandoverTaken));
+    log::info!("handover of {unit} to {}: taken {taken}", successor.daemon);
+    taken
+}
+
+/// Keeps the state that an earlier owner passes on, for [`start_owner`].
+pub fn take_handover(context: &Arc<DaemonContext>, handover: Handover) -> PeerReply {
+    let known = context.claims.get(&handover.unit).map(|claim| claim.epoch);
+    if handover.unit.partition().is_none() || known > Some(handover.epoch) {
+        return PeerReply::Refused {
+            code: ResultCode::NotOwner,
+            message: "the epoch of the handover is superseded".into(),
+        };
+    }
+    context.metrics.count("partition.handovers_taken");
+    context.partitions.keep_handover(handover);
+    PeerReply::HandoverTaken
+}
--- /dev/null
+++ b/crates/magnolia-daemon/src/partition/operations.rs
@@ -0,0 +1,375 @@
+//! Operations of callers on jobs.
+
+use std::sync::Arc;
+
+use magnolia_protocol::{JobOperation, JobReply, JobView, TaskCounts};
+use magnolia_state::{JobEntry, JournalEntry, KeyLookup, KeyUse};
+use magnolia_types::{CustomerName, JobId, JobOutcome, JobSpec, JobState, Millis, ResultCode};
+
+use super::events::{JournalWaiter, OwnerCommand, ReplySender};
+use super::owner::{OwnerPhase, PartitionOwner, refused, wall_clock};
+
+/// Most jobs of one listing.
+const MAX_LISTED: usize = 1000;
+/// Most running tasks that an explanation names.
+const MAX_EXPLAINED_TASKS: usize = 20;
+
+impl PartitionOwner {
+    /// Answers an operation, now or later.
+    pub(super) fn answer(&mut self, command: OwnerCommand) {
+        if matches!(self.phase, OwnerPhase::Opening) {
+            let message = "the owner is still reading the journal";
+            command
+                .reply
+                .send(refused(ResultCode::NoOwner, message))
+                .ok();
+            return;
+        }
+        let reply = match command.operation {
+            JobOperation::Submit { job, spec } => return self.submit(job, spec, command.reply),
+            JobOperation::RunOnce { request, spec } => {
+                return self.run_once(request, spec, command.reply);
+            }
+            JobOperation::Wait { job, timeout_ms } => {
+                return self.wait(job, timeout_ms, command.reply);
+            }
+            JobOperation::Get { job } => self.view_reply(&job),
+            JobOperation::List {
+                customer,
+                state,
+                limit,
+            } => self.list(customer.as_ref(), state, limit),
+            JobOperation::Cancel { jobs } => self.cancel(&jobs),
+            JobOperation::Explain { job } => self.explain(&job),
+        };
+        command.reply.send(reply).ok();
+    }
+
+    fn submit(&mut self, job: JobId, spec: JobSpec, reply: ReplySender) {
+        let refusal = match self.check_submission(&job, &spec) {
+            Submission::New => self.check_room(&spec),
+            Submission::Known(job) => {
+                reply.send(self.view_reply(&job)).ok();
+                return;
+            }
+            Submission::InFlight(job) => {
+                self.submits.entry(job).or_default().push(reply);
+                return;
+            }
+            Submission::Refused(code, message) => Some((code, message.into())),
+        };
+        if let Some((code, message)) = refusal {
+            self.notes.refused(&job, Arc::clone(&message));
+            reply.send(refused(code, &message)).ok();
+            return;
+        }
+        let spec = Arc::new(spec);
+        let at = wall_clock();
+        if let Some(key) = &spec.idempotency_key {
+            let key = (spec.customer.clone(), key.clone());
+            let content = magnolia_state::job_content(&spec);
+            self.submit_keys.insert(key, (content, job.clone()));
+        }
+        self.submits.insert(job.clone(), vec![reply]);
+        let entry = JournalEntry::JobAccepted {
+            job: job.clone(),
+            spec: Arc::clone(&spec),
+            at,
+        };
+        let waiter = JournalWaiter::Submit { job, spec, at };
+        self.committer.push_awaited(entry, waiter, true, self.now());
+    }
+
+    fn check_submission(&self, job: &JobId, spec: &JobSpec) -> Submission {
+        if self.table.get(job).is_some() {
+            return Submission::Known(job.clone());
+        }
+        if self.submits.contains_key(job) {
+            return Submission::InFlight(job.clone());
+        }
+        match self.table.lookup_job(spec) {
+            KeyLookup::Same(KeyUse::Job(first)) => return Submission::Known(first),
+            KeyLookup::Same(KeyUse::Request { .. }) | KeyLookup::Reused => {
+                let message = "the key was used with other content";
+                return Submission::Refused(ResultCode::KeyReused, message);
+            }
+            KeyLookup::Unused => {}
+        }
+        if let Some(key) = &spec.idempotency_key {
+            let key = (spec.customer.clone(), key.clone());
+            match self.submit_keys.get(&key) {
+                Some((content, first)) if *content == magnolia_state::job_content(spec) => {
+                    return Submission::InFlight(first.clone());
+                }
+                Some(_) => {
+                    let message = "the key was used with other content";
+                    return Submission::Refused(ResultCode::KeyReused, message);
+                }
+                None if self.once_running.contains_key(&key) => {
+                    let message = "the key was used for a quick request";
+                    return Submission::Refused(ResultCode::KeyReused, message);
+                }
+                None => {}
+            }
+        } else if !spec.repeatable {
+            let message = "a job that may not repeat needs an idempotency key";
+            return Submission::Refused(ResultCode::KeyRequired, message);
+        }
+        if spec.tasks == 0 {
+            return Submission::Refused(ResultCode::BadRequest, "a job has at least one task");
+        }
+        if !self.is_serving() {
+            return Submission::Refused(ResultCode::Draining, "the owner is handing over");
+        }
+        if !self.committer.is_healthy() {
+            return Submission::Refused(ResultCode::LogUnavailable, "the log does not answer");
+        }
+        Submission::New
+    }
+
+    fn check_room(&self, spec: &JobSpec) -> Option<(ResultCode, Arc<str>)> {
+        let reason = self.engine.never_fits(spec)?;
+        Some((ResultCode::NeverFits, reason))
+    }
+
+    /// Replies to the caller of a job whose record is in the journal.
+    pub(super) fn job_accepted(&mut self, job: &JobId, spec: &Arc<JobSpec>, at: Millis) {
+        self.drop_submit_key(spec);
+        self.table
+            .accept(job.clone(), Arc::clone(spec), at, self.claim.epoch);
+        self.context.metrics.count("jobs.accepted");
+        self.enqueue_ready(job);
+        let reply = self.view_reply(job);
+        for sender in self.submits.remove(job).unwrap_or_default() {
+            sender.send(reply.clone()).ok();
+        }
+    }
+
+    /// Replies to the caller of a job whose record is not in the journal.
+    pub(super) fn job_not_accepted(
+        &mut self,
+        job: &JobId,
+        spec: &JobSpec,
+        code: ResultCode,
+        message: &str,
+    ) {
+        self.drop_submit_key(spec);
+        for sender in self.submits.remove(job).unwrap_or_default() {
+            sender.send(refused(code, message)).ok();
+        }
+    }
+
+    fn drop_submit_key(&mut self, spec: &JobSpec) {
+        if let Some(key) = &spec.idempotency_key {
+            self.submit_keys
+                .remove(&(spec.customer.clone(), key.clone()));
+        }
+    }
+
+    fn wait(&mut self, job: JobId, timeout: Millis, reply: ReplySender) {
+        match self.table.get(&job) {
+            Some(entry) if entry.outcome.is_none() => {
+                let deadline = self.now().saturating_add(timeout);
+                self.waits.entry(job).or_default().push((deadline, reply));
+            }
+            _ => {
+                reply.send(self.view_reply(&job)).ok();
+            }
+        }
+    }
+
+    /// Replies to those who wait for a job that is final now.
+    pub(super) fn wake_waits(&mut self, job: &JobId) {
+        for (_, reply) in self.waits.remove(job).unwrap_or_default() {
+            reply.send(self.view_reply(job)).ok();
+        }
+    }
+
+    /// Replies to those whose time is over.
+    pub(super) fn expire_waits(&mut self, now: Millis) {
+        for (job, waits) in std::mem::take(&mut self.waits) {
+            let (over, left): (Vec<_>, Vec<_>) = waits
+                .into_iter()
+                .partition(|(deadline, _)| *deadline <= now);
+            for (_, reply) in over {
+                reply.send(self.view_reply(&job)).ok();
+            }
+            if !left.is_empty() {
+                self.waits.insert(job, left);
+            }
+        }
+    }
+
+    fn cancel(&mut self, jobs: &[JobId]) -> JobReply {
+        for job in jobs {
+            let outcome = JobOutcome {
+                state: JobState::Cancelled,
+                code: ResultCode::Cancelled,
+                reason: "cancelled by the caller".into(),
+            };
+            self.end_job(job, outcome);
+        }
+        let views = jobs.iter().filter_map(|job| self.view(job));
+        JobReply::Jobs(views.collect())
+    }
+
+    /// Ends a job for good and stops its attempts.
+    pub(super) fn end_job(&mut self, job: &JobId, outcome: JobOutcome) {
+        let open = self
+            .table
+            .get(job)
+            .is_some_and(|entry| entry.ending.is_none());
+        let open = open
+            && self
+                .table
+                .get(job)
+                .is_some_and(|entry| entry.outcome.is_none());
+        if !open {
+            return;
+        }
+        let at = wall_clock();
+        let entry = JournalEntry::JobEnded {
+            job: job.clone(),
+            outcome: outcome.clone(),
+            at,
+        };
+        self.committer.push(entry, None, self.now());
+        self.engine.withdraw(std::slice::from_ref(job));
+        self.held.remove(job);
+        if let Some(effects) = self.table.end_job(job, outcome, at) {
+            self.take_effects(job, effects);
+        }
+    }
+
+    fn list(
+        &self,
+        customer: Option<&CustomerName>,
+        state: Option<JobState>,
+        limit: u32,
+    ) -> JobReply {
+        let jobs = self.table.iter();
+        let mut found: Vec<(&JobId, &JobEntry)> = jobs
+            .filter(|(_, entry)| customer.is_none_or(|wanted| entry.spec.customer == *wanted))
+            .filter(|(_, entry)| state.is_none_or(|wanted| entry.state() == wanted))
+            .collect();
+        found.sort_by(|a, b| b.1.submitted.cmp(&a.1.submitted).then_with(|| a.0.cmp(b.0)));
+        let limit = MAX_LISTED.min(limit as usize);
+        let views = found.into_iter().take(limit);
+        JobReply::Jobs(views.map(|(job, entry)| view_of(job, entry)).collect())
+    }
+
+    /// Describes a job, or says that there is none.
+    pub(super) fn view_reply(&self, job: &JobId) -> JobReply {
+        match self.view(job) {
+            Some(view) => JobReply::Job(view),
+            None => refused(ResultCode::NotFound, "no such job"),
+        }
+    }
+
+    fn view(&self, job: &JobId) -> Option<JobView> {
+        self.table.get(job).map(|entry| view_of(job, entry))
+    }
+
+    fn explain(&self, job: &JobId) -> JobReply {
+        let Some(entry) = self.table.get(job) else {
+            return match self.notes.refusal(job) {
+                Some(reason) => JobReply::Explanation(vec![
+                    "the job was refused and did not run".into(),
+                    reason,
+                ]),
+                None => refused(ResultCode::NotFound, "no such job"),
+            };
+        };
+        let tally = entry.tally;
+        let mut lines: Vec<Arc<str>> = vec![
+            format!(
+                "{} tasks: {} wait, {} run, {} done, {} failed, {} unknown",
+                entry.spec.tasks,
+                tally.waiting,
+                tally.running,
+                tally.done,
+                tally.failed,
+                tally.unknown
+            )
+            .into(),
+        ];
+        let ended = entry.outcome.as_ref().or(entry.ending.as_ref());
+        lines.extend(ended.map(|outcome| Arc::clone(&outcome.reason)));
+        if tally.waiting > 0 {
+            lines.extend(self.why_waiting(job, entry));
+        }
+        let running = entry.running().take(MAX_EXPLAINED_TASKS);
+        lines.extend(running.map(|(task, running)| {
+            let link = self.links.get(&running.worker);
+            let rack = link.map_or("unknown", |link| link.rack.as_str());
+            format!("task {task} runs on {} in rack {rack}", running.worker).into()
+        }));
+        lines.extend(self.notes.of(job).cloned());
+        JobReply::Explanation(lines)
+    }
+
+    fn why_waiting(&self, job: &JobId, entry: &JobEntry) -> Vec<Arc<str>> {
+        if self.must_wait_for_takeover(entry) {
+            let unfenced = self.tracker.unfenced().count();
+            return vec![
+                format!(
+                    "tasks of an earlier owner may still run: {unfenced} workers have not accepted \
+                     the new owner"
+                )
+                .into(),
+            ];
+        }
+        if self.held.contains(job) {
+            return vec!["tasks that may not repeat wait for the log".into()];
+        }
+        self.engine.explain(job, self.now())
+    }
+
+    /// Queues the tasks of a job that may be placed now.
+    pub(super) fn enqueue_ready(&mut self, job: &JobId) {
+        let Some(entry) = self.table.get(job) else {
+            return;
+        };
+        let tasks = entry.ready();
+        if tasks.is_empty() || self.must_wait_for_takeover(entry) {
+            return;
+        }
+        self.engine.enqueue(magnolia_policy::WaitingJob {
+            job: job.clone(),
+            spec: Arc::clone(&entry.spec),
+            submitted: entry.submitted,
+            tasks,
+        });
+        self.place_due = true;
+    }
+
+    fn must_wait_for_takeover(&self, entry: &JobEntry) -> bool {
+        entry.epoch < self.claim.epoch && !self.tracker.is_complete()
+    }
+}
+
+/// What a submission is.
+enum Submission {
+    New,
+    Known(JobId),
+    InFlight(JobId),
+    Refused(ResultCode, &'static str),
+}
+
+fn view_of(job: &JobId, entry: &JobEntry) -> JobView {
+    let tally = entry.tally;
+    JobView {
+        job: job.clone(),
+        customer: entry.spec.customer.clone(),
+        class: entry.spec.class.clone(),
+        kind: entry.spec.kind,
+        state: entry.state(),
+        tasks: TaskCounts {
+            waiting: tally.waiting,
+            running: tally.running,
+            done: tally.done,
+            failed: tally.failed + tally.unknown,
+        },
+        outcome: entry.outcome.clone(),
+    }
+}
--- a/crates/magnolia-daemon/src/partition/owner.rs
+++ b/crates/magnolia-daemon/src/partition/owner.rs
@@ -1,211 +1,329 @@
-//! The owner of one partition.
-
-use std::collections::BTreeMap;
-use std::sync::Arc;
-use std::time::Duration;
-
-use bytes::Bytes;
-use magnolia_platform::{AttemptEnd, AttemptState, StartCommand, WorkerReport};
-use magnolia_protocol::{JobOperation, JobReply, encode};
-use magnolia_state::ClaimRecord;
-use magnolia_types::{AttemptId, JobId, JobSpec, ResultCode, TaskRef, WorkerId};
-use tokio::sync::{mpsc, oneshot};
-
-use super::job_table::{JobTable, TaskState};
-use super::registry::OwnerCommand;
-use super::worker_link::{LeaseTerms, WorkerLink};
+//! The owner of one partition: its state and its event loop.
+//!
+//! The loop never waits for the log or a worker. Calls run in tasks of their own and come back as
+//! events, so that a silent worker or a slow log holds nothing else up.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use magnolia_platform::{StartCommand, WorkerReport};
+use magnolia_policy::{PlacementEngine, new_engine};
+use magnolia_protocol::{Handover, JobReply};
+use magnolia_state::{ClaimRecord, JobTable, LeaseBook, TakeoverTracker};
+use magnolia_types::{AttemptId, JobId, Millis, ResultCode, TaskRef, WorkerId};
+use serde_json::Value;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::committer::JournalCommitter;
+use super::events::{JournalWaiter, OnceKey, OwnerCommand, OwnerEvent, ReplySender};
+use super::opening::stream_of;
+use super::placement_notes::PlacementNotes;
+use super::worker_link::WorkerLink;
 use crate::context::DaemonContext;
 
-/// Most operations that wait for the owner.
-const COMMAND_QUEUE: usize = 1024;
-/// Time between two rounds of placement.
-const ROUND_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two looks at leases, renewals and deadlines.
+const TICK: Duration = Duration::from_millis(20);
+/// Time between two descriptions for the state dump.
+const DESCRIBE_INTERVAL: Millis = Millis::new(500);
+/// Time between two rounds of forgetting.
+const FORGET_INTERVAL: Millis = Millis::from_secs(10);
+/// Time between two placements without a change, for rules that depend on time.
+const PLACE_INTERVAL: Millis = Millis::new(250);
+/// Most events that are taken in before the workers and the log are looked after.
+const EVENT_BATCH: usize = 256;
 
-/// Starts to serve a claimed partition, once.
-pub fn start_owner(context: &Arc<DaemonContext>, claim: &ClaimRecord) {
-    let (sender, receiver) = mpsc::channel(COMMAND_QUEUE);
-    if !context.partitions.insert(claim.unit.clone(), sender) {
-        return;
-    }
-    log::info!("owner of {} at epoch {}", claim.unit, claim.epoch);
-    let owner = PartitionOwner::new(Arc::clone(context), claim.clone());
-    tokio::spawn(owner.run(receiver));
+/// Where the owner is in its life.
+pub(super) enum OwnerPhase {
+    /// The journal is being read.
+    Opening,
+    /// Serves.
+    Serving,
+    /// Finishes what is in flight before a handover.
+    Draining(DrainState),
+    /// Sends nothing more.
+    Stopped,
+}
+
+/// A planned stop in progress.
+pub(super) struct DrainState {
+    pub(super) reply: Option<oneshot::Sender<Option<Handover>>>,
+    pub(super) deadline: Millis,
+    pub(super) has_snapshot: bool,
+}
+
+/// An attempt that may run.
+pub(super) struct OwnedAttempt {
+    pub(super) task: TaskRef,
+    pub(super) worker: WorkerId,
 }
 
 /// State of the owner.
-struct PartitionOwner {
-    context: Arc<DaemonContext>,
-    claim: ClaimRecord,
-    partition: Arc<str>,
-    table: JobTable,
-    workers: BTreeMap<WorkerId, WorkerLink>,
-    ended: BTreeMap<WorkerId, Vec<AttemptId>>,
-    waiters: Vec<(JobId, oneshot::Sender<JobReply>)>,
+pub(super) struct PartitionOwner {
+    pub(super) context: Arc<DaemonContext>,
+    pub(super) claim: ClaimRecord,
+    pub(super) partition: Arc<str>,
+    pub(super) stream: Arc<str>,
+    pub(super) events: mpsc::UnboundedSender<OwnerEvent>,
+    pub(super) phase: OwnerPhase,
+    pub(super) table: JobTable,
+    pub(super) engine: Box<dyn PlacementEngine>,
+    pub(super) book: LeaseBook,
+    pub(super) tracker: TakeoverTracker,
+    pub(super) links: BTreeMap<WorkerId, WorkerLink>,
+    pub(super) committer: JournalCommitter<JournalWaiter>,
+    pub(super) attempts: HashMap<AttemptId, OwnedAttempt>,
+    /// Ended attempts whose record is on the way to the log.
+    pub(super) journalling: BTreeSet<AttemptId>,
+    /// Answers to fences from before the journal was open.
+    pub(super) early_reports: BTreeMap<WorkerId, (WorkerReport, Millis)>,
+    /// Attempts that only the journal knows, by worker.
+    pub(super) unseen: BTreeMap<WorkerId, Vec<(TaskRef, AttemptId)>>,
+    pub(super) waits: BTreeMap<JobId, Vec<(Millis, ReplySender)>>,
+    pub(super) submits: BTreeMap<JobId, Vec<ReplySender>>,
+    pub(super) submit_keys: BTreeMap<OnceKey, (u64, JobId)>,
+    pub(super) once_running: BTreeMap<OnceKey, Option<ReplySender>>,
+    /// Starts of tasks that may not repeat, whose intents are on the way to the log.
+    pub(super) intents: HashMap<AttemptId, StartCommand>,
+    /// Jobs that may not repeat and wait for the log.
+    pub(super) held: BTreeSet<JobId>,
+    pub(super) notes: PlacementNotes,
+    pub(super) lease: Millis,
+    pub(super) start_window: Millis,
+    /// When the question for the claim in flight was asked.
+    pub(super) confirming: Option<Millis>,
+    pub(super) confirm_after: Millis,
+    pub(super) place_due: bool,
+    pub(super) snapshots: u64,
+    description: Arc<Mutex<Value>>,
+    describe_at: Millis,
+    forget_at: Millis,
+    place_at: Millis,
 }
 
 impl PartitionOwner {
-    fn new(context: Arc<DaemonContext>, claim: ClaimRecord) -> Self {
+    /// Creates the owner for the holder of `claim`.
+    pub(super) fn new(
+        context: Arc<DaemonContext>,
+        claim: ClaimRecord,
+        events: mpsc::UnboundedSender<OwnerEvent>,
+        description: Arc<Mutex<Value>>,
+    ) -> Self {
         let partition: Arc<str> = claim.unit.partition().unwrap_or_default().into();
-        let workers = context.with_document(|document| {
-            let workers = document.workers_of(&partition);
-            let links = workers.map(|(_, worker, capacity)| {
-                (
-                    worker.name.clone(),
-                    WorkerLink::new(worker.address, capacity),
-                )
+        let document =
+            context.config().document.clone().unwrap_or_else(|| {
+                magnolia_config::ConfigDocument::from_sections(std::iter::empty())
             });
-            links.collect()
-        });
-        Self {
+        let now = context.clock.now();
+        let zero = Millis::new(0);
+        let mut owner = Self {
+            stream: stream_of(&partition).into(),
+            engine: new_engine(&document),
+            phase: OwnerPhase::Opening,
+            table: JobTable::new(),
+            book: LeaseBook::new(),
+            tracker: TakeoverTracker::new(claim.epoch, document.rules.lease_ms, []),
+            links: BTreeMap::new(),
+            committer: JournalCommitter::new(
+                claim.epoch,
+                claim.incarnation,
+                magnolia_types::LogOffset::new(0),
+                zero,
+                now,
+            ),
+            attempts: HashMap::new(),
+            journalling: BTreeSet::new(),
+            early_reports: BTreeMap::new(),
+            unseen: BTreeMap::new(),
+            waits: BTreeMap::new(),
+            submits: BTreeMap::new(),
+            submit_keys: BTreeMap::new(),
+            once_running: BTreeMap::new(),
+            intents: HashMap::new(),
+            held: BTreeSet::new(),
+            notes: PlacementNotes::new(),
+            lease: document.rules.lease_ms,
+            start_window: document.rules.start_window_ms,
+            confirming: None,
+            confirm_after: zero,
+            place_due: false,
+            snapshots: 0,
+            description,
+            describe_at: zero,
+            forget_at: now.saturating_add(FORGET_INTERVAL),
+            place_at: zero,
             context,
             claim,
             partition,
-            table: JobTable::default(),
-            workers: workers.unwrap_or_default(),
-            ended: BTreeMap::new(),
-            waiters: Vec::new(),
-        }
+            events,
+        };
+        let workers = owner.take_inventory(&document);
+        owner.tracker = TakeoverTracker::new(owner.claim.epoch, owner.lease, workers);
+        owner
     }
 
-    async fn run(mut self, mut commands: mpsc::Receiver<OwnerCommand>) {
-        let mut rounds = tokio::time::interval(ROUND_INTERVAL);
-        loop {
+    /// Serves until another owner holds the partition or it is handed over.
+    pub(super) async fn run(
+        mut self,
+        mut commands: mpsc::Receiver<OwnerCommand>,
+        mut events: mpsc::UnboundedReceiver<OwnerEvent>,
+    ) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut config: watch::Receiver<_> = self.context.config.subscribe();
+        config.mark_changed();
+        while !matches!(self.phase, OwnerPhase::Stopped) {
             tokio::select! {
-                command = commands.recv() => match command {
-                    Some(command) => self.answer(command).await,
-                    None => return,
-                },
-                _ = rounds.tick() => self.round().await,
+                Some(event) = events.recv() => self.take_event(event),
+                Some(command) = commands.recv() => self.answer(command),
+                Ok(()) = config.changed() => {
+                    let document = config.borrow_and_update().document.clone();
+                    document.iter().for_each(|document| self.take_config(document));
+                }
+                _ = ticks.tick() => self.tick(),
+            }
+            for _ in 0..EVENT_BATCH {
+                match events.try_recv() {
+                    Ok(event) => self.take_event(event),
+                    Err(_) => break,
+                }
             }
+            for _ in 0..EVENT_BATCH {
+                match commands.try_recv() {
+                    Ok(command) => self.answer(command),
+                    Err(_) => break,
+                }
+            }
+            self.act();
+        }
+        commands.close();
+        while let Ok(command) = commands.try_recv() {
+            command.reply.send(not_owner()).ok();
         }
+        self.finish();
     }
 
-    async fn answer(&mut self, command: OwnerCommand) {
-        let reply = match command.operation {
-            JobOperation::Submit { job, spec } => self.submit(job, spec).await,
-            JobOperation::Get { job } => self.view(&job),
-            JobOperation::Wait { job, .. } => {
-                self.waiters.push((job, command.reply));
-                return;
-            }
-            _ => refused(ResultCode::NotFound, "the operation is not supported"),
-        };
-        command.reply.send(reply).ok();
+    /// Returns the present time on the daemon's clock.
+    pub(super) fn now(&self) -> Millis {
+        self.context.clock.now()
     }
 
-    async fn submit(&mut self, job: JobId, spec: JobSpec) -> JobReply {
-        let stream = format!("partition-{}", self.partition);
-        let Ok(data) = encode(&(self.claim.epoch, &job, &spec)) else {
-            return refused(ResultCode::Internal, "the job cannot be encoded");
-        };
-        if let Err(error) = self.context.log.append(&stream, Bytes::from(data)).await {
-            return refused(ResultCode::LogUnavailable, &error.to_string());
-        }
-        self.table.insert(job.clone(), spec);
-        self.view(&job)
+    /// Tells whether new work is taken and placed.
+    pub(super) fn is_serving(&self) -> bool {
+        matches!(self.phase, OwnerPhase::Serving)
     }
 
-    fn view(&self, job: &JobId) -> JobReply {
-        match self.table.view(job) {
-            Some(view) => JobReply::Job(view),
-            None => refused(ResultCode::NotFound, "no such job"),
-        }
+    /// Ends for good because another owner holds the partition.
+    pub(super) fn step_down(&mut self, superseded_by: magnolia_types::Epoch) {
+        let (unit, epoch) = (&self.claim.unit, self.claim.epoch);
+        log::warn!("{unit}: epoch {epoch} is superseded by {superseded_by}");
+        self.context.metrics.count("partition.superseded");
+        self.phase = OwnerPhase::Stopped;
     }
 
-    async fn round(&mut self) {
-        let mut starts = self.place();
-        let Some(terms) = self.lease_terms() else {
+    fn take_event(&mut self, event: OwnerEvent) {
+        if matches!(self.phase, OwnerPhase::Stopped) {
             return;
-        };
-        let mut reports = Vec::new();
-        for (id, worker) in &mut self.workers {
-            let starts = starts.remove(id).unwrap_or_default();
-            let ended = self.ended.remove(id).unwrap_or_default();
-            let exchange = worker.exchange(&self.context, &terms, starts, ended);
-            reports.extend(exchange.await);
         }
-        reports.iter().for_each(|report| self.take_report(report));
-        self.wake_waiters();
-    }
-
-    fn lease_terms(&self) -> Option<LeaseTerms> {
-        self.context.with_document(|document| LeaseTerms {
-            partition: Arc::clone(&self.partition),
-            epoch: self.claim.epoch,
-            lease: document.rules.lease_ms,
-            start_window: document.rules.start_window_ms,
-        })
+        match event {
+            OwnerEvent::Opened(journal) => self.opened(*journal),
+            OwnerEvent::Exchanged(result) => self.take_exchange(*result),
+            OwnerEvent::Confirmed { asked, confirmed } => self.claim_confirmed(asked, confirmed),
+            OwnerEvent::Appended(result) => {
+                let outcome = self.committer.appended(result, self.now());
+                self.take_commit(outcome);
+            }
+            OwnerEvent::GapRead(records) => {
+                let outcome = self.committer.gap_read(records.as_deref(), self.now());
+                self.take_commit(outcome);
+            }
+            OwnerEvent::Probed(answered) => self.committer.probed(answered, self.now()),
+            OwnerEvent::OnceDone { key, outcome } => self.once_done(&key, outcome),
+            OwnerEvent::Superseded(epoch) => self.step_down(epoch),
+            OwnerEvent::HandOver(reply) => self.begin_drain(reply),
+        }
     }
 
-    fn place(&mut self) -> BTreeMap<WorkerId, Vec<StartCommand>> {
-        let mut starts: BTreeMap<WorkerId, Vec<StartCommand>> = BTreeMap::new();
-        for (job, entry) in &mut self.table.jobs {
-            for (index, state) in (0..).zip(&mut entry.tasks) {
-                if *state != TaskState::Waiting {
-                    continue;
-                }
-                let size = entry.spec.size;
-                let task = TaskRef::new(job.clone(), index);
-                let Ok(attempt) = task.attempt(self.claim.epoch, 1) else {
-                    continue;
-                };
-                let found = self
-                    .workers
-                    .iter_mut()
-                    .find(|(_, worker)| worker.has_room(&size));
-                let Some((id, worker)) = found else {
-                    return starts;
-                };
-                worker.reserved.push((attempt.clone(), size));
-                *state = TaskState::Running(attempt.clone());
-                let start = StartCommand {
-                    attempt,
-                    task,
-                    size,
-                    run_ms: entry.spec.run_ms,
-                };
-                starts.entry(id.clone()).or_default().push(start);
-            }
+    fn tick(&mut self) {
+        let now = self.now();
+        self.advance_takeover(now);
+        self.expire_leases(now);
+        self.expire_waits(now);
+        if now >= self.place_at {
+            self.place_at = now.saturating_add(PLACE_INTERVAL);
+            self.place_due = true;
+            self.move_services();
+            self.stop_removed();
+        }
+        if now >= self.forget_at {
+            self.forget_at = now.saturating_add(FORGET_INTERVAL);
+            self.table.forget(wall_clock());
+            self.notes.retain(|job| self.table.get(job).is_some());
+        }
+        if now >= self.describe_at {
+            self.describe_at = now.saturating_add(DESCRIBE_INTERVAL);
+            let description = self.describe();
+            *self
+                .description
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner) = description;
         }
-        starts
     }
 
-    fn take_report(&mut self, report: &WorkerReport) {
-        for attempt in &report.attempts {
-            let AttemptState::Ended(end) = attempt.state else {
-                continue;
-            };
-            if let Some(worker) = self.workers.get_mut(&report.worker) {
-                worker.reserved.retain(|(held, _)| *held != attempt.attempt);
-            }
-            let state = match end {
-                AttemptEnd::Succeeded => TaskState::Done,
-                _ => TaskState::Failed,
-            };
-            self.table
-                .set_task(&attempt.task.job, attempt.task.task, state);
-            self.ended
-                .entry(report.worker.clone())
-                .or_default()
-                .push(attempt.attempt.clone());
+    fn act(&mut self) {
+        if matches!(self.phase, OwnerPhase::Stopped) {
+            return;
+        }
+        self.release_held();
+        if self.place_due && self.is_serving() {
+            self.place_due = false;
+            self.place();
         }
+        self.drive_workers();
+        self.drive_journal();
+        self.drive_drain();
     }
 
-    fn wake_waiters(&mut self) {
-        for (job, reply) in std::mem::take(&mut self.waiters) {
-            match self.table.view(&job) {
-                Some(view) if !view.state.is_final() => self.waiters.push((job, reply)),
-                _ => {
-                    reply.send(self.view(&job)).ok();
-                }
-            }
+    /// Answers everybody who still waits.
+    fn finish(&mut self) {
+        self.context
+            .partitions
+            .retire(&self.claim.unit, self.claim.epoch);
+        let (sent, unsent) = self.committer.abandon();
+        for waiter in sent {
+            // The record may count for the next owner, who would run the job.
+            self.refuse_waiter(waiter, ResultCode::OutcomeUnknown, "the owner has changed");
+        }
+        for waiter in unsent {
+            self.refuse_waiter(waiter, ResultCode::NotOwner, "the owner has changed");
         }
+        let waits = std::mem::take(&mut self.waits);
+        for (_, reply) in waits.into_values().flatten() {
+            reply.send(not_owner()).ok();
+        }
+        log::info!(
+            "{}: the owner at epoch {} has stopped",
+            self.claim.unit,
+            self.claim.epoch
+        );
     }
 }
 
-fn refused(code: ResultCode, message: &str) -> JobReply {
+/// Returns the wall-clock time since the Unix epoch; times in the journal outlive the daemon.
+pub(super) fn wall_clock() -> Millis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.unwrap_or_default().as_millis();
+    Millis::new(u64::try_from(millis).unwrap_or(u64::MAX))
+}
+
+/// Makes a refusal.
+pub(super) fn refused(code: ResultCode, message: &str) -> JobReply {
     JobReply::Refused {
         code,
         message: message.into(),
     }
 }
+
+fn not_owner() -> JobReply {
+    refused(ResultCode::NotOwner, "the owner has stopped")
+}
--- /dev/null
+++ b/crates/magnolia-daemon/src/partition/placement_notes.rs
@@ -0,0 +1,60 @@
+//! What callers may ask about placements and refusals later.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use magnolia_types::JobId;
+
+/// Most notes of one job.
+const NOTES_PER_JOB: usize = 16;
+/// Most refused jobs that are remembered.
+const REFUSALS: usize = 256;
+
+/// Recent placements by job, and recent refusals.
+#[derive(Debug, Default)]
+pub struct PlacementNotes {
+    jobs: BTreeMap<JobId, VecDeque<Arc<str>>>,
+    refusals: VecDeque<(JobId, Arc<str>)>,
+}
+
+impl PlacementNotes {
+    /// Creates empty notes.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a note about a job and drops the oldest beyond the bound.
+    pub fn add(&mut self, job: &JobId, note: String) {
+        let notes = self.jobs.entry(job.clone()).or_default();
+        if notes.len() == NOTES_PER_JOB {
+            notes.pop_front();
+        }
+        notes.push_back(note.into());
+    }
+
+    /// Remembers why a job was refused.
+    pub fn refused(&mut self, job: &JobId, reason: Arc<str>) {
+        if self.refusals.len() == REFUSALS {
+            self.refusals.pop_front();
+        }
+        self.refusals.push_back((job.clone(), reason));
+    }
+
+    /// Returns the notes about a job.
+    pub fn of(&self, job: &JobId) -> impl Iterator<Item = &Arc<str>> {
+        self.jobs.get(job).into_iter().flatten()
+    }
+
+    /// Returns why a job was refused.
+    pub fn refusal(&self, job: &JobId) -> Option<Arc<str>> {
+        let mut refusals = self.refusals.iter().rev();
+        refusals
+            .find(|(refused, _)| refused == job)
+            .map(|(_, reason)| Arc::clone(reason))
+    }
+
+    /// Drops the notes about jobs that are forgotten.
+    pub fn retain(&mut self, is_known: impl Fn(&JobId) -> bool) {
+        self.jobs.retain(|job, _| is_known(job));
+    }
+}
--- /dev/null
+++ b/crates/magnolia-daemon/src/partition/placing.rs
@@ -0,0 +1,316 @@
+//! Carries placement decisions out and takes the ends of attempts in.
+
+use std::sync::Arc;
+
+use magnolia_platform::StartCommand;
+use magnolia_policy::{
+    AttemptRecord, PlacementDecision, PreemptionMeans, TaskEnd, WorkerCondition,
+};
+use magnolia_state::{AttemptResult, JobEffects, JournalEntry};
+use magnolia_types::{
+    AttemptId, JobId, JobKind, JobOutcome, JobState, Millis, ResourceVector, ResultCode, TaskIndex,
+    TaskRef, WorkerId,
+};
+
+use super::events::JournalWaiter;
+use super::owner::{OwnedAttempt, PartitionOwner, wall_clock};
+use super::worker_link::{AttemptOrder, LinkedStart};
+
+/// Most starts of one placement, so that events are taken in between.
+const STARTS_PER_ROUND: usize = 500;
+
+impl PartitionOwner {
+    /// Lets the engine decide and carries its decisions out.
+    pub(super) fn place(&mut self) {
+        let now = self.now();
+        let decisions = self.engine.decide(now, STARTS_PER_ROUND);
+        // A full round may leave more to decide.
+        self.place_due |= decisions.len() >= STARTS_PER_ROUND;
+        for decision in decisions {
+            match decision {
+                PlacementDecision::Start { job, members } => self.start_job(&job, members, now),
+                PlacementDecision::Preempt {
+                    attempt,
+                    means,
+                    beneficiary,
+                } => self.preempt(&attempt, means, &beneficiary),
+                PlacementDecision::GiveUp { job, reason } => {
+                    let outcome = JobOutcome {
+                        state: JobState::Failed,
+                        code: ResultCode::WorkFailed,
+                        reason,
+                    };
+                    self.end_job(&job, outcome);
+                }
+            }
+        }
+    }
+
+    fn start_job(
+        &mut self,
+        job: &JobId,
+        members: Vec<(TaskIndex, WorkerId, ResourceVector)>,
+        now: Millis,
+    ) {
+        let entry = self.table.get(job);
+        let repeatable = entry.is_some_and(|entry| entry.spec.repeatable);
+        let is_held = !repeatable && !self.committer.is_healthy();
+        let may_start = entry.is_some_and(|entry| entry.ending.is_none())
+            && members
+                .iter()
+                .all(|(_, worker, _)| self.takes_starts(worker));
+        if is_held || !may_start {
+            for (task, worker, _) in members {
+                self.engine
+                    .start_failed(&TaskRef::new(job.clone(), task), &worker, now);
+            }
+            if is_held {
+                self.engine.withdraw(std::slice::from_ref(job));
+                self.held.insert(job.clone());
+            }
+            return;
+        }
+        for (task, worker, size) in members {
+            self.start_task(TaskRef::new(job.clone(), task), worker, size, now);
+        }
+    }
+
+    fn takes_starts(&self, worker: &WorkerId) -> bool {
+        let view = self.links.get(worker).and_then(|link| link.view.as_ref());
+        view.is_some_and(|view| view.condition == WorkerCondition::Usable)
+    }
+
+    fn start_task(&mut self, task: TaskRef, worker: WorkerId, size: ResourceVector, now: Millis) {
+        let epoch = self.claim.epoch;
+        let started = self.table.next_attempt(&task, epoch).filter(|attempt| {
+            let attempt = attempt.clone();
+            self.table.start(&task, attempt, worker.clone())
+        });
+        let Some(attempt) = started else {
+            self.engine.start_failed(&task, &worker, now);
+            return;
+        };
+        let Some(spec) = self
+            .table
+            .get(&task.job)
+            .map(|entry| Arc::clone(&entry.spec))
+        else {
+            return;
+        };
+        let entry = JournalEntry::AttemptStarted {
+            task: task.clone(),
+            attempt: attempt.clone(),
+            worker: worker.clone(),
+        };
+        self.engine.attempt_started(AttemptRecord {
+            attempt: attempt.clone(),
+            task: task.clone(),
+            worker: worker.clone(),
+            size,
+            spec: Arc::clone(&spec),
+            started: now,
+        });
+        self.book.placed(&worker, attempt.clone());
+        self.notes.add(
+            &task.job,
+            format!("task {} was placed on {worker}", task.task),
+        );
+        self.attempts.insert(
+            attempt.clone(),
+            OwnedAttempt {
+                task: task.clone(),
+                worker: worker.clone(),
+            },
+        );
+        self.context.metrics.count("starts.decided");
+        let command = StartCommand {
+            attempt: attempt.clone(),
+            task,
+            size,
+            run_ms: spec.run_ms,
+        };
+        if spec.repeatable {
+            self.committer.push(entry, None, now);
+            self.send_start(&worker, command);
+        } else {
+            // The intent has to be in the log before the start is sent.
+            self.intents.insert(attempt.clone(), command);
+            let waiter = JournalWaiter::Start { worker, attempt };
+            self.committer.push_awaited(entry, waiter, true, now);
+        }
+    }
+
+    /// Queues a start for the next message to its worker.
+    pub(super) fn send_start(&mut self, worker: &WorkerId, command: StartCommand) {
+        if let Some(link) = self.links.get_mut(worker) {
+            let attempt = command.attempt.clone();
+            link.starts
+                .insert(attempt, LinkedStart { command, sends: 0 });
+        }
+    }
+
+    /// Sends a start whose intent is in the journal, unless it was taken back meanwhile.
+    pub(super) fn intent_written(&mut self, worker: &WorkerId, attempt: &AttemptId) {
+        let Some(command) = self.intents.remove(attempt) else {
+            return;
+        };
+        let is_wanted = self.attempts.contains_key(attempt)
+            && self.is_serving()
+            && self
+                .table
+                .get(&command.task.job)
+                .is_some_and(|entry| entry.ending.is_none());
+        if is_wanted {
+            self.send_start(worker, command);
+        } else {
+            self.end_attempt(attempt, AttemptResult::NotStarted, false);
+        }
+    }
+
+    fn preempt(&mut self, attempt: &AttemptId, means: PreemptionMeans, beneficiary: &JobId) {
+        let Some(known) = self.attempts.get(attempt) else {
+            return;
+        };
+        let (job, worker) = (known.task.job.clone(), known.worker.clone());
+        let (order, word) = match means {
+            PreemptionMeans::Throttle(percent) => (AttemptOrder::Throttle(percent), "throttled"),
+            PreemptionMeans::Checkpoint => (AttemptOrder::Checkpoint, "checkpointed"),
+            PreemptionMeans::Stop => (AttemptOrder::Stop, "stopped"),
+        };
+        self.context.metrics.count("preemptions.ordered");
+        let task = known.task.task;
+        self.notes.add(
+            &job,
+            format!("task {task} on {worker} is {word} for {beneficiary}"),
+        );
+        if let Some(link) = self.links.get_mut(&worker) {
+            link.order(attempt, order);
+        }
+    }
+
+    /// Takes the end of an attempt in; with `reported`, the worker waits for an acknowledgement.
+    pub(super) fn end_attempt(
+        &mut self,
+        attempt: &AttemptId,
+        result: AttemptResult,
+        reported: bool,
+    ) {
+        let Some(OwnedAttempt { task, worker }) = self.attempts.remove(attempt) else {
+            return;
+        };
+        let (now, at) = (self.now(), wall_clock());
+        self.book.released(&worker, attempt);
+        self.intents.remove(attempt);
+        if let Some(link) = self.links.get_mut(&worker) {
+            link.forget(attempt);
+        }
+        let end = match result {
+            AttemptResult::Succeeded => TaskEnd::Succeeded,
+            AttemptResult::Failed => TaskEnd::Failed,
+            _ => TaskEnd::Interrupted,
+        };
+        self.engine.attempt_ended(attempt, end, now);
+        self.place_due = true;
+        self.journal_end(&task, attempt, &worker, (result, reported));
+        if let Some(effects) = self.table.end(&task, attempt, result, at) {
+            if result != AttemptResult::Succeeded {
+                let note = format!("task {} on {worker} ended: {result:?}", task.task);
+                self.notes.add(&task.job, note);
+            }
+            self.take_effects(&task.job, effects);
+        }
+    }
+
+    fn journal_end(
+        &mut self,
+        task: &TaskRef,
+        attempt: &AttemptId,
+        worker: &WorkerId,
+        (result, reported): (AttemptResult, bool),
+    ) {
+        let (now, at) = (self.now(), wall_clock());
+        let entry = JournalEntry::AttemptEnded {
+            task: task.clone(),
+            attempt: attempt.clone(),
+            result,
+            at,
+        };
+        let repeatable = self
+            .table
+            .get(&task.job)
+            .is_none_or(|entry| entry.spec.repeatable);
+        // While the log is away, the entry is kept for it and the worker may forget the attempt.
+        if reported && (self.committer.is_healthy() || !repeatable) {
+            self.journalling.insert(attempt.clone());
+            let waiter = JournalWaiter::Acknowledge {
+                worker: worker.clone(),
+                attempt: attempt.clone(),
+            };
+            self.committer.push(entry, Some(waiter), now);
+        } else {
+            self.committer.push(entry, None, now);
+            if reported {
+                self.acknowledge_now(worker, attempt);
+            }
+        }
+    }
+
+    /// Takes what follows from a change of a job.
+    pub(super) fn take_effects(&mut self, job: &JobId, effects: JobEffects) {
+        for running in effects.stops {
+            if let Some(link) = self.links.get_mut(&running.worker) {
+                link.order(&running.attempt, AttemptOrder::Stop);
+            }
+        }
+        if effects.finished {
+            self.engine.withdraw(std::slice::from_ref(job));
+            self.context.metrics.count("jobs.finished");
+            self.wake_waits(job);
+        } else if !effects.requeue.is_empty() {
+            self.enqueue_ready(job);
+        }
+    }
+
+    /// Queues the jobs again that waited for the log.
+    pub(super) fn release_held(&mut self) {
+        if !self.held.is_empty() && self.committer.is_healthy() {
+            for job in std::mem::take(&mut self.held) {
+                self.enqueue_ready(&job);
+            }
+        }
+    }
+
+    /// Stops one task of each service on workers that leave, so that it starts elsewhere; the next
+    /// one follows once none of the service waits or stops.
+    pub(super) fn move_services(&mut self) {
+        let mut moved: Vec<(WorkerId, AttemptId)> = Vec::new();
+        for (job, entry) in self.table.iter() {
+            let moves = entry.spec.kind == JobKind::Service
+                && entry.ending.is_none()
+                && entry.tally.waiting == 0;
+            if !moves {
+                continue;
+            }
+            let on_leaving = |worker: &WorkerId| {
+                let view = self.links.get(worker).and_then(|link| link.view.as_ref());
+                view.is_some_and(|view| view.condition == WorkerCondition::Leaving)
+            };
+            let is_stopping = entry.running().any(|(_, running)| {
+                let link = self.links.get(&running.worker);
+                link.is_some_and(|link| link.orders.contains_key(&running.attempt))
+            });
+            let found = entry
+                .running()
+                .find(|(_, running)| on_leaving(&running.worker));
+            if let Some((_, running)) = found.filter(|_| !is_stopping) {
+                log::info!("{job}: a task moves away from {}", running.worker);
+                moved.push((running.worker.clone(), running.attempt.clone()));
+            }
+        }
+        for (worker, attempt) in moved {
+            if let Some(link) = self.links.get_mut(&worker) {
+                link.order(&attempt, AttemptOrder::Stop);
+            }
+        }
+    }
+}
--- a/crates/magnolia-daemon/src/partition/registry.rs
+++ b/crates/magnolia-daemon/src/partition/registry.rs
@@ -1,55 +1,126 @@
 //! The partitions that this daemon owns.
 
 use std::collections::BTreeMap;
-use std::sync::{Mutex, PoisonError};
-
-use magnolia_protocol::{JobOperation, JobReply};
-use magnolia_types::UnitId;
-use tokio::sync::{mpsc, oneshot};
-
-/// A job operation with the channel for its reply.
-pub struct OwnerCommand {
-    /// The operation.
-    pub operation: JobOperation,
-    /// Where the reply goes.
-    pub reply: oneshot::Sender<JobReply>,
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use magnolia_protocol::Handover;
+use magnolia_types::{Epoch, UnitId};
+use serde_json::Value;
+use tokio::sync::mpsc;
+
+use super::events::{OwnerCommand, OwnerEvent};
+
+/// Channels to an owner that runs in this daemon.
+#[derive(Clone)]
+pub struct OwnerHandle {
+    /// Epoch of the owner.
+    pub epoch: Epoch,
+    /// Operations of callers.
+    pub commands: mpsc::Sender<OwnerCommand>,
+    /// Everything else.
+    pub events: mpsc::UnboundedSender<OwnerEvent>,
+    /// Description of the owner's state, renewed by the owner.
+    pub description: Arc<Mutex<Value>>,
+}
+
+/// Whether an owner was added.
+pub enum OwnerInsertion {
+    /// Added, in place of an owner of an earlier epoch if there was one.
+    Added(Option<OwnerHandle>),
+    /// An owner of this or a later epoch runs or has run here.
+    Refused,
 }
 
-/// Channels to the owners that run in this daemon.
+#[derive(Default)]
+struct RegistryState {
+    owners: BTreeMap<UnitId, OwnerHandle>,
+    /// Highest epoch at which an owner of this daemon has stopped; it never starts again.
+    retired: BTreeMap<UnitId, Epoch>,
+    handovers: BTreeMap<UnitId, Handover>,
+}
+
+/// The owners that run in this daemon, and what earlier owners have handed over.
+#[derive(Default)]
 pub struct PartitionRegistry {
-    owners: Mutex<BTreeMap<UnitId, mpsc::Sender<OwnerCommand>>>,
+    state: Mutex<RegistryState>,
 }
 
 impl PartitionRegistry {
     /// Creates an empty registry.
     pub fn new() -> Self {
-        Self {
-            owners: Mutex::default(),
+        Self::default()
+    }
+
+    /// Returns the channels to the owner of a partition, if it runs here.
+    pub fn get(&self, unit: &UnitId) -> Option<OwnerHandle> {
+        self.lock().owners.get(unit).cloned()
+    }
+
+    /// Adds an owner, unless one of this or a later epoch runs or has run here.
+    pub fn insert(&self, unit: &UnitId, handle: OwnerHandle) -> OwnerInsertion {
+        let mut state = self.lock();
+        let retired = state
+            .retired
+            .get(unit)
+            .is_some_and(|epoch| *epoch >= handle.epoch);
+        let known = state
+            .owners
+            .get(unit)
+            .is_some_and(|known| known.epoch >= handle.epoch);
+        if retired || known {
+            return OwnerInsertion::Refused;
         }
+        OwnerInsertion::Added(state.owners.insert(unit.clone(), handle))
     }
 
-    /// Returns the channel to the owner of a partition, if it runs here.
-    pub fn get(&self, unit: &UnitId) -> Option<mpsc::Sender<OwnerCommand>> {
-        self.owners
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    /// Removes the owner of an epoch for good.
+    pub fn retire(&self, unit: &UnitId, epoch: Epoch) {
+        let mut state = self.lock();
+        if state
+            .owners
             .get(unit)
-            .cloned()
+            .is_some_and(|owner| owner.epoch == epoch)
+        {
+            state.owners.remove(unit);
+        }
+        let retired = state.retired.entry(unit.clone()).or_default();
+        *retired = epoch.max(*retired);
     }
 
-    /// Adds an owner; returns `false` when the partition has one already.
-    pub fn insert(&self, unit: UnitId, commands: mpsc::Sender<OwnerCommand>) -> bool {
-        let mut owners = self.owners.lock().unwrap_or_else(PoisonError::into_inner);
-        if owners.contains_key(&unit) {
-            return false;
+    /// Keeps what the owner of a partition hands over, unless a later one is kept.
+    pub fn keep_handover(&self, handover: Handover) {
+        let mut state = self.lock();
+        let kept = state.handovers.get(&handover.unit);
+        if kept.is_none_or(|kept| kept.epoch <= handover.epoch) {
+            state.handovers.insert(handover.unit.clone(), handover);
         }
-        owners.insert(unit, commands);
-        true
+    }
+
+    /// Takes the handover that directly precedes `epoch`; drops any other.
+    pub fn take_handover(&self, unit: &UnitId, epoch: Epoch) -> Option<Handover> {
+        let handover = self.lock().handovers.remove(unit)?;
+        (handover.epoch.saturating_add(Epoch::new(1)) == epoch).then_some(handover)
     }
 
     /// Describes the owners for the state dump.
-    pub fn dump(&self) -> serde_json::Value {
-        let owners = self.owners.lock().unwrap_or_else(PoisonError::into_inner);
-        serde_json::json!(owners.keys().collect::<Vec<_>>())
+    pub fn dump(&self) -> Value {
+        let owners: Vec<(String, OwnerHandle)> = self
+            .lock()
+            .owners
+            .iter()
+            .map(|(unit, owner)| (unit.to_string(), owner.clone()))
+            .collect();
+        let entries = owners.into_iter().map(|(unit, owner)| {
+            let description = owner.description.lock();
+            (
+                unit,
+                description.unwrap_or_else(PoisonError::into_inner).clone(),
+            )
+        });
+        Value::Object(entries.collect())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RegistryState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/magnolia-daemon/src/partition/router.rs
+++ b/crates/magnolia-daemon/src/partition/router.rs
@@ -7,7 +7,7 @@
 use magnolia_types::{Millis, ResultCode, UnitId};
 use tokio::sync::oneshot;
 
-use super::registry::OwnerCommand;
+use super::events::OwnerCommand;
 use crate::context::DaemonContext;
 
 /// Longest time of an operation besides a wait that it asks for.
@@ -63,7 +63,12 @@
     };
     let limit = OPERATION_TIMEOUT + waiting_time(&operation).into();
     let (reply, answer) = oneshot::channel();
-    if owner.send(OwnerCommand { operation, reply }).await.is_err() {
+    if owner
+        .commands
+        .send(OwnerCommand { operation, reply })
+        .await
+        .is_err()
+    {
         return refused(ResultCode::NotOwner, "the owner has stopped");
     }
     match tokio::time::timeout(limit, answer).await {
--- a/crates/magnolia-daemon/src/settings.rs
+++ b/crates/magnolia-daemon/src/settings.rs
@@ -4,7 +4,10 @@
 use std::net::SocketAddr;
 
 use clap::{Arg, ArgMatches, Command};
-use magnolia_types::{DaemonId, DataCentreName};
+use magnolia_types::{DaemonId, DataCentreName, Millis};
+
+/// Retention that is assumed when the platform names none: one day.
+const DEFAULT_LOG_RETENTION_MS: &str = "86400000";
 
 /// Everything that a daemon learns from its surroundings at start.
 #[derive(Clone, Debug)]
@@ -21,6 +24,8 @@
     pub inner_advertise: SocketAddr,
     /// Address of the log service.
     pub log: SocketAddr,
+    /// How long the log keeps records.
+    pub log_retention: Millis,
     /// Address of the instance list.
     pub instances: SocketAddr,
     /// Address of a statsd server; metrics go nowhere when absent.
@@ -48,6 +53,7 @@
             inner_listen,
             inner_advertise: optional(&matches, "inner-advertise").unwrap_or(inner_listen),
             log: required(&matches, "log"),
+            log_retention: required(&matches, "log-retention-ms"),
             instances: required(&matches, "instances"),
             statsd: optional(&matches, "statsd"),
         })
@@ -91,6 +97,15 @@
                 "MAGNOLIA_LOG",
                 "Address of the log service",
             ))
+            .arg(
+                flag::<Millis>(
+                    "log-retention-ms",
+                    "MAGNOLIA_LOG_RETENTION_MS",
+                    "How long the log keeps records",
+                )
+                .required(false)
+                .default_value(DEFAULT_LOG_RETENTION_MS),
+            )
             .arg(flag::<SocketAddr>(
                 "instances",
                 "MAGNOLIA_INSTANCES",
--- a/crates/magnolia-state/src/jobs/job_table.rs
+++ b/crates/magnolia-state/src/jobs/job_table.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use magnolia_types::{
-    AttemptId, CustomerName, Epoch, IdempotencyKey, JobId, JobOutcome, JobSpec, Millis, RequestId,
-    ResultCode, TaskRef, WorkerId, stable_hash,
+    AttemptId, CustomerName, DaemonId, Epoch, IdempotencyKey, Incarnation, JobId, JobOutcome,
+    JobSpec, Millis, RequestId, ResultCode, TaskRef, WorkerId, stable_hash,
 };
 use serde::{Deserialize, Serialize};
 
@@ -50,6 +50,8 @@
 pub struct JobTable {
     jobs: BTreeMap<JobId, JobEntry>,
     keys: BTreeMap<(CustomerName, IdempotencyKey), KeyEntry>,
+    /// Owners since the last completed takeover.
+    owners: Vec<(Epoch, DaemonId, Incarnation)>,
     /// Final jobs in the order of their ends.
     finals: BTreeSet<(Millis, JobId)>,
     #[serde(skip)]
@@ -105,6 +107,13 @@
             } => {
                 self.start(task, attempt.clone(), worker.clone());
             }
+            JournalEntry::AttemptFound {
+                task,
+                attempt,
+                worker,
+            } => {
+                self.found(task, attempt, worker);
+            }
             JournalEntry::AttemptEnded {
                 task,
                 attempt,
@@ -137,7 +146,12 @@
                 code,
                 text,
             } => self.resolve_intent(customer, key, *code, text),
-            JournalEntry::Opened { .. } | JournalEntry::SnapshotPart { .. } => {}
+            JournalEntry::Opened {
+                daemon,
+                incarnation,
+            } => self.note_owner(epoch, daemon.clone(), *incarnation),
+            JournalEntry::TakeoverDone => self.owners.retain(|owner| owner.0 >= epoch),
+            JournalEntry::SnapshotPart { .. } => {}
         }
     }
 
@@ -296,6 +310,12 @@
         }
     }
 
+    /// Returns the owners whose commands may still be in effect: those since the last takeover
+    /// that fenced or waited out every worker.
+    pub fn owners(&self) -> &[(Epoch, DaemonId, Incarnation)] {
+        &self.owners
+    }
+
     /// Returns a job.
     pub fn get(&self, job: &JobId) -> Option<&JobEntry> {
         self.jobs.get(job)
@@ -342,6 +362,13 @@
         }
     }
 
+    fn note_owner(&mut self, epoch: Epoch, daemon: DaemonId, incarnation: Incarnation) {
+        let owner = (epoch, daemon, incarnation);
+        if !self.owners.contains(&owner) {
+            self.owners.push(owner);
+        }
+    }
+
     fn note_final(&mut self, job: &JobId, at: Millis, effects: &JobEffects) {
         if effects.finished {
             self.finals.insert((at, job.clone()));
@@ -361,6 +388,6 @@
 }
 
 /// Hashes the content of a job, by which a repeated submission is told from another one.
-fn job_content(spec: &JobSpec) -> u64 {
+pub fn job_content(spec: &JobSpec) -> u64 {
     stable_hash(&rmp_serde::to_vec(spec).unwrap_or_default())
 }
--- a/crates/magnolia-state/src/jobs/mod.rs
+++ b/crates/magnolia-state/src/jobs/mod.rs
@@ -7,5 +7,5 @@
 pub use job_entry::{
     AttemptResult, JobEffects, JobEntry, RunningAttempt, TaskEntry, TaskState, TaskTally,
 };
-pub use job_table::{FoundAttempt, JobLimits, JobTable};
+pub use job_table::{FoundAttempt, JobLimits, JobTable, job_content};
 pub use key_book::{KeyEntry, KeyLookup, KeyUse};
--- a/crates/magnolia-state/src/journal/record.rs
+++ b/crates/magnolia-state/src/journal/record.rs
@@ -43,7 +43,11 @@
         Opened {
             /// The owner.
             daemon: DaemonId,
+            /// The run of the owner's process.
+            incarnation: Incarnation,
         },
+        /// The owner has fenced or waited out every worker; earlier owners no longer matter.
+        TakeoverDone,
         /// A job was accepted.
         JobAccepted {
             /// The job.
@@ -62,6 +66,15 @@
             /// Where it runs.
             worker: WorkerId,
         },
+        /// An attempt was found on a worker after a takeover.
+        AttemptFound {
+            /// The task.
+            task: TaskRef,
+            /// The attempt.
+            attempt: AttemptId,
+            /// Where it runs.
+            worker: WorkerId,
+        },
         /// An attempt ended.
         AttemptEnded {
             /// The task.
--- a/crates/magnolia-state/src/journal/replay.rs
+++ b/crates/magnolia-state/src/journal/replay.rs
@@ -86,8 +86,12 @@
                     count,
                     data,
                 } => self.take_part(epoch, offset, snapshot, (index, count), &data),
-                JournalEntry::Opened { .. } => self.partial = None,
-                entry => self.table.apply(epoch, &entry),
+                entry => {
+                    if matches!(entry, JournalEntry::Opened { .. }) {
+                        self.partial = None;
+                    }
+                    self.table.apply(epoch, &entry);
+                }
             }
         }
     }
--- a/crates/magnolia-state/src/lease_book.rs
+++ b/crates/magnolia-state/src/lease_book.rs
@@ -150,14 +150,18 @@
             .map_or(Millis::new(0), |leases| leases.until)
     }
 
-    /// Removes and returns the attempts of a worker whose leases have all ended.
-    pub fn expire(&mut self, worker: &WorkerId, now: Millis) -> Vec<AttemptId> {
-        match self.workers.get_mut(worker) {
-            Some(leases) if now >= leases.until => {
-                std::mem::take(&mut leases.attempts).into_iter().collect()
-            }
-            _ => Vec::new(),
-        }
+    /// Removes and returns the attempts on workers whose leases have all ended.
+    ///
+    /// A worker that was never granted a lease runs nothing; its attempts are not sent yet.
+    pub fn expire(&mut self, now: Millis) -> Vec<(WorkerId, Vec<AttemptId>)> {
+        let over = self.workers.iter_mut().filter(|(_, leases)| {
+            leases.until > Millis::new(0) && now >= leases.until && !leases.attempts.is_empty()
+        });
+        let taken = over.map(|(worker, leases)| {
+            let attempts = std::mem::take(&mut leases.attempts);
+            (worker.clone(), attempts.into_iter().collect())
+        });
+        taken.collect()
     }
 
     /// Forgets a worker.
--- a/crates/magnolia-state/src/lib.rs
+++ b/crates/magnolia-state/src/lib.rs
@@ -9,7 +9,7 @@
 pub use claim_table::{ClaimChange, ClaimRecord, ClaimTable, ClaimVerdict};
 pub use jobs::{
     AttemptResult, FoundAttempt, JobEffects, JobEntry, JobLimits, JobTable, KeyEntry, KeyLookup,
-    KeyUse, RunningAttempt, TaskEntry, TaskState, TaskTally,
+    KeyUse, RunningAttempt, TaskEntry, TaskState, TaskTally, job_content,
 };
 pub use journal::{
     JournalBatch, JournalCounts, JournalEntry, JournalError, JournalReader, JournalReplay,
--- a/crates/magnolia-state/src/takeover.rs
+++ b/crates/magnolia-state/src/takeover.rs
@@ -52,6 +52,16 @@
         self
     }
 
+    /// Adds a worker that may run tasks of earlier owners and is not fenced yet.
+    pub fn add_worker(&mut self, worker: WorkerId) {
+        self.unfenced.insert(worker);
+    }
+
+    /// Returns the workers that have not accepted the fence.
+    pub fn unfenced(&self) -> impl Iterator<Item = &WorkerId> {
+        self.unfenced.iter()
+    }
+
     /// Takes note that a worker accepted the fence; `true` when that completes the takeover.
     pub fn fenced(&mut self, worker: &WorkerId) -> bool {
         self.unfenced.remove(worker);
--- a/crates/magnolia-state/tests/journal.rs
+++ b/crates/magnolia-state/tests/journal.rs
@@ -35,6 +35,7 @@
 fn opened() -> JournalEntry {
     JournalEntry::Opened {
         daemon: DaemonId::new("d1").expect("a name"),
+        incarnation: Incarnation::new(10),
     }
 }
 
@@ -162,3 +163,24 @@
     ];
     assert_eq!(jobs_of(&records), 2);
 }
+
+/// Guards against waiting out only the last owner when the one before it was never fenced: the
+/// last one may have ended before its own takeover was complete.
+#[test]
+fn owners_count_until_a_takeover_is_complete() {
+    let mut records = vec![
+        batch(1, 1, vec![opened()]),
+        batch(2, 1, vec![opened()]),
+        batch(3, 1, vec![opened()]),
+    ];
+    assert_eq!(replay(&records).table().owners().len(), 3);
+    records.push(batch(3, 2, vec![JournalEntry::TakeoverDone]));
+    records.push(batch(4, 1, vec![opened()]));
+    let epochs: Vec<u64> = replay(&records)
+        .table()
+        .owners()
+        .iter()
+        .map(|owner| owner.0.get())
+        .collect();
+    assert_eq!(epochs, [3, 4]);
+}
--- a/crates/magnolia-state/tests/takeover_model/mod.rs
+++ b/crates/magnolia-state/tests/takeover_model/mod.rs
@@ -276,8 +276,7 @@
     fn tick(&mut self) {
         for owner in 0..self.owners.len() {
             if self.can_act(owner) {
-                (0..WORKERS)
-                    .for_each(|worker| self.owners[owner].tick(&worker_id(worker), self.now));
+                self.owners[owner].tick(self.now);
             }
         }
     }
--- a/crates/magnolia-state/tests/takeover_model/owner.rs
+++ b/crates/magnolia-state/tests/takeover_model/owner.rs
@@ -144,9 +144,10 @@
     }
 
     /// Ends attempts whose lease is over and the wait after the proof.
-    pub fn tick(&mut self, worker: &WorkerId, now: Millis) {
-        let expired = self.leases.expire(worker, now);
-        self.requeue(&expired);
+    pub fn tick(&mut self, now: Millis) {
+        for (_, expired) in self.leases.expire(now) {
+            self.requeue(&expired);
+        }
         if self.tracker.advance(now) {
             self.requeue_unseen();
         }
