--- a/crates/magnolia-daemon/src/lib.rs
+++ b/crates/magnolia-daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod ownership;
 pub mod partition;
 mod peers;
+mod probing;
 mod quick;
 mod settings;
 
@@ -19,4 +20,5 @@
 pub use daemon::{ExitStatus, run_main};
 pub use inner::InnerHandler;
 pub use membership::MemberEntry;
+pub use metrics::names::{METRICS, MetricDescription, MetricKind};
 pub use settings::{DaemonSettings, SettingsError};
--- a/crates/magnolia-daemon/src/partition/exchange.rs
+++ b/crates/magnolia-daemon/src/partition/exchange.rs
@@ -14,6 +14,7 @@
 use super::evidence;
 use super::owner::{OwnerPhase, PartitionOwner};
 use super::worker_link::{AttemptOrder, WorkerLink};
+use crate::metrics::names;
 
 /// Pause before the claim is asked about again after it was not confirmed.
 const CONFIRM_PAUSE: Millis = Millis::new(500);
@@ -106,7 +107,7 @@
         };
         link.sent(now, self.lease);
         self.book.sent(worker, &citation, self.lease);
-        self.context.metrics.count("workers.exchanges");
+        self.context.metrics.count(names::WORKERS_EXCHANGES);
         let (context, events) = (Arc::clone(&self.context), self.events.clone());
         let (worker, address) = (worker.clone(), link.address);
         tokio::spawn(async move {
@@ -130,7 +131,7 @@
         let answer = match answer {
             Ok(answer) => answer,
             Err(error) => {
-                self.context.metrics.count("workers.no_answer");
+                self.context.metrics.count(names::WORKERS_NO_ANSWER);
                 if let Some(link) = self.links.get_mut(&result.worker) {
                     link.failed(now);
                 }
@@ -151,7 +152,7 @@
         }
         if answer.report.worker != result.worker {
             // Another process listens at the address of the inventory.
-            self.context.metrics.count("workers.wrong_name");
+            self.context.metrics.count(names::WORKERS_WRONG_NAME);
             if let Some(link) = self.links.get_mut(&result.worker) {
                 link.failed(now);
             }
@@ -190,7 +191,7 @@
         }
         if let WorkerNews::Restarted(lost) = news {
             log::info!("{}: worker {worker} has restarted", self.claim.unit);
-            self.context.metrics.count("workers.restarts");
+            self.context.metrics.count(names::WORKERS_RESTARTS);
             self.lose_attempts(worker, lost);
         }
     }
@@ -205,7 +206,7 @@
             (_, Some(_)) => AttemptResult::NotStarted,
             (_, None) => return,
         };
-        self.context.metrics.count("starts.refused");
+        self.context.metrics.count(names::STARTS_REFUSED);
         self.end_attempt(&refused.attempt, result, false);
     }
 
@@ -271,7 +272,7 @@
             .cloned()
             .collect();
         for attempt in missing {
-            self.context.metrics.count("attempts.missing");
+            self.context.metrics.count(names::ATTEMPTS_MISSING);
             self.end_attempt(&attempt, AttemptResult::Lost, false);
         }
     }
@@ -293,7 +294,7 @@
         for (worker, lost) in self.book.expire(now) {
             self.context
                 .metrics
-                .add("attempts.waited_out", lost.len() as u64);
+                .add(names::ATTEMPTS_WAITED_OUT, lost.len() as u64);
             self.lose_attempts(&worker, lost);
         }
     }
@@ -359,7 +360,7 @@
     pub(super) fn claim_confirmed(&mut self, asked: Millis, confirmed: bool) {
         self.confirming = None;
         if !confirmed {
-            self.context.metrics.count("claims.not_confirmed");
+            self.context.metrics.count(names::CLAIMS_NOT_CONFIRMED);
             self.confirm_after = self.now().saturating_add(CONFIRM_PAUSE);
             return;
         }
--- a/crates/magnolia-daemon/src/partition/fencing.rs
+++ b/crates/magnolia-daemon/src/partition/fencing.rs
@@ -13,6 +13,7 @@
 use super::exchange::result_of;
 use super::owner::{OwnedAttempt, OwnerPhase, PartitionOwner};
 use super::worker_link::AttemptOrder;
+use crate::metrics::names;
 
 /// Part of the retention after which a snapshot is due.
 const SNAPSHOTS_PER_RETENTION: u64 = 4;
@@ -21,7 +22,7 @@
     /// Starts to serve with the state of the journal.
     pub(super) fn opened(&mut self, journal: OpenedJournal) {
         let now = self.now();
-        let retention = self.context.settings.log_retention;
+        let retention = self.context.settings.log_retention_ms;
         let interval = Millis::new(retention.get() / SNAPSHOTS_PER_RETENTION);
         let (epoch, incarnation) = (self.claim.epoch, self.claim.incarnation);
         self.committer = JournalCommitter::new(epoch, incarnation, journal.offset, interval, now)
@@ -105,7 +106,7 @@
             }
             return;
         }
-        self.context.metrics.count("attempts.adopted");
+        self.context.metrics.count(names::ATTEMPTS_ADOPTED);
         let now = self.now();
         let entry = JournalEntry::AttemptFound {
             task: task.clone(),
--- a/crates/magnolia-daemon/src/partition/journalling.rs
+++ b/crates/magnolia-daemon/src/partition/journalling.rs
@@ -14,6 +14,7 @@
 use super::opening::read_page;
 use super::owner::{DrainState, OwnerPhase, PartitionOwner};
 use crate::context::DaemonContext;
+use crate::metrics::names;
 
 /// Longest time that a planned stop waits for messages in flight.
 const DRAIN_TIME: Millis = Millis::from_secs(5);
@@ -57,13 +58,13 @@
         match outcome {
             CommitOutcome::Nothing => {}
             CommitOutcome::Written(waiters) => {
-                self.context.metrics.count("journal.appends");
+                self.context.metrics.count(names::JOURNAL_APPENDS);
                 waiters
                     .into_iter()
                     .for_each(|waiter| self.entry_written(waiter));
             }
             CommitOutcome::Refused(waiters) => {
-                self.context.metrics.count("journal.append_failed");
+                self.context.metrics.count(names::JOURNAL_APPEND_FAILED);
                 for waiter in waiters {
                     self.refuse_waiter(
                         waiter,
--- a/crates/magnolia-daemon/src/partition/lifecycle.rs
+++ b/crates/magnolia-daemon/src/partition/lifecycle.rs
@@ -14,6 +14,7 @@
 use super::registry::{OwnerHandle, OwnerInsertion};
 use crate::context::DaemonContext;
 use crate::membership::MemberEntry;
+use crate::metrics::names;
 
 /// Most operations that wait for the owner.
 const COMMAND_QUEUE: usize = 1024;
@@ -126,7 +127,7 @@
             message: "the epoch of the handover is superseded".into(),
         };
     }
-    context.metrics.count("partition.handovers_taken");
+    context.metrics.count(names::PARTITION_HANDOVERS_TAKEN);
     context.partitions.keep_handover(handover);
     PeerReply::HandoverTaken
 }
--- a/crates/magnolia-daemon/src/partition/opening.rs
+++ b/crates/magnolia-daemon/src/partition/opening.rs
@@ -10,6 +10,7 @@
 
 use super::events::OpenedJournal;
 use crate::context::DaemonContext;
+use crate::metrics::names;
 
 /// Pause before a failed call of the log is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -73,11 +74,15 @@
 
 fn log_replay(context: &DaemonContext, replay: &JournalReplay) {
     let counts = replay.counts();
-    context.metrics.add("journal.replayed", counts.accepted);
-    context.metrics.add("journal.foreign", counts.foreign);
-    context.metrics.add("journal.torn", counts.torn);
-    context.metrics.add("journal.stale", counts.stale);
-    context.metrics.add("journal.repeated", counts.repeated);
+    context
+        .metrics
+        .add(names::JOURNAL_REPLAYED, counts.accepted);
+    context.metrics.add(names::JOURNAL_FOREIGN, counts.foreign);
+    context.metrics.add(names::JOURNAL_TORN, counts.torn);
+    context.metrics.add(names::JOURNAL_STALE, counts.stale);
+    context
+        .metrics
+        .add(names::JOURNAL_REPEATED, counts.repeated);
 }
 
 async fn append_opened(context: &DaemonContext, claim: &ClaimRecord, stream: &str) -> LogOffset {
@@ -96,7 +101,7 @@
         match context.log.append(stream, data.clone()).await {
             Ok(offset) => return offset,
             Err(_) => {
-                context.metrics.count("journal.append_failed");
+                context.metrics.count(names::JOURNAL_APPEND_FAILED);
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
@@ -169,7 +174,7 @@
             Some(records.map(|record| (record.offset, record.data)).collect())
         }
         Err(_) => {
-            context.metrics.count("journal.read_failed");
+            context.metrics.count(names::JOURNAL_READ_FAILED);
             None
         }
     }
--- a/crates/magnolia-daemon/src/partition/operations.rs
+++ b/crates/magnolia-daemon/src/partition/operations.rs
@@ -8,6 +8,7 @@
 
 use super::events::{JournalWaiter, OwnerCommand, ReplySender};
 use super::owner::{OwnerPhase, PartitionOwner, refused, wall_clock};
+use crate::metrics::names;
 
 /// Most jobs of one listing.
 const MAX_LISTED: usize = 1000;
@@ -137,7 +138,7 @@
         self.drop_submit_key(spec);
         self.table
             .accept(job.clone(), Arc::clone(spec), at, self.claim.epoch);
-        self.context.metrics.count("jobs.accepted");
+        self.context.metrics.count(names::JOBS_ACCEPTED);
         self.enqueue_ready(job);
         let reply = self.view_reply(job);
         for sender in self.submits.remove(job).unwrap_or_default() {
--- a/crates/magnolia-daemon/src/partition/owner.rs
+++ b/crates/magnolia-daemon/src/partition/owner.rs
@@ -21,6 +21,7 @@
 use super::placement_notes::PlacementNotes;
 use super::worker_link::WorkerLink;
 use crate::context::DaemonContext;
+use crate::metrics::names;
 
 /// Time between two looks at leases, renewals and deadlines.
 const TICK: Duration = Duration::from_millis(20);
@@ -217,7 +218,7 @@
     pub(super) fn step_down(&mut self, superseded_by: magnolia_types::Epoch) {
         let (unit, epoch) = (&self.claim.unit, self.claim.epoch);
         log::warn!("{unit}: epoch {epoch} is superseded by {superseded_by}");
-        self.context.metrics.count("partition.superseded");
+        self.context.metrics.count(names::PARTITION_SUPERSEDED);
         self.phase = OwnerPhase::Stopped;
     }
 
--- a/crates/magnolia-daemon/src/partition/placing.rs
+++ b/crates/magnolia-daemon/src/partition/placing.rs
@@ -15,6 +15,7 @@
 use super::events::JournalWaiter;
 use super::owner::{OwnedAttempt, PartitionOwner, wall_clock};
 use super::worker_link::{AttemptOrder, LinkedStart};
+use crate::metrics::names;
 
 /// Most starts of one placement, so that events are taken in between.
 const STARTS_PER_ROUND: usize = 500;
@@ -122,7 +123,7 @@
                 worker: worker.clone(),
             },
         );
-        self.context.metrics.count("starts.decided");
+        self.context.metrics.count(names::STARTS_DECIDED);
         let command = StartCommand {
             attempt: attempt.clone(),
             task,
@@ -177,7 +178,7 @@
             PreemptionMeans::Checkpoint => (AttemptOrder::Checkpoint, "checkpointed"),
             PreemptionMeans::Stop => (AttemptOrder::Stop, "stopped"),
         };
-        self.context.metrics.count("preemptions.ordered");
+        self.context.metrics.count(names::PREEMPTIONS_ORDERED);
         let task = known.task.task;
         self.notes.add(
             &job,
@@ -264,7 +265,7 @@
         }
         if effects.finished {
             self.engine.withdraw(std::slice::from_ref(job));
-            self.context.metrics.count("jobs.finished");
+            self.context.metrics.count(names::JOBS_FINISHED);
             self.wake_waits(job);
         } else if !effects.requeue.is_empty() {
             self.enqueue_ready(job);
--- a/crates/magnolia-state/src/lib.rs
+++ b/crates/magnolia-state/src/lib.rs
@@ -4,6 +4,9 @@
 mod jobs;
 mod journal;
 mod lease_book;
+mod request_state;
+mod retry_budget;
+mod suspicion_tracker;
 mod takeover;
 
 pub use claim_table::{ClaimChange, ClaimRecord, ClaimTable, ClaimVerdict};
@@ -16,4 +19,7 @@
     JournalVerdict, MAX_BATCH_WEIGHT, RecordFault, SNAPSHOT_PART_BYTES, split_snapshot,
 };
 pub use lease_book::{LeaseBook, WorkerCitation, WorkerNews, with_drift};
+pub use request_state::{RequestEventError, RequestPhase, RequestState};
+pub use retry_budget::RetryBudget;
+pub use suspicion_tracker::SuspicionTracker;
 pub use takeover::{TakeoverProgress, TakeoverTracker};
