--- a/crates/magnolia-daemon/src/inner/mod.rs
+++ b/crates/magnolia-daemon/src/inner/mod.rs
@@ -93,6 +93,12 @@
             return refused(ResultCode::Draining, "this daemon takes no units");
         }
         let (unit, epoch) = (handover.unit.clone(), handover.epoch);
+        if unit.partition().is_some() {
+            let reply = partition::take_handover(&self.context, handover);
+            if reply != PeerReply::HandoverTaken {
+                return reply;
+            }
+        }
         self.context.claims.record_release(&unit, epoch);
         PeerReply::HandoverTaken
     }
--- a/crates/magnolia-daemon/src/membership.rs
+++ b/crates/magnolia-daemon/src/membership.rs
@@ -120,7 +120,6 @@
     ///
     /// Asking makes this daemon probe the other one for some seconds, so that a caller that waits
     /// for the proof asks again.
-    #[allow(dead_code)]
     pub fn proof_of_end(&self, daemon: &DaemonId, incarnation: Incarnation) -> Option<Millis> {
         self.learn(daemon, incarnation);
         let proof = self.with_tracker(|tracker| tracker.proof_of_end(daemon, incarnation));
