--- a/crates/magnolia-daemon/src/context.rs
+++ b/crates/magnolia-daemon/src/context.rs
@@ -18,7 +18,7 @@
 use crate::ownership::{ClaimBook, PauseGuard};
 use crate::partition::PartitionRegistry;
 use crate::peers::PeerLink;
-use crate::quick::GroupRegistry;
+use crate::quick::{EntryView, GroupRegistry};
 use crate::settings::DaemonSettings;
 
 /// Where the daemon is in its life.
@@ -52,7 +52,6 @@
     /// Executors.
     pub executors: Arc<dyn ExecutorClient>,
     /// Connections to all peers.
-    #[allow(dead_code)]
     pub http: HttpClient,
     /// Calls to other daemons.
     pub peers: PeerLink,
@@ -64,12 +63,16 @@
     pub members: MemberList,
     /// Partitions that this daemon owns.
     pub partitions: PartitionRegistry,
+    /// What this daemon as an entry knows of the executor groups.
+    pub entry: EntryView,
     /// Executor groups that this daemon owns.
     pub groups: GroupRegistry,
     /// Notices pauses of this process.
     pub pause: PauseGuard,
     /// Phase of life.
     pub phase: watch::Sender<LifecyclePhase>,
+    /// Whether new work is refused, which begins some time after the start of draining.
+    pub closing: watch::Sender<bool>,
 }
 
 impl DaemonContext {
@@ -99,8 +102,10 @@
             claims: ClaimBook::new(),
             members: MemberList::new(clock),
             partitions: PartitionRegistry::new(),
-            groups: GroupRegistry::new(),
+            entry: EntryView::new(),
+            groups: GroupRegistry::new(clock),
             pause: PauseGuard::new(),
+            closing: watch::Sender::new(false),
             phase: watch::Sender::new(LifecyclePhase::Starting),
             clock,
             identity,
@@ -108,6 +113,11 @@
         })
     }
 
+    /// Tells whether new work is refused because the daemon stops.
+    pub fn is_closing(&self) -> bool {
+        *self.closing.borrow()
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> Arc<CellConfig> {
         Arc::clone(&self.config.borrow())
--- a/crates/magnolia-daemon/src/membership.rs
+++ b/crates/magnolia-daemon/src/membership.rs
@@ -137,7 +137,6 @@
     }
 
     /// Tells whether a daemon is draining or the instance list says that it leaves.
-    #[allow(dead_code)]
     pub fn is_draining(&self, daemon: &DaemonId) -> bool {
         self.with_tracker(|tracker| tracker.is_draining(daemon))
             || self.is_leaving(InstanceKind::Entry, daemon.as_str())
--- a/crates/magnolia-daemon/src/ownership/confirmation.rs
+++ b/crates/magnolia-daemon/src/ownership/confirmation.rs
@@ -16,6 +16,8 @@
 const REFRESH_AGE: Millis = Millis::new(1000);
 /// Time between two looks at the age of the last confirmation.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
+/// Time that the log gets to answer before peers are asked instead.
+const LOG_LIMIT: Duration = Duration::from_millis(500);
 /// Longest age of the instance list by which this daemon knows that it is alone.
 const ALONE_AGE: Millis = Millis::from_secs(5);
 
@@ -32,7 +34,8 @@
     /// word while the log is away.
     pub async fn confirm_claim(&self, unit: &UnitId) -> bool {
         let asked = self.clock.now();
-        if read_to_end(self).await.is_err() && !fetch_from_peers(self).await {
+        let read = tokio::time::timeout(LOG_LIMIT, read_to_end(self)).await;
+        if !matches!(read, Ok(Ok(()))) && !fetch_from_peers(self).await {
             // Nobody else can have claimed anything when no other daemon is listed.
             if !self.members.is_alone(&self.identity.daemon, ALONE_AGE) {
                 return false;
@@ -42,7 +45,6 @@
         self.own_claim(unit).is_some()
     }
 
-    #[allow(dead_code)]
     /// Tells whether the owner of an executor group may send: its claim was current within the last
     /// two seconds, and this daemon was not paused since.
     pub fn is_fresh(&self) -> bool {
--- /dev/null
+++ b/crates/magnolia-daemon/src/quick/entry.rs
@@ -0,0 +1,256 @@
+//! The entry of a quick request: chooses owners of executor groups, retries and hedges.
+
+use std::collections::BTreeSet;
+use std::future::pending;
+
+use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
+use futures_util::stream::FuturesUnordered;
+use magnolia_config::ConfigDocument;
+use magnolia_policy::{BackendView, new_chooser};
+use magnolia_protocol::{QuickForward, QuickOutcome};
+use magnolia_state::{ClaimRecord, RequestState};
+use magnolia_types::{Millis, QuickSpec, Ran, RequestId, ResultCode, UnitId};
+
+use super::attempt::{attempt, time_left};
+use super::outcome::outcome;
+use crate::context::DaemonContext;
+
+/// Most attempts of one request.
+const MAX_ATTEMPTS: usize = 4;
+
+/// Runs a request and returns what came of it.
+pub async fn run_request(
+    context: &DaemonContext,
+    request: RequestId,
+    spec: QuickSpec,
+) -> QuickOutcome {
+    if context.is_closing() {
+        return outcome(ResultCode::Draining, "this daemon is stopping");
+    }
+    let Some(_permit) = context.entry.admit() else {
+        let text = "too many requests are in flight at this daemon";
+        return outcome(ResultCode::QueueFull, text);
+    };
+    let deadline = context.clock.now().saturating_add(spec.deadline_ms);
+    let run = EntryRun {
+        context,
+        request,
+        deadline,
+        state: RequestState::new(spec.repeatable),
+        spec,
+        tried: BTreeSet::new(),
+        attempts: 0,
+    };
+    run.run().await
+}
+
+/// One request at its entry.
+struct EntryRun<'a> {
+    context: &'a DaemonContext,
+    request: RequestId,
+    spec: QuickSpec,
+    deadline: Millis,
+    state: RequestState,
+    /// Groups that were chosen before; a retry or hedge goes to another owner.
+    tried: BTreeSet<UnitId>,
+    attempts: usize,
+}
+
+type RunningAttempts<'a> = FuturesUnordered<BoxFuture<'a, (UnitId, QuickOutcome)>>;
+
+impl<'a> EntryRun<'a> {
+    async fn run(mut self) -> QuickOutcome {
+        match self.next_attempt() {
+            Ok((first, future)) => {
+                let running = RunningAttempts::new();
+                running.push(future);
+                let hedge_after = self.context.entry.hedge_delay(&first);
+                self.finish(running, first, hedge_after).await
+            }
+            Err(refusal) => refusal,
+        }
+    }
+
+    /// Waits for the attempts, and starts further ones as budget and state allow.
+    async fn finish(
+        mut self,
+        mut running: RunningAttempts<'a>,
+        first: UnitId,
+        hedge_after: std::time::Duration,
+    ) -> QuickOutcome {
+        let may_hedge = self.spec.repeatable;
+        let hedge = async move {
+            if may_hedge {
+                tokio::time::sleep(hedge_after).await;
+            } else {
+                pending::<()>().await;
+            }
+        };
+        tokio::pin!(hedge);
+        let mut hedged = false;
+        let mut last = outcome(ResultCode::OutcomeUnknown, "no attempt ended");
+        loop {
+            tokio::select! {
+                ended = running.next() => match ended {
+                    Some((unit, result)) => {
+                        if result.code.ran() == Ran::Yes {
+                            self.state.attempt_answered().ok();
+                            return result;
+                        }
+                        self.note_failure(&result);
+                        last = result;
+                        self.retry(&running, &unit);
+                    }
+                    None => break,
+                },
+                () = &mut hedge, if !hedged => {
+                    hedged = true;
+                    if self.context.entry.try_retry(&first)
+                        && let Ok((_, future)) = self.next_attempt()
+                    {
+                        self.context.metrics.count("quick.hedges");
+                        running.push(future);
+                    }
+                }
+            }
+        }
+        match self.state.give_up() {
+            Ran::Unknown if last.code.ran() == Ran::No => {
+                outcome(ResultCode::OutcomeUnknown, &last.text)
+            }
+            _ => last,
+        }
+    }
+
+    fn note_failure(&mut self, result: &QuickOutcome) {
+        let noted = match result.code.ran() {
+            Ran::No => self.state.attempt_refused(),
+            _ => self.state.attempt_lost(),
+        };
+        debug_assert!(noted.is_ok(), "an attempt ended that was not sent");
+    }
+
+    /// Starts another attempt after a failure when none is under way.
+    fn retry(&mut self, running: &RunningAttempts<'a>, failed: &UnitId) {
+        let in_time = self.context.clock.now() < self.deadline;
+        if !running.is_empty() || !in_time || !self.state.may_send() {
+            return;
+        }
+        // Chosen before the budget is spent: without another owner there is no retry.
+        if self.candidates().is_empty() {
+            return;
+        }
+        if !self.context.entry.try_retry(failed) {
+            self.context.metrics.count("quick.retries_denied");
+            return;
+        }
+        if let Ok((_, future)) = self.next_attempt() {
+            self.context.metrics.count("quick.retries");
+            running.push(future);
+        }
+    }
+
+    /// Chooses an owner and makes the attempt; the state counts it as sent from here on.
+    fn next_attempt(
+        &mut self,
+    ) -> Result<(UnitId, BoxFuture<'a, (UnitId, QuickOutcome)>), QuickOutcome> {
+        let claim = self.choose()?;
+        if self.attempts >= MAX_ATTEMPTS || self.state.send().is_err() {
+            let text = "the request may not be sent again";
+            return Err(outcome(ResultCode::OutcomeUnknown, text));
+        }
+        let is_first = self.attempts == 0;
+        self.attempts += 1;
+        self.tried.insert(claim.unit.clone());
+        let mut spec = self.spec.clone();
+        spec.deadline_ms = time_left(self.context, self.deadline);
+        let forward = QuickForward {
+            request: self.request.clone(),
+            group: claim.unit.group().unwrap_or_default().into(),
+            spec,
+        };
+        let context = self.context;
+        let unit = claim.unit.clone();
+        let future = Box::pin(async move {
+            let result = attempt(context, &claim, forward, is_first).await;
+            (claim.unit, result)
+        });
+        Ok((unit, future))
+    }
+
+    fn choose(&self) -> Result<ClaimRecord, QuickOutcome> {
+        let config = self.context.config();
+        let Some(document) = &config.document else {
+            let text = "no configuration is loaded";
+            return Err(outcome(ResultCode::NoConfiguration, text));
+        };
+        if document.executor_blocks.is_empty() {
+            let text = "the inventory has no executors";
+            return Err(outcome(ResultCode::NoBackend, text));
+        }
+        let claims = self.candidates();
+        if claims.is_empty() {
+            let text = "no executor group has an owner that takes requests";
+            return Err(outcome(ResultCode::NoOwner, text));
+        }
+        let views: Vec<BackendView> = (0..)
+            .zip(&claims)
+            .map(|(index, claim)| self.view(document, index, claim))
+            .collect();
+        let chosen = new_chooser(document).choose(&views, &mut rand::rng());
+        // All full as far as known: an owner's queue decides.
+        let index = chosen.unwrap_or_else(|| rand::random_range(0..claims.len()));
+        Ok(claims[index].clone())
+    }
+
+    fn view(&self, document: &ConfigDocument, index: usize, claim: &ClaimRecord) -> BackendView {
+        let block = document.executor_block(claim.unit.group().unwrap_or_default());
+        let initial = block.map_or(0, |block| {
+            let executors = u32::try_from(block.executors.len()).unwrap_or(u32::MAX);
+            block.slots.saturating_mul(executors)
+        });
+        let now = self.context.clock.now();
+        let entry = &self.context.entry;
+        BackendView {
+            index,
+            free_slots: entry.free_slots(&claim.unit, initial, now),
+            same_centre: block
+                .is_some_and(|block| block.data_centre == self.context.identity.data_centre),
+            round_trip: entry.round_trip(&claim.unit),
+        }
+    }
+
+    /// Returns the claims of the groups that were not tried and whose owner takes requests.
+    fn candidates(&self) -> Vec<ClaimRecord> {
+        let context = self.context;
+        let units = context
+            .with_document(|document| {
+                let blocks = document.executor_blocks.iter();
+                let open = blocks.filter(|block| !block.leaving && !block.executors.is_empty());
+                open.filter_map(|block| UnitId::new_group(&block.name).ok())
+                    .collect::<Vec<_>>()
+            })
+            .unwrap_or_default();
+        let untried = units.iter().filter(|unit| !self.tried.contains(unit));
+        let claims = untried.filter_map(|unit| context.claims.get(unit));
+        claims
+            .filter(|claim| takes_requests(context, claim))
+            .collect()
+    }
+}
+
+/// Tells whether requests may be sent to the owner under this claim.
+fn takes_requests(context: &DaemonContext, claim: &ClaimRecord) -> bool {
+    if claim.daemon == context.identity.daemon {
+        return claim.incarnation == context.identity.incarnation
+            && context.groups.get(&claim.unit).is_some();
+    }
+    let members = &context.members;
+    let ended = members.with_tracker(|tracker| {
+        tracker
+            .proof_of_end(&claim.daemon, claim.incarnation)
+            .is_some()
+    });
+    !ended && !members.is_suspect(&claim.daemon) && !members.is_draining(&claim.daemon)
+}
--- /dev/null
+++ b/crates/magnolia-daemon/src/quick/executor_slots_tests.rs
@@ -0,0 +1,200 @@
+//! The owner's count of slots against a model of an executor.
+
+use magnolia_platform::ExecutorStatus;
+use magnolia_types::{ExecutorId, Millis};
+use quickcheck::quickcheck;
+
+use super::executor_slots::{ExecutorSlots, SlotEnd};
+
+const SLOTS: u32 = 3;
+
+/// A request on its way to the executor or running there.
+struct ModelRequest {
+    arrives: Millis,
+    /// Whether the present owner still waits for its answer.
+    awaited: bool,
+}
+
+/// An executor, the count of its owner, and what is under way between them.
+struct Model {
+    now: Millis,
+    owner: ExecutorSlots,
+    requests: Vec<ModelRequest>,
+    status: Option<(Millis, ExecutorStatus)>,
+    /// What the owner makes of a lost answer; anything but `Lost` is a broken variant.
+    lost_as: SlotEnd,
+}
+
+fn new_owner() -> ExecutorSlots {
+    let executor = ExecutorId::new("e0").expect("a name");
+    let mut slots = ExecutorSlots::new(executor, ([127, 0, 0, 1], 1).into());
+    slots.configure(SLOTS, 64, false);
+    slots
+}
+
+impl Model {
+    fn new(lost_as: SlotEnd) -> Self {
+        Self {
+            now: Millis::new(0),
+            owner: new_owner(),
+            requests: Vec::new(),
+            status: None,
+            lost_as,
+        }
+    }
+
+    fn busy(&self) -> u32 {
+        let arrived = self
+            .requests
+            .iter()
+            .filter(|request| request.arrives <= self.now);
+        u32::try_from(arrived.count()).expect("a small number")
+    }
+
+    fn snapshot(&self) -> ExecutorStatus {
+        ExecutorStatus {
+            executor: self.owner.executor.clone(),
+            slots: SLOTS,
+            busy: self.busy(),
+            max_connections: 64,
+            connections: 0,
+            leaving: false,
+        }
+    }
+
+    /// Removes the first request that has arrived and is awaited or not, as asked.
+    fn end_request(&mut self, awaited: bool) -> bool {
+        let now = self.now;
+        let found = self
+            .requests
+            .iter()
+            .position(|request| request.arrives <= now && request.awaited == awaited);
+        found.is_some_and(|index| !self.requests.remove(index).awaited || awaited)
+    }
+
+    fn step(&mut self, step: u8, choice: u8) {
+        match step % 8 {
+            0 => self.now = self.now.saturating_add(Millis::new(u64::from(choice) * 20)),
+            1 if self.owner.free(self.now) > 0 => {
+                self.owner.take();
+                let delay = Millis::new(u64::from(choice % 5) * 100);
+                let arrives = self.now.saturating_add(delay);
+                self.requests.push(ModelRequest {
+                    arrives,
+                    awaited: true,
+                });
+            }
+            2 => {
+                if self.end_request(true) {
+                    self.owner.finish(SlotEnd::Answered, self.now);
+                }
+            }
+            3 => {
+                if let Some(request) = self.requests.iter_mut().find(|request| request.awaited) {
+                    request.awaited = false;
+                    self.owner.finish(self.lost_as, self.now);
+                }
+            }
+            4 => {
+                self.end_request(false);
+            }
+            5 => self.status = Some((self.now, self.snapshot())),
+            6 => {
+                if let Some((asked, status)) = self.status.take() {
+                    self.owner.apply_status(status, asked, self.now);
+                }
+            }
+            // Another daemon takes the group over; the old one has stopped sending.
+            7 if self
+                .requests
+                .iter()
+                .all(|request| request.arrives <= self.now) =>
+            {
+                self.owner = new_owner();
+                self.status = None;
+                self.requests
+                    .iter_mut()
+                    .for_each(|request| request.awaited = false);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn never_exceeds(steps: &[(u8, u8)], lost_as: SlotEnd) -> bool {
+    let mut model = Model::new(lost_as);
+    steps.iter().all(|&(step, choice)| {
+        model.step(step, choice);
+        model.requests.len() <= SLOTS as usize
+    })
+}
+
+quickcheck! {
+    /// Guards against more requests on an executor than it has slots: with lost answers, late
+    /// arrivals, old statuses and changes of the owner.
+    fn slots_are_never_exceeded(steps: Vec<(u8, u8)>) -> bool {
+        never_exceeds(&steps, SlotEnd::Lost)
+    }
+}
+
+/// Shows that the model finds a broken count: a slot that is freed when its answer is lost.
+#[test]
+fn slot_freed_on_a_lost_answer_is_caught() {
+    let mut steps = vec![(5, 0), (6, 0)];
+    steps.extend([(1, 0), (1, 0), (1, 0), (3, 0), (1, 0)]);
+    assert!(!never_exceeds(&steps, SlotEnd::NotSent));
+    assert!(never_exceeds(&steps, SlotEnd::Lost));
+}
+
+/// Guards against slots that stay lost for ever: the status of an executor without other requests
+/// frees them.
+#[test]
+fn status_settles_lost_slots() {
+    let mut model = Model::new(SlotEnd::Lost);
+    for step in [(5, 0), (6, 0), (1, 0), (3, 0), (4, 0)] {
+        model.step(step.0, step.1);
+    }
+    assert_eq!(model.owner.free(model.now), SLOTS - 1);
+    model.now = Millis::from_secs(5);
+    assert!(model.owner.wants_status(model.now));
+    model.step(5, 0);
+    model.step(6, 0);
+    assert_eq!(model.owner.free(model.now), SLOTS);
+}
+
+/// Guards against new work for a leaving executor.
+#[test]
+fn leaving_executor_has_no_free_slot() {
+    let mut slots = new_owner();
+    let now = Millis::new(1);
+    let mut status = Model::new(SlotEnd::Lost).snapshot();
+    slots.apply_status(status.clone(), now, now);
+    assert_eq!(slots.free(now), SLOTS);
+    status.leaving = true;
+    slots.apply_status(status.clone(), now, now);
+    assert_eq!(slots.free(now), 0);
+    status.leaving = false;
+    slots.apply_status(status, now, now);
+    slots.configure(SLOTS, 64, true);
+    assert_eq!(slots.free(now), 0);
+}
+
+/// Guards against a failing executor that gets its full share of requests, and against one that
+/// never gets work again.
+#[test]
+fn failing_executor_rests_and_is_tried_with_one_request() {
+    let mut slots = new_owner();
+    let now = Millis::new(1);
+    slots.apply_status(Model::new(SlotEnd::Lost).snapshot(), now, now);
+    for _ in 0..3 {
+        slots.take();
+        slots.finish(SlotEnd::NotSent, now);
+    }
+    assert_eq!(slots.free(now), 0);
+    let later = Millis::from_secs(1);
+    assert_eq!(slots.free(later), 1);
+    slots.take();
+    assert_eq!(slots.free(later), 0);
+    slots.finish(SlotEnd::Answered, later);
+    assert_eq!(slots.free(later), SLOTS);
+}
--- a/crates/magnolia-daemon/src/quick/group.rs
+++ b/crates/magnolia-daemon/src/quick/group.rs
@@ -1,163 +1,166 @@
-//! Slots of the executors of the groups that this daemon owns.
+//! The executor groups that this daemon owns.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use magnolia_platform::{ExecuteAnswer, ExecuteCall};
-use magnolia_protocol::{QuickForward, QuickOutcome};
+use bytes::Bytes;
+use magnolia_protocol::{Handover, PeerReply, PeerRequest};
 use magnolia_state::ClaimRecord;
-use magnolia_types::{ResultCode, UnitId};
-use tokio::sync::Semaphore;
+use magnolia_types::{LogOffset, ResultCode, UnitId};
+use serde_bytes::ByteBuf;
 
+use super::group_state::GroupState;
+use super::group_watch::watch_group;
+use crate::clock::DaemonClock;
 use crate::context::DaemonContext;
+use crate::membership::MemberEntry;
 
-/// One executor with its slots.
-struct ExecutorSlots {
-    address: SocketAddr,
-    free: Arc<Semaphore>,
-}
+/// Longest wait for requests in flight before a group is handed over.
+const HANDOVER_DRAIN: Duration = Duration::from_secs(5);
+/// Time between two looks at the requests in flight.
+const DRAIN_POLL: Duration = Duration::from_millis(5);
+/// Longest time of the message that hands a group over.
+const HANDOVER_LIMIT: Duration = Duration::from_secs(1);
 
-/// One executor group.
+/// One executor group under one claim.
 pub struct ExecutorGroup {
-    executors: Vec<ExecutorSlots>,
+    /// The claim.
+    pub claim: ClaimRecord,
+    /// Clock of the daemon.
+    pub clock: DaemonClock,
+    state: Mutex<GroupState>,
 }
 
 impl ExecutorGroup {
-    fn free_slots(&self) -> u32 {
-        let free = self
-            .executors
-            .iter()
-            .map(|executor| executor.free.available_permits());
-        u32::try_from(free.sum::<usize>()).unwrap_or(u32::MAX)
+    /// Locks the state; never held across an await.
+    pub fn state(&self) -> MutexGuard<'_, GroupState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// The groups that this daemon owns.
 pub struct GroupRegistry {
+    clock: DaemonClock,
     groups: Mutex<BTreeMap<UnitId, Arc<ExecutorGroup>>>,
 }
 
 impl GroupRegistry {
     /// Creates an empty registry.
-    pub fn new() -> Self {
+    pub fn new(clock: DaemonClock) -> Self {
         Self {
+            clock,
             groups: Mutex::default(),
         }
     }
 
     /// Describes the groups for the state dump.
     pub fn dump(&self) -> serde_json::Value {
-        let groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
-        let free: BTreeMap<String, u32> = groups
+        let now = self.clock.now();
+        let groups = self.lock();
+        let described: BTreeMap<String, serde_json::Value> = groups
             .iter()
-            .map(|(unit, group)| (unit.to_string(), group.free_slots()))
+            .map(|(unit, group)| {
+                let state = group.state();
+                let executors = state.executors.iter().map(|slots| slots.dump(now));
+                let line = serde_json::json!({
+                    "epoch": group.claim.epoch,
+                    "free_slots": state.free(now),
+                    "queued": state.queued(),
+                    "in_flight": state.in_flight(),
+                    "executors": executors.collect::<Vec<_>>(),
+                });
+                (unit.to_string(), line)
+            })
             .collect();
-        serde_json::json!({ "free_slots": free })
+        let free = described
+            .iter()
+            .map(|(unit, line)| (unit.clone(), line["free_slots"].clone()));
+        let free: BTreeMap<String, serde_json::Value> = free.collect();
+        serde_json::json!({ "free_slots": free, "groups": described })
     }
 
     /// Returns the groups that this daemon serves.
     pub fn units(&self) -> Vec<UnitId> {
-        let groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
-        groups.keys().cloned().collect()
+        self.lock().keys().cloned().collect()
+    }
+
+    /// Returns a group of this daemon.
+    pub fn get(&self, unit: &UnitId) -> Option<Arc<ExecutorGroup>> {
+        self.lock().get(unit).cloned()
     }
 
-    fn get(&self, unit: &UnitId) -> Option<Arc<ExecutorGroup>> {
-        self.groups
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(unit)
-            .cloned()
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<UnitId, Arc<ExecutorGroup>>> {
+        self.groups.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// Starts to serve a claimed group, once.
 pub fn start_group(context: &Arc<DaemonContext>, claim: &ClaimRecord) {
-    let mut groups = context
-        .groups
-        .groups
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner);
+    let config = context.config();
+    let Some(document) = &config.document else {
+        return;
+    };
+    let mut groups = context.groups.lock();
     if groups.contains_key(&claim.unit) {
         return;
     }
-    let Some(name) = claim.unit.group() else {
-        return;
-    };
-    let executors = context.with_document(|document| {
-        let block = document.executor_block(name);
-        let slots = block.map_or(0, |block| block.slots as usize);
-        let executors = block
-            .map(|block| block.executors.as_slice())
-            .unwrap_or_default();
-        let executors = executors.iter().map(|executor| ExecutorSlots {
-            address: executor.address,
-            free: Arc::new(Semaphore::new(slots)),
-        });
-        executors.collect()
+    let group = Arc::new(ExecutorGroup {
+        claim: claim.clone(),
+        clock: context.clock,
+        state: Mutex::new(GroupState::new(document, config.version)),
     });
-    let group = ExecutorGroup {
-        executors: executors.unwrap_or_default(),
-    };
-    groups.insert(claim.unit.clone(), Arc::new(group));
+    groups.insert(claim.unit.clone(), Arc::clone(&group));
+    drop(groups);
     log::info!("owner of {} at epoch {}", claim.unit, claim.epoch);
+    tokio::spawn(watch_group(Arc::clone(context), group));
 }
 
-/// Stops to serve a group.
+/// Stops to serve a group: nothing new is sent, and what is queued is refused as not run.
 pub fn stop_group(context: &DaemonContext, unit: &UnitId) {
-    let mut groups = context
-        .groups
-        .groups
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner);
-    groups.remove(unit);
-}
-
-/// Runs a request on an executor of a group of this daemon.
-pub async fn run_in_group(context: &DaemonContext, forward: &QuickForward) -> QuickOutcome {
-    let group = UnitId::new_group(&forward.group)
-        .ok()
-        .and_then(|unit| context.groups.get(&unit));
-    let Some(group) = group else {
-        return outcome(
-            ResultCode::NotOwner,
-            "this daemon does not own the group",
-            0,
-        );
+    let Some(group) = context.groups.lock().remove(unit) else {
+        return;
     };
-    for executor in &group.executors {
-        let Ok(permit) = Arc::clone(&executor.free).try_acquire_owned() else {
-            continue;
-        };
-        let call = ExecuteCall {
-            request: forward.request.clone(),
-            body: Arc::clone(&forward.spec.body),
-            remaining: forward.spec.deadline_ms,
-        };
-        let result = context.executors.execute(executor.address, &call).await;
-        drop(permit);
-        let free = group.free_slots();
-        return match result {
-            Ok(ExecuteAnswer::Answered(text)) => outcome(ResultCode::Ok, &text, free),
-            Ok(ExecuteAnswer::Failed(text)) => outcome(ResultCode::WorkFailed, &text, free),
-            Ok(ExecuteAnswer::NotRun(text)) => outcome(ResultCode::NoBackend, &text, free),
-            Err(error) if error.is_without_effect() => {
-                outcome(ResultCode::NoBackend, &error.to_string(), free)
-            }
-            Err(error) => outcome(ResultCode::OutcomeUnknown, &error.to_string(), free),
-        };
+    let mut state = group.state();
+    state.closed = true;
+    state.refuse_all(ResultCode::NotOwner, "the group has another owner");
+    for slots in &state.executors {
+        context.http.forget(slots.address);
     }
-    outcome(
-        ResultCode::NoBackend,
-        "no executor of the group has a free slot",
-        0,
-    )
 }
 
-fn outcome(code: ResultCode, text: &str, free_slots: u32) -> QuickOutcome {
-    QuickOutcome {
-        code,
-        text: text.into(),
-        free_slots,
+/// Ends the work of a group and hands it to `successor`; `true` when it was taken.
+pub async fn hand_over_group(
+    context: &DaemonContext,
+    unit: &UnitId,
+    successor: &MemberEntry,
+) -> bool {
+    let Some(group) = context.groups.get(unit) else {
+        return false;
+    };
+    {
+        let mut state = group.state();
+        state.closed = true;
+        state.refuse_all(ResultCode::Draining, "the owner of the group is stopping");
     }
+    let drained = async {
+        while group.state().in_flight() > 0 {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    };
+    tokio::time::timeout(HANDOVER_DRAIN, drained).await.ok();
+    let epoch = group.claim.epoch;
+    context.claims.record_release(unit, epoch);
+    stop_group(context, unit);
+    let handover = Handover {
+        unit: unit.clone(),
+        epoch,
+        next: LogOffset::new(0),
+        snapshot: ByteBuf::from(Bytes::new().to_vec()),
+    };
+    let request = PeerRequest::Handover(handover);
+    let reply = context
+        .call_peer(successor.address, request, HANDOVER_LIMIT)
+        .await;
+    matches!(reply.map(|reply| reply.body), Ok(PeerReply::HandoverTaken))
 }
--- /dev/null
+++ b/crates/magnolia-daemon/src/quick/group_runner.rs
@@ -0,0 +1,279 @@
+//! Runs forwarded requests on the executors of a group of this daemon.
+
+use std::sync::Arc;
+
+use magnolia_platform::{ExecuteAnswer, ExecuteCall, ExecutorClient, PlatformError};
+use magnolia_policy::{AdmissionEntry, AdmissionTicket};
+use magnolia_protocol::{QuickForward, QuickOutcome};
+use magnolia_state::RequestState;
+use magnolia_types::{ExecutorId, Millis, Ran, ResultCode, UnitId};
+use tokio::sync::oneshot;
+
+use super::executor_slots::SlotEnd;
+use super::group::ExecutorGroup;
+use super::group_state::SlotGrant;
+use super::outcome::outcome;
+use crate::context::DaemonContext;
+
+/// Runs a request on an executor of a group of this daemon.
+pub async fn run_in_group(context: &DaemonContext, forward: &QuickForward) -> QuickOutcome {
+    let unit = UnitId::new_group(&forward.group).ok();
+    let Some(group) = unit.and_then(|unit| context.groups.get(&unit)) else {
+        return outcome(ResultCode::NotOwner, "this daemon does not own the group");
+    };
+    let arrived = context.clock.now();
+    let run = GroupRun {
+        context,
+        group: &group,
+        forward,
+        entry: AdmissionEntry {
+            ticket: 0,
+            customer: forward.spec.customer.clone(),
+            class: forward.spec.class.clone(),
+            arrived,
+            deadline: arrived.saturating_add(forward.spec.deadline_ms),
+        },
+    };
+    let mut result = run.run().await;
+    result.free_slots = group.state().free(context.clock.now());
+    result
+}
+
+/// One request on its way through a group.
+struct GroupRun<'a> {
+    context: &'a DaemonContext,
+    group: &'a Arc<ExecutorGroup>,
+    forward: &'a QuickForward,
+    entry: AdmissionEntry,
+}
+
+impl GroupRun<'_> {
+    async fn run(&self) -> QuickOutcome {
+        let mut state = RequestState::new(self.forward.spec.repeatable);
+        let mut last = outcome(ResultCode::NoBackend, "no executor took the request");
+        while state.queue().is_ok() {
+            let lease = match self.wait_for_slot().await {
+                Ok(lease) => lease,
+                // A refusal after lost attempts must not hide that they may have run.
+                Err(refusal) if state.give_up() == Ran::No => return refusal,
+                Err(_) => return last,
+            };
+            if let Err(refusal) = self.check_may_send() {
+                lease.give_back();
+                return if state.give_up() == Ran::No {
+                    refusal
+                } else {
+                    last
+                };
+            }
+            if state.send().is_err() {
+                lease.give_back();
+                break;
+            }
+            let executor = lease.executor.clone();
+            last = self.execute(lease).await;
+            let noted = match last.code.ran() {
+                Ran::Yes => state.attempt_answered(),
+                Ran::No => state.attempt_refused(),
+                Ran::Unknown => state.attempt_lost(),
+            };
+            if noted.is_err() || last.code.ran() == Ran::Yes || !self.may_retry(&executor) {
+                break;
+            }
+        }
+        if state.give_up() == Ran::Unknown && last.code.ran() == Ran::No {
+            return outcome(ResultCode::OutcomeUnknown, &last.text);
+        }
+        last
+    }
+
+    fn may_retry(&self, executor: &ExecutorId) -> bool {
+        let in_time = self.context.clock.now() < self.entry.deadline;
+        let granted = in_time && self.group.state().budget(executor).try_retry();
+        if in_time {
+            let name = if granted {
+                "quick.executor_retries"
+            } else {
+                "quick.executor_retries_denied"
+            };
+            self.context.metrics.count(name);
+        }
+        granted
+    }
+
+    /// Tells whether this daemon may send to executors at this moment.
+    fn check_may_send(&self) -> Result<(), QuickOutcome> {
+        if !self.context.is_fresh() || !self.context.claims.is_current(&self.group.claim) {
+            self.context.metrics.count("quick.not_fresh");
+            let text = "the ownership of the group is not confirmed";
+            return Err(outcome(ResultCode::NotOwner, text));
+        }
+        if self.context.clock.now() >= self.entry.deadline {
+            let text = "the deadline passed before the request was sent";
+            return Err(outcome(ResultCode::DeadlineExceeded, text));
+        }
+        Ok(())
+    }
+
+    fn queue(&self) -> Result<QueuePlace, QuickOutcome> {
+        let now = self.context.clock.now();
+        let mut state = self.group.state();
+        if state.closed {
+            let text = "the owner of the group is stopping";
+            return Err(outcome(ResultCode::Draining, text));
+        }
+        let (ticket, granted) = state
+            .offer(now, self.entry.clone())
+            .map_err(|(code, reason)| outcome(code, &reason))?;
+        state.pump(now);
+        Ok(QueuePlace {
+            group: Arc::clone(self.group),
+            ticket,
+            granted: Some(granted),
+        })
+    }
+
+    /// Waits in the queue for a slot; withdraws the request when this future is dropped.
+    async fn wait_for_slot(&self) -> Result<SlotLease, QuickOutcome> {
+        let place = self.queue()?;
+        match place.wait().await {
+            Some(Ok(executor)) => Ok(SlotLease {
+                group: Arc::clone(self.group),
+                executor,
+                end: Some(SlotEnd::Lost),
+            }),
+            Some(Err((code, reason))) => Err(outcome(code, &reason)),
+            None => Err(outcome(ResultCode::NotOwner, "the group was stopped")),
+        }
+    }
+
+    /// Sends the request. The exchange goes on when the caller goes away, so that the slot is
+    /// counted until the executor has answered.
+    async fn execute(&self, lease: SlotLease) -> QuickOutcome {
+        let started = self.context.clock.now();
+        let address = {
+            let mut state = self.group.state();
+            state.budget(&lease.executor).record_request();
+            state.executor(&lease.executor).map(|slots| slots.address)
+        };
+        let Some(address) = address else {
+            lease.give_back();
+            return outcome(ResultCode::NoBackend, "the executor was removed");
+        };
+        let call = ExecuteCall {
+            request: self.forward.request.clone(),
+            body: Arc::clone(&self.forward.spec.body),
+            remaining: self.entry.deadline.saturating_sub(started),
+        };
+        let executors = Arc::clone(&self.context.executors);
+        let entry = self.entry.clone();
+        let exchange = tokio::spawn(async move {
+            let result = execute(&*executors, address, &call).await;
+            lease.finish(result.0, &entry, started);
+            result.1
+        });
+        exchange
+            .await
+            .unwrap_or_else(|_| outcome(ResultCode::OutcomeUnknown, "the exchange failed"))
+    }
+}
+
+async fn execute(
+    executors: &dyn ExecutorClient,
+    address: std::net::SocketAddr,
+    call: &ExecuteCall,
+) -> (SlotEnd, QuickOutcome) {
+    match executors.execute(address, call).await {
+        Ok(ExecuteAnswer::Answered(text)) => (SlotEnd::Answered, outcome(ResultCode::Ok, &text)),
+        Ok(ExecuteAnswer::Failed(text)) => {
+            (SlotEnd::Failed, outcome(ResultCode::WorkFailed, &text))
+        }
+        Ok(ExecuteAnswer::NotRun(text)) => {
+            (SlotEnd::Refused, outcome(ResultCode::NoBackend, &text))
+        }
+        Err(error) if error.is_without_effect() => (
+            not_sent_end(&error),
+            outcome(ResultCode::NoBackend, &error.to_string()),
+        ),
+        Err(error) => (
+            SlotEnd::Lost,
+            outcome(ResultCode::OutcomeUnknown, &error.to_string()),
+        ),
+    }
+}
+
+fn not_sent_end(error: &PlatformError) -> SlotEnd {
+    match error {
+        PlatformError::Transport(_) => SlotEnd::NotSent,
+        PlatformError::Refused { .. } => SlotEnd::Refused,
+    }
+}
+
+/// A place in the queue of a group.
+struct QueuePlace {
+    group: Arc<ExecutorGroup>,
+    ticket: AdmissionTicket,
+    granted: Option<oneshot::Receiver<SlotGrant>>,
+}
+
+impl QueuePlace {
+    async fn wait(mut self) -> Option<SlotGrant> {
+        let granted = self.granted.as_mut()?;
+        let grant = granted.await.ok();
+        self.granted = None;
+        grant
+    }
+}
+
+impl Drop for QueuePlace {
+    fn drop(&mut self) {
+        let Some(mut granted) = self.granted.take() else {
+            return;
+        };
+        // The caller went away: gives up the place, or the slot that was granted meanwhile.
+        let mut state = self.group.state();
+        state.withdraw(self.ticket);
+        if let Ok(Ok(executor)) = granted.try_recv() {
+            if let Some(slots) = state.executor(&executor) {
+                slots.give_back();
+            }
+            state.pump(self.group.clock.now());
+        }
+    }
+}
+
+/// A slot of an executor; its request counts as lost if the lease is dropped without an end.
+struct SlotLease {
+    group: Arc<ExecutorGroup>,
+    executor: ExecutorId,
+    /// How the request ended; `None` when nothing was sent.
+    end: Option<SlotEnd>,
+}
+
+impl SlotLease {
+    /// Returns a slot on which nothing was sent.
+    fn give_back(mut self) {
+        self.end = None;
+    }
+
+    fn finish(mut self, end: SlotEnd, entry: &AdmissionEntry, started: Millis) {
+        let now = self.group.clock.now();
+        let took = now.saturating_sub(started);
+        self.group.state().finished(now, entry, took);
+        self.end = Some(end);
+    }
+}
+
+impl Drop for SlotLease {
+    fn drop(&mut self) {
+        let now = self.group.clock.now();
+        let mut state = self.group.state();
+        if let Some(slots) = state.executor(&self.executor) {
+            match self.end {
+                Some(end) => slots.finish(end, now),
+                None => slots.give_back(),
+            }
+        }
+        state.pump(now);
+    }
+}
--- a/crates/magnolia-daemon/src/quick/mod.rs
+++ b/crates/magnolia-daemon/src/quick/mod.rs
@@ -1,7 +1,19 @@
-//! Quick requests: admission, routing to the owner of an executor group, execution.
+//! Quick requests: routing to the owner of an executor group, admission, execution.
 
+mod attempt;
+mod entry;
+mod executor_slots;
 mod group;
-mod router;
+mod group_runner;
+mod group_state;
+mod group_view;
+mod group_watch;
+mod outcome;
 
-pub use group::{GroupRegistry, run_in_group, start_group, stop_group};
-pub use router::run_request;
+#[cfg(test)]
+mod executor_slots_tests;
+
+pub use entry::run_request;
+pub use group::{GroupRegistry, hand_over_group, start_group, stop_group};
+pub use group_runner::run_in_group;
+pub use group_view::EntryView;
