--- a/crates/magnolia-daemon/src/peers.rs
+++ b/crates/magnolia-daemon/src/peers.rs
@@ -89,6 +89,7 @@
     pub fn hear<T>(&self, envelope: &PeerEnvelope<T>, address: SocketAddr) {
         if envelope.config_version > self.config().version {
             self.metrics.count("config.behind_peer");
+            self.config_feed.note_peer(address, envelope.config_version);
         }
         self.members.learn(&envelope.from, envelope.incarnation);
         for superseded in &envelope.superseded {
