--- a/crates/magnolia-daemon/src/daemon.rs
+++ b/crates/magnolia-daemon/src/daemon.rs
@@ -10,18 +10,24 @@
 use magnolia_http::serve;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
 
 use crate::callers::CallerHandler;
 use crate::config_feed::follow_config;
-use crate::context::{DaemonContext, LifecyclePhase};
+use crate::context::DaemonContext;
+use crate::drain::drain;
 use crate::inner::InnerHandler;
 use crate::membership::follow_instances;
 use crate::ownership::{follow_claims, follow_hints, keep_claiming, keep_fresh, watch_pauses};
 use crate::probing::keep_probing;
 use crate::settings::DaemonSettings;
 
-/// Longest time that a stop waits for requests in flight.
-const DRAIN_LIMIT: Duration = Duration::from_secs(30);
+/// Longest time that a stop waits for requests of callers in flight; above the longest deadline of
+/// a quick request (60 s by default).
+const DRAIN_LIMIT: Duration = Duration::from_secs(65);
+/// Longest time that a stop waits for requests of other daemons in flight after that.
+const INNER_DRAIN_LIMIT: Duration = Duration::from_secs(5);
 
 /// How the daemon ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,7 +77,8 @@
             return ExitStatus::Failure;
         }
     };
-    match runtime.block_on(run(settings)) {
+    let run = async { run_daemon(settings, stop_signal()?).await };
+    match runtime.block_on(run) {
         Ok(status) => status,
         Err(error) => {
             log::error!("the daemon could not start: {error}");
@@ -89,44 +96,63 @@
     log::set_max_level(level);
 }
 
-async fn run(settings: DaemonSettings) -> std::io::Result<ExitStatus> {
+/// Runs the daemon until `stop` completes and it is drained.
+///
+/// # Errors
+///
+/// Fails when an address is in use or the metrics socket cannot be opened.
+pub async fn run_daemon(
+    settings: DaemonSettings,
+    stop: impl Future<Output = ()>,
+) -> std::io::Result<ExitStatus> {
     let callers = TcpListener::bind(settings.listen).await?;
     let inner = TcpListener::bind(settings.inner_listen).await?;
     let context = Arc::new(DaemonContext::new(settings)?);
     log::info!("daemon {} started", context.identity.daemon);
-    tokio::spawn(follow_instances(Arc::clone(&context)));
-    tokio::spawn(follow_config(Arc::clone(&context)));
-    tokio::spawn(watch_pauses(Arc::clone(&context)));
-    tokio::spawn(follow_claims(Arc::clone(&context)));
-    tokio::spawn(follow_hints(Arc::clone(&context)));
-    tokio::spawn(keep_fresh(Arc::clone(&context)));
-    tokio::spawn(keep_probing(Arc::clone(&context)));
-    tokio::spawn(keep_claiming(Arc::clone(&context)));
-    let inner_handler = Arc::new(InnerHandler::new(Arc::clone(&context)));
-    tokio::spawn(serve(
+    let mut tasks = start_tasks(&context);
+    let (stop_inner, inner_stopped) = oneshot::channel::<()>();
+    let inner_server = tokio::spawn(serve(
         inner,
-        inner_handler,
-        std::future::pending(),
-        DRAIN_LIMIT,
+        Arc::new(InnerHandler::new(Arc::clone(&context))),
+        async move {
+            inner_stopped.await.ok();
+        },
+        INNER_DRAIN_LIMIT,
     ));
-    let stop = stop_signal(Arc::clone(&context))?;
-    let drained = serve(
-        callers,
-        Arc::new(CallerHandler::new(Arc::clone(&context))),
-        stop,
-        DRAIN_LIMIT,
-    )
-    .await;
+    let stop = async {
+        stop.await;
+        drain(&context).await;
+    };
+    let handler = Arc::new(CallerHandler::new(Arc::clone(&context)));
+    let callers_drained = serve(callers, handler, stop, DRAIN_LIMIT).await;
+    // Last, because requests of callers in flight may still need replies of other daemons, and
+    // other daemons learn from this address that the daemon is draining.
+    stop_inner.send(()).ok();
+    let inner_drained = inner_server.await.unwrap_or(false);
+    tasks.shutdown().await;
     log::info!("daemon {} stopped", context.identity.daemon);
-    Ok(if drained {
+    Ok(if callers_drained && inner_drained {
         ExitStatus::Success
     } else {
         ExitStatus::DrainIncomplete
     })
 }
 
-/// Completes when the process is told to stop; the daemon is draining from then on.
-fn stop_signal(context: Arc<DaemonContext>) -> std::io::Result<impl Future<Output = ()>> {
+fn start_tasks(context: &Arc<DaemonContext>) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    tasks.spawn(follow_instances(Arc::clone(context)));
+    tasks.spawn(follow_config(Arc::clone(context)));
+    tasks.spawn(watch_pauses(Arc::clone(context)));
+    tasks.spawn(follow_claims(Arc::clone(context)));
+    tasks.spawn(follow_hints(Arc::clone(context)));
+    tasks.spawn(keep_fresh(Arc::clone(context)));
+    tasks.spawn(keep_probing(Arc::clone(context)));
+    tasks.spawn(keep_claiming(Arc::clone(context)));
+    tasks
+}
+
+/// Completes when the process is told to stop.
+fn stop_signal() -> std::io::Result<impl Future<Output = ()>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     Ok(async move {
@@ -134,7 +160,5 @@
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
-        log::info!("draining");
-        context.phase.send_replace(LifecyclePhase::Draining);
     })
 }
--- /dev/null
+++ b/crates/magnolia-daemon/src/drain.rs
@@ -0,0 +1,72 @@
+//! Graceful stop: hands owned units over while requests are still taken, then refuses new work.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use magnolia_types::UnitId;
+
+use crate::context::{DaemonContext, LifecyclePhase};
+use crate::ownership::next_candidate;
+use crate::{partition, quick};
+
+/// Longest time to hand all units over.
+const HANDOVER_LIMIT: Duration = Duration::from_secs(15);
+/// Successors that are asked to take a unit.
+const HANDOVER_TRIES: usize = 2;
+
+/// Drains the daemon; when this returns, new work is refused.
+///
+/// Readiness fails first. Requests are taken for the grace time, so that a balancer that looks at
+/// the readiness sends no request that would be refused.
+pub async fn drain(context: &Arc<DaemonContext>) {
+    log::info!("draining");
+    context.phase.send_replace(LifecyclePhase::Draining);
+    let grace = tokio::time::sleep(context.settings.drain_grace.into());
+    let handover = tokio::time::timeout(HANDOVER_LIMIT, hand_over_all(context));
+    let (handed_over, ()) = tokio::join!(handover, grace);
+    if handed_over.is_err() {
+        log::warn!("not all units were handed over in time");
+    }
+    context.closing.send_replace(true);
+}
+
+/// Hands the groups over one after another, so that most capacity stays in use, and all
+/// partitions at the same time.
+async fn hand_over_all(context: &Arc<DaemonContext>) {
+    let groups = async {
+        for unit in context.groups.units() {
+            hand_over(context, &unit).await;
+        }
+    };
+    let units = context
+        .with_document(|document| document.units())
+        .unwrap_or_default();
+    let partitions = units
+        .iter()
+        .filter(|unit| unit.partition().is_some() && context.partitions.get(unit).is_some());
+    let partitions = join_all(partitions.map(|unit| hand_over(context, unit)));
+    tokio::join!(groups, partitions);
+}
+
+async fn hand_over(context: &Arc<DaemonContext>, unit: &UnitId) {
+    let Some(claim) = context.own_claim(unit) else {
+        return;
+    };
+    for _ in 0..HANDOVER_TRIES {
+        let Some(successor) = next_candidate(context, unit) else {
+            log::info!("no daemon can take {unit} over");
+            return;
+        };
+        let taken = if unit.group().is_some() {
+            quick::hand_over_group(context, &claim, &successor).await
+        } else {
+            partition::hand_over(context, unit, &successor).await
+        };
+        if taken {
+            context.claims.record_release(unit, claim.epoch);
+            log::info!("{unit} is handed over to {}", successor.daemon);
+            return;
+        }
+    }
+}
--- a/crates/magnolia-daemon/src/inner/mod.rs
+++ b/crates/magnolia-daemon/src/inner/mod.rs
@@ -10,7 +10,7 @@
 use magnolia_protocol::{
     Handover, INNER_PATH, PROTOCOL_VERSION, PeerEnvelope, PeerReply, PeerRequest, decode, encode,
 };
-use magnolia_types::{LogOffset, Millis, ResultCode};
+use magnolia_types::{DaemonId, LogOffset, Millis, ResultCode};
 use serde_bytes::ByteBuf;
 
 use crate::context::{DaemonContext, LifecyclePhase};
@@ -50,7 +50,7 @@
             self.context.hear(&message, address);
         }
         let (sender, run) = (message.from, message.incarnation);
-        let reply = self.dispatch(message.body).await;
+        let reply = self.dispatch(&sender, message.body).await;
         let envelope = self.context.envelope(reply, Some((&sender, Some(run))));
         match encode(&envelope) {
             Ok(bytes) => {
@@ -62,7 +62,7 @@
         }
     }
 
-    async fn dispatch(&self, request: PeerRequest) -> PeerReply {
+    async fn dispatch(&self, sender: &DaemonId, request: PeerRequest) -> PeerReply {
         match request {
             PeerRequest::Ping => PeerReply::Pong(ping_reply(&self.context)),
             PeerRequest::Quick(forward) => {
@@ -80,19 +80,27 @@
                     .claims
                     .with_table(|table| table.iter().cloned().collect()),
             ),
-            PeerRequest::Handover(handover) => self.take_handover(handover),
+            PeerRequest::Handover(handover) => self.take_handover(sender, handover),
             PeerRequest::ReadLog { stream, from, max } => self.read_log(&stream, from, max).await,
         }
     }
-}
 
-impl InnerHandler {
     /// Takes a unit over from an owner that has stopped; the claimer claims it at once.
-    fn take_handover(&self, handover: Handover) -> PeerReply {
+    fn take_handover(&self, sender: &DaemonId, handover: Handover) -> PeerReply {
         if *self.context.phase.borrow() != LifecyclePhase::Ready {
             return refused(ResultCode::Draining, "this daemon takes no units");
         }
         let (unit, epoch) = (handover.unit.clone(), handover.epoch);
+        if unit.partition().is_some() {
+            let reply = partition::take_handover(&self.context, handover);
+            if reply != PeerReply::HandoverTaken {
+                return reply;
+            }
+        }
+        // Only a draining daemon hands over; it is no candidate any more.
+        self.context
+            .members
+            .with_tracker(|tracker| tracker.record_draining(sender, true));
         self.context.claims.record_release(&unit, epoch);
         PeerReply::HandoverTaken
     }
--- a/crates/magnolia-daemon/src/lib.rs
+++ b/crates/magnolia-daemon/src/lib.rs
@@ -5,6 +5,7 @@
 mod config_feed;
 mod context;
 mod daemon;
+mod drain;
 mod identity;
 mod inner;
 mod membership;
@@ -16,6 +17,6 @@
 mod quick;
 mod settings;
 
-pub use daemon::{ExitStatus, run_main};
+pub use daemon::{ExitStatus, run_daemon, run_main};
 pub use metrics::names::{METRICS, MetricDescription, MetricKind};
 pub use settings::{DaemonSettings, SettingsError};
--- a/crates/magnolia-daemon/src/ownership/claimer.rs
+++ b/crates/magnolia-daemon/src/ownership/claimer.rs
@@ -22,8 +22,8 @@
 const CANDIDATE_DELAY: Millis = Millis::from_secs(1);
 /// Longest wait for the result of a claim.
 const READ_BACK_LIMIT: Duration = Duration::from_secs(1);
-/// Time between two restatements of a claim, well below the retention of the log.
-const RESTATE_INTERVAL: Millis = Millis::from_secs(600);
+/// Restatements of a claim within the retention of the log, so that several may be missed.
+const RESTATEMENTS_PER_RETENTION: u64 = 4;
 
 /// What the claimer remembers of the units.
 #[derive(Default)]
@@ -60,7 +60,6 @@
 }
 
 /// Returns the daemon that takes a unit over when this one stops.
-#[allow(dead_code)]
 pub fn next_candidate(context: &DaemonContext, unit: &UnitId) -> Option<MemberEntry> {
     let mut members = context.members.candidates();
     members.retain(|member| member.daemon != context.identity.daemon);
@@ -83,7 +82,10 @@
         let lost: Vec<ClaimRecord> = self
             .running
             .values()
-            .filter(|claim| !context.claims.is_current(claim) || !units.contains(&claim.unit))
+            .filter(|claim| {
+                let released = context.claims.is_released(claim);
+                !context.claims.is_current(claim) || released || !units.contains(&claim.unit)
+            })
             .cloned()
             .collect();
         for claim in lost {
@@ -143,9 +145,10 @@
     /// Restates the claims of this daemon so that the log's retention does not drop them.
     async fn restate(&mut self, context: &DaemonContext) {
         let now = context.clock.now();
+        let interval = context.settings.log_retention_ms.get() / RESTATEMENTS_PER_RETENTION;
         for claim in self.running.values() {
             let stated = *self.stated.entry(claim.unit.clone()).or_insert(now);
-            if now.saturating_sub(stated) < RESTATE_INTERVAL {
+            if now.saturating_sub(stated).get() < interval {
                 continue;
             }
             if append(context, &ClaimChange::Restate(claim.clone())).await {
--- a/crates/magnolia-daemon/src/ownership/mod.rs
+++ b/crates/magnolia-daemon/src/ownership/mod.rs
@@ -9,6 +9,6 @@
 
 pub use claim_book::ClaimBook;
 pub use claim_reader::{follow_claims, follow_hints};
-pub use claimer::keep_claiming;
+pub use claimer::{keep_claiming, next_candidate};
 pub use confirmation::keep_fresh;
 pub use pause_guard::{PauseGuard, watch_pauses};
--- a/crates/magnolia-daemon/src/partition/mod.rs
+++ b/crates/magnolia-daemon/src/partition/mod.rs
@@ -6,6 +6,6 @@
 mod router;
 mod worker_link;
 
-pub use owner::{start_owner, stop_owner};
+pub use owner::{hand_over, start_owner, stop_owner, take_handover};
 pub use registry::PartitionRegistry;
 pub use router::{run_local, run_operation};
--- a/crates/magnolia-daemon/src/partition/owner.rs
+++ b/crates/magnolia-daemon/src/partition/owner.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use magnolia_platform::{AttemptEnd, AttemptState, StartCommand, WorkerReport};
-use magnolia_protocol::{JobOperation, JobReply, encode};
+use magnolia_protocol::{Handover, JobOperation, JobReply, PeerReply, encode};
 use magnolia_state::ClaimRecord;
 use magnolia_types::{AttemptId, Epoch, JobId, JobSpec, ResultCode, TaskRef, UnitId, WorkerId};
 use tokio::sync::{mpsc, oneshot};
@@ -15,6 +15,7 @@
 use super::registry::OwnerCommand;
 use super::worker_link::{LeaseTerms, WorkerLink};
 use crate::context::DaemonContext;
+use crate::membership::MemberEntry;
 
 /// Most operations that wait for the owner.
 const COMMAND_QUEUE: usize = 1024;
@@ -37,6 +38,17 @@
     context.partitions.remove(unit);
 }
 
+/// Stops to serve a partition; this owner keeps no state that a successor could take.
+pub async fn hand_over(context: &Arc<DaemonContext>, unit: &UnitId, _: &MemberEntry) -> bool {
+    context.partitions.remove(unit);
+    std::future::ready(false).await
+}
+
+/// Accepts a partition from an owner that has stopped.
+pub fn take_handover(_: &Arc<DaemonContext>, _: Handover) -> PeerReply {
+    PeerReply::HandoverTaken
+}
+
 /// State of the owner.
 struct PartitionOwner {
     context: Arc<DaemonContext>,
--- a/crates/magnolia-daemon/src/quick/executor_slots_tests.rs
+++ b/crates/magnolia-daemon/src/quick/executor_slots_tests.rs
@@ -84,11 +84,7 @@
                     awaited: true,
                 });
             }
-            2 => {
-                if self.end_request(true) {
-                    self.owner.finish(SlotEnd::Answered, self.now);
-                }
-            }
+            2 if self.end_request(true) => self.owner.finish(SlotEnd::Answered, self.now),
             3 => {
                 if let Some(request) = self.requests.iter_mut().find(|request| request.awaited) {
                     request.awaited = false;
--- a/crates/magnolia-daemon/src/quick/group.rs
+++ b/crates/magnolia-daemon/src/quick/group.rs
@@ -4,7 +4,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
 use magnolia_protocol::{Handover, PeerReply, PeerRequest};
 use magnolia_state::ClaimRecord;
 use magnolia_types::{LogOffset, ResultCode, UnitId};
@@ -132,12 +131,29 @@
 /// Ends the work of a group and hands it to `successor`; `true` when it was taken.
 pub async fn hand_over_group(
     context: &DaemonContext,
-    unit: &UnitId,
+    claim: &ClaimRecord,
     successor: &MemberEntry,
 ) -> bool {
-    let Some(group) = context.groups.get(unit) else {
-        return false;
+    if let Some(group) = context.groups.get(&claim.unit) {
+        close(&group).await;
+    }
+    context.claims.record_release(&claim.unit, claim.epoch);
+    stop_group(context, &claim.unit);
+    let handover = Handover {
+        unit: claim.unit.clone(),
+        epoch: claim.epoch,
+        next: LogOffset::new(0),
+        snapshot: ByteBuf::new(),
     };
+    let request = PeerRequest::Handover(handover);
+    let reply = context
+        .call_peer(successor.address, request, HANDOVER_LIMIT)
+        .await;
+    matches!(reply.map(|reply| reply.body), Ok(PeerReply::HandoverTaken))
+}
+
+/// Refuses what is queued and waits for the requests in flight.
+async fn close(group: &ExecutorGroup) {
     {
         let mut state = group.state();
         state.closed = true;
@@ -149,18 +165,4 @@
         }
     };
     tokio::time::timeout(HANDOVER_DRAIN, drained).await.ok();
-    let epoch = group.claim.epoch;
-    context.claims.record_release(unit, epoch);
-    stop_group(context, unit);
-    let handover = Handover {
-        unit: unit.clone(),
-        epoch,
-        next: LogOffset::new(0),
-        snapshot: ByteBuf::from(Bytes::new().to_vec()),
-    };
-    let request = PeerRequest::Handover(handover);
-    let reply = context
-        .call_peer(successor.address, request, HANDOVER_LIMIT)
-        .await;
-    matches!(reply.map(|reply| reply.body), Ok(PeerReply::HandoverTaken))
 }
--- a/crates/magnolia-daemon/src/settings.rs
+++ b/crates/magnolia-daemon/src/settings.rs
@@ -13,6 +13,8 @@
 const DEFAULT_LOG_RETENTION_MS: &str = "86400000";
 /// Shortest retention with which snapshots can be re-appended in time.
 const MIN_LOG_RETENTION: Millis = Millis::from_secs(10);
+/// Time in which a balancer notices a failed readiness when no flag names it, in milliseconds.
+const DEFAULT_DRAIN_GRACE_MS: &str = "2000";
 /// Levels of log lines, the least first.
 const LOG_LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
 /// Form of an address in messages.
@@ -39,6 +41,8 @@
     pub instances: SocketAddr,
     /// Address of a statsd server; metrics go nowhere when absent.
     pub statsd: Option<SocketAddr>,
+    /// Time between the failure of the readiness and the refusal of new work at a stop.
+    pub drain_grace: Millis,
     /// Least urgent level of log lines that are written.
     pub log_level: LevelFilter,
 }
@@ -69,6 +73,7 @@
             log_retention_ms: required(&matches, "log-retention-ms"),
             instances: required(&matches, "instances"),
             statsd: optional(&matches, "statsd"),
+            drain_grace: required(&matches, "drain-grace-ms"),
             log_level: log_level(&matches),
         };
         match settings.check() {
@@ -131,6 +136,16 @@
                 "Address of the instance list",
             ))
             .arg(address("statsd", "MAGNOLIA_STATSD", "UDP address for metrics").required(false))
+            .arg(
+                flag::<Millis>(
+                    "drain-grace-ms",
+                    "MAGNOLIA_DRAIN_GRACE_MS",
+                    "How long requests are taken after the readiness fails at a stop, in \
+                     milliseconds",
+                )
+                .default_value(DEFAULT_DRAIN_GRACE_MS)
+                .required(false),
+            )
             .arg(
                 Arg::new("log-level")
                     .long("log-level")
--- a/crates/magnolia-http/src/server.rs
+++ b/crates/magnolia-http/src/server.rs
@@ -2,18 +2,19 @@
 
 use std::future::Future;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use http::{Request, Response};
+use http::{Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Body of a response.
 pub type HttpBody = Full<Bytes>;
@@ -24,6 +25,9 @@
 
 /// Longest time for the head of a request to arrive.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after the shutdown in which requests that are already on their way are still answered, each
+/// with an announcement that its connection closes. Closing at once would cut them off unread.
+const LINGER: Duration = Duration::from_millis(500);
 /// Pause after a failed accept, so that a lack of descriptors does not become a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -33,7 +37,8 @@
     fn handle(self: Arc<Self>, request: HttpRequest) -> BoxFuture<'static, HttpResponse>;
 }
 
-/// Serves connections until `shutdown` completes, then lets the requests in flight end.
+/// Serves connections until a short time after `shutdown` completes, then lets the requests in
+/// flight end.
 ///
 /// Returns when all connections are closed or `drain_limit` has passed; tells whether all closed.
 pub async fn serve(
@@ -43,34 +48,56 @@
     drain_limit: Duration,
 ) -> bool {
     let graceful = GracefulShutdown::new();
-    tokio::pin!(shutdown);
+    let closing = Arc::new(AtomicBool::new(false));
+    let linger = async {
+        shutdown.await;
+        closing.store(true, Ordering::SeqCst);
+        tokio::time::sleep(LINGER).await;
+    };
+    tokio::pin!(linger);
     loop {
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            () = &mut shutdown => break,
+            () = &mut linger => break,
         };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        stream.set_nodelay(true).ok();
-        let handler = Arc::clone(&handler);
-        let service = service_fn(move |request| {
-            let handler = Arc::clone(&handler);
-            async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEADER_TIMEOUT)
-            .serve_connection(TokioIo::new(stream), service);
-        let watched = graceful.watch(connection);
-        tokio::spawn(async move {
-            // A caller that breaks its connection is not an event of the server.
-            watched.await.ok();
-        });
+        match accepted {
+            Ok((stream, _)) => start_connection(stream, &handler, &closing, &graceful),
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
     }
     drop(listener);
     tokio::time::timeout(drain_limit, graceful.shutdown())
         .await
         .is_ok()
 }
+
+fn start_connection(
+    stream: TcpStream,
+    handler: &Arc<dyn HttpHandler>,
+    closing: &Arc<AtomicBool>,
+    graceful: &GracefulShutdown,
+) {
+    stream.set_nodelay(true).ok();
+    let (handler, closing) = (Arc::clone(handler), Arc::clone(closing));
+    let service = service_fn(move |request| {
+        let (handler, closing) = (Arc::clone(&handler), Arc::clone(&closing));
+        async move {
+            let mut response = handler.handle(request).await;
+            if closing.load(Ordering::SeqCst) {
+                let close = header::HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, std::convert::Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    let watched = graceful.watch(connection);
+    tokio::spawn(async move {
+        // A caller that breaks its connection is not an event of the server.
+        watched.await.ok();
+    });
+}
--- a/crates/magnolia-state/src/suspicion_tracker.rs
+++ b/crates/magnolia-state/src/suspicion_tracker.rs
@@ -21,6 +21,8 @@
     reported: Option<Millis>,
     /// Whether the daemon said that it is draining.
     draining: bool,
+    /// The run that answered last.
+    run: Option<Incarnation>,
 }
 
 /// What is known of one run of a daemon.
@@ -76,7 +78,9 @@
         *peer = PeerEvidence {
             answered: Some(answered),
             reported: peer.reported.filter(|evidence| *evidence > sent),
-            draining: peer.draining,
+            // A new run is not draining because the last one was.
+            draining: peer.draining && peer.run.is_none_or(|run| run == incarnation),
+            run: Some(incarnation),
             ..PeerEvidence::default()
         };
         self.end_runs(daemon, Some(incarnation), sent, now);
