Take requests during the drain grace, count bytes, name the new metrics

Change: new work is refused only after the grace time. Bytes of all connections are counted as gauges http.read_bytes and http.written_bytes. The names of new metrics are constants with their meaning.

--- a/crates/magnolia-daemon/src/callers/checks.rs
+++ b/crates/magnolia-daemon/src/callers/checks.rs
@@ -11,7 +11,7 @@
 /// Attempts that a task may have.
 const MAX_ATTEMPTS: RangeInclusive<u32> = 1..=100;
 
-/// Refuses new work while the daemon starts or drains.
+/// Refuses new work while the daemon starts, and after the grace time of a stop.
 ///
 /// # Errors
 ///
@@ -23,6 +23,8 @@
             ResultCode::NoConfiguration,
             "the daemon has no configuration yet",
         )),
+        // Balancers need some time to notice the failed readiness.
+        LifecyclePhase::Draining if !context.is_closing() => Ok(()),
         LifecyclePhase::Draining => Err(refuse(
             ResultCode::Draining,
             "the daemon is stopping and takes no new work; use another one",
--- a/crates/magnolia-daemon/src/membership.rs
+++ b/crates/magnolia-daemon/src/membership.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::DaemonClock;
 use crate::context::DaemonContext;
+use crate::metrics::names;
 
 /// Shortest time between two readings of the instance list.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
@@ -261,12 +262,12 @@
         let pause = match context.instances.list().await {
             Ok(entries) => {
                 let count = entries.len() as u64;
-                context.metrics.gauge("instances.listed", count);
+                context.metrics.gauge(names::INSTANCES_LISTED, count);
                 context.members.replace_entries(entries, asked);
                 list_interval(count)
             }
             Err(_) => {
-                context.metrics.count("instances.read_failed");
+                context.metrics.count(names::INSTANCES_READ_FAILED);
                 LIST_RETRY_PAUSE
             }
         };
--- a/crates/magnolia-daemon/src/metrics/names.rs
+++ b/crates/magnolia-daemon/src/metrics/names.rs
@@ -49,6 +49,8 @@
         "Calls that were refused with a status from 400 to 499: the caller has to change something.";
     CALLERS_FAILED = "callers.failed", Counter,
         "Calls that were refused or failed with a status from 500: the cell was not able to serve.";
+    CLAIMS_APPENDED = "claims.appended", Counter,
+        "Claims of units that this daemon appended, those included that lost a race.";
     CLAIMS_FOREIGN_RECORD = "claims.foreign_record", Counter,
         "Torn or foreign records that were skipped in stream claims.";
     CLAIMS_READ_FAILED = "claims.read_failed", Counter,
@@ -77,8 +79,32 @@
         "Snapshots of the configuration that could not be appended.";
     CONFIG_VERSION = "config.version", Gauge,
         "Version of the configuration in force.";
+    EXECUTORS_OTHER_AT_ADDRESS = "executors.other_at_address", Counter,
+        "Status calls answered by another executor than the inventory names for the address.";
+    EXECUTORS_STATUS_FAILED = "executors.status_failed", Counter,
+        "Status calls to executors without an answer.";
+    HTTP_READ_BYTES = "http.read_bytes", Gauge,
+        "Bytes read from all connections since the start.";
+    HTTP_WRITTEN_BYTES = "http.written_bytes", Gauge,
+        "Bytes written to all connections since the start.";
     INSTANCES_LISTED = "instances.listed", Gauge,
         "Instances in the platform's list.";
     INSTANCES_READ_FAILED = "instances.read_failed", Counter,
         "Failed reads of the instance list.";
+    PAUSES_NOTICED = "pauses.noticed", Counter,
+        "Pauses of this process above one second, after which all claims are confirmed.";
+    PROBES_FAILED = "probes.failed", Counter,
+        "Probes of other daemons without an answer.";
+    QUICK_EXECUTOR_RETRIES = "quick.executor_retries", Counter,
+        "Quick requests that this owner tried on another executor.";
+    QUICK_EXECUTOR_RETRIES_DENIED = "quick.executor_retries_denied", Counter,
+        "Quick requests not tried again because the budget of the failed executor was spent.";
+    QUICK_HEDGES = "quick.hedges", Counter,
+        "Second attempts of repeatable quick requests that took long.";
+    QUICK_NOT_FRESH = "quick.not_fresh", Counter,
+        "Quick requests refused because the ownership of the group was not confirmed in time.";
+    QUICK_RETRIES = "quick.retries", Counter,
+        "Quick requests that this entry sent to another owner.";
+    QUICK_RETRIES_DENIED = "quick.retries_denied", Counter,
+        "Quick requests not sent to another owner because the budget of the failed one was spent.";
 }
--- a/crates/magnolia-daemon/src/ownership/claim_reader.rs
+++ b/crates/magnolia-daemon/src/ownership/claim_reader.rs
@@ -9,6 +9,7 @@
 
 use super::claim_book::CLAIM_STREAM;
 use crate::context::DaemonContext;
+use crate::metrics::names;
 
 /// Longest wait of one read for a new record.
 const POLL_WAIT: Millis = Millis::from_secs(10);
@@ -76,12 +77,12 @@
         Ok(page) => {
             let skipped = context.claims.apply_page(&page);
             if skipped > 0 {
-                context.metrics.add("claims.foreign_record", skipped);
+                context.metrics.add(names::CLAIMS_FOREIGN_RECORD, skipped);
             }
             Ok(())
         }
         Err(error) => {
-            context.metrics.count("claims.read_failed");
+            context.metrics.count(names::CLAIMS_READ_FAILED);
             Err(error)
         }
     }
--- a/crates/magnolia-daemon/src/ownership/claimer.rs
+++ b/crates/magnolia-daemon/src/ownership/claimer.rs
@@ -14,6 +14,7 @@
 use super::unit_watch::is_free;
 use crate::context::{DaemonContext, LifecyclePhase};
 use crate::membership::MemberEntry;
+use crate::metrics::names;
 use crate::{partition, quick};
 
 /// Longest time between two looks at the units.
@@ -168,7 +169,7 @@
         address: context.identity.address,
     };
     let mut changes = context.claims.subscribe();
-    context.metrics.count("claims.appended");
+    context.metrics.count(names::CLAIMS_APPENDED);
     if !append(context, &ClaimChange::Claim(record)).await {
         // The record may have been written all the same; the reader of the stream will tell, and
         // an identical second record has no effect.
--- a/crates/magnolia-daemon/src/ownership/pause_guard.rs
+++ b/crates/magnolia-daemon/src/ownership/pause_guard.rs
@@ -7,6 +7,7 @@
 use magnolia_types::{Millis, UnitId};
 
 use crate::context::DaemonContext;
+use crate::metrics::names;
 
 /// Time between two pulses.
 const PULSE_INTERVAL: Duration = Duration::from_millis(100);
@@ -52,7 +53,7 @@
             context.pause.beat(now);
             continue;
         }
-        context.metrics.count("pauses.noticed");
+        context.metrics.count(names::PAUSES_NOTICED);
         log::warn!("this process was paused; claims are being confirmed");
         context.claims.forget_word();
         while !confirm_all(&context).await {
--- a/crates/magnolia-daemon/src/peers.rs
+++ b/crates/magnolia-daemon/src/peers.rs
@@ -10,6 +10,7 @@
 use magnolia_types::{DaemonId, Incarnation};
 
 use crate::context::DaemonContext;
+use crate::metrics::names;
 
 /// Client of other daemons.
 pub struct PeerLink {
@@ -88,7 +89,7 @@
     /// Takes note of what an envelope says besides its body.
     pub fn hear<T>(&self, envelope: &PeerEnvelope<T>, address: SocketAddr) {
         if envelope.config_version > self.config().version {
-            self.metrics.count("config.behind_peer");
+            self.metrics.count(names::CONFIG_BEHIND_PEER);
             self.config_feed.note_peer(address, envelope.config_version);
         }
         self.members.learn(&envelope.from, envelope.incarnation);
--- a/crates/magnolia-daemon/src/probing.rs
+++ b/crates/magnolia-daemon/src/probing.rs
@@ -5,11 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use magnolia_http::traffic;
 use magnolia_protocol::{PeerReply, PeerRequest, PingReply, SuspectReport};
 use magnolia_types::{DaemonId, Millis};
 
 use crate::context::{DaemonContext, LifecyclePhase};
 use crate::membership::MemberEntry;
+use crate::metrics::names;
 
 /// Time between two rounds of probes, and the longest time of a probe.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -25,6 +27,11 @@
     rounds.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         rounds.tick().await;
+        let traffic = traffic();
+        context.metrics.gauge(names::HTTP_READ_BYTES, traffic.read);
+        context
+            .metrics
+            .gauge(names::HTTP_WRITTEN_BYTES, traffic.written);
         for (daemon, address) in probe_targets(&context) {
             tokio::spawn(probe(Arc::clone(&context), daemon, address));
         }
@@ -96,7 +103,7 @@
             }
         }
         Err(error) => {
-            context.metrics.count("probes.failed");
+            context.metrics.count(names::PROBES_FAILED);
             let now = context.clock.now();
             context.members.with_tracker(|tracker| {
                 if error.is_refused() {
--- a/crates/magnolia-daemon/src/quick/entry.rs
+++ b/crates/magnolia-daemon/src/quick/entry.rs
@@ -15,6 +15,7 @@
 use super::attempt::{attempt, time_left};
 use super::outcome::outcome;
 use crate::context::DaemonContext;
+use crate::metrics::names;
 
 /// Most attempts of one request.
 const MAX_ATTEMPTS: usize = 4;
@@ -109,7 +110,7 @@
                     if self.context.entry.try_retry(&first)
                         && let Ok((_, future)) = self.next_attempt()
                     {
-                        self.context.metrics.count("quick.hedges");
+                        self.context.metrics.count(names::QUICK_HEDGES);
                         running.push(future);
                     }
                 }
@@ -142,11 +143,11 @@
             return;
         }
         if !self.context.entry.try_retry(failed) {
-            self.context.metrics.count("quick.retries_denied");
+            self.context.metrics.count(names::QUICK_RETRIES_DENIED);
             return;
         }
         if let Ok((_, future)) = self.next_attempt() {
-            self.context.metrics.count("quick.retries");
+            self.context.metrics.count(names::QUICK_RETRIES);
             running.push(future);
         }
     }
--- a/crates/magnolia-daemon/src/quick/group_runner.rs
+++ b/crates/magnolia-daemon/src/quick/group_runner.rs
@@ -14,6 +14,7 @@
 use super::group_state::SlotGrant;
 use super::outcome::outcome;
 use crate::context::DaemonContext;
+use crate::metrics::names;
 
 /// Runs a request on an executor of a group of this daemon.
 pub async fn run_in_group(context: &DaemonContext, forward: &QuickForward) -> QuickOutcome {
@@ -92,9 +93,9 @@
         let granted = in_time && self.group.state().budget(executor).try_retry();
         if in_time {
             let name = if granted {
-                "quick.executor_retries"
+                names::QUICK_EXECUTOR_RETRIES
             } else {
-                "quick.executor_retries_denied"
+                names::QUICK_EXECUTOR_RETRIES_DENIED
             };
             self.context.metrics.count(name);
         }
@@ -104,7 +105,7 @@
     /// Tells whether this daemon may send to executors at this moment.
     fn check_may_send(&self) -> Result<(), QuickOutcome> {
         if !self.context.is_fresh() || !self.context.claims.is_current(&self.group.claim) {
-            self.context.metrics.count("quick.not_fresh");
+            self.context.metrics.count(names::QUICK_NOT_FRESH);
             let text = "the ownership of the group is not confirmed";
             return Err(outcome(ResultCode::NotOwner, text));
         }
--- a/crates/magnolia-daemon/src/quick/group_watch.rs
+++ b/crates/magnolia-daemon/src/quick/group_watch.rs
@@ -10,6 +10,7 @@
 
 use super::group::ExecutorGroup;
 use crate::context::DaemonContext;
+use crate::metrics::names;
 
 /// Time between two looks at a group.
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
@@ -106,8 +107,8 @@
             state.update_capacity();
         }
         // Another executor answers at this address: nothing is known of the wanted one.
-        Ok(_) => context.metrics.count("executors.other_at_address"),
-        Err(_) => context.metrics.count("executors.status_failed"),
+        Ok(_) => context.metrics.count(names::EXECUTORS_OTHER_AT_ADDRESS),
+        Err(_) => context.metrics.count(names::EXECUTORS_STATUS_FAILED),
     }
     state.pump(now);
     drop(state);
--- a/crates/magnolia-http/src/client.rs
+++ b/crates/magnolia-http/src/client.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout_at;
 
 use crate::pool::{PeerPool, PoolOffer, PooledConnection};
+use crate::traffic::CountedStream;
 use crate::{HttpError, PoolSettings};
 
 /// A whole answer.
@@ -392,7 +393,7 @@
 ) -> Result<
     (
         http1::SendRequest<Full<Bytes>>,
-        http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
+        http1::Connection<TokioIo<CountedStream>, Full<Bytes>>,
     ),
     HttpError,
 > {
@@ -403,7 +404,7 @@
             _ => HttpError::NotConnected(error.to_string()),
         })?;
     stream.set_nodelay(true).ok();
-    http1::handshake(TokioIo::new(stream))
+    http1::handshake(TokioIo::new(CountedStream::new(stream)))
         .await
         .map_err(|error| HttpError::NotConnected(error.to_string()))
 }
--- a/crates/magnolia-http/src/lib.rs
+++ b/crates/magnolia-http/src/lib.rs
@@ -8,9 +8,11 @@
 mod json;
 mod pool;
 mod server;
+mod traffic;
 
 pub use client::{CallLimits, HttpAnswer, HttpClient};
 pub use error::HttpError;
 pub use json::{ErrorBody, error_response, json_response, read_body};
 pub use pool::PoolSettings;
 pub use server::{HttpBody, HttpHandler, HttpRequest, HttpResponse, serve};
+pub use traffic::{TrafficCount, traffic};
--- a/crates/magnolia-http/src/server.rs
+++ b/crates/magnolia-http/src/server.rs
@@ -16,6 +16,8 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::traffic::CountedStream;
+
 /// Body of a response.
 pub type HttpBody = Full<Bytes>;
 /// A request as it arrives.
@@ -94,7 +96,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(CountedStream::new(stream)), service);
     let watched = graceful.watch(connection);
     tokio::spawn(async move {
         // A caller that breaks its connection is not an event of the server.
