Count a job as not run only when every submission of its key was refused

A submission that one daemon refuses at connect and another accepts did run; the check took the first report alone and found jobs that were in order.

--- a/crates/magnolia-lab/src/checker/answers.rs
+++ b/crates/magnolia-lab/src/checker/answers.rs
@@ -83,26 +83,39 @@
 
 fn check_jobs_not_run(history: &History) -> Vec<Violation> {
     let mut sizes: HashMap<&Arc<str>, ResourceVector> = HashMap::new();
-    let mut refused: HashSet<ResourceVector> = HashSet::new();
+    // Whether every submission of the job, named by its size, was reported as not run.
+    let mut refused: HashMap<ResourceVector, bool> = HashMap::new();
+    let mut open: HashSet<&Arc<str>> = HashSet::new();
     let mut violations = Vec::new();
     for (_, event) in history.iter() {
         match event {
             HistoryEvent::JobSent { id, size, .. } => {
                 sizes.insert(id, *size);
+                open.insert(id);
             }
-            HistoryEvent::JobNotAccepted {
-                id, ran: Ran::No, ..
-            } => {
-                refused.extend(sizes.get(id));
+            HistoryEvent::JobNotAccepted { id, ran, .. } if *ran == Ran::No => {
+                open.remove(id);
+                if let Some(size) = sizes.get(id) {
+                    refused.entry(*size).or_insert(true);
+                }
+            }
+            HistoryEvent::JobNotAccepted { id, .. } | HistoryEvent::JobAccepted { id, .. } => {
+                open.remove(id);
+                if let Some(size) = sizes.get(id) {
+                    refused.insert(*size, false);
+                }
             }
             _ => {}
         }
     }
+    for id in open {
+        refused.insert(sizes[id], false);
+    }
     for (at_us, event) in history.iter() {
         match event {
             HistoryEvent::AttemptStarted {
                 worker, task, size, ..
-            } if refused.contains(size) => violations.push(Violation {
+            } if refused.get(size) == Some(&true) => violations.push(Violation {
                 at_us,
                 check: "not run",
                 seen: format!("job {} was refused and runs on {worker}", task.job),
--- a/crates/magnolia-lab/src/scenario/run.rs
+++ b/crates/magnolia-lab/src/scenario/run.rs
@@ -55,7 +55,15 @@
     ///
     /// Fails when the cell does not start.
     pub async fn start(builder: CellBuilder) -> Result<Self, ScenarioError> {
-        let cell = builder.start().await?;
+        Self::new(builder.start().await?).await
+    }
+
+    /// Takes a running cell and waits until every unit has an owner.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a unit gets no owner.
+    pub async fn new(cell: RunningCell) -> Result<Self, ScenarioError> {
         cell.wait_owners(0).await?;
         let writer = HistoryWriter::open(&cell.history_folder().join("observer.jsonl"))?;
         let observer = ConfigObserver::start(cell.entries(), writer);
--- a/crates/magnolia-lab/tests/broken_backends.rs
+++ b/crates/magnolia-lab/tests/broken_backends.rs
@@ -8,6 +8,7 @@
 use magnolia_lab::checker::{check_capacity, check_single_place};
 use magnolia_lab::load::LoadMix;
 use magnolia_lab::scenario::ScenarioRun;
+use magnolia_types::ResourceVector;
 use serde_json::{Value, json};
 
 /// Starts a cell whose inventory claims more than the back ends have.
@@ -15,21 +16,15 @@
     let faults = r#"{"ignore_limits": true, "service_ms": 200}"#;
     let builder = cell(name, 1).with_backends(1, 1).with_data_centres(1);
     let builder = builder.with_backend_faults(UNLIMITED, faults);
-    let run = ScenarioRun::start(builder).await.expect("the cell starts");
-    let old = run.cell.document.clone();
-    let mut document = old.clone();
-    change(&mut document);
-    let state = run.cell.state(0).await.expect("a state");
-    let mut config = magnolia_config::CellConfig::new();
-    config.document = Some(old);
-    let mut publication = config.publication_to(&document, "lab");
-    let version = state["config_version"].as_u64().expect("a version");
-    publication.base = magnolia_types::ConfigVersion::new(version);
-    run.cell
-        .publish(0, &publication)
+    let mut cell = builder.start_unpublished().await.expect("stand-ins");
+    change(&mut cell.document);
+    cell.start_daemon(0).expect("a start");
+    cell.announce_instances().await.expect("a list");
+    cell.publish_first(&cell.document)
         .await
         .expect("a publication");
-    run
+    cell.wait_ready().await.expect("a ready daemon");
+    ScenarioRun::new(cell).await.expect("owners")
 }
 
 /// Guards against a capacity check that misses a ninth request in eight slots.
@@ -37,12 +32,6 @@
 async fn executor_that_allows_a_ninth_slot_is_caught() {
     let change = |document: &mut ConfigDocument| document.executor_blocks[0].slots = 64;
     let mut run = start_overstated("ninth_slot", change).await;
-    // The daemon may learn of the new slots only when it owns the group again.
-    run.cell.kill_daemon(0).await.expect("a kill");
-    run.cell.start_daemon(0).expect("a start");
-    run.cell.announce_instances().await.expect("a list");
-    run.cell.wait_ready().await.expect("a ready daemon");
-    run.cell.wait_owners(0).await.expect("owners");
     let load = run.load(200, LoadMix::new_quick(), 3, 41).expect("a load");
     run.start_load(load);
     let history = run.finish().await.expect("histories");
@@ -55,6 +44,23 @@
     );
 }
 
+/// Guards against a capacity check that misses tasks beyond the resources of a worker.
+#[tokio::test(flavor = "multi_thread")]
+async fn worker_that_starts_what_does_not_fit_is_caught() {
+    let change = |document: &mut ConfigDocument| {
+        document.racks[0].capacity = ResourceVector::new(256_000, 1 << 20, 0);
+    };
+    let run = start_overstated("overfull_worker", change).await;
+    let job = json!({
+        "customer": "guild", "class": "batch", "kind": "batch", "tasks": 40, "run_ms": 2000,
+        "size": {"cpu_millis": 2000, "memory_mib": 100},
+    });
+    let job = common::submit(&run, 0, &job).await;
+    common::wait_job(&run, 0, &job).await;
+    let history = run.cell.read_history().expect("histories");
+    assert!(!check_capacity(&history).is_empty(), "nothing was found");
+}
+
 async fn post(
     client: &HttpClient,
     worker: std::net::SocketAddr,
--- a/crates/magnolia-lab/tests/checker.rs
+++ b/crates/magnolia-lab/tests/checker.rs
@@ -166,6 +166,11 @@
         (1, job_sent("1", 1, 7, true)),
         (2, json!({"event": "job_not_accepted", "id": "1", "ran": "no", "code": 300})),
         (3, start_on("w0", "a", 0, 8)),
+        (4, job_sent("2", 1, 9, true)),
+        (5, json!({"event": "job_not_accepted", "id": "2", "ran": "no", "code": null})),
+        (6, job_sent("3", 1, 9, true)), (7, start_on("w0", "b", 1, 9)),
+        (8, json!({"event": "job_accepted", "id": "3", "job": "p0.1"})),
+        (9, json!({"event": "job_final", "job": "p0.1", "state": "done"})),
     ],
     bad [
         (1, job_sent("1", 1, 7, true)),
