--- a/crates/magnolia-daemon/src/daemon.rs
+++ b/crates/magnolia-daemon/src/daemon.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use logforth::append::Stderr;
+use logforth::layout::TextLayout;
 use magnolia_http::serve;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -14,7 +16,8 @@
 use crate::context::{DaemonContext, LifecyclePhase};
 use crate::inner::InnerHandler;
 use crate::membership::follow_instances;
-use crate::ownership::{follow_claims, keep_claiming};
+use crate::ownership::{follow_claims, follow_hints, keep_claiming, keep_fresh, watch_pauses};
+use crate::probing::keep_probing;
 use crate::settings::DaemonSettings;
 
 /// Longest time that a stop waits for requests in flight.
@@ -57,7 +60,7 @@
             };
         }
     };
-    logforth::starter_log::stderr().apply();
+    start_logging(settings.log_level);
     let runtime = match tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -77,6 +80,15 @@
     }
 }
 
+/// Writes log lines of at least this level to standard error, without colours.
+fn start_logging(level: log::LevelFilter) {
+    let append = Stderr::default().with_layout(TextLayout::default().no_color());
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.append(append))
+        .apply();
+    log::set_max_level(level);
+}
+
 async fn run(settings: DaemonSettings) -> std::io::Result<ExitStatus> {
     let callers = TcpListener::bind(settings.listen).await?;
     let inner = TcpListener::bind(settings.inner_listen).await?;
@@ -84,7 +96,11 @@
     log::info!("daemon {} started", context.identity.daemon);
     tokio::spawn(follow_instances(Arc::clone(&context)));
     tokio::spawn(follow_config(Arc::clone(&context)));
+    tokio::spawn(watch_pauses(Arc::clone(&context)));
     tokio::spawn(follow_claims(Arc::clone(&context)));
+    tokio::spawn(follow_hints(Arc::clone(&context)));
+    tokio::spawn(keep_fresh(Arc::clone(&context)));
+    tokio::spawn(keep_probing(Arc::clone(&context)));
     tokio::spawn(keep_claiming(Arc::clone(&context)));
     let inner_handler = Arc::new(InnerHandler::new(Arc::clone(&context)));
     tokio::spawn(serve(
--- a/crates/magnolia-daemon/src/lib.rs
+++ b/crates/magnolia-daemon/src/lib.rs
@@ -12,8 +12,10 @@
 mod ownership;
 mod partition;
 mod peers;
+mod probing;
 mod quick;
 mod settings;
 
 pub use daemon::{ExitStatus, run_main};
+pub use metrics::names::{METRICS, MetricDescription, MetricKind};
 pub use settings::{DaemonSettings, SettingsError};
