--- a/crates/magnolia-daemon/src/context.rs
+++ b/crates/magnolia-daemon/src/context.rs
@@ -12,13 +12,14 @@
 use tokio::sync::watch;
 
 use crate::clock::DaemonClock;
+use crate::config_feed::ConfigFeed;
 use crate::identity::DaemonIdentity;
 use crate::membership::MemberList;
 use crate::metrics::MetricRecorder;
-use crate::ownership::ClaimBook;
+use crate::ownership::{ClaimBook, PauseGuard};
 use crate::partition::PartitionRegistry;
 use crate::peers::PeerLink;
-use crate::quick::GroupRegistry;
+use crate::quick::{EntryView, GroupRegistry};
 use crate::settings::DaemonSettings;
 
 /// Where the daemon is in its life.
@@ -51,20 +52,30 @@
     pub workers: Arc<dyn WorkerClient>,
     /// Executors.
     pub executors: Arc<dyn ExecutorClient>,
+    /// Connections to all peers.
+    pub http: HttpClient,
     /// Calls to other daemons.
     pub peers: PeerLink,
     /// Configuration in force.
     pub config: watch::Sender<Arc<CellConfig>>,
+    /// How the configuration came here.
+    pub config_feed: ConfigFeed,
     /// Known claims.
     pub claims: ClaimBook,
     /// Live daemons.
     pub members: MemberList,
     /// Partitions that this daemon owns.
     pub partitions: PartitionRegistry,
+    /// What this daemon as an entry knows of the executor groups.
+    pub entry: EntryView,
     /// Executor groups that this daemon owns.
     pub groups: GroupRegistry,
+    /// Notices pauses of this process.
+    pub pause: PauseGuard,
     /// Phase of life.
     pub phase: watch::Sender<LifecyclePhase>,
+    /// Whether new work is refused, which begins some time after the start of draining.
+    pub closing: watch::Sender<bool>,
 }
 
 impl DaemonContext {
@@ -75,6 +86,7 @@
     /// Fails when the metrics socket cannot be opened.
     pub fn new(settings: DaemonSettings) -> std::io::Result<Self> {
         let client = HttpClient::new(PoolSettings::new());
+        let clock = DaemonClock::new();
         let identity = DaemonIdentity {
             daemon: settings.daemon.clone(),
             incarnation: Incarnation::new(rand::random()),
@@ -87,19 +99,29 @@
             instances: Arc::new(HttpInstanceList::new(client.clone(), settings.instances)),
             workers: Arc::new(HttpWorkerClient::new(client.clone())),
             executors: Arc::new(HttpExecutorClient::new(client.clone())),
-            peers: PeerLink::new(client),
+            peers: PeerLink::new(client.clone()),
+            http: client,
             config: watch::Sender::new(Arc::new(CellConfig::new())),
+            config_feed: ConfigFeed::new(),
             claims: ClaimBook::new(),
-            members: MemberList::new(),
+            members: MemberList::new(clock),
             partitions: PartitionRegistry::new(),
-            groups: GroupRegistry::new(),
+            entry: EntryView::new(),
+            groups: GroupRegistry::new(clock),
+            pause: PauseGuard::new(),
+            closing: watch::Sender::new(false),
             phase: watch::Sender::new(LifecyclePhase::Starting),
-            clock: DaemonClock::new(),
+            clock,
             identity,
             settings,
         })
     }
 
+    /// Tells whether new work is refused because the daemon stops.
+    pub fn is_closing(&self) -> bool {
+        *self.closing.borrow()
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> Arc<CellConfig> {
         Arc::clone(&self.config.borrow())
--- a/crates/magnolia-state/src/claim_table.rs
+++ b/crates/magnolia-state/src/claim_table.rs
@@ -62,6 +62,11 @@
         self
     }
 
+    /// Tells the table that records before the next one were lost to retention.
+    pub fn mark_trimmed(&mut self) {
+        self.trimmed = true;
+    }
+
     /// Applies the next record in offset order.
     pub fn apply(&mut self, change: &ClaimChange) -> ClaimVerdict {
         match change {
@@ -94,14 +99,23 @@
         if known == Some(claim) {
             return ClaimVerdict::Repeated;
         }
-        let provisional = known.is_none() && self.trimmed;
-        if claim.epoch == self.next_epoch(&claim.unit) || provisional {
+        let follows = claim.epoch == self.next_epoch(&claim.unit);
+        if follows || self.may_follow_trimmed(claim) {
             self.claims.insert(claim.unit.clone(), claim.clone());
             return ClaimVerdict::Accepted;
         }
         ClaimVerdict::Rejected
     }
 
+    /// Tells whether the predecessor of a claim may be among the records lost to retention.
+    ///
+    /// Claimants only write epochs up to the current one plus 1, so of two claims on a trimmed
+    /// stream the one with the higher epoch is the newer.
+    fn may_follow_trimmed(&self, claim: &ClaimRecord) -> bool {
+        let known = self.claims.get(&claim.unit);
+        self.trimmed && known.is_none_or(|known| known.epoch < claim.epoch)
+    }
+
     /// A restatement is written only by a holder that read itself back as the winner, so it also
     /// replaces a claim of the same epoch that was accepted provisionally on a trimmed stream.
     fn apply_restatement(&mut self, claim: &ClaimRecord) -> ClaimVerdict {
