Let other changes come between a start and its refusal in the invariant tests

Before, a start was refused in the same step, and an engine that forgot that a job was withdrawn passed; with the refusal reported later it fails.

--- a/crates/magnolia-policy/tests/common/mod.rs
+++ b/crates/magnolia-policy/tests/common/mod.rs
@@ -60,6 +60,7 @@
     pub started: BTreeMap<JobId, usize>,
     pub given_up: Vec<JobId>,
     pub withdrawn: BTreeSet<JobId>,
+    refused: Vec<(TaskRef, WorkerId)>,
     waiting: BTreeMap<JobId, BTreeSet<u32>>,
     specs: BTreeMap<JobId, Arc<JobSpec>>,
     capacities: BTreeMap<WorkerId, ResourceVector>,
@@ -77,6 +78,7 @@
             started: BTreeMap::new(),
             given_up: Vec::new(),
             withdrawn: BTreeSet::new(),
+            refused: Vec::new(),
             waiting: BTreeMap::new(),
             specs: BTreeMap::new(),
             capacities: BTreeMap::new(),
@@ -129,6 +131,16 @@
         starts
     }
 
+    /// Reports the starts that workers refused; other changes may have come in between.
+    pub fn report_refused(&mut self) {
+        for (task, worker) in std::mem::take(&mut self.refused) {
+            self.engine.start_failed(&task, &worker, self.now);
+            if let Some(waiting) = self.waiting.get_mut(&task.job) {
+                waiting.insert(task.task);
+            }
+        }
+    }
+
     /// Carries a decision out; starts are refused by the worker unless `accept`.
     pub fn apply(&mut self, decision: PlacementDecision, accept: bool) {
         match decision {
@@ -146,8 +158,7 @@
                     if accept {
                         self.start(task, worker, size);
                     } else {
-                        self.engine.start_failed(&task, &worker, self.now);
-                        self.waiting.get_mut(&job).unwrap().insert(task.task);
+                        self.refused.push((task, worker));
                     }
                 }
             }
--- a/crates/magnolia-policy/tests/placement_invariants.rs
+++ b/crates/magnolia-policy/tests/placement_invariants.rs
@@ -65,6 +65,9 @@
             }
             Step::Decide(millis, accept) => {
                 harness.now = harness.now.saturating_add(u64::from(millis).into_millis());
+                if accept {
+                    harness.report_refused();
+                }
                 let decisions = harness.engine.decide(harness.now, 7);
                 decisions
                     .into_iter()
