--- a/crates/magnolia-bench/src/command.rs
+++ b/crates/magnolia-bench/src/command.rs
@@ -3,14 +3,14 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
 use crate::{
-    BenchError, BenchReport, BenchScope, decisions, executors, faults, floods, memory, packing,
-    waiting,
+    BenchError, BenchReport, BenchScope, decisions, executors, faults, floods, job_floods, memory,
+    packing, waiting,
 };
 
 type BenchFunction = fn(&BenchScope) -> Result<BenchReport, BenchError>;
 
 /// Every benchmark with its name and purpose.
-const BENCHMARKS: [(&str, &str, BenchFunction); 7] = [
+const BENCHMARKS: [(&str, &str, BenchFunction); 8] = [
     (
         "decisions",
         "Time of a placement decision and decisions a second",
@@ -31,6 +31,11 @@
         "What other classes keep during floods of ten times capacity",
         floods::run,
     ),
+    (
+        "job-floods",
+        "What other classes of jobs keep during floods of ten times capacity",
+        job_floods::run,
+    ),
     (
         "faults",
         "Faulty workers, impossible jobs and waves of cancellations",
--- a/crates/magnolia-bench/src/faults.rs
+++ b/crates/magnolia-bench/src/faults.rs
@@ -52,6 +52,7 @@
                 faulty,
                 jobs: &jobs,
                 end: Millis::new(length),
+                phase: Millis::new(length),
                 owner_gives_up: policy == "first_fit",
             })?;
             let scenario = "1 of 10 workers fails every task";
--- a/crates/magnolia-bench/src/lib.rs
+++ b/crates/magnolia-bench/src/lib.rs
@@ -7,6 +7,7 @@
 mod executors;
 mod faults;
 mod floods;
+mod job_floods;
 mod memory;
 mod packing;
 mod replay;
--- a/crates/magnolia-bench/src/replay.rs
+++ b/crates/magnolia-bench/src/replay.rs
@@ -14,6 +14,8 @@
 
 /// Time between two rounds of decisions.
 const ROUND_MS: u64 = 10;
+/// Time between two samples of what each kind of work holds.
+const SAMPLE_MS: u64 = 100;
 /// Most starts of a round.
 const STARTS_PER_ROUND: usize = 1000;
 /// Time until a checkpoint has ended the attempt.
@@ -50,6 +52,8 @@
     pub jobs: &'a [ReplayJob],
     /// When the replay ends.
     pub end: Millis,
+    /// Length of the phases by which waits and held processors are told apart.
+    pub phase: Millis,
     /// Whether the owner gives a job up once a task used up its attempts, for engines that do not.
     pub owner_gives_up: bool,
 }
@@ -59,6 +63,12 @@
 pub struct ReplayOutcome {
     /// Waiting time to the first start, by kind of work; still waiting tasks count as of the end.
     pub waits: BTreeMap<&'static str, Histogram<u64>>,
+    /// Waiting times by kind of work and phase of submission.
+    pub phase_waits: BTreeMap<(&'static str, u64), Histogram<u64>>,
+    /// Sum over the samples of processors held, by kind of work and phase.
+    pub held: BTreeMap<(&'static str, u64), f64>,
+    /// Samples taken in each phase.
+    pub samples: BTreeMap<u64, f64>,
     /// Processor time of ended tasks, in thousandths of a processor times milliseconds.
     pub useful: f64,
     /// Processor time of attempts that failed or were stopped.
@@ -182,6 +192,9 @@
         let outcome = self.cluster.decide(now, STARTS_PER_ROUND)?;
         self.take_round(outcome, now);
         self.note_quarantined(now);
+        if now.get().is_multiple_of(SAMPLE_MS) {
+            self.sample_held(now);
+        }
         Ok(())
     }
 
@@ -217,7 +230,7 @@
         };
         let job = &self.setup.jobs[index];
         if let Some(submitted) = self.waiting.remove(&record.task) {
-            self.record_wait(&job.spec, now.saturating_sub(submitted));
+            self.record_wait(&job.spec, submitted, now);
         }
         let fails = job.fails || self.setup.faulty.contains(&record.worker);
         let full = job.run.get() as f64;
@@ -355,30 +368,54 @@
         }
     }
 
-    fn record_wait(&mut self, spec: &JobSpec, wait: Millis) {
+    fn sample_held(&mut self, now: Millis) {
+        let phase = self.phase_of(now);
+        *self.outcome.samples.entry(phase).or_default() += 1.0;
+        for record in self.cluster.running.values() {
+            let kind = kind_of(&record.spec);
+            let held = self.outcome.held.entry((kind, phase)).or_default();
+            *held += record.size.cpu_millis.get() as f64;
+        }
+    }
+
+    fn phase_of(&self, at: Millis) -> u64 {
+        at.get() / self.setup.phase.get().max(1)
+    }
+
+    fn record_wait(&mut self, spec: &JobSpec, submitted: Millis, now: Millis) {
         let kind = kind_of(spec);
-        let waits = self.outcome.waits.entry(kind).or_insert_with(|| {
-            Histogram::new_with_max(MAX_WAIT_MS, 3).expect("the bounds are constants")
-        });
-        waits.saturating_record(wait.get());
+        let wait = now.saturating_sub(submitted).get();
+        let phase = self.phase_of(submitted);
+        let outcome = &mut self.outcome;
+        let all = outcome.waits.entry(kind).or_insert_with(new_histogram);
+        all.saturating_record(wait);
+        let of_phase = outcome.phase_waits.entry((kind, phase));
+        of_phase
+            .or_insert_with(new_histogram)
+            .saturating_record(wait);
     }
 
     fn finish(mut self) -> ReplayOutcome {
         let end = self.setup.end;
         for (task, submitted) in std::mem::take(&mut self.waiting) {
             let spec = Arc::clone(&self.setup.jobs[self.jobs[&task.job]].spec);
-            self.record_wait(&spec, end.saturating_sub(submitted));
+            self.record_wait(&spec, submitted, end);
         }
         self.outcome
     }
 }
 
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_max(MAX_WAIT_MS, 3).expect("the bounds are constants")
+}
+
 /// Names the kind of work of a job: gangs apart from their class.
 pub fn kind_of(spec: &JobSpec) -> &'static str {
     match (spec.kind, spec.class.as_str()) {
         (JobKind::Gang, _) => "gang",
         (JobKind::Service, _) => "service",
         (JobKind::Batch, "urgent") => "urgent",
+        (JobKind::Batch, "service") => "middle",
         (JobKind::Batch, _) => "batch",
     }
 }
--- a/crates/magnolia-bench/src/waiting.rs
+++ b/crates/magnolia-bench/src/waiting.rs
@@ -48,6 +48,7 @@
                     faulty: HashSet::new(),
                     jobs: &jobs,
                     end: Millis::new(length),
+                    phase: Millis::new(length),
                     owner_gives_up: policy == "first_fit",
                 })?;
                 let scenario = format!("load {load}");
--- a/crates/magnolia-policy/src/scored/decide.rs
+++ b/crates/magnolia-policy/src/scored/decide.rs
@@ -117,14 +117,19 @@
         let waiting = classes.filter(|(_, class)| !class.ready.is_empty());
         let mut order: Vec<ClassIndex> = waiting.map(|(index, _)| index).collect();
         order.sort_by_key(|&index| {
-            let class = &self.book.classes[index];
-            let share = dominant_share(&class.used, &self.total);
-            let is_above = share * 100.0 >= f64::from(class.rule.floor_percent);
-            (is_above, Reverse(class.rule.rank))
+            let rank = self.book.classes[index].rule.rank;
+            (!self.is_below_floor(index), Reverse(rank))
         });
         order
     }
 
+    /// Tells whether the class holds less than its floor of the fleet.
+    pub fn is_below_floor(&self, class: ClassIndex) -> bool {
+        let class = &self.book.classes[class];
+        let share = dominant_share(&class.used, &self.total);
+        share * 100.0 < f64::from(class.rule.floor_percent)
+    }
+
     fn first_open_lane(&self, class: ClassIndex) -> Option<LaneIndex> {
         let lanes = self.book.classes[class].ready.iter();
         lanes
--- a/crates/magnolia-policy/src/scored/place.rs
+++ b/crates/magnolia-policy/src/scored/place.rs
@@ -51,8 +51,11 @@
         let holds = |size: &ResourceVector| self.shapes.keys().any(|room| size.fits_in(room));
         let size = if holds(&learned) { learned } else { spec.size };
         let run = self.estimates.run_time(&job.lane, spec.run_ms);
-        let class = &self.book.classes[self.book.lane(job.lane).class].rule;
-        let may_use_headroom = is_service || self.rules.is_urgent(class);
+        let class = self.book.lane(job.lane).class;
+        let rule = &self.book.classes[class].rule;
+        // Room kept free of a class below its floor would go to the urgent class that floods.
+        let may_use_headroom =
+            is_service || self.rules.is_urgent(rule) || self.is_below_floor(class);
         let plain = |room: &ResourceVector| room.accelerators == 0 && size.fits_in(room);
         let is_spread = is_service;
         Some(TaskNeed {
--- a/crates/magnolia-policy/tests/scored_behaviour.rs
+++ b/crates/magnolia-policy/tests/scored_behaviour.rs
@@ -40,6 +40,38 @@
     );
 }
 
+/// Guards against headroom that only the flooding urgent class may use, so that the room that is
+/// freed never suffices for the class below its floor.
+#[test]
+fn floor_holds_beside_headroom() {
+    let mut harness = harness("headroom_percent = 20", 10, cores(10));
+    // Run times differ, so that room is freed a task at a time.
+    for index in 0..60 {
+        let mut batch = spec("batch", JobKind::Batch, 20, cores(2));
+        batch.run_ms = Some(Millis::new(700 + index * 53));
+        harness.submit(&format!("batch{index}"), batch);
+        let mut flood = spec("urgent", JobKind::Batch, 100, CORE);
+        flood.run_ms = Some(Millis::new(400 + index * 37));
+        harness.submit(&format!("flood{index}"), flood);
+    }
+    let mut held = 0;
+    for round in 0..300 {
+        harness.step(50);
+        harness.end_due();
+        harness.step(1);
+        held += if round < 100 {
+            0
+        } else {
+            2 * harness.running_of("batch")
+        };
+    }
+    let mean = held / 200;
+    assert!(
+        mean >= 18,
+        "batch kept {mean} of 100 cores with a floor of 20%"
+    );
+}
+
 /// Guards against a flood of the least urgent class that keeps urgent work waiting.
 #[test]
 fn urgent_work_makes_a_batch_flood_give_way() {
