--- a/crates/magnolia-lab/tests/command_line.rs
+++ b/crates/magnolia-lab/tests/command_line.rs
@@ -7,16 +7,20 @@
 use std::process::{Command, Output, Stdio};
 
 use common::cell;
+use magnolia_config::ConfigDocument;
 use magnolia_lab::cell::RunningCell;
+use magnolia_lab::history::HistoryEvent;
 use serde_json::Value;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 
-/// Runs `magnoliactl` with arguments that are separated by spaces.
+const README: &str = include_str!("../../../README.md");
+
+/// Runs `magnoliactl` with arguments that are separated by spaces; quotes keep spaces.
 async fn ctl(endpoints: &[SocketAddr], line: &str) -> Output {
     let program = env!("CARGO_BIN_EXE_magnolia-lab");
     let mut command = Command::new(program);
-    command.arg("ctl").args(line.split(' '));
+    command.arg("ctl").args(split_words(line));
     let list: Vec<String> = endpoints.iter().map(SocketAddr::to_string).collect();
     match list.is_empty() {
         true => command.env_remove("MAGNOLIA_ENDPOINTS"),
@@ -29,6 +33,17 @@
         .expect("a process")
 }
 
+fn split_words(line: &str) -> Vec<String> {
+    let mut words = Vec::new();
+    for (index, part) in line.split('"').enumerate() {
+        match index % 2 {
+            0 => words.extend(part.split_whitespace().map(str::to_owned)),
+            _ => words.push(part.to_owned()),
+        }
+    }
+    words
+}
+
 fn stdout(output: &Output) -> String {
     String::from_utf8_lossy(&output.stdout).into_owned()
 }
@@ -106,6 +121,87 @@
     serde_json::from_str::<Value>(&state).expect("the state is JSON");
 }
 
+/// Returns the commands of the README, without the name of the program.
+fn readme_commands() -> Vec<String> {
+    let text = README.replace("\\\n", " ");
+    let lines = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("    magnoliactl "));
+    lines.map(str::to_owned).collect()
+}
+
+/// Writes `examples/board.toml` with the back ends of the lab.
+fn board_on_lab(cell: &RunningCell, folder: &Path) -> PathBuf {
+    let text = std::fs::read_to_string(example("board.toml")).expect("an example");
+    let mut document = ConfigDocument::from_toml(&text).expect("a valid example");
+    document.data_centres = cell.document.data_centres.clone();
+    document.racks = cell.document.racks.clone();
+    document.executor_blocks = cell.document.executor_blocks.clone();
+    let file = folder.join("board.toml");
+    std::fs::write(&file, document.to_toml()).expect("a file");
+    file
+}
+
+/// Guards against a README whose commands do not work as written.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_commands_of_the_readme_succeed() {
+    let cell = cell("readme_session", 1).start().await.expect("a cell");
+    cell.wait_owners(0).await.expect("owners");
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("readme_session");
+    let file = board_on_lab(&cell, &folder).display().to_string();
+    let commands = readme_commands();
+    assert!(commands.len() >= 7, "{commands:?}");
+    for command in commands {
+        let line = command.replace("examples/board.toml", &file);
+        expect(&endpoints(&cell), &line, 0, "").await;
+    }
+}
+
+/// Guards against a service that cannot be followed, explained and cancelled, and against a repeated
+/// submission that makes a second job.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_is_followed_and_cancelled() {
+    let cell = cell("service_session", 2).start().await.expect("a cell");
+    cell.wait_owners(0).await.expect("owners");
+    cell.wait_owners(1).await.expect("owners");
+    let to = endpoints(&cell);
+    let submit = "submit --customer board --class service --kind service --tasks 2 \
+                  --cpu-millis 1000 --memory-mib 256 --key watch-1";
+    let job = expect(&to, submit, 0, "p0.").await.trim().to_owned();
+    let again = expect(&to[1..], submit, 0, "p0.").await;
+    assert_eq!(again.trim(), job, "one key, one job");
+    let list = "--json list --customer board";
+    let list: Value = serde_json::from_str(&expect(&to, list, 0, "").await).expect("JSON");
+    assert_eq!(list["jobs"].as_array().map(Vec::len), Some(1), "{list}");
+    assert_eq!(list["missing"], serde_json::json!([]), "{list}");
+    expect(&to, &format!("explain {job}"), 0, "2 tasks").await;
+    expect(&to, &format!("wait {job} --timeout-ms 100"), 6, &job).await;
+    expect(&to, &format!("cancel {job}"), 0, &job).await;
+    expect(&to, &format!("wait {job}"), 5, "cancelled").await;
+    expect(&to, "list --state cancelled", 0, &job).await;
+    let none = expect(&to, "list --state running", 0, "JOB").await;
+    assert!(!none.contains(&job), "{none}");
+}
+
+/// Guards against a request that must not repeat and runs for each copy of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_must_not_repeat_runs_once() {
+    let cell = cell("once_session", 2).start().await.expect("a cell");
+    cell.wait_owners(0).await.expect("owners");
+    cell.wait_owners(1).await.expect("owners");
+    let to = endpoints(&cell);
+    let once = "request --customer board --class quick --not-repeatable --key once-1 one-skin";
+    expect(&to, once, 0, "answer to one-skin").await;
+    expect(&to[1..], once, 0, "answer to one-skin").await;
+    let other = once.replace("one-skin", "two-skins");
+    expect(&to, &other, 1, "KeyReused (108)").await;
+    let history = cell.read_history().expect("a history");
+    let runs = history.records.iter().filter(|record| {
+        matches!(&record.event, HistoryEvent::RequestStarted { body, .. } if body.contains("skin"))
+    });
+    assert_eq!(runs.count(), 1);
+}
+
 /// Guards against a change of configuration that is lost, or that reverts a change of another
 /// operator.
 #[tokio::test(flavor = "multi_thread")]
