--- a/crates/magnolia-daemon/src/lib.rs
+++ b/crates/magnolia-daemon/src/lib.rs
@@ -5,6 +5,7 @@
 mod config_feed;
 mod context;
 mod daemon;
+mod drain;
 mod identity;
 mod inner;
 mod membership;
@@ -17,7 +18,7 @@
 mod settings;
 
 pub use context::DaemonContext;
-pub use daemon::{ExitStatus, run_main};
+pub use daemon::{ExitStatus, run_daemon, run_main};
 pub use inner::InnerHandler;
 pub use membership::MemberEntry;
 pub use metrics::names::{METRICS, MetricDescription, MetricKind};
