Answer waits at a planned stop and cap deadlines below its limit

A planned stop waits 65 s for requests in flight; a wait of up to 300 s or a deadline above that was cut off. Waits now answer with the state of the job once the daemon refuses new work, and max_deadline_ms is at most 60000. magnoliactl sends work again that was not run for want of an owner.

--- a/crates/magnolia-cli/src/job_commands.rs
+++ b/crates/magnolia-cli/src/job_commands.rs
@@ -14,10 +14,13 @@
 
 /// Longest wait of one call; longer waits repeat it.
 const WAIT_STEP: Duration = Duration::from_secs(5);
-/// Pause before a wait is repeated that found no owner.
+/// Pause before a call is repeated that found no owner.
 const WAIT_PAUSE: Duration = Duration::from_millis(500);
-/// Longest time of a quick request at the endpoint, besides its deadline.
+/// Longest time of a submission at the endpoint.
 const SUBMIT_WORK: Duration = Duration::from_secs(20);
+/// Longest time during which work is sent again that was not run for want of an owner; a new owner
+/// is normally found within it.
+const OWNER_PATIENCE: Duration = Duration::from_secs(10);
 
 /// Submits a job.
 pub async fn submit(
@@ -27,7 +30,8 @@
 ) -> Result<ExitStatus, CallFailure> {
     let body = job_body(matches);
     let repeat = job_repeat(matches);
-    let job = client.post("/v1/jobs", &body, repeat, SUBMIT_WORK).await?;
+    let send = || client.post("/v1/jobs", &body, repeat, SUBMIT_WORK);
+    let job = send_patiently(output, OWNER_PATIENCE, send).await?;
     let id = job["job"].as_str().unwrap_or_default();
     if !matches.get_flag("wait") {
         output.result(&job, id);
@@ -52,11 +56,46 @@
     let work = Duration::from_millis(deadline.unwrap_or(0));
     let body = request_body(matches, &text);
     let repeat = request_repeat(matches);
-    let answer = client.post("/v1/requests", &body, repeat, work).await?;
+    let send = || client.post("/v1/requests", &body, repeat, work);
+    let answer = send_patiently(output, work.min(OWNER_PATIENCE), send).await?;
     output.result(&answer, answer["answer"].as_str().unwrap_or_default());
     Ok(ExitStatus::Success)
 }
 
+/// Sends work again while it is refused, and not run, for want of an owner.
+async fn send_patiently<F, S>(
+    output: CommandOutput,
+    patience: Duration,
+    send: F,
+) -> Result<Value, CallFailure>
+where
+    F: Fn() -> S,
+    S: Future<Output = Result<Value, CallFailure>>,
+{
+    let started = Instant::now();
+    let mut is_told = false;
+    loop {
+        let failure = match send().await {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => failure,
+        };
+        let passing = [
+            ResultCode::NoOwner,
+            ResultCode::NotOwner,
+            ResultCode::OwnerUnreachable,
+        ];
+        let may_pass = failure.code.is_some_and(|code| passing.contains(&code));
+        if !may_pass || started.elapsed() + WAIT_PAUSE >= patience {
+            return Err(failure);
+        }
+        if !is_told {
+            output.remark(&format!("not run, trying again: {}", failure.message));
+            is_told = true;
+        }
+        tokio::time::sleep(WAIT_PAUSE).await;
+    }
+}
+
 fn read_standard_input() -> Result<String, CallFailure> {
     let mut text = String::new();
     match std::io::stdin().read_to_string(&mut text) {
--- a/crates/magnolia-config/tests/document_faults.rs
+++ b/crates/magnolia-config/tests/document_faults.rs
@@ -109,6 +109,9 @@
         "below the lease";
     window_under_renewal: "start_window_ms = 12000" => "start_window_ms = 10000", 6, "rules",
         "10001";
+    long_deadline: "packing_weight = 50" => "max_deadline_ms = 60001", 7, "rules", "1 to 60000";
+    no_tasks: "packing_weight = 50" => "max_tasks = 0", 7, "rules", "1 to 1000000";
+    headroom_of_all: "packing_weight = 50" => "headroom_percent = 91", 7, "rules", "0 to 90";
     negative_number: "packing_weight = 50" => "packing_weight = -1", 7, "rules", "packing_weight";
     empty_cell_name: "name = \"test\"" => "name = \" \"", 2, "cell", "1 to 64 bytes";
     bad_partition: "capacity = {" => "partition = \"p 0\"\ncapacity = {", 20, "rack/r1", "p 0";
--- a/crates/magnolia-daemon/src/callers/job_routes.rs
+++ b/crates/magnolia-daemon/src/callers/job_routes.rs
@@ -170,7 +170,19 @@
         job: job.clone(),
         timeout_ms,
     };
-    run_on_job(context, &job, operation).await
+    tokio::select! {
+        answer = run_on_job(context, &job, operation) => answer,
+        // A wait would hold up a planned stop; the caller learns where the job stands and may wait
+        // again at another daemon.
+        () = wait_until_closing(context) => {
+            run_on_job(context, &job, JobOperation::Get { job: job.clone() }).await
+        }
+    }
+}
+
+async fn wait_until_closing(context: &DaemonContext) {
+    let mut closing = context.closing.subscribe();
+    closing.wait_for(|is_closing| *is_closing).await.ok();
 }
 
 /// Answers `POST /v1/jobs/{id}/cancel`.
--- a/crates/magnolia-daemon/tests/operations_page.rs
+++ b/crates/magnolia-daemon/tests/operations_page.rs
@@ -1,6 +1,7 @@
 //! The page for operators covers every flag and metric.
 
 use std::collections::BTreeSet;
+use std::path::PathBuf;
 
 use magnolia_daemon::{DaemonSettings, METRICS, MetricKind};
 
@@ -48,3 +49,25 @@
     let names: BTreeSet<&str> = METRICS.iter().map(|metric| metric.name).collect();
     assert_eq!(names.len(), METRICS.len());
 }
+
+/// Guards against a metric that is sent under a name that is not in the list.
+#[test]
+fn every_metric_is_sent_by_its_constant() {
+    let calls = [".count(\"", ".gauge(\"", ".time_ms(\"", "metrics.add(\""];
+    let mut folders = vec![PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("src")];
+    let mut files = 0;
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(folder).expect("a folder").flatten() {
+            let path = entry.path();
+            if path.is_dir() {
+                folders.push(path);
+                continue;
+            }
+            let text = std::fs::read_to_string(&path).expect("a source file");
+            let literal = calls.iter().find(|call| text.contains(*call));
+            assert_eq!(literal, None, "{}", path.display());
+            files += 1;
+        }
+    }
+    assert!(files > 10, "the sources were not found");
+}
--- a/crates/magnolia-lab/tests/caller_interface.rs
+++ b/crates/magnolia-lab/tests/caller_interface.rs
@@ -249,6 +249,31 @@
     );
 }
 
+/// Guards against a planned stop that cuts off a wait for a job, or that the wait holds up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_wait_is_answered_at_a_planned_stop() {
+    let mut cell = cell("wait_at_stop", 2).start().await.expect("a cell");
+    cell.wait_owners(0).await.expect("owners");
+    cell.wait_owners(1).await.expect("owners");
+    let service = job(json!({"kind": "service", "class": "service"}));
+    let answer = send(&cell, &Method::POST, "/v1/jobs", service).await;
+    let view: Value = answer.json().expect("JSON");
+    let id = view["job"].as_str().expect("a job id");
+    let path = format!("/v1/jobs/{id}/wait?timeout_ms=300000");
+    let (client, address) = (cell.client.clone(), cell.daemons[1].callers);
+    let limit = std::time::Duration::from_secs(310);
+    let wait = tokio::spawn(async move { client.get(address, &path, limit).await });
+    // A call that is answered after the wait was sent shows that the daemon reads its connections.
+    let state = cell.state(1).await.expect("a state");
+    assert_eq!(state["phase"], json!("ready"), "{state}");
+    let code = cell.stop_daemon(1).await.expect("a stop");
+    assert_eq!(code, Some(0), "the daemon drains completely");
+    let answer = wait.await.expect("a task").expect("an answer");
+    let view: Value = answer.json().expect("JSON");
+    assert_eq!(answer.status.as_u16(), 200, "{view}");
+    assert_eq!(view["job"], json!(id), "{view}");
+}
+
 async fn wait_for_status(cell: &RunningCell, wanted: impl Fn(&Value) -> bool) -> Value {
     let deadline = std::time::Instant::now() + LIMIT;
     loop {
--- a/crates/magnolia-lab/tests/command_line.rs
+++ b/crates/magnolia-lab/tests/command_line.rs
@@ -145,8 +145,8 @@
 /// Guards against a README whose commands do not work as written.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_commands_of_the_readme_succeed() {
+    // The first work is sent before there are owners; the tool sends it again.
     let cell = cell("readme_session", 1).start().await.expect("a cell");
-    cell.wait_owners(0).await.expect("owners");
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("readme_session");
     let file = board_on_lab(&cell, &folder).display().to_string();
     let commands = readme_commands();
