--- a/crates/magnolia-config/src/replay.rs
+++ b/crates/magnolia-config/src/replay.rs
@@ -11,6 +11,9 @@
 /// 5,300 publications a day, so this is far more than can lie between the two.
 const RECENT_IDS: usize = 1024;
 
+/// Offset in a snapshot that restores a configuration from a daemon's memory.
+const RESTORED: LogOffset = LogOffset::new(u64::MAX);
+
 /// A publication that waits for a snapshot.
 struct HeldPublication {
     offset: LogOffset,
@@ -105,7 +108,7 @@
     pub fn restoring_snapshot(&self, config: CellConfig) -> ConfigSnapshot {
         ConfigSnapshot {
             config,
-            next: LogOffset::new(u64::MAX),
+            next: RESTORED,
             ..self.snapshot()
         }
     }
@@ -144,8 +147,11 @@
         let held = self.held.take().map(|(_, held)| held).unwrap_or_default();
         self.config = snapshot.config;
         self.recent = snapshot.recent.into();
+        // Nobody knows which records a restored configuration includes. All are applied again:
+        // one that it includes conflicts with itself, because its sections changed after its base.
+        let is_restored = snapshot.next == RESTORED;
         held.into_iter()
-            .filter(|held| held.offset >= snapshot.next)
+            .filter(|held| is_restored || held.offset >= snapshot.next)
             .filter_map(|held| self.decide(held.id, &held.publication))
             .collect()
     }
--- a/crates/magnolia-config/tests/replay_merge.rs
+++ b/crates/magnolia-config/tests/replay_merge.rs
@@ -246,6 +246,31 @@
     assert_eq!(replay.config(), &lost);
 }
 
+/// Guards against a reader that loses publications which came between a trimmed log and a snapshot
+/// that another daemon restored from its memory, while readers without a gap accept them.
+#[test]
+fn a_restored_snapshot_keeps_the_publications_before_it() {
+    let mut follower = ConfigReplay::new();
+    decided(&mut follower, 0, 1, publication(0, 0, 1));
+    let fetched = follower.config().clone();
+    let mut starter = ConfigReplay::new();
+    starter.note_first(LogOffset::new(1));
+    let records = [(1, 1, publication(0, 0, 1)), (2, 2, publication(1, 1, 3))];
+    for (offset, id, publication) in records {
+        decided(&mut follower, offset, id, publication.clone());
+        assert_eq!(decided(&mut starter, offset, id, publication), []);
+    }
+    let snapshot = Box::new(starter.restoring_snapshot(fetched));
+    let record = ConfigRecord::Snapshot {
+        written_unix_ms: 0,
+        snapshot,
+    };
+    follower.apply(LogOffset::new(3), record.clone());
+    starter.apply(LogOffset::new(3), record);
+    assert_eq!(follower.config().version, ConfigVersion::new(2));
+    assert_eq!(starter.config(), follower.config());
+}
+
 /// Guards against publications that change nothing or name a section wrongly.
 #[test]
 fn malformed_publications_are_refused() {
--- a/crates/magnolia-daemon/src/config_feed/publisher.rs
+++ b/crates/magnolia-daemon/src/config_feed/publisher.rs
@@ -45,6 +45,11 @@
     context: &DaemonContext,
     publication: ConfigPublication,
 ) -> Result<ConfigVersion, PublishError> {
+    if context.config_feed.status().waiting_for_snapshot {
+        let message = "the log has lost configuration records and this daemon waits for a \
+                       snapshot; publish through another daemon";
+        return Err((ResultCode::LogUnavailable, message.into()));
+    }
     wait_for_base(context, publication.base).await;
     context.config().apply(&publication).map_err(refusal)?;
     let id = rand::random();
--- a/crates/magnolia-daemon/src/config_feed/reader.rs
+++ b/crates/magnolia-daemon/src/config_feed/reader.rs
@@ -21,7 +21,7 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Time without a newer version in the log after which a daemon that has one restores it.
-const RESTORE_AFTER: Millis = Millis::from_secs(30);
+const RESTORE_AFTER: Millis = Millis::from_secs(10);
 /// Longest time of one append of a snapshot.
 const SNAPSHOT_LIMIT: Duration = Duration::from_secs(3);
 /// Part of the retention by which each further candidate waits for the one before it.
