Repeat keyed requests of the load under the same customer; adopt reports once

The load drew the customer of a quick request anew at each try, so a repeat of a key was another key and ran again: owner_paused_and_woken_late counted up to 5 requests as run twice and passes with the change.

--- a/crates/magnolia-daemon/src/partition/fencing.rs
+++ b/crates/magnolia-daemon/src/partition/fencing.rs
@@ -44,14 +44,14 @@
             journal.handed_over
         );
         self.resolve_open_intents();
+        let needs_no_fences = self.tracker.is_complete();
         for (worker, (report, received)) in std::mem::take(&mut self.early_reports) {
             self.adopt_report(&worker, &report, received);
         }
-        if self.tracker.is_complete() {
+        if needs_no_fences {
             self.takeover_done();
-        } else {
-            self.enqueue_all();
         }
+        self.enqueue_all();
     }
 
     /// Adopts the report of a fence, or keeps it until the journal is read.
@@ -182,8 +182,11 @@
         self.committer.push(JournalEntry::TakeoverDone, None, now);
         for (worker, unseen) in std::mem::take(&mut self.unseen) {
             for (task, attempt) in unseen {
-                let is_bounded = self.attempts.contains_key(&attempt);
-                if !is_bounded && self.is_current(&task, &attempt) {
+                if self.attempts.contains_key(&attempt) {
+                    // After a handover, the report of the worker or the end of its lease decides.
+                    let kept = self.unseen.entry(worker.clone()).or_default();
+                    kept.push((task, attempt));
+                } else if self.is_current(&task, &attempt) {
                     self.lose_unseen(&task, &attempt, &worker);
                 }
             }
--- a/crates/magnolia-lab/src/load/client.rs
+++ b/crates/magnolia-lab/src/load/client.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use magnolia_http::{ErrorBody, HttpClient, PoolSettings};
-use magnolia_types::Ran;
+use magnolia_types::{Ran, stable_hash};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -135,7 +135,11 @@
     async fn call_entry(&self, body: &str, key: Option<&str>) -> QuickResult {
         let (daemon, address) = self.entry();
         let id: Arc<str> = self.next_id().into();
-        let is_guild = self.draw(0, 2) == 1;
+        // A key belongs to its customer, so a repeat has to name the same one.
+        let is_guild = match key {
+            Some(key) => stable_hash(key.as_bytes()) % 2 == 1,
+            None => self.draw(0, 2) == 1,
+        };
         let mut request = json!({
             "customer": if is_guild { "guild" } else { "board" },
             "class": "quick",
