--- a/crates/magnolia-daemon/src/lib.rs
+++ b/crates/magnolia-daemon/src/lib.rs
@@ -16,7 +16,7 @@
 mod quick;
 mod settings;
 
-pub use context::DaemonContext;
+pub use context::{DaemonContext, LifecyclePhase};
 pub use daemon::{ExitStatus, run_main};
 pub use inner::InnerHandler;
 pub use membership::MemberEntry;
--- /dev/null
+++ b/crates/magnolia-daemon/tests/cell/fleet.rs
@@ -0,0 +1,246 @@
+//! Workers in memory, behind faults, with a history of what ran where.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use futures_util::future::BoxFuture;
+use magnolia_http::HttpError;
+use magnolia_lab::standin::{WorkerAction, WorkerModel};
+use magnolia_platform::{
+    CommandAnswer, CommandBatch, FenceRequest, PlatformError, WorkerClient, WorkerReport,
+};
+use magnolia_types::{AttemptId, Epoch, Incarnation, Millis, ResourceVector, TaskRef, WorkerId};
+
+use super::gate::PauseGate;
+
+/// One start and, once it is over, its end.
+#[derive(Clone, Debug)]
+pub struct RunRecord {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The task.
+    pub task: TaskRef,
+    /// Epoch of the owner that started it.
+    pub epoch: Epoch,
+    /// When it started.
+    pub started: Millis,
+    /// When it ended.
+    pub ended: Option<Millis>,
+}
+
+struct FleetWorker {
+    model: WorkerModel,
+    name: WorkerId,
+    is_reachable: bool,
+    lost_answers: u32,
+}
+
+#[derive(Default)]
+struct FleetState {
+    workers: BTreeMap<SocketAddr, FleetWorker>,
+    runs: Vec<RunRecord>,
+    open: HashMap<AttemptId, usize>,
+    calls: u64,
+}
+
+/// All workers of a test.
+pub struct FakeFleet {
+    state: Mutex<FleetState>,
+    origin: Instant,
+}
+
+impl FakeFleet {
+    /// Creates an empty fleet.
+    pub fn new() -> Self {
+        Self {
+            state: Mutex::default(),
+            origin: Instant::now(),
+        }
+    }
+
+    /// Adds a worker.
+    pub fn add(&self, address: SocketAddr, name: &WorkerId, capacity: ResourceVector) {
+        let worker = FleetWorker {
+            model: WorkerModel::new(name.clone(), Incarnation::new(1), capacity),
+            name: name.clone(),
+            is_reachable: true,
+            lost_answers: 0,
+        };
+        self.with(|state| state.workers.insert(address, worker));
+    }
+
+    /// Cuts a worker off, or ends that.
+    pub fn set_reachable(&self, address: SocketAddr, is_reachable: bool) {
+        self.with(|state| {
+            if let Some(worker) = state.workers.get_mut(&address) {
+                worker.is_reachable = is_reachable;
+            }
+        });
+    }
+
+    /// Lets every worker carry its next messages out without an answer.
+    pub fn lose_answers(&self, count: u32) {
+        self.with(|state| {
+            let workers = state.workers.values_mut();
+            workers.for_each(|worker| worker.lost_answers = count);
+        });
+    }
+
+    /// Replaces the process of a worker.
+    pub fn restart(&self, address: SocketAddr) {
+        let now = self.now();
+        self.with(|state| {
+            if let Some(worker) = state.workers.get_mut(&address) {
+                worker.model.restart(now, Incarnation::new(2));
+            }
+        });
+    }
+
+    /// Returns the fleet's clock.
+    pub fn now(&self) -> Millis {
+        Millis::new(u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// Returns the number of messages that workers received.
+    pub fn calls(&self) -> u64 {
+        self.with(|state| state.calls)
+    }
+
+    /// Returns everything that ran so far.
+    pub fn runs(&self) -> Vec<RunRecord> {
+        let now = self.now();
+        self.with(|state| {
+            state.collect(now);
+            state.runs.clone()
+        })
+    }
+
+    /// Fails when a task ran in two places at once.
+    pub fn assert_single_runs(&self) {
+        let mut by_task: HashMap<TaskRef, Vec<RunRecord>> = HashMap::new();
+        for run in self.runs() {
+            by_task.entry(run.task.clone()).or_default().push(run);
+        }
+        for (task, mut runs) in by_task {
+            runs.sort_by_key(|run| run.started);
+            for pair in runs.windows(2) {
+                let ended = pair[0].ended.is_some_and(|ended| ended <= pair[1].started);
+                assert!(ended, "{task:?} ran in two places: {pair:?}");
+            }
+        }
+    }
+
+    fn with<T>(&self, run: impl FnOnce(&mut FleetState) -> T) -> T {
+        run(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn call<T>(
+        &self,
+        address: SocketAddr,
+        call: impl FnOnce(&mut WorkerModel, Millis) -> T,
+    ) -> Result<T, PlatformError> {
+        let now = self.now();
+        self.with(|state| {
+            state.calls += 1;
+            let lost = || HttpError::Lost("no answer in time".into());
+            let worker = state.workers.get_mut(&address).ok_or_else(lost)?;
+            if !worker.is_reachable {
+                return Err(lost().into());
+            }
+            let answer = call(&mut worker.model, now);
+            let is_lost = worker.lost_answers > 0;
+            worker.lost_answers = worker.lost_answers.saturating_sub(1);
+            state.collect(now);
+            if is_lost {
+                Err(lost().into())
+            } else {
+                Ok(answer)
+            }
+        })
+    }
+}
+
+impl FleetState {
+    fn collect(&mut self, now: Millis) {
+        for worker in self.workers.values_mut() {
+            worker.model.advance(now);
+            for (at, action) in worker.model.take_actions() {
+                match action {
+                    WorkerAction::Started(start, epoch) => {
+                        self.open.insert(start.attempt.clone(), self.runs.len());
+                        self.runs.push(RunRecord {
+                            worker: worker.name.clone(),
+                            attempt: start.attempt,
+                            task: start.task,
+                            epoch,
+                            started: at,
+                            ended: None,
+                        });
+                    }
+                    WorkerAction::Ended(attempt, _) => {
+                        if let Some(index) = self.open.remove(&attempt) {
+                            self.runs[index].ended = Some(at);
+                        }
+                    }
+                    WorkerAction::Refused(..) => {}
+                }
+            }
+        }
+    }
+}
+
+/// The workers as one daemon reaches them.
+pub struct GatedFleet {
+    /// The workers.
+    pub fleet: Arc<FakeFleet>,
+    /// Holds the daemon's calls up.
+    pub gate: PauseGate,
+}
+
+impl WorkerClient for GatedFleet {
+    fn status<'a>(
+        &'a self,
+        worker: SocketAddr,
+        partition: &'a str,
+    ) -> BoxFuture<'a, Result<WorkerReport, PlatformError>> {
+        Box::pin(async move {
+            self.gate.pass().await;
+            self.fleet
+                .call(worker, |model, now| model.report(now, partition, None))
+        })
+    }
+
+    fn fence<'a>(
+        &'a self,
+        worker: SocketAddr,
+        request: &'a FenceRequest,
+    ) -> BoxFuture<'a, Result<CommandAnswer, PlatformError>> {
+        Box::pin(async move {
+            self.gate.pass().await;
+            let answer = self
+                .fleet
+                .call(worker, |model, now| model.fence(now, request));
+            self.gate.pass().await;
+            answer
+        })
+    }
+
+    fn command<'a>(
+        &'a self,
+        worker: SocketAddr,
+        batch: &'a CommandBatch,
+    ) -> BoxFuture<'a, Result<CommandAnswer, PlatformError>> {
+        Box::pin(async move {
+            self.gate.pass().await;
+            let answer = self
+                .fleet
+                .call(worker, |model, now| model.command(now, batch));
+            self.gate.pass().await;
+            answer
+        })
+    }
+}
--- /dev/null
+++ b/crates/magnolia-daemon/tests/cell/log.rs
@@ -0,0 +1,148 @@
+//! A log in memory that refuses, loses answers or forgets old records on demand.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use magnolia_http::HttpError;
+use magnolia_platform::{LogPage, LogRecord, LogService, PlatformError};
+use magnolia_types::{LogOffset, Millis};
+
+use super::gate::PauseGate;
+
+#[derive(Default)]
+struct LogState {
+    streams: HashMap<String, Vec<Bytes>>,
+    first: HashMap<String, usize>,
+    is_away: bool,
+    lost_answers: u32,
+    appends: u64,
+}
+
+/// The log that all daemons of a test share.
+#[derive(Default)]
+pub struct FakeLog {
+    state: Mutex<LogState>,
+}
+
+impl FakeLog {
+    /// Makes every call fail without effect, or ends that.
+    pub fn set_away(&self, is_away: bool) {
+        self.with(|state| state.is_away = is_away);
+    }
+
+    /// Lets the next appends take effect without an answer.
+    pub fn lose_answers(&self, count: u32) {
+        self.with(|state| state.lost_answers = count);
+    }
+
+    /// Forgets the records of a stream before `first`.
+    pub fn trim(&self, stream: &str, first: usize) {
+        self.with(|state| state.first.insert(stream.to_owned(), first));
+    }
+
+    /// Returns the records of a stream that were ever appended.
+    pub fn records(&self, stream: &str) -> Vec<Bytes> {
+        self.with(|state| state.streams.get(stream).cloned().unwrap_or_default())
+    }
+
+    /// Returns the number of appends so far.
+    pub fn appends(&self) -> u64 {
+        self.with(|state| state.appends)
+    }
+
+    fn with<T>(&self, run: impl FnOnce(&mut LogState) -> T) -> T {
+        run(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn append_now(&self, stream: &str, data: Bytes) -> Result<LogOffset, PlatformError> {
+        self.with(|state| {
+            if state.is_away {
+                return Err(PlatformError::new_refused(503, b"away"));
+            }
+            state.appends += 1;
+            let records = state.streams.entry(stream.to_owned()).or_default();
+            records.push(data);
+            let offset = LogOffset::new(records.len() as u64 - 1);
+            if state.lost_answers > 0 {
+                state.lost_answers -= 1;
+                return Err(HttpError::Lost("the answer was dropped".into()).into());
+            }
+            Ok(offset)
+        })
+    }
+
+    fn read_now(
+        &self,
+        stream: &str,
+        from: LogOffset,
+        max: usize,
+    ) -> Result<LogPage, PlatformError> {
+        self.with(|state| {
+            if state.is_away {
+                return Err(PlatformError::new_refused(503, b"away"));
+            }
+            let first = state.first.get(stream).copied().unwrap_or(0);
+            let records = state
+                .streams
+                .get(stream)
+                .map(Vec::as_slice)
+                .unwrap_or_default();
+            let from = usize::try_from(from.get()).unwrap_or(usize::MAX).max(first);
+            let found = (0..).zip(records).skip(from).take(max);
+            Ok(LogPage {
+                first: LogOffset::new(first as u64),
+                next: LogOffset::new(records.len() as u64),
+                records: found
+                    .map(|(offset, data)| LogRecord {
+                        offset: LogOffset::new(offset),
+                        data: data.clone(),
+                    })
+                    .collect(),
+            })
+        })
+    }
+}
+
+/// The log as one daemon reaches it.
+pub struct GatedLog {
+    /// The log.
+    pub log: Arc<FakeLog>,
+    /// Holds the daemon's calls up.
+    pub gate: PauseGate,
+    /// Time that an append takes.
+    pub delay: Duration,
+}
+
+impl LogService for GatedLog {
+    fn append<'a>(
+        &'a self,
+        stream: &'a str,
+        data: Bytes,
+    ) -> BoxFuture<'a, Result<LogOffset, PlatformError>> {
+        Box::pin(async move {
+            self.gate.pass().await;
+            tokio::time::sleep(self.delay).await;
+            let result = self.log.append_now(stream, data);
+            self.gate.pass().await;
+            result
+        })
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a str,
+        from: LogOffset,
+        _wait: Millis,
+        max: usize,
+    ) -> BoxFuture<'a, Result<LogPage, PlatformError>> {
+        Box::pin(async move {
+            self.gate.pass().await;
+            let result = self.log.read_now(stream, from, max);
+            self.gate.pass().await;
+            result
+        })
+    }
+}
--- /dev/null
+++ b/crates/magnolia-daemon/tests/takeover.rs
@@ -0,0 +1,256 @@
+//! Owners that end, pause or hand over while tasks run.
+
+mod cell;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cell::{LEASE_MS, TestCell, batch, eventually, unit, worker_address};
+use magnolia_daemon::partition::{hand_over, stop_owner};
+use magnolia_daemon::{InnerHandler, MemberEntry};
+use magnolia_protocol::{JobOperation, JobReply};
+use magnolia_types::{Epoch, JobState, Millis, ResultCode};
+use tokio::net::TcpListener;
+
+/// Guards against tasks that are lost, run twice or wait for ever after the owner was killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_go_on_after_a_killed_owner() {
+    let cell = TestCell::new(4);
+    let (first, second) = (cell.daemon("d1"), cell.daemon("d2"));
+    first.claim(1).await;
+    let job = first.submit(batch(64, 300)).await;
+    eventually("tasks run", || cell.fleet.runs().len() >= 32).await;
+    first.gate.set_open(false);
+    let killed = cell.fleet.now();
+    second.claim(2).await;
+    let view = second.wait_state(&job, JobState::Done).await;
+    assert_eq!(view.tasks.done, 64);
+    cell.fleet.assert_single_runs();
+    let runs = cell.fleet.runs();
+    let next = runs
+        .iter()
+        .filter(|run| run.epoch == Epoch::new(2))
+        .map(|run| run.started)
+        .min();
+    let gap = next.expect("a start").saturating_sub(killed);
+    println!("time from the kill to the first start of the next owner: {gap}");
+    assert!(second.counter("attempts.adopted") > 0);
+}
+
+/// Guards against a paused owner that goes on placing tasks when it wakes up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_owner_that_wakes_late_changes_nothing() {
+    let cell = TestCell::new(2);
+    let (first, second) = (cell.daemon("d1"), cell.daemon("d2"));
+    first.claim(1).await;
+    let job = first.submit(batch(80, 200)).await;
+    eventually("tasks run", || cell.fleet.runs().len() >= 8).await;
+    first.gate.set_open(false);
+    second.claim(2).await;
+    eventually("the next owner places", || {
+        cell.fleet
+            .runs()
+            .iter()
+            .any(|run| run.epoch == Epoch::new(2))
+    })
+    .await;
+    let woken = cell.fleet.now();
+    first.gate.set_open(true);
+    eventually("the first owner stops", || {
+        first.context.partitions.get(&unit()).is_none()
+    })
+    .await;
+    second.wait_state(&job, JobState::Done).await;
+    cell.fleet.assert_single_runs();
+    let late = cell
+        .fleet
+        .runs()
+        .into_iter()
+        .filter(|run| run.epoch == Epoch::new(1));
+    assert!(
+        late.clone().all(|run| run.started <= woken),
+        "a start of the old owner"
+    );
+}
+
+/// Guards against old tasks that are placed while an unreachable worker may still run them, and
+/// against waiting for ever once the end of the earlier owner is proved.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unreachable_worker_is_waited_out_after_proof() {
+    let cell = TestCell::new(2);
+    let daemon = cell.daemon("d1");
+    daemon.claim(1).await;
+    let job = daemon.submit(batch(16, 600_000)).await;
+    eventually("all tasks run", || cell.fleet.runs().len() == 16).await;
+    cell.fleet.set_reachable(worker_address(0), false);
+    // An owner in the same process is proved to have ended when it was stopped.
+    stop_owner(&daemon.context, &unit(), Epoch::new(2));
+    eventually("the owner stops", || {
+        daemon.context.partitions.get(&unit()).is_none()
+    })
+    .await;
+    daemon.claim(2).await;
+    let new = daemon.submit(batch(1, 1)).await;
+    eventually("the lease ends", || {
+        let runs = cell.fleet.runs();
+        runs.iter().filter(|run| run.ended.is_some()).count() >= 8
+    })
+    .await;
+    cell.fleet.assert_single_runs();
+    let view = daemon.view(&job).await.expect("the job");
+    assert_eq!(view.tasks.running + view.tasks.waiting, 16);
+    // The new task needs room on the reachable worker, which is full until the job is cancelled.
+    daemon
+        .run(JobOperation::Cancel {
+            jobs: vec![job.clone()],
+        })
+        .await;
+    daemon.wait_state(&new, JobState::Done).await;
+    daemon.wait_state(&job, JobState::Cancelled).await;
+}
+
+/// Guards against a planned handover that waits for fences, loses tasks or runs them twice: one
+/// worker does not answer, and the waiting tasks start on the other one before any lease ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_handover_needs_no_fencing_wait() {
+    let cell = TestCell::new(2);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let (first, second) = (cell.daemon("d1"), cell.daemon_at("d2", address));
+    second
+        .context
+        .phase
+        .send_replace(magnolia_daemon::LifecyclePhase::Ready);
+    let handler = Arc::new(InnerHandler::new(Arc::clone(&second.context)));
+    let stop = std::future::pending();
+    tokio::spawn(magnolia_http::serve(
+        listener,
+        handler,
+        stop,
+        Duration::ZERO,
+    ));
+    first.claim(1).await;
+    let job = first.submit(batch(40, 400)).await;
+    eventually("tasks run", || cell.fleet.runs().len() >= 16).await;
+    cell.fleet.set_reachable(worker_address(0), false);
+    let successor = MemberEntry {
+        daemon: second.context.identity.daemon.clone(),
+        address,
+        data_centre: second.context.identity.data_centre.clone(),
+    };
+    let began = cell.fleet.now();
+    assert!(hand_over(&first.context, &unit(), &successor).await);
+    assert!(first.context.partitions.get(&unit()).is_none());
+    second.claim(2).await;
+    eventually("the next owner places", || {
+        cell.fleet
+            .runs()
+            .iter()
+            .any(|run| run.epoch == Epoch::new(2))
+    })
+    .await;
+    assert_eq!(second.counter("partition.handovers_taken"), 1);
+    let runs = cell.fleet.runs();
+    let next = runs
+        .iter()
+        .filter(|run| run.epoch == Epoch::new(2))
+        .map(|run| run.started)
+        .min();
+    let gap = next.expect("a start").saturating_sub(began);
+    println!("time from the begin of the handover to the first start of the next owner: {gap}");
+    second.wait_state(&job, JobState::Done).await;
+    cell.fleet.assert_single_runs();
+}
+
+/// Guards against an intent that is sent after a takeover, or a key that is free again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_intent_without_an_outcome_is_unknown_after_a_takeover() {
+    let cell = TestCell::new(1);
+    let (first, second) = (cell.daemon("d1"), cell.daemon("d2"));
+    first.claim(1).await;
+    first.submit(batch(1, 1)).await;
+    let spec = magnolia_types::QuickSpec {
+        customer: "guild".parse().expect("a name"),
+        class: "batch".parse().expect("a name"),
+        deadline_ms: Millis::from_secs(5),
+        body: "once".into(),
+        repeatable: false,
+        idempotency_key: Some("k1".parse().expect("a key")),
+    };
+    let operation = |request: &str| JobOperation::RunOnce {
+        request: request.parse().expect("an id"),
+        spec: spec.clone(),
+    };
+    // The intent reaches the log, and the owner is paused before it learns of that.
+    cell.log.lose_answers(u32::MAX);
+    let before = cell.log.records(cell::JOURNAL).len();
+    let context = Arc::clone(&first.context);
+    let intent = operation("r1");
+    let asked = tokio::spawn(async move {
+        magnolia_daemon::partition::run_local(&context, cell::PARTITION, intent).await
+    });
+    eventually("the intent is written", || {
+        cell.log.records(cell::JOURNAL).len() > before
+    })
+    .await;
+    first.gate.set_open(false);
+    cell.log.lose_answers(0);
+    second.claim(2).await;
+    second.submit(batch(1, 1)).await;
+    let repeated = second.run(operation("r2")).await;
+    let JobReply::Once(outcome) = repeated else {
+        panic!("another reply: {repeated:?}");
+    };
+    assert_eq!(outcome.code, ResultCode::OutcomeUnknown);
+    first.gate.set_open(true);
+    let first_reply = asked.await.expect("a reply");
+    assert!(
+        matches!(
+            first_reply,
+            JobReply::Refused {
+                code: ResultCode::NotOwner,
+                ..
+            }
+        ),
+        "{first_reply:?}"
+    );
+    let mut other = spec.clone();
+    other.body = "twice".into();
+    let reused = JobOperation::RunOnce {
+        request: "r3".parse().expect("an id"),
+        spec: other,
+    };
+    let reused = second.run(reused).await;
+    assert!(matches!(
+        reused,
+        JobReply::Refused {
+            code: ResultCode::KeyReused,
+            ..
+        }
+    ));
+}
+
+/// Guards against work marked as not repeatable running twice when its worker is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_task_that_may_not_repeat_is_unknown_after_its_worker_is_lost() {
+    let cell = TestCell::new(2);
+    let daemon = cell.daemon("d1");
+    daemon.claim(1).await;
+    let mut spec = batch(1, 600_000);
+    spec.repeatable = false;
+    spec.idempotency_key = Some("k1".parse().expect("a key"));
+    let job = daemon.submit(spec.clone()).await;
+    eventually("the task runs", || cell.fleet.runs().len() == 1).await;
+    let worker = cell.fleet.runs()[0].worker.clone();
+    let index = usize::from(worker.as_str() != "w000");
+    cell.fleet.set_reachable(worker_address(index), false);
+    daemon.wait_state(&job, JobState::Unknown).await;
+    assert_eq!(
+        daemon.submit(spec).await,
+        job,
+        "the key gives the first job"
+    );
+    cell.fleet.set_reachable(worker_address(index), true);
+    tokio::time::sleep(Duration::from_millis(LEASE_MS)).await;
+    assert_eq!(cell.fleet.runs().len(), 1);
+}
