--- a/crates/magnolia-daemon/src/partition/describe.rs
+++ b/crates/magnolia-daemon/src/partition/describe.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use magnolia_policy::WorkerCondition;
+use magnolia_types::JobState;
 use serde_json::{Value, json};
 
 use super::owner::{OwnerPhase, PartitionOwner};
@@ -10,10 +11,9 @@
 impl PartitionOwner {
     /// Describes jobs by state, workers by condition, the journal and the takeover.
     pub(super) fn describe(&self) -> Value {
-        let mut jobs: BTreeMap<String, u32> = BTreeMap::new();
+        let mut jobs: BTreeMap<&str, u32> = BTreeMap::new();
         for (_, entry) in self.table.iter() {
-            let state = format!("{:?}", entry.state()).to_lowercase();
-            *jobs.entry(state).or_default() += 1;
+            *jobs.entry(state_name(entry.state())).or_default() += 1;
         }
         let mut workers: BTreeMap<&str, u32> = BTreeMap::new();
         for link in self.links.values() {
@@ -49,3 +49,14 @@
         })
     }
 }
+
+fn state_name(state: JobState) -> &'static str {
+    match state {
+        JobState::Waiting => "waiting",
+        JobState::Running => "running",
+        JobState::Done => "done",
+        JobState::Failed => "failed",
+        JobState::Cancelled => "cancelled",
+        JobState::Unknown => "unknown",
+    }
+}
--- a/crates/magnolia-daemon/src/partition/fencing.rs
+++ b/crates/magnolia-daemon/src/partition/fencing.rs
@@ -31,10 +31,11 @@
         self.phase = OwnerPhase::Serving;
         self.collect_unseen();
         let is_first = self.earlier_owners().next().is_none();
-        self.tracker = TakeoverTracker::new(epoch, self.lease, self.workers_to_fence());
+        let lease = self.lease.max(self.table.longest_lease());
+        self.tracker = TakeoverTracker::new(epoch, lease, self.workers_to_fence());
         if journal.handed_over || is_first {
             self.tracker = self.tracker.clone().with_confirmed_end();
-            self.bound_unseen(now);
+            self.bound_unseen(now, lease);
         }
         log::info!(
             "{}: journal read up to {}, {} jobs, handed over: {}",
@@ -43,6 +44,7 @@
             self.table.iter().count(),
             journal.handed_over
         );
+        self.journal_lease();
         self.resolve_open_intents();
         let needs_no_fences = self.tracker.is_complete();
         for (worker, (report, received)) in std::mem::take(&mut self.early_reports) {
@@ -194,6 +196,15 @@
         self.enqueue_all();
     }
 
+    /// Tells later owners how long the leases of this one are, if they are longer than before.
+    pub(super) fn journal_lease(&mut self) {
+        if self.lease > self.table.longest_lease() {
+            let entry = JournalEntry::LeaseGranted { lease: self.lease };
+            self.table.apply(self.claim.epoch, &entry);
+            self.committer.push(entry, None, self.now());
+        }
+    }
+
     fn enqueue_all(&mut self) {
         let jobs: Vec<JobId> = self.table.iter().map(|(job, _)| job.clone()).collect();
         jobs.iter().for_each(|job| self.enqueue_ready(job));
@@ -219,8 +230,8 @@
     }
 
     /// Bounds the leases of unseen attempts when the earlier owner has ended before `now`.
-    fn bound_unseen(&mut self, now: Millis) {
-        let until = now.saturating_add(with_drift(self.lease));
+    fn bound_unseen(&mut self, now: Millis, lease: Millis) {
+        let until = now.saturating_add(with_drift(lease));
         for (worker, unseen) in &self.unseen {
             for (task, attempt) in unseen {
                 self.book.adopted(worker, attempt.clone(), until);
--- a/crates/magnolia-daemon/src/partition/inventory.rs
+++ b/crates/magnolia-daemon/src/partition/inventory.rs
@@ -17,6 +17,7 @@
         let added = self.take_inventory(document);
         if !matches!(self.phase, OwnerPhase::Opening) {
             // Until the journal is open, the tracker is built anew from all links.
+            self.journal_lease();
             for worker in added {
                 self.tracker.add_worker(worker);
             }
--- a/crates/magnolia-daemon/src/partition/lifecycle.rs
+++ b/crates/magnolia-daemon/src/partition/lifecycle.rs
@@ -92,7 +92,8 @@
 
 /// Stops the owner of a partition as planned and passes its state to `successor`.
 ///
-/// Returns whether the successor has taken it. The owner has stopped in either case.
+/// Returns whether the successor has taken it. An owner that was still reading its journal goes on;
+/// any other has stopped in either case.
 pub async fn hand_over(
     context: &Arc<DaemonContext>,
     unit: &UnitId,
--- a/crates/magnolia-daemon/src/partition/owner.rs
+++ b/crates/magnolia-daemon/src/partition/owner.rs
@@ -25,6 +25,8 @@
 
 /// Time between two looks at leases, renewals and deadlines.
 const TICK: Duration = Duration::from_millis(20);
+/// Shortest time between two looks at all workers, so that events of many share one.
+const DRIVE_GAP: Millis = Millis::new(5);
 /// Time between two descriptions for the state dump.
 const DESCRIBE_INTERVAL: Millis = Millis::new(500);
 /// Time between two rounds of forgetting.
@@ -96,6 +98,7 @@
     pub(super) confirm_after: Millis,
     pub(super) place_due: bool,
     pub(super) snapshots: u64,
+    drive_at: Millis,
     description: Arc<Mutex<Value>>,
     describe_at: Millis,
     forget_at: Millis,
@@ -149,6 +152,7 @@
             confirm_after: zero,
             place_due: false,
             snapshots: 0,
+            drive_at: zero,
             description,
             describe_at: zero,
             forget_at: now.saturating_add(FORGET_INTERVAL),
@@ -280,7 +284,11 @@
             self.place_due = false;
             self.place();
         }
-        self.drive_workers();
+        let now = self.now();
+        if now >= self.drive_at {
+            self.drive_at = now.saturating_add(DRIVE_GAP);
+            self.drive_workers();
+        }
         self.drive_journal();
         self.drive_drain();
     }
--- a/crates/magnolia-daemon/src/partition/placing.rs
+++ b/crates/magnolia-daemon/src/partition/placing.rs
@@ -14,7 +14,7 @@
 
 use super::events::JournalWaiter;
 use super::owner::{OwnedAttempt, PartitionOwner, wall_clock};
-use super::worker_link::{AttemptOrder, LinkedStart};
+use super::worker_link::{AttemptOrder, LinkedStart, WorkerLink};
 use crate::metrics::names;
 
 /// Most starts of one placement, so that events are taken in between.
@@ -284,6 +284,13 @@
     /// Stops one task of each service on workers that leave, so that it starts elsewhere; the next
     /// one follows once none of the service waits or stops.
     pub(super) fn move_services(&mut self) {
+        let leaving = |link: &WorkerLink| {
+            let view = link.view.as_ref();
+            view.is_some_and(|view| view.condition == WorkerCondition::Leaving)
+        };
+        if !self.links.values().any(leaving) {
+            return;
+        }
         let mut moved: Vec<(WorkerId, AttemptId)> = Vec::new();
         for (job, entry) in self.table.iter() {
             let moves = entry.spec.kind == JobKind::Service
@@ -292,10 +299,7 @@
             if !moves {
                 continue;
             }
-            let on_leaving = |worker: &WorkerId| {
-                let view = self.links.get(worker).and_then(|link| link.view.as_ref());
-                view.is_some_and(|view| view.condition == WorkerCondition::Leaving)
-            };
+            let on_leaving = |worker: &WorkerId| self.links.get(worker).is_some_and(leaving);
             let is_stopping = entry.running().any(|(_, running)| {
                 let link = self.links.get(&running.worker);
                 link.is_some_and(|link| link.orders.contains_key(&running.attempt))
--- a/crates/magnolia-daemon/tests/cell/mod.rs
+++ b/crates/magnolia-daemon/tests/cell/mod.rs
@@ -171,7 +171,10 @@
             };
             match self.run(operation).await {
                 JobReply::Job(view) => return view.job,
-                JobReply::Refused { code, .. } if code == ResultCode::NoOwner => {}
+                JobReply::Refused {
+                    code: ResultCode::NoOwner,
+                    ..
+                } => {}
                 other => panic!("not accepted: {other:?}"),
             }
             assert!(started.elapsed() < PATIENCE, "the owner does not open");
--- /dev/null
+++ b/crates/magnolia-daemon/tests/placement_load.rs
@@ -0,0 +1,81 @@
+//! Measurements of an owner; run with `--ignored --nocapture`.
+
+mod cell;
+
+use std::time::{Duration, Instant};
+
+use cell::{TestCell, batch, eventually, unit};
+use magnolia_types::{Epoch, JobState, Millis};
+
+/// Workers of a partition at its full size.
+const WORKERS: usize = 250;
+/// Time of the measured load.
+const LOAD_TIME: Duration = Duration::from_secs(5);
+
+/// Guards against placements that need an append each: the log takes a few hundred a second.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "a measurement of several seconds"]
+async fn appends_at_full_placement_load() {
+    let cell = TestCell::new(WORKERS);
+    let daemon = cell.daemon("d1");
+    daemon.claim(1).await;
+    let warm = daemon.submit(batch(1, 1)).await;
+    daemon.wait_state(&warm, JobState::Done).await;
+    for _ in 0..20 {
+        daemon.submit(batch(2000, 400)).await;
+    }
+    let (appends, calls, starts) = (
+        cell.log.appends(),
+        cell.fleet.calls(),
+        cell.fleet.runs().len(),
+    );
+    let began = Instant::now();
+    tokio::time::sleep(LOAD_TIME).await;
+    let seconds = began.elapsed().as_secs_f64();
+    let appends = cell.log.appends() - appends;
+    let starts = cell.fleet.runs().len() - starts;
+    let calls = cell.fleet.calls() - calls;
+    let dump = daemon.context.partitions.dump();
+    println!("{WORKERS} workers, tasks of 400 ms");
+    println!("starts a second: {:.0}", starts as f64 / seconds);
+    println!("appends a second: {:.1}", appends as f64 / seconds);
+    println!("worker messages a second: {:.0}", calls as f64 / seconds);
+    println!("journal: {}", dump[unit().as_str()]["journal"]);
+    assert!(appends as f64 / seconds < 100.0);
+}
+
+/// Measures how long nothing is placed after the owner was killed, from the claim of the next one.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "a measurement of several seconds"]
+async fn time_without_placements_after_a_kill() {
+    for round in 0..5 {
+        let cell = TestCell::new(WORKERS);
+        let (first, second) = (cell.daemon("d1"), cell.daemon("d2"));
+        first.claim(1).await;
+        // Three times the room of the fleet, so that tasks wait, and ends free room all the time.
+        for _ in 0..30 {
+            first.submit(batch(200, 100 + 10 * round)).await;
+        }
+        eventually("tasks run", || cell.fleet.runs().len() >= 2000).await;
+        first.gate.set_open(false);
+        let killed = cell.fleet.now();
+        second.claim(2).await;
+        let next = |at: Epoch| {
+            let runs = cell.fleet.runs();
+            let starts = runs.iter().filter(|run| run.epoch == at);
+            starts.map(|run| run.started).min()
+        };
+        eventually("the next owner places", || next(Epoch::new(2)).is_some()).await;
+        let runs = cell.fleet.runs();
+        let before = runs.iter().filter(|run| run.epoch == Epoch::new(1));
+        let last = before.map(|run| run.started).max().unwrap_or_default();
+        let start = next(Epoch::new(2)).unwrap_or_default();
+        let since = |from: Millis| start.saturating_sub(from);
+        println!(
+            "{} after the claim, {} after the last start",
+            since(killed),
+            since(last)
+        );
+        cell.fleet.assert_single_runs();
+    }
+}
--- a/crates/magnolia-state/src/jobs/job_table.rs
+++ b/crates/magnolia-state/src/jobs/job_table.rs
@@ -52,6 +52,8 @@
     keys: BTreeMap<(CustomerName, IdempotencyKey), KeyEntry>,
     /// Owners since the last completed takeover.
     owners: Vec<(Epoch, DaemonId, Incarnation)>,
+    /// Longest lease that an owner has granted.
+    longest_lease: Millis,
     /// Final jobs in the order of their ends.
     finals: BTreeSet<(Millis, JobId)>,
     #[serde(skip)]
@@ -150,6 +152,9 @@
                 daemon,
                 incarnation,
             } => self.note_owner(epoch, daemon.clone(), *incarnation),
+            JournalEntry::LeaseGranted { lease } => {
+                self.longest_lease = self.longest_lease.max(*lease)
+            }
             JournalEntry::TakeoverDone => self.owners.retain(|owner| owner.0 >= epoch),
             JournalEntry::SnapshotPart { .. } => {}
         }
@@ -316,6 +321,11 @@
         &self.owners
     }
 
+    /// Returns the longest lease that an owner has granted; the rules may have changed since.
+    pub fn longest_lease(&self) -> Millis {
+        self.longest_lease
+    }
+
     /// Returns a job.
     pub fn get(&self, job: &JobId) -> Option<&JobEntry> {
         self.jobs.get(job)
--- a/crates/magnolia-state/src/journal/record.rs
+++ b/crates/magnolia-state/src/journal/record.rs
@@ -48,6 +48,11 @@
         },
         /// The owner has fenced or waited out every worker; earlier owners no longer matter.
         TakeoverDone,
+        /// The owner grants leases of this length.
+        LeaseGranted {
+            /// Length of a lease.
+            lease: Millis,
+        },
         /// A job was accepted.
         JobAccepted {
             /// The job.
