--- a/crates/magnolia-daemon/tests/cell/mod.rs
+++ b/crates/magnolia-daemon/tests/cell/mod.rs
@@ -13,13 +13,15 @@
 use bytes::Bytes;
 use magnolia_config::{CellConfig, ConfigDocument};
 use magnolia_daemon::partition::{run_local, start_owner};
-use magnolia_daemon::{DaemonContext, DaemonSettings};
+use magnolia_daemon::{DaemonContext, DaemonSettings, InnerHandler, LifecyclePhase, MemberEntry};
 use magnolia_protocol::{JobOperation, JobReply, JobView, encode};
 use magnolia_state::{ClaimChange, ClaimRecord};
 use magnolia_types::{
     Epoch, JobId, JobKind, JobSpec, JobState, Millis, ResourceVector, ResultCode, UnitId,
 };
 
+use tokio::net::TcpListener;
+
 use fleet::{FakeFleet, GatedFleet};
 use gate::PauseGate;
 use log::{FakeLog, GatedLog};
@@ -97,6 +99,29 @@
         self.daemon_at(name, SocketAddr::from(([127, 0, 0, 1], 9)))
     }
 
+    /// Creates a daemon that answers calls of other daemons.
+    pub async fn reachable_daemon(&self, name: &str) -> (TestDaemon, MemberEntry) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let daemon = self.daemon_at(name, address);
+        let context = &daemon.context;
+        context.phase.send_replace(LifecyclePhase::Ready);
+        let handler = Arc::new(InnerHandler::new(Arc::clone(context)));
+        let stop = std::future::pending();
+        tokio::spawn(magnolia_http::serve(
+            listener,
+            handler,
+            stop,
+            Duration::ZERO,
+        ));
+        let member = MemberEntry {
+            daemon: context.identity.daemon.clone(),
+            address,
+            data_centre: context.identity.data_centre.clone(),
+        };
+        (daemon, member)
+    }
+
     pub fn daemon_at(&self, name: &str, inner: SocketAddr) -> TestDaemon {
         let args = [
             "magnoliad".into(),
--- a/crates/magnolia-daemon/tests/placement_load.rs
+++ b/crates/magnolia-daemon/tests/placement_load.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use cell::{TestCell, batch, eventually, unit};
+use magnolia_daemon::partition::hand_over;
 use magnolia_types::{Epoch, JobState, Millis};
 
 /// Workers of a partition at its full size.
@@ -60,22 +61,40 @@
         first.gate.set_open(false);
         let killed = cell.fleet.now();
         second.claim(2).await;
-        let next = |at: Epoch| {
-            let runs = cell.fleet.runs();
-            let starts = runs.iter().filter(|run| run.epoch == at);
-            starts.map(|run| run.started).min()
-        };
-        eventually("the next owner places", || next(Epoch::new(2)).is_some()).await;
-        let runs = cell.fleet.runs();
-        let before = runs.iter().filter(|run| run.epoch == Epoch::new(1));
-        let last = before.map(|run| run.started).max().unwrap_or_default();
-        let start = next(Epoch::new(2)).unwrap_or_default();
-        let since = |from: Millis| start.saturating_sub(from);
-        println!(
-            "{} after the claim, {} after the last start",
-            since(killed),
-            since(last)
-        );
-        cell.fleet.assert_single_runs();
+        report_gap(&cell, killed).await;
     }
 }
+
+/// Measures how long nothing is placed in a planned handover, from its begin.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "a measurement of several seconds"]
+async fn time_without_placements_in_a_handover() {
+    for round in 0..5 {
+        let cell = TestCell::new(WORKERS);
+        let first = cell.daemon("d1");
+        let (second, successor) = cell.reachable_daemon("d2").await;
+        first.claim(1).await;
+        for _ in 0..30 {
+            first.submit(batch(200, 100 + 10 * round)).await;
+        }
+        eventually("tasks run", || cell.fleet.runs().len() >= 2000).await;
+        let began = cell.fleet.now();
+        assert!(hand_over(&first.context, &unit(), &successor).await);
+        second.claim(2).await;
+        report_gap(&cell, began).await;
+    }
+}
+
+async fn report_gap(cell: &TestCell, began: Millis) {
+    let starts = |epoch: u64| {
+        let runs = cell.fleet.runs().into_iter();
+        let runs = runs.filter(move |run| run.epoch == Epoch::new(epoch));
+        runs.map(|run| run.started)
+    };
+    eventually("the next owner places", || starts(2).next().is_some()).await;
+    let next = starts(2).min().unwrap_or_default();
+    let last = starts(1).max().unwrap_or_default();
+    let (since_begin, since_last) = (next.saturating_sub(began), next.saturating_sub(last));
+    println!("{since_begin} after the begin, {since_last} after the last start");
+    cell.fleet.assert_single_runs();
+}
--- a/crates/magnolia-daemon/tests/takeover.rs
+++ b/crates/magnolia-daemon/tests/takeover.rs
@@ -7,10 +7,8 @@
 
 use cell::{LEASE_MS, TestCell, batch, eventually, unit, worker_address};
 use magnolia_daemon::partition::{hand_over, stop_owner};
-use magnolia_daemon::{InnerHandler, MemberEntry};
 use magnolia_protocol::{JobOperation, JobReply};
 use magnolia_types::{Epoch, JobState, Millis, ResultCode};
-use tokio::net::TcpListener;
 
 /// Guards against tasks that are lost, run twice or wait for ever after the owner was killed.
 #[tokio::test(flavor = "multi_thread")]
@@ -114,30 +112,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_handover_needs_no_fencing_wait() {
     let cell = TestCell::new(2);
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
-    let address = listener.local_addr().expect("an address");
-    let (first, second) = (cell.daemon("d1"), cell.daemon_at("d2", address));
-    second
-        .context
-        .phase
-        .send_replace(magnolia_daemon::LifecyclePhase::Ready);
-    let handler = Arc::new(InnerHandler::new(Arc::clone(&second.context)));
-    let stop = std::future::pending();
-    tokio::spawn(magnolia_http::serve(
-        listener,
-        handler,
-        stop,
-        Duration::ZERO,
-    ));
+    let first = cell.daemon("d1");
+    let (second, successor) = cell.reachable_daemon("d2").await;
     first.claim(1).await;
     let job = first.submit(batch(40, 400)).await;
     eventually("tasks run", || cell.fleet.runs().len() >= 16).await;
     cell.fleet.set_reachable(worker_address(0), false);
-    let successor = MemberEntry {
-        daemon: second.context.identity.daemon.clone(),
-        address,
-        data_centre: second.context.identity.data_centre.clone(),
-    };
     let began = cell.fleet.now();
     assert!(hand_over(&first.context, &unit(), &successor).await);
     assert!(first.context.partitions.get(&unit()).is_none());
