Confirm claims on demand and test whole daemons in one process

Cause: a group that was just claimed refused requests for up to a quarter of a second, because only a timer confirmed the claim.

Change: reading a claim back counts as a confirmation, and requests wait for one confirmation instead of being refused. New integration tests run whole daemons with stand-ins of the platform: killed and stopped owners, leaving, failing and hanging executors, retry budgets, withdrawn requests, an outage of the log, and a planned stop under load.

--- a/crates/magnolia-daemon/src/ownership/claim_book.rs
+++ b/crates/magnolia-daemon/src/ownership/claim_book.rs
@@ -19,6 +19,8 @@
     changes: watch::Sender<u64>,
     /// Wakes the task that fetches claims from peers that know newer ones.
     pub hints: Notify,
+    /// Held while a confirmation is under way that other requests wait for.
+    pub confirming: tokio::sync::Mutex<()>,
 }
 
 #[derive(Default)]
@@ -49,6 +51,7 @@
             state: Mutex::default(),
             changes: watch::Sender::new(0),
             hints: Notify::new(),
+            confirming: tokio::sync::Mutex::const_new(()),
         }
     }
 
--- a/crates/magnolia-daemon/src/ownership/claimer.rs
+++ b/crates/magnolia-daemon/src/ownership/claimer.rs
@@ -169,6 +169,7 @@
         address: context.identity.address,
     };
     let mut changes = context.claims.subscribe();
+    let asked = context.clock.now();
     context.metrics.count(names::CLAIMS_APPENDED);
     if !append(context, &ClaimChange::Claim(record)).await {
         // The record may have been written all the same; the reader of the stream will tell, and
@@ -186,7 +187,10 @@
             }
         }
     };
-    tokio::time::timeout(READ_BACK_LIMIT, decided).await.ok();
+    if tokio::time::timeout(READ_BACK_LIMIT, decided).await.is_ok() {
+        // The stream was read up to a record that is younger than this moment.
+        context.claims.record_word(asked);
+    }
 }
 
 async fn append(context: &DaemonContext, change: &ClaimChange) -> bool {
--- a/crates/magnolia-daemon/src/ownership/confirmation.rs
+++ b/crates/magnolia-daemon/src/ownership/confirmation.rs
@@ -45,6 +45,19 @@
         self.own_claim(unit).is_some()
     }
 
+    /// Tells whether the owner of an executor group may send, after a confirmation if needed.
+    pub async fn ensure_fresh(&self, unit: &UnitId) -> bool {
+        if self.is_fresh() {
+            return true;
+        }
+        // One confirmation serves all requests that wait for it.
+        let _confirming = self.claims.confirming.lock().await;
+        if !self.is_fresh() {
+            self.confirm_claim(unit).await;
+        }
+        self.is_fresh()
+    }
+
     /// Tells whether the owner of an executor group may send: its claim was current within the last
     /// two seconds, and this daemon was not paused since.
     pub fn is_fresh(&self) -> bool {
--- a/crates/magnolia-daemon/src/quick/group_runner.rs
+++ b/crates/magnolia-daemon/src/quick/group_runner.rs
@@ -59,7 +59,7 @@
                 Err(refusal) if state.give_up() == Ran::No => return refusal,
                 Err(_) => return last,
             };
-            if let Err(refusal) = self.check_may_send() {
+            if let Err(refusal) = self.check_may_send().await {
                 lease.give_back();
                 return if state.give_up() == Ran::No {
                     refusal
@@ -103,8 +103,12 @@
     }
 
     /// Tells whether this daemon may send to executors at this moment.
-    fn check_may_send(&self) -> Result<(), QuickOutcome> {
-        if !self.context.is_fresh() || !self.context.claims.is_current(&self.group.claim) {
+    async fn check_may_send(&self) -> Result<(), QuickOutcome> {
+        let left = self.entry.deadline.saturating_sub(self.context.clock.now());
+        let confirmed = self.context.ensure_fresh(&self.group.claim.unit);
+        let confirmed = tokio::time::timeout(left.into(), confirmed).await;
+        let is_fresh = matches!(confirmed, Ok(true));
+        if !is_fresh || !self.context.claims.is_current(&self.group.claim) {
             self.context.metrics.count(names::QUICK_NOT_FRESH);
             let text = "the ownership of the group is not confirmed";
             return Err(outcome(ResultCode::NotOwner, text));
--- /dev/null
+++ b/crates/magnolia-daemon/tests/quick_requests.rs
@@ -0,0 +1,273 @@
+//! Quick requests through whole daemons: changes of owner, failing and leaving executors, retries.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use magnolia_types::ResultCode;
+use serde_json::Value;
+use support::{ExecutorMode, SLOTS, TestCell, send_request, wait_for};
+
+/// Requests in flight of a flood.
+const FLOOD: usize = 40;
+
+/// Keeps requests in flight through some daemons until told to stop; counts the answers.
+struct Flood {
+    stopping: Arc<AtomicBool>,
+    answered: Arc<AtomicUsize>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Flood {
+    fn start(cell: &TestCell, entries: &[usize]) -> Self {
+        let stopping = Arc::new(AtomicBool::new(false));
+        let answered = Arc::new(AtomicUsize::new(0));
+        let tasks = (0..FLOOD).map(|task| {
+            let address = cell.daemons[entries[task % entries.len()]].callers;
+            let client = cell.client.clone();
+            let (stopping, answered) = (Arc::clone(&stopping), Arc::clone(&answered));
+            tokio::spawn(async move {
+                let mut sent = 0;
+                while !stopping.load(Ordering::SeqCst) {
+                    sent += 1;
+                    let body = format!("{task}-{sent}");
+                    let Ok(answer) = send_request(&client, address, &body, 2000).await else {
+                        continue;
+                    };
+                    if answer.status.is_success() {
+                        let value: Value = answer.json().expect("JSON");
+                        assert_eq!(value["answer"], format!("answer to {body}"));
+                        answered.fetch_add(1, Ordering::SeqCst);
+                    }
+                }
+            })
+        });
+        Self {
+            stopping: Arc::clone(&stopping),
+            answered: Arc::clone(&answered),
+            tasks: tasks.collect(),
+        }
+    }
+
+    /// Waits until some more requests were answered.
+    async fn progress(&self) {
+        let before = self.answered.load(Ordering::SeqCst);
+        wait_for("progress", async || {
+            self.answered.load(Ordering::SeqCst) > before + 2 * FLOOD
+        })
+        .await;
+    }
+
+    async fn stop(self) {
+        self.stopping.store(true, Ordering::SeqCst);
+        for task in self.tasks {
+            task.await.expect("right answers");
+        }
+    }
+}
+
+/// Guards against two owners that both fill the slots of an executor when one takes over after the
+/// other was killed, and against answers to other requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn slots_hold_when_the_owner_is_killed() {
+    let mut cell = TestCell::start(3, &[2]).await;
+    let owner = cell.owner(0).await.expect("an owner");
+    let entries: Vec<usize> = (0..3).filter(|index| *index != owner).collect();
+    for executor in &cell.groups[0] {
+        executor.set_mode(ExecutorMode::Answer(Duration::from_millis(20)));
+    }
+    let flood = Flood::start(&cell, &entries);
+    flood.progress().await;
+    cell.kill(owner);
+    cell.list();
+    flood.progress().await;
+    assert_ne!(cell.owner(0).await, Some(owner));
+    flood.stop().await;
+    for executor in &cell.groups[0] {
+        assert!(executor.requests() > 0);
+        assert!(executor.most_busy() <= SLOTS, "{}", executor.most_busy());
+    }
+}
+
+/// Shows that the executor's own count can exceed its slots, so that the bound above can fail.
+#[tokio::test(flavor = "multi_thread")]
+async fn executor_counts_beyond_its_slots_without_an_owner() {
+    let cell = TestCell::start(1, &[1]).await;
+    let executor = &cell.groups[0][0];
+    executor.set_mode(ExecutorMode::Answer(Duration::from_millis(200)));
+    let calls = (0..SLOTS + 4).map(|_| send_request(&cell.client, executor.address, "x", 1000));
+    join_all(calls).await;
+    assert!(executor.most_busy() > SLOTS);
+}
+
+/// Guards against a group that is handed over with requests still unseen by the new owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn slots_hold_when_the_group_is_handed_over() {
+    let mut cell = TestCell::start(3, &[2]).await;
+    let owner = cell.owner(0).await.expect("an owner");
+    let entries: Vec<usize> = (0..3).filter(|index| *index != owner).collect();
+    for executor in &cell.groups[0] {
+        executor.set_mode(ExecutorMode::Answer(Duration::from_millis(20)));
+    }
+    let flood = Flood::start(&cell, &entries);
+    flood.progress().await;
+    let status = cell.stop(owner).await.expect("an exit status");
+    assert_eq!(status, magnolia_daemon::ExitStatus::Success);
+    flood.progress().await;
+    flood.stop().await;
+    for executor in &cell.groups[0] {
+        assert!(executor.most_busy() <= SLOTS, "{}", executor.most_busy());
+    }
+    // The successor claimed the epoch after the handed-over one, and nobody else claimed.
+    assert_eq!(cell.log.len("claims"), 2);
+}
+
+/// Guards against new work for an executor that says that it leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_executor_gets_nothing_new() {
+    let cell = TestCell::start(2, &[2]).await;
+    let owner = cell.owner(0).await.expect("an owner");
+    let leaving = &cell.groups[0][0];
+    cell.until_answered(0, "before").await;
+    leaving.leave();
+    wait_for("notice of the leaving executor", async || {
+        let state = cell.state(owner).await.unwrap_or_default();
+        let executors = &state["groups"]["groups"]["group:g0"]["executors"];
+        executors
+            .as_array()
+            .is_some_and(|all| all.iter().any(|line| line["leaving"] == true))
+    })
+    .await;
+    let before = leaving.requests();
+    for index in 0..50 {
+        let answer = cell.request(index % 2, "after", 5000).await;
+        assert!(answer.expect("an answer").status.is_success());
+    }
+    assert_eq!(leaving.requests(), before);
+    assert!(cell.groups[0][1].requests() >= 50);
+}
+
+/// Guards against retries that multiply the load when executors fail: of all requests at most a
+/// tenth, and the bursts of the budgets, are tried a second time.
+#[tokio::test(flavor = "multi_thread")]
+async fn retries_stay_within_the_budget_when_all_executors_fail() {
+    let cell = TestCell::start(2, &[2, 2]).await;
+    let executors: Vec<_> = cell.groups.iter().flatten().collect();
+    for executor in &executors {
+        executor.set_mode(ExecutorMode::Refuse);
+    }
+    let requests = 400;
+    for index in 0..requests {
+        let answer = cell.request(index % 2, "x", 300).await.expect("an answer");
+        let body: Value = answer.json().expect("JSON");
+        assert_eq!(body["ran"], "no", "{body}");
+    }
+    let arrived: usize = executors.iter().map(|executor| executor.requests()).sum();
+    // One budget at the owner for each executor, and at each entry for each group.
+    let budgets = executors.len() + 2 * cell.groups.len();
+    let bound = requests + requests / 10 + 10 * budgets;
+    assert!(arrived <= bound, "{arrived} attempts, bound {bound}");
+    // Without a budget each request would have been tried on all executors.
+    assert!(bound < requests * executors.len());
+}
+
+/// Guards against requests that fail although another executor works, and against a failed executor
+/// that never gets work again.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_executor_is_avoided_and_used_again() {
+    let cell = TestCell::start(1, &[2]).await;
+    let [failing, working] = &cell.groups[0][..] else {
+        panic!("two executors");
+    };
+    failing.set_mode(ExecutorMode::Refuse);
+    let mut refused = 0;
+    for _ in 0..50 {
+        let answer = cell.request(0, "x", 2000).await.expect("an answer");
+        refused += usize::from(!answer.status.is_success());
+    }
+    assert_eq!(refused, 0);
+    assert!(working.requests() >= 50);
+    failing.set_mode(ExecutorMode::Answer(Duration::from_millis(1)));
+    let before = failing.requests();
+    wait_for("work for the repaired executor", async || {
+        cell.request(0, "x", 2000).await.expect("an answer");
+        failing.requests() > before + 10
+    })
+    .await;
+}
+
+/// Guards against a request that runs although its caller went away while it was queued.
+#[tokio::test(flavor = "multi_thread")]
+async fn queued_request_of_a_gone_caller_is_withdrawn() {
+    let cell = TestCell::start(1, &[1]).await;
+    let executor = &cell.groups[0][0];
+    executor.set_mode(ExecutorMode::Answer(Duration::from_secs(1)));
+    let address = cell.daemons[0].callers;
+    let blockers: Vec<_> = (0..SLOTS)
+        .map(|_| {
+            let client = cell.client.clone();
+            tokio::spawn(async move { send_request(&client, address, "blocker", 20_000).await })
+        })
+        .collect();
+    wait_for("full slots", async || executor.busy() == SLOTS).await;
+    executor.set_mode(ExecutorMode::Answer(Duration::from_millis(1)));
+    let client = cell.client.clone();
+    let gone =
+        tokio::spawn(async move { send_request(&client, address, "withdrawn", 20_000).await });
+    let queued = async || {
+        let state = cell.state(0).await.unwrap_or_default();
+        state["groups"]["groups"]["group:g0"]["queued"].as_u64()
+    };
+    wait_for("a queued request", async || queued().await == Some(1)).await;
+    gone.abort();
+    wait_for("an empty queue", async || queued().await == Some(0)).await;
+    for blocker in blockers {
+        blocker.await.expect("a task").expect("an answer");
+    }
+    cell.until_answered(0, "later").await;
+    assert_eq!(executor.count_body("withdrawn"), 0);
+    assert_eq!(executor.count_body("later"), 1);
+}
+
+/// Guards against "not run" for requests that an executor took and never answered, and against new
+/// requests on slots that are still held.
+#[tokio::test(flavor = "multi_thread")]
+async fn hanging_executor_leaves_unknown_outcomes_within_its_slots() {
+    let cell = TestCell::start(1, &[1]).await;
+    let executor = &cell.groups[0][0];
+    executor.set_mode(ExecutorMode::Hang);
+    let calls = (0..20).map(|index| {
+        let body = format!("r{index}");
+        let cell = &cell;
+        async move {
+            let answer = cell.request(0, &body, 300).await.expect("an answer");
+            (body, answer.json::<Value>().expect("JSON"))
+        }
+    });
+    for (body, answer) in join_all(calls).await {
+        let arrived = executor.count_body(&body);
+        if answer["ran"] == "no" {
+            assert_eq!(arrived, 0, "{answer}");
+        } else {
+            let unknown = u64::from(ResultCode::OutcomeUnknown.number());
+            assert_eq!(answer["code"].as_u64(), Some(unknown));
+        }
+    }
+    assert!(executor.most_busy() <= SLOTS);
+}
+
+/// Guards against an outage of the log that stops quick requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn quick_requests_go_on_while_the_log_is_away() {
+    let cell = TestCell::start(2, &[1]).await;
+    cell.log.is_away.store(true, Ordering::SeqCst);
+    // Longer than a claim stays confirmed without a new word.
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    for index in 0..20 {
+        let answer = cell.request(index % 2, "x", 2000).await.expect("an answer");
+        assert!(answer.status.is_success(), "{:?}", answer.body);
+    }
+}
--- /dev/null
+++ b/crates/magnolia-daemon/tests/support/mod.rs
@@ -0,0 +1,302 @@
+//! Whole daemons in this process, each on its own runtime, with small stand-ins of the platform.
+
+#![allow(dead_code, reason = "each test binary uses a part")]
+
+mod executor;
+mod platform;
+
+pub use executor::{ExecutorMode, FakeExecutor};
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use magnolia_config::{
+    CellConfig, CellSection, ClassSection, ConfigDocument, CustomerSection, DataCentreSection,
+    ExecutorBlockSection, ExecutorSection, RulesSection,
+};
+use magnolia_daemon::{DaemonSettings, ExitStatus, run_daemon};
+use magnolia_http::{HttpAnswer, HttpClient, HttpError, PoolSettings};
+use magnolia_platform::{InstanceEntry, InstanceKind, InstanceState};
+use magnolia_types::{CustomerName, DataCentreName, ExecutorId, Millis, WorkClass};
+use platform::{FakeInstances, FakeLog};
+use serde_json::{Value, json};
+use tokio::runtime::Runtime;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+/// Longest wait for something that must come about.
+pub const LIMIT: Duration = Duration::from_secs(30);
+/// Slots of each executor.
+pub const SLOTS: u32 = 4;
+
+/// One daemon on its own runtime.
+pub struct TestDaemon {
+    pub name: String,
+    pub callers: SocketAddr,
+    inner: SocketAddr,
+    runtime: Option<Runtime>,
+    stop: Option<oneshot::Sender<()>>,
+    ended: Option<JoinHandle<ExitStatus>>,
+}
+
+/// Daemons, platform and executors.
+pub struct TestCell {
+    pub client: HttpClient,
+    pub daemons: Vec<TestDaemon>,
+    /// Executors of each group.
+    pub groups: Vec<Vec<Arc<FakeExecutor>>>,
+    pub log: Arc<FakeLog>,
+    pub instances: Arc<FakeInstances>,
+    log_address: SocketAddr,
+    instance_address: SocketAddr,
+}
+
+/// Finds an unused loopback address.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+impl TestCell {
+    /// Starts daemons and groups of executors, publishes the inventory and waits until every group
+    /// has an owner and every daemon is ready.
+    pub async fn start(daemons: usize, groups: &[usize]) -> Self {
+        let log = Arc::new(FakeLog::default());
+        let instances = Arc::new(FakeInstances::default());
+        let mut cell = Self {
+            client: HttpClient::new(PoolSettings::new()),
+            daemons: Vec::new(),
+            groups: Vec::new(),
+            log_address: platform::start(Arc::clone(&log) as _).await,
+            instance_address: platform::start(Arc::clone(&instances) as _).await,
+            log,
+            instances,
+        };
+        for (group, count) in groups.iter().enumerate() {
+            let mut executors = Vec::new();
+            for index in 0..*count {
+                executors.push(FakeExecutor::start(&format!("e{group}-{index}"), SLOTS).await);
+            }
+            cell.groups.push(executors);
+        }
+        for index in 0..daemons {
+            cell.start_daemon(&format!("d{index}"));
+        }
+        cell.publish().await;
+        cell.wait_owners().await;
+        cell
+    }
+
+    /// Starts a daemon and lists it.
+    pub fn start_daemon(&mut self, name: &str) {
+        let (callers, inner) = (free_address(), free_address());
+        let args = [
+            "magnoliad".to_owned(),
+            format!("--daemon={name}"),
+            "--data-centre=dc0".to_owned(),
+            format!("--listen={callers}"),
+            format!("--inner-listen={inner}"),
+            format!("--log={}", self.log_address),
+            format!("--instances={}", self.instance_address),
+            "--drain-grace-ms=500".to_owned(),
+        ];
+        let args = args.into_iter().map(Into::into);
+        let settings = DaemonSettings::from_args(args).expect("settings");
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let (stop, stopped) = oneshot::channel();
+        let ended = runtime.spawn(async move {
+            let stop = async {
+                stopped.await.ok();
+            };
+            run_daemon(settings, stop).await.expect("a daemon")
+        });
+        self.daemons.push(TestDaemon {
+            name: name.to_owned(),
+            callers,
+            inner,
+            runtime: Some(runtime),
+            stop: Some(stop),
+            ended: Some(ended),
+        });
+        self.list();
+    }
+
+    /// Ends a daemon at once, with all its connections.
+    pub fn kill(&mut self, index: usize) {
+        let daemon = &mut self.daemons[index];
+        daemon.runtime.take().expect("alive").shutdown_background();
+    }
+
+    /// Tells a daemon to stop; the result is its exit status.
+    pub fn stop(&mut self, index: usize) -> JoinHandle<ExitStatus> {
+        let daemon = &mut self.daemons[index];
+        daemon.stop.take().expect("not stopped").send(()).ok();
+        daemon.ended.take().expect("not stopped")
+    }
+
+    /// Returns the index of the daemon that serves a group, as the daemons themselves say.
+    pub async fn owner(&self, group: usize) -> Option<usize> {
+        for (index, daemon) in self.daemons.iter().enumerate() {
+            if daemon.runtime.is_some()
+                && let Some(state) = self.state(index).await
+                && state["groups"]["groups"][format!("group:g{group}")].is_object()
+            {
+                return Some(index);
+            }
+        }
+        None
+    }
+
+    /// Reads the state dump of a daemon.
+    pub async fn state(&self, index: usize) -> Option<Value> {
+        let daemon = &self.daemons[index];
+        let answer = self.client.get(daemon.callers, "/v1/state", LIMIT).await;
+        answer.ok()?.json().ok()
+    }
+
+    /// Sends a quick request through a daemon.
+    pub async fn request(
+        &self,
+        index: usize,
+        body: &str,
+        deadline_ms: u64,
+    ) -> Result<HttpAnswer, HttpError> {
+        let address = self.daemons[index].callers;
+        send_request(&self.client, address, body, deadline_ms).await
+    }
+
+    /// Sends requests until one is answered.
+    pub async fn until_answered(&self, index: usize, body: &str) {
+        wait_for("an answer", async || {
+            let answer = self.request(index, body, 2000).await;
+            answer.is_ok_and(|answer| answer.status.is_success())
+        })
+        .await;
+    }
+
+    /// Waits until every group has an owner with the status of all its executors.
+    pub async fn wait_owners(&self) {
+        for group in 0..self.groups.len() {
+            let executors = u64::try_from(self.groups[group].len()).expect("a small number");
+            wait_for("an owner with slots", async || {
+                let Some(owner) = self.owner(group).await else {
+                    return false;
+                };
+                let state = self.state(owner).await.unwrap_or_default();
+                let free = state["groups"]["free_slots"][format!("group:g{group}")].as_u64();
+                free == Some(executors * u64::from(SLOTS))
+            })
+            .await;
+        }
+    }
+
+    /// Writes the daemons that are alive into the instance list.
+    pub fn list(&self) {
+        let alive = self
+            .daemons
+            .iter()
+            .filter(|daemon| daemon.runtime.is_some());
+        let entries = alive.map(|daemon| InstanceEntry {
+            instance: daemon.name.as_str().into(),
+            kind: InstanceKind::Entry,
+            address: daemon.inner,
+            data_centre: DataCentreName::new("dc0").expect("a name"),
+            state: InstanceState::Live,
+        });
+        self.instances.set(entries.collect());
+    }
+
+    async fn publish(&self) {
+        let publication = CellConfig::new().publication_to(&self.document(), "test");
+        let address = self.daemons[0].callers;
+        wait_for("a publication", async || {
+            let path = "/v1/config/publish";
+            let answer = self.client.post_json(address, path, &publication, LIMIT);
+            answer.await.is_ok_and(|answer| answer.status.is_success())
+        })
+        .await;
+    }
+
+    fn document(&self) -> ConfigDocument {
+        let centre = DataCentreName::new("dc0").expect("a name");
+        let blocks = self.groups.iter().enumerate().map(|(group, executors)| {
+            let sections = executors.iter().map(|executor| ExecutorSection {
+                name: ExecutorId::new(&executor.name).expect("a name"),
+                address: executor.address,
+            });
+            ExecutorBlockSection {
+                name: format!("g{group}").into(),
+                data_centre: centre.clone(),
+                slots: SLOTS,
+                connections: 16,
+                leaving: false,
+                executors: sections.collect(),
+            }
+        });
+        ConfigDocument {
+            cell: CellSection {
+                name: "test".into(),
+            },
+            rules: RulesSection::default(),
+            data_centres: vec![DataCentreSection {
+                name: centre.clone(),
+                region: "default".into(),
+            }],
+            racks: Vec::new(),
+            executor_blocks: blocks.collect(),
+            customers: vec![CustomerSection {
+                name: CustomerName::new("board").expect("a name"),
+                weight: 1,
+                quota: None,
+                max_queued: 1000,
+            }],
+            classes: vec![ClassSection {
+                name: WorkClass::new("quick").expect("a name"),
+                rank: 7,
+                floor_percent: 20,
+                preemptible: false,
+            }],
+        }
+    }
+}
+
+impl Drop for TestCell {
+    fn drop(&mut self) {
+        // A runtime must not be dropped by waiting in an asynchronous context.
+        for daemon in &mut self.daemons {
+            if let Some(runtime) = daemon.runtime.take() {
+                runtime.shutdown_background();
+            }
+        }
+    }
+}
+
+/// Sends a repeatable quick request.
+pub async fn send_request(
+    client: &HttpClient,
+    address: SocketAddr,
+    body: &str,
+    deadline_ms: u64,
+) -> Result<HttpAnswer, HttpError> {
+    let request = json!({
+        "customer": "board", "class": "quick", "deadline_ms": Millis::new(deadline_ms),
+        "body": body,
+    });
+    client
+        .post_json(address, "/v1/requests", &request, LIMIT)
+        .await
+}
+
+/// Waits until a condition holds.
+pub async fn wait_for(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let deadline = tokio::time::Instant::now() + LIMIT;
+    while !condition().await {
+        assert!(tokio::time::Instant::now() < deadline, "no {what} in time");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
