--- a/crates/magnolia-daemon/src/metrics/names.rs
+++ b/crates/magnolia-daemon/src/metrics/names.rs
@@ -91,6 +91,52 @@
         "Instances in the platform's list.";
     INSTANCES_READ_FAILED = "instances.read_failed", Counter,
         "Failed reads of the instance list.";
+    ATTEMPTS_ADOPTED = "attempts.adopted", Counter,
+        "Attempts found on workers after a takeover and kept.";
+    ATTEMPTS_MISSING = "attempts.missing", Counter,
+        "Attempts that a full report of their worker lacked.";
+    ATTEMPTS_WAITED_OUT = "attempts.waited_out", Counter,
+        "Attempts given up because the lease of a silent worker has ended.";
+    CLAIMS_NOT_CONFIRMED = "claims.not_confirmed", Counter,
+        "Questions for an own claim that did not confirm it.";
+    JOBS_ACCEPTED = "jobs.accepted", Counter,
+        "Jobs that were accepted.";
+    JOBS_FINISHED = "jobs.finished", Counter,
+        "Jobs that became final.";
+    JOURNAL_APPEND_FAILED = "journal.append_failed", Counter,
+        "Appends to a journal without an acknowledgement; they are repeated unchanged.";
+    JOURNAL_APPENDS = "journal.appends", Counter,
+        "Acknowledged appends to the journals of owned partitions.";
+    JOURNAL_FOREIGN = "journal.foreign", Counter,
+        "Records of journals that were skipped because of another writer or form.";
+    JOURNAL_READ_FAILED = "journal.read_failed", Counter,
+        "Failed reads of a journal.";
+    JOURNAL_REPEATED = "journal.repeated", Counter,
+        "Records of journals that were skipped as second copies.";
+    JOURNAL_REPLAYED = "journal.replayed", Counter,
+        "Records of journals that counted when an owner started.";
+    JOURNAL_STALE = "journal.stale", Counter,
+        "Records of journals that were skipped because their owner was superseded.";
+    JOURNAL_TORN = "journal.torn", Counter,
+        "Records of journals that were skipped because of a wrong checksum.";
+    PARTITION_HANDOVERS_TAKEN = "partition.handovers_taken", Counter,
+        "Partitions that were handed over to this daemon.";
+    PARTITION_SUPERSEDED = "partition.superseded", Counter,
+        "Owners of this daemon that stepped down because a later one holds the partition.";
+    PREEMPTIONS_ORDERED = "preemptions.ordered", Counter,
+        "Attempts that were told to give way to more urgent work.";
+    STARTS_DECIDED = "starts.decided", Counter,
+        "Task starts that the placement decided.";
+    STARTS_REFUSED = "starts.refused", Counter,
+        "Task starts that a worker refused.";
+    WORKERS_EXCHANGES = "workers.exchanges", Counter,
+        "Messages to workers besides fences.";
+    WORKERS_NO_ANSWER = "workers.no_answer", Counter,
+        "Messages to workers without an answer.";
+    WORKERS_RESTARTS = "workers.restarts", Counter,
+        "Workers found with a new process.";
+    WORKERS_WRONG_NAME = "workers.wrong_name", Counter,
+        "Answers of a worker under another name than that of the inventory.";
     PAUSES_NOTICED = "pauses.noticed", Counter,
         "Pauses of this process above one second, after which all claims are confirmed.";
     PROBES_FAILED = "probes.failed", Counter,
