--- a/crates/magnolia-lab/src/command.rs
+++ b/crates/magnolia-lab/src/command.rs
@@ -26,10 +26,16 @@
         // A lab that is killed must not leave its cell behind.
         nix::sys::prctl::set_pdeathsig(nix::sys::signal::Signal::SIGKILL).ok();
     }
-    // This one takes every further argument as it is and reports its own usage.
+    // These two take every further argument as it is and report their own usage.
     if args.get(1).is_some_and(|name| name == "daemon") {
         return magnolia_daemon::run_main(args.into_iter().skip(1)).into();
     }
+    if args.get(1).is_some_and(|name| name == "bench") {
+        return bench(&args[2..]);
+    }
+    if args.get(1).is_some_and(|name| name == "ctl") {
+        return magnolia_cli::run_main(args.into_iter().skip(1)).into();
+    }
     let matches = command().get_matches_from(args);
     logforth::starter_log::stderr().apply();
     let runtime = match tokio::runtime::Builder::new_multi_thread()
@@ -46,6 +52,17 @@
     }
 }
 
+fn bench(args: &[OsString]) -> ExitCode {
+    let args: Vec<String> = args
+        .iter()
+        .map(|arg| arg.to_string_lossy().into_owned())
+        .collect();
+    match magnolia_bench::run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
 fn fail(error: &dyn std::fmt::Display) -> ExitCode {
     eprintln!("magnolia-lab: {error}");
     ExitCode::FAILURE
@@ -57,6 +74,8 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .subcommand(Command::new("daemon").about("Runs magnoliad with the arguments that follow"))
+        .subcommand(Command::new("bench").about("Runs benchmarks with the arguments that follow"))
+        .subcommand(Command::new("ctl").about("Runs magnoliactl with the arguments that follow"))
         .subcommand(standin_command("log", "Runs a stand-in of the log service").arg(listen_arg()))
         .subcommand(
             standin_command("instances", "Runs a stand-in of the instance list").arg(listen_arg()),
--- a/crates/magnolia-lab/tests/common/mod.rs
+++ b/crates/magnolia-lab/tests/common/mod.rs
@@ -82,6 +82,10 @@
         count_answers(history, 0, u64::MAX) > 0,
         "no request was answered"
     );
+    let once = count_results(history, 0, u64::MAX, |is_repeatable, result| {
+        !is_repeatable && matches!(result, QuickResult::Answered(_))
+    });
+    assert!(once > 0, "no request that may not repeat was answered");
     assert!(count_done_jobs(history) > 0, "no job was done");
 }
 
