Wait for the stand-ins before a test uses them; let broken variants lie about their size

A test set a fault before the log listened. The scheduler takes the smaller of inventory and status, so a back end must claim the room itself for the broken variants to be reached.

--- a/crates/magnolia-lab/src/cell/builder.rs
+++ b/crates/magnolia-lab/src/cell/builder.rs
@@ -154,7 +154,7 @@
         Ok(cell)
     }
 
-    /// Starts stand-ins and proxies, but no daemon.
+    /// Starts stand-ins and proxies, but no daemon; waits until the stand-ins answer.
     ///
     /// # Errors
     ///
@@ -181,7 +181,7 @@
         let daemons = (0..layout.daemons).map(|index| self.daemon(index));
         let history = HistoryWriter::open(&self.history_folder().join("lab.jsonl"))?;
         let proxies = self.proxies(&history).await?;
-        Ok(RunningCell {
+        let cell = RunningCell {
             client: HttpClient::new(PoolSettings::new()),
             program: self.program.clone(),
             folder: self.folder.clone(),
@@ -193,7 +193,9 @@
             document,
             history,
             standins,
-        })
+        };
+        cell.wait_standins().await?;
+        Ok(cell)
     }
 
     fn history_folder(&self) -> PathBuf {
--- a/crates/magnolia-lab/src/cell/running.rs
+++ b/crates/magnolia-lab/src/cell/running.rs
@@ -350,6 +350,27 @@
         Ok(())
     }
 
+    /// Waits until every stand-in answers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that takes too long.
+    pub(super) async fn wait_standins(&self) -> Result<(), CellError> {
+        let deadline = Instant::now() + START_LIMIT;
+        let workers = (0..self.layout.workers).map(|index| self.worker(index));
+        let executors = (0..self.layout.executors).map(|index| self.executor(index));
+        let standins = [self.log, self.instances].into_iter();
+        for standin in standins.chain(workers).chain(executors) {
+            while let Err(error) = self.client.get(standin, "/faults", CALL_LIMIT).await {
+                if Instant::now() > deadline {
+                    return Err(error.into());
+                }
+                tokio::time::sleep(START_POLL).await;
+            }
+        }
+        Ok(())
+    }
+
     /// Waits until every running daemon is ready.
     ///
     /// # Errors
--- a/crates/magnolia-lab/src/command.rs
+++ b/crates/magnolia-lab/src/command.rs
@@ -26,7 +26,7 @@
         // A lab that is killed must not leave its cell behind.
         nix::sys::prctl::set_pdeathsig(nix::sys::signal::Signal::SIGKILL).ok();
     }
-    // These two take every further argument as it is and report their own usage.
+    // These take every further argument as it is and report their own usage.
     if args.get(1).is_some_and(|name| name == "daemon") {
         return magnolia_daemon::run_main(args.into_iter().skip(1)).into();
     }
--- a/crates/magnolia-lab/src/standin/executor_server.rs
+++ b/crates/magnolia-lab/src/standin/executor_server.rs
@@ -42,6 +42,8 @@
         pub leaving: bool,
         /// Connections opened before this monotonic time are silent; 0 for none.
         pub silent_before_us: u64,
+        /// Broken variant: slots in the status, instead of those it has.
+        pub claimed_slots: Option<u32>,
         /// Broken variant: takes requests and connections beyond its limits.
         pub ignore_limits: bool,
     }
@@ -86,13 +88,14 @@
     }
 
     fn status(&self) -> ExecutorStatus {
+        let faults = self.faults.get();
         ExecutorStatus {
             executor: self.executor.clone(),
-            slots: self.slots,
+            slots: faults.claimed_slots.unwrap_or(self.slots),
             busy: self.busy.load(Ordering::SeqCst),
             max_connections: self.max_connections,
             connections: self.open.load(Ordering::SeqCst),
-            leaving: self.faults.get().leaving,
+            leaving: faults.leaving,
         }
     }
 
--- a/crates/magnolia-lab/src/standin/worker_model.rs
+++ b/crates/magnolia-lab/src/standin/worker_model.rs
@@ -184,7 +184,7 @@
             clock_ms: now,
             epoch: self.epochs.get(partition).copied().unwrap_or_default(),
             leaving: self.faults.leaving,
-            capacity: self.capacity,
+            capacity: self.faults.claimed_capacity.unwrap_or(self.capacity),
             attempts: attempts
                 .map(|(_, entry)| entry.report(now, self.faults.usage_percent))
                 .collect(),
--- a/crates/magnolia-lab/src/standin/worker_server.rs
+++ b/crates/magnolia-lab/src/standin/worker_server.rs
@@ -46,6 +46,8 @@
         pub usage_percent: Option<u64>,
         /// Broken variant: obeys commands of superseded epochs.
         pub ignore_fences: bool,
+        /// Broken variant: capacity in reports, instead of what it has.
+        pub claimed_capacity: Option<ResourceVector>,
         /// Broken variant: starts tasks that do not fit.
         pub ignore_limits: bool,
     }
--- a/crates/magnolia-lab/tests/backend_failures.rs
+++ b/crates/magnolia-lab/tests/backend_failures.rs
@@ -15,7 +15,7 @@
 /// A job with tasks on every worker that run longer than a lease.
 fn long_job() -> Value {
     json!({
-        "customer": "guild", "class": "batch", "kind": "batch", "tasks": 32, "run_ms": 4000,
+        "customer": "guild", "class": "batch", "kind": "batch", "tasks": 32, "run_ms": 7000,
         "size": {"cpu_millis": 7000, "memory_mib": 9000},
     })
 }
--- a/crates/magnolia-lab/tests/broken_backends.rs
+++ b/crates/magnolia-lab/tests/broken_backends.rs
@@ -11,12 +11,19 @@
 use magnolia_types::ResourceVector;
 use serde_json::{Value, json};
 
-/// Starts a cell whose inventory claims more than the back ends have.
+/// Starts a cell whose inventory and back ends claim more than the back ends have.
 async fn start_overstated(name: &str, change: impl Fn(&mut ConfigDocument)) -> ScenarioRun {
-    let faults = r#"{"ignore_limits": true, "service_ms": 200}"#;
-    let builder = cell(name, 1).with_backends(1, 1).with_data_centres(1);
-    let builder = builder.with_backend_faults(UNLIMITED, faults);
-    let mut cell = builder.start_unpublished().await.expect("stand-ins");
+    let worker = json!({
+        "ignore_limits": true, "claimed_capacity": {"cpu_millis": 256_000, "memory_mib": 1_000_000},
+    });
+    let executor = json!({"ignore_limits": true, "service_ms": 200, "claimed_slots": 64});
+    let mut cell = cell(name, 1)
+        .with_backends(1, 1)
+        .with_data_centres(1)
+        .with_backend_faults(&worker.to_string(), &executor.to_string())
+        .start_unpublished()
+        .await
+        .expect("stand-ins");
     change(&mut cell.document);
     cell.start_daemon(0).expect("a start");
     cell.announce_instances().await.expect("a list");
