Do not learn sizes from usage that was not measured yet

A worker reports zero usage until its first measurement. Runs shorter than that taught a peak of zero, and the sizes of their group shrank to the smallest ratio: tasks of 1309m and 344 MiB were started with 328m and 86 MiB although they use all that they declare.

--- a/crates/magnolia-policy/src/scored/mod.rs
+++ b/crates/magnolia-policy/src/scored/mod.rs
@@ -390,7 +390,8 @@
     }
 
     fn observe_usage(&mut self, attempt: &AttemptId, usage: ResourceVector) {
-        if self.ledger.attempt(attempt).is_none() {
+        // Usage lags: a worker reports zero until it has measured a task for the first time.
+        if usage.is_zero() || self.ledger.attempt(attempt).is_none() {
             return;
         }
         let peak = self.peaks.entry(attempt.clone()).or_default();
