--- a/crates/magnolia-lab/src/command.rs
+++ b/crates/magnolia-lab/src/command.rs
@@ -1,6 +1,7 @@
 //! Commands of `magnolia-lab`.
 
 use std::ffi::OsString;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -25,10 +26,13 @@
         // A lab that is killed must not leave its cell behind.
         nix::sys::prctl::set_pdeathsig(nix::sys::signal::Signal::SIGKILL).ok();
     }
-    // These two take every further argument as it is and report their own usage.
+    // These take every further argument as it is and report their own usage.
     if args.get(1).is_some_and(|name| name == "daemon") {
         return magnolia_daemon::run_main(args.into_iter().skip(1)).into();
     }
+    if args.get(1).is_some_and(|name| name == "bench") {
+        return bench(&args[2..]);
+    }
     if args.get(1).is_some_and(|name| name == "ctl") {
         return magnolia_cli::run_main(args.into_iter().skip(1)).into();
     }
@@ -48,6 +52,17 @@
     }
 }
 
+fn bench(args: &[OsString]) -> ExitCode {
+    let args: Vec<String> = args
+        .iter()
+        .map(|arg| arg.to_string_lossy().into_owned())
+        .collect();
+    match magnolia_bench::run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
 fn fail(error: &dyn std::fmt::Display) -> ExitCode {
     eprintln!("magnolia-lab: {error}");
     ExitCode::FAILURE
@@ -59,6 +74,7 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .subcommand(Command::new("daemon").about("Runs magnoliad with the arguments that follow"))
+        .subcommand(Command::new("bench").about("Runs benchmarks with the arguments that follow"))
         .subcommand(Command::new("ctl").about("Runs magnoliactl with the arguments that follow"))
         .subcommand(standin_command("log", "Runs a stand-in of the log service").arg(listen_arg()))
         .subcommand(
@@ -266,21 +282,23 @@
         history: HistoryWriter::open(&folder.join("load.jsonl"))?,
     };
     LoadClient::new(settings).run().await;
-    print!("{}", RunReport::new(&History::read(&folder)?));
-    Ok(())
+    let report = RunReport::new(&History::read(&folder)?);
+    Ok(write!(std::io::stdout(), "{report}")?)
 }
 
 fn check(folder: &Path) -> Result<bool, CommandError> {
     let history = History::read(folder)?;
     let violations = check_all(&history);
-    print!("{}", RunReport::new(&history));
+    let mut out = std::io::stdout();
+    write!(out, "{}", RunReport::new(&history))?;
     for violation in &violations {
-        println!("{violation}");
+        writeln!(out, "{violation}")?;
     }
-    println!(
+    writeln!(
+        out,
         "{} events, {} violations",
         history.records.len(),
         violations.len()
-    );
+    )?;
     Ok(violations.is_empty())
 }
