Count a throttled attempt with its share of processors

The engine starts urgent work on the processors that a throttled attempt gives back, but the worker stand-in counted its whole size and refused every such start (NoRoom), so that the urgent task was tried again for ever. The stand-in now holds the share while it is throttled and ignores a larger share without room; the history records throttles, and the capacity check counts the share and also looks at every change of it: a restored attempt beyond the capacity is found.

--- a/crates/magnolia-lab/src/history/event.rs
+++ b/crates/magnolia-lab/src/history/event.rs
@@ -61,6 +61,15 @@
             /// Epoch of the command.
             epoch: Epoch,
         },
+        /// An attempt runs with a share of its processors from now on.
+        AttemptThrottled {
+            /// The worker.
+            worker: WorkerId,
+            /// The attempt.
+            attempt: AttemptId,
+            /// Share of the reserved processors in percent.
+            percent: u8,
+        },
         /// An attempt ended on a worker.
         AttemptEnded {
             /// The worker.
--- a/crates/magnolia-lab/src/standin/worker_model_tests.rs
+++ b/crates/magnolia-lab/src/standin/worker_model_tests.rs
@@ -125,6 +125,33 @@
     assert_eq!(state_at(&mut model, 300), finished);
 }
 
+/// Guards against room that throttling gives back and nobody may use, and against an attempt that
+/// takes it back while others hold it.
+#[test]
+fn throttled_task_gives_processors_back() {
+    let mut model = worker();
+    started(&mut model, 0, 1000);
+    let mut second = batch(1, 0);
+    second.starts.push(start(2, 100));
+    assert_eq!(model.command(Millis::new(1), &second).refused.len(), 1);
+    let mut throttle = batch(1, 0);
+    throttle.throttles.push(ThrottleCommand {
+        attempt: attempt(1),
+        percent: 50,
+    });
+    throttle.starts.push(start(3, 100));
+    assert!(model.command(Millis::new(2), &throttle).refused.is_empty());
+    let mut restore = batch(1, 0);
+    restore.throttles.push(ThrottleCommand {
+        attempt: attempt(1),
+        percent: 100,
+    });
+    model.command(Millis::new(3), &restore);
+    assert_eq!(state_at(&mut model, 4), AttemptState::Throttled);
+    model.command(Millis::new(200), &restore);
+    assert_eq!(state_at(&mut model, 201), AttemptState::Running);
+}
+
 /// Guards against work that is lost although it was checkpointed, on any other worker.
 #[test]
 fn checkpointed_task_goes_on_elsewhere() {
--- a/crates/magnolia-lab/src/standin/worker_server.rs
+++ b/crates/magnolia-lab/src/standin/worker_server.rs
@@ -92,6 +92,11 @@
                 size: start.size,
                 epoch,
             },
+            WorkerAction::Throttled(attempt, percent) => HistoryEvent::AttemptThrottled {
+                worker,
+                attempt,
+                percent,
+            },
             WorkerAction::Ended(attempt, end) => HistoryEvent::AttemptEnded {
                 worker,
                 attempt,
--- a/crates/magnolia-lab/tests/checker.rs
+++ b/crates/magnolia-lab/tests/checker.rs
@@ -60,6 +60,12 @@
     json!({"event": "attempt_ended", "worker": worker, "attempt": attempt, "end": "Succeeded"})
 }
 
+fn throttled(worker: &str, attempt: &str, percent: u8) -> Value {
+    json!({
+        "event": "attempt_throttled", "worker": worker, "attempt": attempt, "percent": percent,
+    })
+}
+
 fn executor_up(slots: u32) -> Value {
     json!({"event": "executor_up", "executor": "e0", "slots": slots, "connections": 1})
 }
@@ -140,6 +146,17 @@
         (0, worker_up()), (1, start_on("w0", "a", 0, 1500)), (2, start_on("w0", "b", 1, 1500)),
     ];
 
+    /// Guards against a throttled attempt that takes processors back which others hold.
+    restored_attempt_without_room_is_found: check_capacity,
+    good [
+        (0, worker_up()), (1, start_on("w0", "a", 0, 1500)), (2, throttled("w0", "a", 25)),
+        (3, start_on("w0", "b", 1, 1500)), (4, end_on("w0", "b")), (5, throttled("w0", "a", 100)),
+    ],
+    bad [
+        (0, worker_up()), (1, start_on("w0", "a", 0, 1500)), (2, throttled("w0", "a", 25)),
+        (3, start_on("w0", "b", 1, 1500)), (4, throttled("w0", "a", 100)),
+    ];
+
     /// Guards against an executor that runs more requests than it has slots.
     overcommitted_slots_are_found: check_capacity,
     good [(0, executor_up(1)), (1, run(0, "a")), (2, run_ended(0)), (3, run(1, "b"))],
