Refuse work that may not repeat after a change of the key set

A key maps to a partition of its region. When the set of partitions changed, a repeat of a key could reach a partition that did not know the first use and run the work a second time.

--- a/crates/magnolia-config/src/cell_config.rs
+++ b/crates/magnolia-config/src/cell_config.rs
@@ -5,7 +5,7 @@
 use magnolia_types::ConfigVersion;
 use serde::{Deserialize, Serialize};
 
-use crate::ConfigDocument;
+use crate::{ConfigDocument, KeySet};
 
 /// An accepted configuration.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -14,6 +14,9 @@
     pub version: ConfigVersion,
     /// Version that last changed or removed each section.
     pub section_versions: BTreeMap<String, ConfigVersion>,
+    /// Partitions that keep idempotency keys, by region.
+    #[serde(default)]
+    pub key_sets: BTreeMap<String, KeySet>,
     /// Inventory and rules; `None` before the first publication.
     pub document: Option<ConfigDocument>,
 }
@@ -24,6 +27,7 @@
         Self {
             version: ConfigVersion::new(0),
             section_versions: BTreeMap::new(),
+            key_sets: BTreeMap::new(),
             document: None,
         }
     }
--- /dev/null
+++ b/crates/magnolia-config/src/key_sets.rs
@@ -0,0 +1,113 @@
+//! The sets of partitions that keep idempotency keys, one for each region.
+//!
+//! A key maps to one partition of the set. When the set changes, keys move, and a repeat could reach
+//! a partition that does not know the first use. Work that may not repeat is therefore refused until
+//! the keys of the old set are forgotten, or an operator confirms the new set.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use magnolia_types::{DataCentreName, Millis, stable_hash, wire_types};
+
+use crate::{CellConfig, ConfigDocument};
+
+/// How long a key is remembered.
+pub const KEY_MEMORY: Millis = Millis::from_secs(24 * 3600);
+
+wire_types! {
+    /// The set of one region.
+    pub struct KeySet {
+        /// Hash of the names of the partitions, in hex.
+        pub hash: Arc<str>,
+        /// When the set replaced another one, in milliseconds of Unix time; 0 for the first set.
+        pub changed_unix_ms: u64,
+    }
+}
+
+impl KeySet {
+    /// Tells whether keys may still be in the partitions of an earlier set.
+    pub fn is_unsettled(&self, confirmed: Option<u64>, now_unix_ms: u64) -> bool {
+        let forgotten = self.changed_unix_ms.saturating_add(KEY_MEMORY.get());
+        let is_confirmed = confirmed.map(show_hash).as_deref() == Some(&*self.hash);
+        self.changed_unix_ms > 0 && now_unix_ms < forgotten && !is_confirmed
+    }
+}
+
+impl CellConfig {
+    /// Returns the region whose partitions keep the keys of a daemon in `centre`, with its set.
+    ///
+    /// A data centre that is not in the inventory counts to the only region, if there is one.
+    pub fn key_set_of(&self, centre: &DataCentreName) -> Option<(Arc<str>, &KeySet)> {
+        let document = self.document.as_ref()?;
+        let region = match document.data_centre(centre) {
+            Some(section) => Arc::clone(&section.region),
+            None => document.only_region()?,
+        };
+        let set = self.key_sets.get(&*region)?;
+        Some((region, set))
+    }
+
+    /// Takes note of sets that a publication written at `written_unix_ms` has changed.
+    pub(crate) fn note_key_sets(&mut self, written_unix_ms: u64) {
+        let Some(document) = &self.document else {
+            return;
+        };
+        let mut regions: Vec<&Arc<str>> = document
+            .data_centres
+            .iter()
+            .map(|centre| &centre.region)
+            .collect();
+        regions.sort();
+        regions.dedup();
+        for region in regions {
+            let partitions = document.partitions_of_region(region);
+            if partitions.is_empty() {
+                continue;
+            }
+            let hash = show_hash(stable_hash(partitions.join(",").as_bytes()));
+            let changed_unix_ms = match self.key_sets.get(&**region) {
+                Some(known) if *known.hash == *hash => continue,
+                // 0 would mean that no set came before.
+                Some(_) => written_unix_ms.max(1),
+                None => 0,
+            };
+            let set = KeySet {
+                hash: hash.into(),
+                changed_unix_ms,
+            };
+            self.key_sets.insert(region.to_string(), set);
+        }
+    }
+}
+
+impl ConfigDocument {
+    /// Returns the names of the partitions of a region, without repeats, in order.
+    pub fn partitions_of_region(&self, region: &str) -> Vec<String> {
+        let regions: BTreeMap<&DataCentreName, &Arc<str>> = self
+            .data_centres
+            .iter()
+            .map(|centre| (&centre.name, &centre.region))
+            .collect();
+        let racks = self.racks.iter().filter(|rack| {
+            let found = regions.get(&rack.data_centre);
+            found.is_some_and(|found| ***found == *region)
+        });
+        let mut partitions: Vec<String> = racks.map(|rack| rack.partition.to_string()).collect();
+        partitions.sort();
+        partitions.dedup();
+        partitions
+    }
+
+    /// Returns the region when all data centres are in the same one.
+    fn only_region(&self) -> Option<Arc<str>> {
+        let mut regions = self.data_centres.iter().map(|centre| &centre.region);
+        let first = regions.next()?;
+        regions
+            .all(|region| region == first)
+            .then(|| Arc::clone(first))
+    }
+}
+
+fn show_hash(hash: u64) -> String {
+    format!("{hash:016x}")
+}
--- a/crates/magnolia-config/src/lib.rs
+++ b/crates/magnolia-config/src/lib.rs
@@ -5,6 +5,7 @@
 mod check;
 mod diff;
 mod document;
+mod key_sets;
 mod record;
 mod replay;
 mod section;
@@ -15,6 +16,7 @@
 pub use check::{CheckError, CheckErrors};
 pub use diff::{ConfigDiff, FieldDiff, SectionDiff};
 pub use document::ConfigDocument;
+pub use key_sets::{KEY_MEMORY, KeySet};
 pub use record::{ConfigRecord, ConfigSnapshot, PublicationId, PublicationVerdict};
 pub use replay::ConfigReplay;
 pub use section::{
--- a/crates/magnolia-config/src/replay.rs
+++ b/crates/magnolia-config/src/replay.rs
@@ -18,6 +18,7 @@
 struct HeldPublication {
     offset: LogOffset,
     id: PublicationId,
+    written_unix_ms: u64,
     publication: ConfigPublication,
 }
 
@@ -79,17 +80,23 @@
         self.skip(offset);
         match record {
             ConfigRecord::Publication {
-                id, publication, ..
+                id,
+                written_unix_ms,
+                publication,
             } => match &mut self.held {
                 Some((_, held)) => {
                     held.push(HeldPublication {
                         offset,
                         id,
+                        written_unix_ms,
                         publication,
                     });
                     Vec::new()
                 }
-                None => self.decide(id, &publication).into_iter().collect(),
+                None => self
+                    .decide(id, written_unix_ms, &publication)
+                    .into_iter()
+                    .collect(),
             },
             ConfigRecord::Snapshot { snapshot, .. } => self.take_snapshot(*snapshot),
         }
@@ -116,6 +123,7 @@
     fn decide(
         &mut self,
         id: PublicationId,
+        written_unix_ms: u64,
         publication: &ConfigPublication,
     ) -> Option<(PublicationId, PublicationVerdict)> {
         if self.recent.contains(&id) {
@@ -127,6 +135,7 @@
         }
         let verdict = self.config.apply(publication).map(|config| {
             self.config = config;
+            self.config.note_key_sets(written_unix_ms);
             self.config.version
         });
         Some((id, verdict))
@@ -152,7 +161,7 @@
         let is_restored = snapshot.next == RESTORED;
         held.into_iter()
             .filter(|held| is_restored || held.offset >= snapshot.next)
-            .filter_map(|held| self.decide(held.id, &held.publication))
+            .filter_map(|held| self.decide(held.id, held.written_unix_ms, &held.publication))
             .collect()
     }
 }
--- /dev/null
+++ b/crates/magnolia-config/tests/key_sets.rs
@@ -0,0 +1,106 @@
+//! Changes of the partitions that keep idempotency keys.
+
+use magnolia_config::{CellConfig, ConfigDocument, ConfigRecord, ConfigReplay, KEY_MEMORY, KeySet};
+use magnolia_types::{DataCentreName, LogOffset};
+
+/// Makes a document with one rack for each partition, in one region.
+fn document(partitions: &[&str]) -> ConfigDocument {
+    let mut text = "[cell]\nname = \"test\"\n[[data_centre]]\nname = \"dc\"\n".to_owned();
+    for partition in partitions {
+        text.push_str(&format!(
+            "[[rack]]\nname = \"r-{partition}\"\ndata_centre = \"dc\"\npartition = \"{partition}\"\n\
+             capacity = {{ cpu_millis = 1, memory_mib = 1 }}\n"
+        ));
+    }
+    ConfigDocument::from_toml(&text).unwrap_or_else(|errors| panic!("{errors}"))
+}
+
+/// Publishes documents one after another at the given times.
+fn publish(steps: &[(u64, &[&str])]) -> CellConfig {
+    let mut replay = ConfigReplay::new();
+    for (id, (at, partitions)) in (0_u64..).zip(steps) {
+        let record = ConfigRecord::Publication {
+            id: id.into(),
+            written_unix_ms: *at,
+            publication: replay
+                .config()
+                .publication_to(&document(partitions), "test"),
+        };
+        let verdicts = replay.apply(LogOffset::new(id), record);
+        assert!(
+            verdicts.iter().all(|(_, verdict)| verdict.is_ok()),
+            "{verdicts:?}"
+        );
+    }
+    replay.config().clone()
+}
+
+fn key_set(config: &CellConfig, centre: &str) -> KeySet {
+    let centre = DataCentreName::new(centre).expect("a name");
+    config.key_set_of(&centre).expect("a set").1.clone()
+}
+
+fn hash_number(set: &KeySet) -> Option<u64> {
+    u64::from_str_radix(&set.hash, 16).ok()
+}
+
+/// Guards against a new cell that refuses work that may not repeat.
+#[test]
+fn the_first_set_is_settled() {
+    let set = key_set(&publish(&[(1000, &["p0", "p1"])]), "dc");
+    assert!(!set.is_unsettled(None, 1001));
+}
+
+/// Guards against a key whose first use is forgotten because the key moved to another partition.
+#[test]
+fn a_changed_set_is_unsettled_until_keys_are_forgotten() {
+    let set = key_set(&publish(&[(1000, &["p0"]), (2000, &["p0", "p1"])]), "dc");
+    assert!(set.is_unsettled(None, 2000));
+    assert!(set.is_unsettled(None, 2000 + KEY_MEMORY.get() - 1));
+    assert!(!set.is_unsettled(None, 2000 + KEY_MEMORY.get()));
+    // A clock that is behind must not settle the set.
+    assert!(set.is_unsettled(None, 0));
+}
+
+/// Guards against a confirmation that counts for another change than the one it was made for.
+#[test]
+fn a_confirmation_settles_only_its_own_set() {
+    let first = key_set(&publish(&[(1000, &["p0"]), (2000, &["p0", "p1"])]), "dc");
+    assert!(!first.is_unsettled(hash_number(&first), 2000));
+    let second = key_set(&publish(&[(1000, &["p0"]), (2000, &["p0", "p2"])]), "dc");
+    assert!(second.is_unsettled(hash_number(&first), 2000));
+}
+
+/// Guards against a set that changes and changes back: keys of the time between were elsewhere.
+#[test]
+fn a_set_that_comes_back_is_a_change() {
+    let steps: [(u64, &[&str]); 3] = [(1, &["p0"]), (2, &["p0", "p1"]), (3, &["p0"])];
+    assert!(key_set(&publish(&steps), "dc").is_unsettled(None, 4));
+}
+
+/// Guards against a change of other sections that unsettles keys.
+#[test]
+fn other_changes_leave_the_set_alone() {
+    let mut config = publish(&[(1000, &["p0"])]);
+    let before = config.key_sets.clone();
+    let mut wanted = document(&["p0"]);
+    wanted.rules.packing_weight = 7;
+    let publication = config.publication_to(&wanted, "test");
+    config = config.apply(&publication).expect("accepted");
+    assert_eq!(config.key_sets, before);
+}
+
+/// Guards against a daemon of an unknown data centre that maps keys unlike the others.
+#[test]
+fn an_unknown_data_centre_uses_the_only_region_or_none() {
+    let config = publish(&[(1000, &["p0"])]);
+    assert_eq!(key_set(&config, "elsewhere"), key_set(&config, "dc"));
+    let mut two = config.clone();
+    let document = two.document.as_mut().expect("a document");
+    let mut centre = document.data_centres[0].clone();
+    centre.name = DataCentreName::new("dc2").expect("a name");
+    centre.region = "south".into();
+    document.data_centres.push(centre);
+    let unknown = DataCentreName::new("elsewhere").expect("a name");
+    assert!(two.key_set_of(&unknown).is_none());
+}
--- a/crates/magnolia-daemon/src/callers/config_routes.rs
+++ b/crates/magnolia-daemon/src/callers/config_routes.rs
@@ -33,6 +33,7 @@
         &json!({
             "version": config.version,
             "section_versions": config.section_versions,
+            "key_sets": config.key_sets,
             "document": config.document,
             "source": status.source,
             "in_force_ms": status.adopted_at.map(age),
--- a/crates/magnolia-daemon/src/callers/job_routes.rs
+++ b/crates/magnolia-daemon/src/callers/job_routes.rs
@@ -40,7 +40,12 @@
         check_job(document, &spec)?;
     }
     let partitions = match &spec.idempotency_key {
-        Some(key) => vec![partition_of_key(context, &spec.customer, key)?],
+        Some(key) => vec![partition_of_key(
+            context,
+            &spec.customer,
+            key,
+            spec.repeatable,
+        )?],
         None => partitions_for_size(context, &spec.size)?,
     };
     let mut reply = None;
--- a/crates/magnolia-daemon/src/callers/key_routing.rs
+++ b/crates/magnolia-daemon/src/callers/key_routing.rs
@@ -7,6 +7,7 @@
 use rand::seq::SliceRandom;
 
 use super::request::{Refusal, refuse};
+use crate::config_feed::unix_ms;
 use crate::context::DaemonContext;
 
 /// Returns the partition that keeps the record of a key. Keys of different customers are
@@ -14,17 +15,43 @@
 ///
 /// # Errors
 ///
-/// Fails with the refusal to send when the region has no partition.
+/// Fails with the refusal to send when the region has no partition, or when work that may not
+/// repeat could have run under a key in an earlier set of partitions.
 pub fn partition_of_key(
     context: &DaemonContext,
     customer: &CustomerName,
     key: &IdempotencyKey,
+    is_repeatable: bool,
 ) -> Result<String, Refusal> {
-    let partitions = region_partitions(context)?;
+    let config = context.config();
+    let centre = &context.identity.data_centre;
+    let Some((region, set)) = config.key_set_of(centre) else {
+        let message = format!(
+            "no partition keeps keys for data centre {centre} of this daemon; the inventory has no \
+             workers in its region, or does not name the data centre"
+        );
+        return Err(refuse(ResultCode::NoBackend, &message));
+    };
+    let confirmed = config.document.as_ref();
+    let confirmed = confirmed.and_then(|document| document.rules.key_set_confirmed);
+    if !is_repeatable && set.is_unsettled(confirmed, unix_ms()) {
+        let message = format!(
+            "the partitions of region {region} have changed, and a key may have been used in \
+             another one; settled after 24 hours, or when the rules have key_set_confirmed = {:?}",
+            set.hash
+        );
+        return Err(refuse(ResultCode::KeySetChanged, &message));
+    }
+    let partitions = config
+        .document
+        .as_ref()
+        .map(|document| document.partitions_of_region(&region))
+        .unwrap_or_default();
     // NUL occurs in neither name, so no two pairs give the same text.
     let joined = format!("{customer}\u{0}{key}");
     let order = rendezvous_order(&joined, &partitions);
-    Ok(order[0].clone())
+    let first = order.first().map(|partition| (*partition).clone());
+    first.ok_or_else(|| refuse(ResultCode::NoBackend, "the region has no partition"))
 }
 
 /// Returns the partitions that could hold a task of this size, in random order.
@@ -89,18 +116,8 @@
 /// Returns the partitions of the region that `centre` belongs to. A data centre that is not in the
 /// inventory belongs to no region, so its daemons use every partition.
 fn partitions_of_region(document: &ConfigDocument, centre: &DataCentreName) -> Vec<String> {
-    let Some(own) = document.data_centre(centre) else {
-        return document.partitions();
-    };
-    let in_region = |name: &DataCentreName| {
-        document
-            .data_centre(name)
-            .is_some_and(|centre| centre.region == own.region)
-    };
-    let racks = document.racks.iter();
-    let racks = racks.filter(|rack| in_region(&rack.data_centre));
-    let mut partitions: Vec<String> = racks.map(|rack| rack.partition.to_string()).collect();
-    partitions.sort();
-    partitions.dedup();
-    partitions
+    match document.data_centre(centre) {
+        Some(own) => document.partitions_of_region(&own.region),
+        None => document.partitions(),
+    }
 }
--- a/crates/magnolia-daemon/src/callers/quick_routes.rs
+++ b/crates/magnolia-daemon/src/callers/quick_routes.rs
@@ -52,7 +52,7 @@
             "idempotency_key: the key is missing",
         )
     })?;
-    let partition = partition_of_key(context, &spec.customer, key)?;
+    let partition = partition_of_key(context, &spec.customer, key, spec.repeatable)?;
     let operation = JobOperation::RunOnce { request, spec };
     match partition::run_operation(context, &partition, operation).await {
         JobReply::Once(outcome) => Ok(outcome),
--- a/crates/magnolia-daemon/src/callers/status.rs
+++ b/crates/magnolia-daemon/src/callers/status.rs
@@ -6,6 +6,7 @@
 use magnolia_types::{Millis, UnitId};
 use serde_json::{Value, json};
 
+use crate::config_feed::unix_ms;
 use crate::context::{DaemonContext, LifecyclePhase};
 
 /// Age from which an unconfirmed configuration is worth a reason.
@@ -74,6 +75,7 @@
     let mut findings = StatusFindings::default();
     find_phase(context, &mut findings);
     find_log(context, &mut findings);
+    find_key_set(context, &mut findings);
     find_owners(context, &mut findings);
     find_full_groups(context, &mut findings);
     findings
@@ -117,6 +119,22 @@
     }
 }
 
+fn find_key_set(context: &DaemonContext, findings: &mut StatusFindings) {
+    let config = context.config();
+    let confirmed = config.document.as_ref();
+    let confirmed = confirmed.and_then(|document| document.rules.key_set_confirmed);
+    let Some((region, set)) = config.key_set_of(&context.identity.data_centre) else {
+        return;
+    };
+    if set.is_unsettled(confirmed, unix_ms()) {
+        findings.reasons.push(format!(
+            "the partitions of region {region} have changed, so work that may not repeat is \
+             refused until key_set_confirmed = {:?} is in the rules, or for 24 hours",
+            set.hash
+        ));
+    }
+}
+
 fn find_owners(context: &DaemonContext, findings: &mut StatusFindings) {
     let units: Vec<UnitId> = context
         .with_document(|document| document.units())
--- a/crates/magnolia-daemon/src/config_feed/mod.rs
+++ b/crates/magnolia-daemon/src/config_feed/mod.rs
@@ -11,6 +11,7 @@
 pub use feed_state::{ConfigFeed, ConfigSource};
 use magnolia_config::CellConfig;
 pub use publisher::publish;
+pub use reader::unix_ms;
 
 use crate::context::{DaemonContext, LifecyclePhase};
 use crate::metrics::names;
--- a/crates/magnolia-daemon/src/config_feed/reader.rs
+++ b/crates/magnolia-daemon/src/config_feed/reader.rs
@@ -184,7 +184,7 @@
 
 /// Returns Unix time in milliseconds. It only spaces snapshots; half a retention of error is
 /// harmless.
-pub(super) fn unix_ms() -> u64 {
+pub fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |since| {
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
--- a/crates/magnolia-lab/tests/config_feed.rs
+++ b/crates/magnolia-lab/tests/config_feed.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use common::{LIMIT, cell};
-use magnolia_config::{ConfigPublication, ConfigSection, SectionChange};
+use magnolia_config::{CellConfig, ConfigPublication, ConfigSection, SectionChange};
 use magnolia_lab::cell::RunningCell;
-use magnolia_types::ConfigVersion;
+use magnolia_types::{ConfigVersion, RackName, ResultCode};
 use serde_json::{Value, json};
 
 /// Retention of the log in the test of a trimmed stream; the shortest that a daemon takes.
@@ -130,6 +130,64 @@
     assert_eq!(published.expect("accepted"), 3);
 }
 
+/// Sends a request that must not repeat and returns the code of the answer.
+async fn send_once(cell: &RunningCell, key: &str) -> u64 {
+    let body = json!({
+        "customer": "board", "class": "quick", "deadline_ms": 2000, "body": key,
+        "repeatable": false, "idempotency_key": key,
+    });
+    let address = cell.daemons[0].callers;
+    let answer = cell.client.post_json(address, "/v1/requests", &body, LIMIT);
+    let answer: Value = answer.await.expect("an answer").json().expect("JSON");
+    answer["code"].as_u64().unwrap_or(0)
+}
+
+/// Guards against work that may not repeat and runs again because its key moved to a partition that
+/// does not know it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_of_partitions_holds_back_work_that_may_not_repeat() {
+    let changed = u64::from(ResultCode::KeySetChanged.number());
+    let cell = cell("config_key_set", 1).start().await.expect("a cell");
+    cell.wait_owners(0).await.expect("owners");
+    assert_eq!(send_once(&cell, "before").await, 0);
+    let old = CellConfig {
+        version: ConfigVersion::new(1),
+        document: Some(cell.document.clone()),
+        ..CellConfig::new()
+    };
+    let mut wanted = cell.document.clone();
+    let mut rack = wanted.racks[0].clone();
+    rack.name = RackName::new("other").expect("a name");
+    rack.partition = "p1".into();
+    rack.workers.clear();
+    wanted.racks.push(rack);
+    let publication = old.publication_to(&wanted, "test");
+    assert_eq!(cell.publish(0, &publication).await.expect("accepted"), 2);
+    assert_eq!(send_once(&cell, "before").await, changed);
+    let status = cell
+        .client
+        .get(cell.daemons[0].callers, "/v1/status", LIMIT);
+    let status: Value = status.await.expect("an answer").json().expect("JSON");
+    assert!(
+        status["answer"].to_string().contains("key_set_confirmed"),
+        "{status}"
+    );
+    let shown = show_config(&cell, 0).await;
+    let hash = shown["key_sets"]["default"]["hash"]
+        .as_str()
+        .expect("a hash");
+    let mut confirmed = wanted.clone();
+    confirmed.rules.key_set_confirmed = u64::from_str_radix(hash, 16).ok();
+    let base = CellConfig {
+        version: ConfigVersion::new(2),
+        document: Some(wanted),
+        ..CellConfig::new()
+    };
+    let publication = base.publication_to(&confirmed, "test");
+    assert_eq!(cell.publish(0, &publication).await.expect("accepted"), 3);
+    assert_ne!(send_once(&cell, "after").await, changed);
+}
+
 /// Waits until the log has trimmed the first `count` records of stream `config`.
 async fn wait_until_trimmed(cell: &RunningCell, count: u64) {
     let deadline = Instant::now() + LIMIT;
--- a/crates/magnolia-types/src/result_code.rs
+++ b/crates/magnolia-types/src/result_code.rs
@@ -101,6 +101,8 @@
     OwnerUnreachable = 303, 503, No;
     /// The daemon has not loaded a configuration yet.
     NoConfiguration = 304, 503, No;
+    /// The partitions that keep idempotency keys have changed, and the change is not settled.
+    KeySetChanged = 305, 503, No;
     /// Another request with the same key is being worked on.
     InProgress = 400, 409, Unknown;
     /// The request was sent and no answer came; it is not run again.
