Let the owner of a partition refuse keys that another partition keeps

An entry with an older configuration could send work that may not repeat to the partition that kept its key before, while the others send it to the new one. The owner now compares with the configuration in force and refuses as not run.

--- a/crates/magnolia-config/src/key_sets.rs
+++ b/crates/magnolia-config/src/key_sets.rs
@@ -7,7 +7,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use magnolia_types::{DataCentreName, Millis, stable_hash, wire_types};
+use magnolia_types::{
+    CustomerName, DataCentreName, IdempotencyKey, Millis, rendezvous_order, stable_hash, wire_types,
+};
 
 use crate::{CellConfig, ConfigDocument};
 
@@ -98,6 +100,35 @@
         partitions
     }
 
+    /// Returns the partition of a region that keeps the record of a key. Keys of different customers
+    /// are different keys.
+    pub fn partition_of_key(
+        &self,
+        region: &str,
+        customer: &CustomerName,
+        key: &IdempotencyKey,
+    ) -> Option<String> {
+        let partitions = self.partitions_of_region(region);
+        // NUL occurs in neither name, so no two pairs give the same text.
+        let joined = format!("{customer}\u{0}{key}");
+        let order = rendezvous_order(&joined, &partitions);
+        order.first().map(|partition| (*partition).clone())
+    }
+
+    /// Tells whether `partition` keeps the record of a key for its region.
+    pub fn keeps_key(
+        &self,
+        partition: &str,
+        customer: &CustomerName,
+        key: &IdempotencyKey,
+    ) -> bool {
+        let mut racks = self.racks.iter();
+        let rack = racks.find(|rack| &*rack.partition == partition);
+        let centre = rack.and_then(|rack| self.data_centre(&rack.data_centre));
+        let keeper = centre.and_then(|centre| self.partition_of_key(&centre.region, customer, key));
+        keeper.as_deref() == Some(partition)
+    }
+
     /// Returns the region when all data centres are in the same one.
     fn only_region(&self) -> Option<Arc<str>> {
         let mut regions = self.data_centres.iter().map(|centre| &centre.region);
--- a/crates/magnolia-config/tests/key_sets.rs
+++ b/crates/magnolia-config/tests/key_sets.rs
@@ -1,7 +1,7 @@
 //! Changes of the partitions that keep idempotency keys.
 
 use magnolia_config::{CellConfig, ConfigDocument, ConfigRecord, ConfigReplay, KEY_MEMORY, KeySet};
-use magnolia_types::{DataCentreName, LogOffset};
+use magnolia_types::{CustomerName, DataCentreName, IdempotencyKey, LogOffset};
 
 /// Makes a document with one rack for each partition, in one region.
 fn document(partitions: &[&str]) -> ConfigDocument {
@@ -90,6 +90,25 @@
     assert_eq!(config.key_sets, before);
 }
 
+/// Guards against an owner that takes a key of another partition, sent by an entry with an older
+/// configuration, and against a key that no partition keeps.
+#[test]
+fn each_key_is_kept_by_one_partition() {
+    let names = ["p0", "p1", "p2", "p3"];
+    let document = document(&names);
+    let customer = CustomerName::new("board").expect("a name");
+    let mut kept = [0; 4];
+    for number in 0..200 {
+        let key = IdempotencyKey::new(&format!("key-{number}")).expect("a key");
+        let keepers: Vec<usize> = (0..4)
+            .filter(|index| document.keeps_key(names[*index], &customer, &key))
+            .collect();
+        assert_eq!(keepers.len(), 1, "{key}: {keepers:?}");
+        kept[keepers[0]] += 1;
+    }
+    assert!(kept.iter().all(|count| *count > 0), "{kept:?}");
+}
+
 /// Guards against a daemon of an unknown data centre that maps keys unlike the others.
 #[test]
 fn an_unknown_data_centre_uses_the_only_region_or_none() {
--- a/crates/magnolia-daemon/src/callers/key_routing.rs
+++ b/crates/magnolia-daemon/src/callers/key_routing.rs
@@ -1,9 +1,7 @@
 //! Chooses the partition of a job or key among those of this daemon's region.
 
 use magnolia_config::ConfigDocument;
-use magnolia_types::{
-    CustomerName, DataCentreName, IdempotencyKey, ResourceVector, ResultCode, rendezvous_order,
-};
+use magnolia_types::{CustomerName, DataCentreName, IdempotencyKey, ResourceVector, ResultCode};
 use rand::seq::SliceRandom;
 
 use super::request::{Refusal, refuse};
@@ -42,16 +40,9 @@
         );
         return Err(refuse(ResultCode::KeySetChanged, &message));
     }
-    let partitions = config
-        .document
-        .as_ref()
-        .map(|document| document.partitions_of_region(&region))
-        .unwrap_or_default();
-    // NUL occurs in neither name, so no two pairs give the same text.
-    let joined = format!("{customer}\u{0}{key}");
-    let order = rendezvous_order(&joined, &partitions);
-    let first = order.first().map(|partition| (*partition).clone());
-    first.ok_or_else(|| refuse(ResultCode::NoBackend, "the region has no partition"))
+    let document = config.document.as_ref();
+    let keeper = document.and_then(|document| document.partition_of_key(&region, customer, key));
+    keeper.ok_or_else(|| refuse(ResultCode::NoBackend, "the region has no partition"))
 }
 
 /// Returns the partitions that could hold a task of this size, in random order.
--- a/crates/magnolia-daemon/src/partition/operations.rs
+++ b/crates/magnolia-daemon/src/partition/operations.rs
@@ -8,6 +8,7 @@
 
 use super::events::{JournalWaiter, OwnerCommand, ReplySender};
 use super::owner::{OwnerPhase, PartitionOwner, refused, wall_clock};
+use super::run_once::MOVED_KEY;
 use crate::metrics::names;
 
 /// Most jobs of one listing.
@@ -97,6 +98,9 @@
             KeyLookup::Unused => {}
         }
         if let Some(key) = &spec.idempotency_key {
+            if !spec.repeatable && !self.keeps_key(&spec.customer, key) {
+                return Submission::Refused(ResultCode::NotOwner, MOVED_KEY);
+            }
             let key = (spec.customer.clone(), key.clone());
             match self.submit_keys.get(&key) {
                 Some((content, first)) if *content == magnolia_state::job_content(spec) => {
--- a/crates/magnolia-daemon/src/partition/run_once.rs
+++ b/crates/magnolia-daemon/src/partition/run_once.rs
@@ -4,7 +4,9 @@
 
 use magnolia_protocol::{JobReply, QuickOutcome};
 use magnolia_state::{JournalEntry, KeyLookup, KeyUse};
-use magnolia_types::{Millis, QuickSpec, RequestId, ResultCode, stable_hash};
+use magnolia_types::{
+    CustomerName, IdempotencyKey, Millis, QuickSpec, RequestId, ResultCode, stable_hash,
+};
 
 use super::events::{JournalWaiter, OnceIntent, OnceKey, OwnerEvent, ReplySender};
 use super::owner::{PartitionOwner, refused, wall_clock};
@@ -13,6 +15,9 @@
 /// Longest answer that is kept for repeats of a key; a record has to stay under 1 MiB.
 const MAX_KEPT_ANSWER_BYTES: usize = 512 << 10;
 
+/// Message of the refusal of a key that another partition keeps.
+pub(super) const MOVED_KEY: &str = "another partition keeps the key now; send the work again";
+
 impl PartitionOwner {
     /// Records the intent of a request; the request is sent once the log has the record.
     pub(super) fn run_once(&mut self, request: RequestId, spec: QuickSpec, reply: ReplySender) {
@@ -27,6 +32,10 @@
             reply.send(known).ok();
             return;
         }
+        if !self.keeps_key(&key.0, &key.1) {
+            reply.send(refused(ResultCode::NotOwner, MOVED_KEY)).ok();
+            return;
+        }
         if !self.is_serving() {
             let message = "the owner is handing over";
             reply.send(refused(ResultCode::Draining, message)).ok();
@@ -167,6 +176,16 @@
         }
     }
 
+    /// Tells whether this partition keeps the record of a key by the configuration in force. An entry
+    /// with an older configuration may have sent it here.
+    pub(super) fn keeps_key(&self, customer: &CustomerName, key: &IdempotencyKey) -> bool {
+        let partition = self.claim.unit.partition().unwrap_or_default();
+        let keeps = self
+            .context
+            .with_document(|document| document.keeps_key(partition, customer, key));
+        keeps.unwrap_or(false)
+    }
+
     /// Hashes the set of partitions that take keys.
     fn key_set(&self) -> u64 {
         let partitions = self.context.with_document(|document| document.partitions());
