--- a/crates/magnolia-daemon/src/membership.rs
+++ b/crates/magnolia-daemon/src/membership.rs
@@ -1,6 +1,6 @@
 //! Members of the cell: the platform's instance list and the evidence of probes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -103,6 +103,15 @@
         })
     }
 
+    /// Returns the names of the leaving instances of a kind.
+    pub fn leaving_names(&self, kind: InstanceKind) -> BTreeSet<Arc<str>> {
+        let entries = self.entries();
+        let leaving = entries
+            .iter()
+            .filter(|entry| entry.kind == kind && entry.state == InstanceState::Leaving);
+        leaving.map(|entry| Arc::clone(&entry.instance)).collect()
+    }
+
     /// Returns the listed daemon at an address.
     pub fn daemon_at(&self, address: SocketAddr) -> Option<DaemonId> {
         let members = self.listed_daemons();
--- a/crates/magnolia-daemon/src/partition/inventory.rs
+++ b/crates/magnolia-daemon/src/partition/inventory.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use magnolia_config::ConfigDocument;
+use magnolia_platform::InstanceKind;
 use magnolia_types::WorkerId;
 
 use super::owner::{OwnerPhase, PartitionOwner};
@@ -51,6 +52,22 @@
         added
     }
 
+    /// Takes over which workers the instance list says are leaving; their own word counts as well.
+    pub(super) fn take_leaving(&mut self) {
+        let leaving = self.context.members.leaving_names(InstanceKind::Worker);
+        let changed: Vec<WorkerId> = self
+            .links
+            .values_mut()
+            .filter_map(|link| {
+                let is_listed = leaving.contains(link.worker.as_str());
+                let is_changed = link.listed_leaving != is_listed;
+                link.listed_leaving = is_listed;
+                is_changed.then(|| link.worker.clone())
+            })
+            .collect();
+        changed.iter().for_each(|worker| self.update_view(worker));
+    }
+
     /// Stops what runs on removed workers, and forgets those on which nothing can run.
     pub(super) fn stop_removed(&mut self) {
         let removed: Vec<WorkerId> = self
--- a/crates/magnolia-daemon/src/partition/owner.rs
+++ b/crates/magnolia-daemon/src/partition/owner.rs
@@ -257,6 +257,7 @@
         if now >= self.place_at {
             self.place_at = now.saturating_add(PLACE_INTERVAL);
             self.place_due = true;
+            self.take_leaving();
             self.move_services();
             self.stop_removed();
         }
--- a/crates/magnolia-daemon/src/partition/worker_link.rs
+++ b/crates/magnolia-daemon/src/partition/worker_link.rs
@@ -66,6 +66,8 @@
     pub rack_leaving: bool,
     /// Whether the worker says that it goes away.
     pub reports_leaving: bool,
+    /// Whether the instance list says that it goes away.
+    pub listed_leaving: bool,
     /// Whether the inventory no longer has it.
     pub removed: bool,
     /// Whether a message is on its way.
@@ -102,6 +104,7 @@
             reported: None,
             rack_leaving: false,
             reports_leaving: false,
+            listed_leaving: false,
             removed: false,
             is_busy: false,
             failures: 0,
@@ -199,7 +202,8 @@
     /// Returns whether the worker may get new tasks as a process of this incarnation.
     pub fn condition(&self, fenced: bool, incarnation: Option<Incarnation>) -> WorkerCondition {
         let confirmed = incarnation.is_some() && self.confirmed == incarnation;
-        if self.removed || self.rack_leaving || self.reports_leaving {
+        let leaves = self.rack_leaving || self.reports_leaving || self.listed_leaving;
+        if self.removed || leaves {
             WorkerCondition::Leaving
         } else if fenced && confirmed && self.failures == 0 {
             WorkerCondition::Usable
--- a/crates/magnolia-daemon/tests/cell/log.rs
+++ b/crates/magnolia-daemon/tests/cell/log.rs
@@ -12,12 +12,16 @@
 
 use super::gate::PauseGate;
 
+/// Chooses records by their content.
+type RecordFilter = Box<dyn Fn(&[u8]) -> bool + Send>;
+
 #[derive(Default)]
 struct LogState {
     streams: HashMap<String, Vec<Bytes>>,
     first: HashMap<String, usize>,
     is_away: bool,
     lost_answers: u32,
+    lost_records: Option<RecordFilter>,
     appends: u64,
 }
 
@@ -38,6 +42,11 @@
         self.with(|state| state.lost_answers = count);
     }
 
+    /// Lets appends of the chosen records take effect without an answer.
+    pub fn lose_answers_of(&self, filter: Option<RecordFilter>) {
+        self.with(|state| state.lost_records = filter);
+    }
+
     /// Forgets the records of a stream before `first`.
     pub fn trim(&self, stream: &str, first: usize) {
         self.with(|state| state.first.insert(stream.to_owned(), first));
@@ -63,6 +72,10 @@
                 return Err(PlatformError::new_refused(503, b"away"));
             }
             state.appends += 1;
+            let is_chosen = state
+                .lost_records
+                .as_ref()
+                .is_some_and(|filter| filter(&data));
             let records = state.streams.entry(stream.to_owned()).or_default();
             records.push(data);
             let offset = LogOffset::new(records.len() as u64 - 1);
@@ -70,6 +83,9 @@
                 state.lost_answers -= 1;
                 return Err(HttpError::Lost("the answer was dropped".into()).into());
             }
+            if is_chosen {
+                return Err(HttpError::Lost("the answer was dropped".into()).into());
+            }
             Ok(offset)
         })
     }
--- a/crates/magnolia-daemon/tests/partition_faults.rs
+++ b/crates/magnolia-daemon/tests/partition_faults.rs
@@ -319,3 +319,48 @@
     ));
     assert!(daemon.context.partitions.get(&unit()).is_some());
 }
+
+/// Guards against a task that may not repeat being started before the log has its intent: after
+/// a crash nobody would know that it may have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_task_that_may_not_repeat_starts_after_its_intent_is_written() {
+    let cell = TestCell::new(1);
+    let daemon = cell.daemon("d1");
+    daemon.claim(1).await;
+    let blocker = daemon.submit(batch(8, 600_000)).await;
+    eventually("the worker is full", || cell.fleet.runs().len() == 8).await;
+    let mut once = batch(1, 10);
+    once.repeatable = false;
+    once.idempotency_key = Some("k1".parse().expect("a key"));
+    let job = daemon.submit(once).await;
+    let name = job.clone();
+    let is_intended = move |data: &[u8]| {
+        JournalBatch::decode(data).is_ok_and(|batch| {
+            batch.entries.iter().any(|entry| {
+                matches!(entry, JournalEntry::AttemptStarted { task, .. } if task.job == name)
+            })
+        })
+    };
+    let filter = is_intended.clone();
+    cell.log.lose_answers_of(Some(Box::new(filter)));
+    daemon
+        .run(JobOperation::Cancel {
+            jobs: vec![blocker],
+        })
+        .await;
+    eventually("the intent is written several times", || {
+        let records = cell.log.records(JOURNAL);
+        records.iter().filter(|data| is_intended(data)).count() >= 3
+    })
+    .await;
+    let runs = || {
+        cell.fleet
+            .runs()
+            .into_iter()
+            .filter(|run| run.task.job == job)
+    };
+    assert_eq!(runs().count(), 0, "no answer has confirmed the intent");
+    cell.log.lose_answers_of(None);
+    daemon.wait_state(&job, JobState::Done).await;
+    assert_eq!(runs().count(), 1);
+}
--- a/crates/magnolia-daemon/tests/takeover.rs
+++ b/crates/magnolia-daemon/tests/takeover.rs
@@ -234,3 +234,45 @@
     tokio::time::sleep(Duration::from_millis(LEASE_MS)).await;
     assert_eq!(cell.fleet.runs().len(), 1);
 }
+
+/// Guards against a second run of tasks that the earlier owner started while the log was away:
+/// the journal says that they wait, and the worker that runs them does not answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn old_tasks_wait_for_a_worker_that_may_run_them_unrecorded() {
+    let cell = TestCell::new(2);
+    let (first, second) = (cell.daemon("d1"), cell.daemon("d2"));
+    first.claim(1).await;
+    first.submit(batch(16, 300)).await;
+    eventually("the workers are full", || cell.fleet.runs().len() == 16).await;
+    let job = first.submit(batch(4, 600_000)).await;
+    cell.log.set_away(true);
+    let runs_of_job = || {
+        let runs = cell.fleet.runs().into_iter();
+        runs.filter(|run| run.task.job == job).collect::<Vec<_>>()
+    };
+    eventually("the job runs unrecorded", || runs_of_job().len() == 4).await;
+    let index = usize::from(runs_of_job()[0].worker.as_str() != "w000");
+    cell.fleet.set_reachable(worker_address(index), false);
+    first.gate.set_open(false);
+    cell.log.set_away(false);
+    second.claim(2).await;
+    // A task accepted after the takeover is placed at once on the worker that answers.
+    let new = second.submit(batch(1, 10)).await;
+    second.wait_state(&new, JobState::Done).await;
+    let explanation = second.run(JobOperation::Explain { job: job.clone() }).await;
+    let JobReply::Explanation(lines) = explanation else {
+        panic!("no explanation");
+    };
+    let waits = lines.iter().any(|line| line.contains("earlier owner"));
+    assert!(waits, "{lines:?}");
+    cell.fleet.set_reachable(worker_address(index), true);
+    eventually("all tasks run again", || {
+        runs_of_job()
+            .iter()
+            .filter(|run| run.ended.is_none())
+            .count()
+            == 4
+    })
+    .await;
+    cell.fleet.assert_single_runs();
+}
