Read the instance list at a bounded rate and when a peer has read another one

Change: at most 2 KB/s are spent on the list; ping replies carry a hash of the list as last read, and a daemon with another hash reads before its turn.

--- a/crates/magnolia-daemon/src/membership.rs
+++ b/crates/magnolia-daemon/src/membership.rs
@@ -2,13 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use magnolia_platform::{InstanceEntry, InstanceKind, InstanceState};
 use magnolia_state::SuspicionTracker;
-use magnolia_types::{DaemonId, DataCentreName, Incarnation, Millis};
-use tokio::sync::watch;
+use magnolia_types::{DaemonId, DataCentreName, Incarnation, Millis, stable_hash};
+use tokio::sync::{Notify, watch};
 
 use crate::clock::DaemonClock;
 use crate::context::DaemonContext;
@@ -17,11 +18,12 @@
 /// Shortest time between two readings of the instance list.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time between two readings of the instance list.
-const MAX_LIST_INTERVAL: Duration = Duration::from_secs(60);
+const MAX_LIST_INTERVAL: Duration = Duration::from_secs(600);
 /// Pause after a failed reading of the instance list.
 const LIST_RETRY_PAUSE: Duration = Duration::from_millis(500);
-/// Bytes a second spent on the list; a longer list is read less often.
-const LIST_BYTES_PER_SECOND: u64 = 8_000;
+/// Bytes a second spent on the list; a longer list is read less often, and at once when a peer has
+/// read another one.
+const LIST_BYTES_PER_SECOND: u64 = 2_000;
 /// Size of one entry of the list as JSON.
 const ENTRY_BYTES: u64 = 120;
 /// Longest time by which the instance list lags.
@@ -46,6 +48,9 @@
     entries: watch::Sender<Arc<Vec<InstanceEntry>>>,
     tracker: Mutex<SuspicionTracker>,
     list: Mutex<ListHistory>,
+    digest: AtomicU64,
+    /// Wakes the reader of the list.
+    list_hint: Notify,
     /// Daemons that somebody asked about or called, with the time of the last such call.
     interest: Mutex<BTreeMap<DaemonId, Millis>>,
 }
@@ -65,6 +70,8 @@
             entries: watch::Sender::new(Arc::default()),
             tracker: Mutex::default(),
             list: Mutex::default(),
+            digest: AtomicU64::new(0),
+            list_hint: Notify::new(),
             interest: Mutex::default(),
         }
     }
@@ -103,6 +110,18 @@
         })
     }
 
+    /// Returns the hash of the list as last read.
+    pub fn list_digest(&self) -> u64 {
+        self.digest.load(Ordering::SeqCst)
+    }
+
+    /// Takes note of the hash of a list that a peer has read.
+    pub fn compare_digest(&self, digest: u64) {
+        if digest != self.list_digest() {
+            self.list_hint.notify_one();
+        }
+    }
+
     /// Returns the listed daemon at an address.
     pub fn daemon_at(&self, address: SocketAddr) -> Option<DaemonId> {
         let members = self.listed_daemons();
@@ -186,6 +205,7 @@
     /// Takes over a reading of the list that was asked for at `asked`.
     pub fn replace_entries(&self, entries: Vec<InstanceEntry>, asked: Millis) {
         let now = self.clock.now();
+        self.digest.store(digest_of(&entries), Ordering::SeqCst);
         self.entries.send_replace(Arc::new(entries));
         let listed = self.listed_daemons();
         let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
@@ -270,10 +290,29 @@
                 LIST_RETRY_PAUSE
             }
         };
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(pause.min(LIST_INTERVAL)).await;
+        let rest = pause.saturating_sub(LIST_INTERVAL);
+        tokio::time::timeout(rest, context.members.list_hint.notified())
+            .await
+            .ok();
     }
 }
 
+/// Hashes what the list says, whatever the order of its entries.
+fn digest_of(entries: &[InstanceEntry]) -> u64 {
+    let hashes = entries.iter().map(|entry| {
+        let InstanceEntry {
+            instance,
+            kind,
+            address,
+            state,
+            ..
+        } = entry;
+        stable_hash(format!("{instance} {kind:?} {address} {state:?}").as_bytes())
+    });
+    hashes.fold(0, u64::wrapping_add)
+}
+
 /// Returns the time until the next reading of a list with `count` entries.
 fn list_interval(count: u64) -> Duration {
     let paced = Duration::from_millis(count * ENTRY_BYTES * 1000 / LIST_BYTES_PER_SECOND);
--- a/crates/magnolia-daemon/src/probing.rs
+++ b/crates/magnolia-daemon/src/probing.rs
@@ -53,6 +53,7 @@
     PingReply {
         draining: *context.phase.borrow() == LifecyclePhase::Draining,
         suspects: reports.collect(),
+        list_digest: context.members.list_digest(),
     }
 }
 
@@ -127,6 +128,7 @@
 
 fn take_pong(context: &DaemonContext, from: &DaemonId, pong: &PingReply) {
     let now = context.clock.now();
+    context.members.compare_digest(pong.list_digest);
     context.members.with_tracker(|tracker| {
         tracker.record_draining(from, pong.draining);
         let reports = pong.suspects.iter();
--- a/crates/magnolia-protocol/src/message.rs
+++ b/crates/magnolia-protocol/src/message.rs
@@ -189,6 +189,9 @@
         pub draining: bool,
         /// Daemons that the receiver suspects.
         pub suspects: Vec<SuspectReport>,
+        /// Hash of the instance list as the receiver last read it; a daemon that holds another one
+        /// reads the list before its turn.
+        pub list_digest: u64,
     }
 
     /// A request between daemons.
