Keep units in their region; test claims on a log that misbehaves

Cause: candidates for a unit were all daemons of the cell, so that a region that is cut off could find its units owned elsewhere. A status 500 of a peer was taken as a proof that the message had no effect.

Change: candidates are the daemons of the unit's region while it has any. Only statuses from 400 to 499 count as without effect.

--- a/crates/magnolia-daemon/src/ownership/claim_reader.rs
+++ b/crates/magnolia-daemon/src/ownership/claim_reader.rs
@@ -17,6 +17,8 @@
 const POLL_RECORDS: usize = 256;
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after peers have told their claims instead.
+const FETCH_PAUSE: Duration = Duration::from_secs(1);
 /// Longest time of a call that fetches claims from a peer.
 const FETCH_LIMIT: Duration = Duration::from_secs(1);
 /// Peers asked in one attempt.
@@ -32,10 +34,9 @@
         let was_caught_up = context.claims.is_caught_up();
         reached = read_page(&context, wait).await.is_ok();
         if !reached {
-            if !was_caught_up {
-                fetch_from_peers(&context).await;
-            }
-            tokio::time::sleep(RETRY_PAUSE).await;
+            let fetched = !was_caught_up && fetch_from_peers(&context).await;
+            let pause = if fetched { FETCH_PAUSE } else { RETRY_PAUSE };
+            tokio::time::sleep(pause).await;
         }
     }
 }
--- a/crates/magnolia-daemon/src/ownership/claimer.rs
+++ b/crates/magnolia-daemon/src/ownership/claimer.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use futures_util::future::join_all;
+use magnolia_config::ConfigDocument;
 use magnolia_protocol::encode;
 use magnolia_state::{ClaimChange, ClaimRecord};
 use magnolia_types::{Epoch, Millis, UnitId, rendezvous_order};
@@ -62,19 +63,53 @@
 
 /// Returns the daemon that takes a unit over when this one stops.
 pub fn next_candidate(context: &DaemonContext, unit: &UnitId) -> Option<MemberEntry> {
+    let order = candidates_in_order(context, unit);
+    let mut others = order.into_iter();
+    others.find(|member| member.daemon != context.identity.daemon)
+}
+
+/// Returns the candidates for a unit, the first one first: the daemons of its region, or all when
+/// the region has none.
+fn candidates_in_order(context: &DaemonContext, unit: &UnitId) -> Vec<MemberEntry> {
     let mut members = context.members.candidates();
-    members.retain(|member| member.daemon != context.identity.daemon);
+    let home: Vec<MemberEntry> = context
+        .with_document(|document| {
+            let region = region_of(document, unit);
+            let is_home = |member: &&MemberEntry| {
+                let centre = document.data_centre(&member.data_centre);
+                region.is_some() && centre.map(|centre| &centre.region) == region
+            };
+            members.iter().filter(is_home).cloned().collect()
+        })
+        .unwrap_or_default();
+    if !home.is_empty() {
+        members = home;
+    }
     let names: Vec<&str> = members
         .iter()
         .map(|member| member.daemon.as_str())
         .collect();
-    let first = rendezvous_order(unit.as_str(), &names)
-        .first()
-        .map(|name| **name)?;
-    let found = members
-        .iter()
-        .find(|member| member.daemon.as_str() == first);
-    found.cloned()
+    let order = rendezvous_order(unit.as_str(), &names);
+    let find = |name: &&&str| {
+        let mut all = members.iter();
+        all.find(|member| member.daemon.as_str() == **name).cloned()
+    };
+    order.iter().filter_map(find).collect()
+}
+
+/// Returns the region of a unit's workers or executors.
+fn region_of<'a>(document: &'a ConfigDocument, unit: &UnitId) -> Option<&'a Arc<str>> {
+    let centre = match (unit.group(), unit.partition()) {
+        (Some(group), _) => &document.executor_block(group)?.data_centre,
+        (_, Some(partition)) => {
+            let mut racks = document.racks.iter();
+            &racks
+                .find(|rack| &*rack.partition == partition)?
+                .data_centre
+        }
+        _ => return None,
+    };
+    Some(&document.data_centre(centre)?.region)
 }
 
 impl ClaimerState {
@@ -117,11 +152,6 @@
         if !context.claims.is_log_healthy() || !context.claims.is_caught_up() {
             return Vec::new();
         }
-        let candidates = context.members.candidates();
-        let names: Vec<&str> = candidates
-            .iter()
-            .map(|member| member.daemon.as_str())
-            .collect();
         let now = context.clock.now();
         let mut wanted = Vec::new();
         for unit in units {
@@ -130,9 +160,9 @@
                 continue;
             }
             let since = *self.free_since.entry(unit.clone()).or_insert(now);
-            let order = rendezvous_order(unit.as_str(), &names);
-            let own = context.identity.daemon.as_str();
-            let Some(rank) = order.iter().position(|name| **name == own) else {
+            let order = candidates_in_order(context, unit);
+            let own = &context.identity.daemon;
+            let Some(rank) = order.iter().position(|member| member.daemon == *own) else {
                 continue;
             };
             let delay = CANDIDATE_DELAY.get().saturating_mul(rank as u64);
--- a/crates/magnolia-daemon/tests/quick_requests.rs
+++ b/crates/magnolia-daemon/tests/quick_requests.rs
@@ -259,6 +259,25 @@
     assert!(executor.most_busy() <= SLOTS);
 }
 
+/// Guards against repeatable requests that wait for a silent executor although another group has
+/// room: they are hedged as far as the budget goes.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeatable_requests_are_hedged() {
+    let cell = TestCell::start(1, &[1, 1]).await;
+    cell.until_answered(0, "before").await;
+    let [hanging, working] = &cell.groups[..] else {
+        panic!("two groups");
+    };
+    hanging[0].set_mode(ExecutorMode::Hang);
+    let mut answered = 0;
+    while hanging[0].requests() < 4 {
+        let answer = cell.request(0, "x", 5000).await.expect("an answer");
+        assert!(answer.status.is_success(), "{:?}", answer.body);
+        answered += 1;
+    }
+    assert!(working[0].requests() >= answered);
+}
+
 /// Guards against an outage of the log that stops quick requests.
 #[tokio::test(flavor = "multi_thread")]
 async fn quick_requests_go_on_while_the_log_is_away() {
--- a/crates/magnolia-daemon/tests/support/mod.rs
+++ b/crates/magnolia-daemon/tests/support/mod.rs
@@ -1,11 +1,12 @@
 //! Whole daemons in this process, each on its own runtime, with small stand-ins of the platform.
 
-#![allow(dead_code, reason = "each test binary uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test binary uses a part")]
 
 mod executor;
 mod platform;
 
 pub use executor::{ExecutorMode, FakeExecutor};
+pub use platform::FakeLog;
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -19,7 +20,7 @@
 use magnolia_http::{HttpAnswer, HttpClient, HttpError, PoolSettings};
 use magnolia_platform::{InstanceEntry, InstanceKind, InstanceState};
 use magnolia_types::{CustomerName, DataCentreName, ExecutorId, Millis, WorkClass};
-use platform::{FakeInstances, FakeLog};
+use platform::FakeInstances;
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
 use tokio::sync::oneshot;
@@ -62,7 +63,12 @@
     /// Starts daemons and groups of executors, publishes the inventory and waits until every group
     /// has an owner and every daemon is ready.
     pub async fn start(daemons: usize, groups: &[usize]) -> Self {
-        let log = Arc::new(FakeLog::default());
+        Self::start_on(FakeLog::default(), daemons, groups).await
+    }
+
+    /// Starts a cell on a given log.
+    pub async fn start_on(log: FakeLog, daemons: usize, groups: &[usize]) -> Self {
+        let log = Arc::new(log);
         let instances = Arc::new(FakeInstances::default());
         let mut cell = Self {
             client: HttpClient::new(PoolSettings::new()),
--- a/crates/magnolia-daemon/tests/support/platform.rs
+++ b/crates/magnolia-daemon/tests/support/platform.rs
@@ -36,6 +36,8 @@
     streams: Mutex<HashMap<String, Vec<String>>>,
     /// Whether the log refuses everything.
     pub is_away: AtomicBool,
+    /// Whether appends take effect without an answer.
+    pub loses_answers: AtomicBool,
 }
 
 impl FakeLog {
@@ -45,7 +47,8 @@
         streams.get(stream).map_or(0, Vec::len)
     }
 
-    fn append(&self, stream: &str, data: String) -> LogOffset {
+    /// Appends a record.
+    pub fn append(&self, stream: &str, data: String) -> LogOffset {
         let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
         let records = streams.entry(stream.to_owned()).or_default();
         records.push(data);
@@ -77,6 +80,9 @@
             let body = read_body(body, 1 << 20).await.unwrap_or_default();
             let body: AppendBody = serde_json::from_slice(&body).expect("a record");
             let offset = self.append(stream, body.data);
+            if self.loses_answers.load(Ordering::SeqCst) {
+                std::future::pending::<()>().await;
+            }
             return json_response(200, &AppendAnswer { offset });
         }
         let query = parts.uri.query().unwrap_or_default();
--- a/crates/magnolia-protocol/src/client.rs
+++ b/crates/magnolia-protocol/src/client.rs
@@ -17,7 +17,7 @@
     /// The call failed on the way; the inner error tells whether it can have taken effect.
     #[error(transparent)]
     Transport(#[from] HttpError),
-    /// The peer refused the message or speaks another version.
+    /// The peer refused the message, for example because it speaks another version.
     #[error("peer refused the message: {0}")]
     Protocol(String),
 }
@@ -67,13 +67,17 @@
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| PeerError::Protocol(error.to_string()))?;
         let answer = self.client.call(peer, request, limit).await?;
-        if !answer.status.is_success() {
+        if answer.status.is_client_error() {
             return Err(PeerError::Protocol(format!("status {}", answer.status)));
         }
+        if !answer.status.is_success() {
+            // A failure of the peer itself may come after the message took effect.
+            return Err(HttpError::Lost(format!("status {}", answer.status)).into());
+        }
         let reply: PeerEnvelope<PeerReply> =
             decode(&answer.body).map_err(|error| HttpError::Malformed(error.to_string()))?;
         if reply.protocol != PROTOCOL_VERSION {
-            return Err(PeerError::Protocol(format!("version {}", reply.protocol)));
+            return Err(HttpError::Malformed(format!("version {}", reply.protocol)).into());
         }
         Ok(reply)
     }
