--- a/crates/magnolia-lab/src/load/client.rs
+++ b/crates/magnolia-lab/src/load/client.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use magnolia_http::{ErrorBody, HttpClient, PoolSettings};
-use magnolia_types::Ran;
+use magnolia_types::{Ran, stable_hash};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -28,7 +28,7 @@
 /// Longest padding of a body.
 const MAX_PADDING_BYTES: usize = 200;
 
-/// Numbers clients and jobs of this process, so that several loads of a run do not collide.
+/// Numbers the loads of this process, so that their calls and keys do not collide.
 static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
 
 /// What a load sends and where.
@@ -135,7 +135,11 @@
     async fn call_entry(&self, body: &str, key: Option<&str>) -> QuickResult {
         let (daemon, address) = self.entry();
         let id: Arc<str> = self.next_id().into();
-        let is_guild = self.draw(0, 2) == 1;
+        // A key belongs to its customer, so a repeat has to name the same one.
+        let is_guild = match key {
+            Some(key) => stable_hash(key.as_bytes()) % 2 == 1,
+            None => self.draw(0, 2) == 1,
+        };
         let mut request = json!({
             "customer": if is_guild { "guild" } else { "board" },
             "class": "quick",
@@ -196,11 +200,6 @@
         format!("{}-{call}", self.prefix)
     }
 
-    /// Returns a number that no other job of this process has.
-    pub(super) fn next_job_number() -> u64 {
-        NEXT_NUMBER.fetch_add(1, Ordering::SeqCst)
-    }
-
     /// Returns the name and address of a random daemon.
     pub(super) fn entry(&self) -> (Arc<str>, SocketAddr) {
         let entries = &self.settings.entries;
