--- a/crates/magnolia-lab/src/scenario/torture.rs
+++ b/crates/magnolia-lab/src/scenario/torture.rs
@@ -44,13 +44,19 @@
     settings: &TortureSettings,
 ) -> Result<bool, ScenarioError> {
     println!("torture with seed {}", settings.seed);
+    // A proxy accepts before its target refuses. In front of the callers' address it would turn
+    // refused connections into lost requests.
+    let plan = ProxyPlan {
+        callers: false,
+        ..ProxyPlan::new_everywhere()
+    };
     let builder = CellBuilder::new(program, folder)
         .with_daemons(DAEMONS)
         .with_backends(WORKERS, EXECUTORS)
         .with_data_centres(DATA_CENTRES)
         .with_rules(lab_rules())
         .with_seed(settings.seed)
-        .with_proxies(ProxyPlan::new_everywhere());
+        .with_proxies(plan);
     let mut run = ScenarioRun::start(builder).await?;
     let seconds = settings.duration.as_secs();
     let load = run.load(settings.rate, LoadMix::new_mixed(), seconds, settings.seed)?;
--- a/crates/magnolia-lab/tests/standins.rs
+++ b/crates/magnolia-lab/tests/standins.rs
@@ -138,6 +138,12 @@
     while get().await.map(drop) != Err(HttpError::Refused) {}
     proxy.set_faults(ProxyFaults::default());
     while get().await.is_err() {}
+    // A proxy whose target is gone refuses too, as the target itself would.
+    let gone = CellLayout::new().address(PORT);
+    let address = CellLayout::new().address(PROXY_PORT);
+    let orphan = TcpProxy::start("q", address, gone, HistoryWriter::new()).await;
+    let _orphan = orphan.expect("a proxy");
+    while client.get(address, "/faults", LIMIT).await.map(drop) != Err(HttpError::Refused) {}
     let other = HttpClient::new(PoolSettings::new());
     proxy.black_hole_open_connections();
     let held = client.get(listen, "/faults", SHORT_LIMIT).await;
