--- a/crates/magnolia-daemon/src/lib.rs
+++ b/crates/magnolia-daemon/src/lib.rs
@@ -17,7 +17,7 @@
 mod quick;
 mod settings;
 
-pub use context::DaemonContext;
+pub use context::{DaemonContext, LifecyclePhase};
 pub use daemon::{ExitStatus, run_daemon, run_main};
 pub use inner::InnerHandler;
 pub use membership::MemberEntry;
