Let hanging, leaving and slow back ends take part in torture runs; keep fault windows closed

Back ends that ignore their limits from the start never counted as free of faults again, so the checks of stops and of configuration left out the rest of the run.

--- a/crates/magnolia-lab/src/scenario/action.rs
+++ b/crates/magnolia-lab/src/scenario/action.rs
@@ -41,6 +41,14 @@
     ExecutorLoses(usize),
     /// Makes the open connections to an executor silent.
     BlackHoleExecutor(usize),
+    /// Makes the requests of an executor hold their slots.
+    ExecutorHangs(usize),
+    /// Lets an executor leave and come back.
+    ExecutorLeaves(usize),
+    /// Lets a worker leave and come back.
+    WorkerLeaves(usize),
+    /// Makes the tasks of a worker run four times as long as declared.
+    WorkerSlow(usize),
 }
 
 impl fmt::Display for FaultAction {
@@ -57,7 +65,7 @@
         workers: usize,
         executors: usize,
     ) -> Self {
-        let kind = random.random_range(0..14);
+        let kind = random.random_range(0..18);
         let daemon = random.random_range(0..daemons);
         let worker = random.random_range(0..workers);
         let executor = random.random_range(0..executors);
@@ -75,6 +83,10 @@
             10 => Self::WorkerLoses(worker),
             11 => Self::WorkerRestart(worker),
             12 => Self::ExecutorLoses(executor),
+            13 => Self::ExecutorHangs(executor),
+            14 => Self::ExecutorLeaves(executor),
+            15 => Self::WorkerLeaves(worker),
+            16 => Self::WorkerSlow(worker),
             _ => Self::BlackHoleExecutor(executor),
         }
     }
@@ -155,19 +167,30 @@
             Self::WorkerLoses(_) => json!({"lose_answers_percent": 30, "double_percent": 30}),
             Self::WorkerRestart(_) => json!({"restarts": 1}),
             Self::ExecutorLoses(_) => json!({"lose_answers_percent": 30}),
+            Self::ExecutorHangs(_) => json!({"hang": true}),
+            Self::ExecutorLeaves(_) | Self::WorkerLeaves(_) => json!({"leaving": true}),
+            Self::WorkerSlow(_) => json!({"run_time_percent": 400}),
             _ => json!({}),
         }
     }
 
+    /// Sets faults at a stand-in. Back ends go on to ignore their limits, so that the scheduler
+    /// alone keeps them from being overcommitted.
     async fn set_standin(&self, cell: &RunningCell, faults: &Value) -> Result<(), ScenarioError> {
+        let mut faults = faults.clone();
         let address = match self {
             Self::WorkerUnreachable(worker)
             | Self::WorkerLoses(worker)
-            | Self::WorkerRestart(worker) => cell.worker(*worker),
-            Self::ExecutorLoses(executor) => cell.executor(*executor),
-            _ => cell.log,
+            | Self::WorkerRestart(worker)
+            | Self::WorkerLeaves(worker)
+            | Self::WorkerSlow(worker) => cell.worker(*worker),
+            Self::ExecutorLoses(executor)
+            | Self::ExecutorHangs(executor)
+            | Self::ExecutorLeaves(executor) => cell.executor(*executor),
+            _ => return Ok(cell.set_faults(cell.log, &faults).await?),
         };
-        Ok(cell.set_faults(address, faults).await?)
+        faults["ignore_limits"] = true.into();
+        Ok(cell.set_faults(address, &faults).await?)
     }
 }
 
--- a/crates/magnolia-lab/src/scenario/torture.rs
+++ b/crates/magnolia-lab/src/scenario/torture.rs
@@ -23,6 +23,9 @@
 /// Times in which a fault is held and the cell is left alone, in milliseconds.
 const HOLD_MS: std::ops::Range<u64> = 300..5000;
 
+/// Faults of all back ends: the scheduler alone keeps them from being overcommitted.
+const UNLIMITED: &str = r#"{"ignore_limits": true}"#;
+
 /// What a torture run does.
 pub struct TortureSettings {
     /// Seed of all choices.
@@ -56,6 +59,7 @@
         .with_data_centres(DATA_CENTRES)
         .with_rules(lab_rules())
         .with_seed(settings.seed)
+        .with_backend_faults(UNLIMITED, UNLIMITED)
         .with_proxies(plan);
     let mut run = ScenarioRun::start(builder).await?;
     let seconds = settings.duration.as_secs();
--- a/crates/magnolia-lab/src/standin/fault_cell.rs
+++ b/crates/magnolia-lab/src/standin/fault_cell.rs
@@ -26,6 +26,8 @@
 /// The faults in force; `PUT /faults` replaces them as a whole.
 pub struct FaultCell<T> {
     party: Arc<str>,
+    /// Faults from the start; a return to them counts as cleared in the history.
+    initial: T,
     faults: Mutex<T>,
     random: Mutex<ChaCha8Rng>,
     history: HistoryWriter,
@@ -38,12 +40,13 @@
     ///
     /// Fails when the faults of the options are malformed.
     pub fn new(party: &str, options: &StandinOptions) -> Result<Self, std::io::Error> {
-        let faults = match &options.faults {
+        let faults: T = match &options.faults {
             Some(text) => serde_json::from_str(text).map_err(std::io::Error::other)?,
             None => T::default(),
         };
         Ok(Self {
             party: party.into(),
+            initial: faults.clone(),
             faults: Mutex::new(faults),
             random: Mutex::new(ChaCha8Rng::seed_from_u64(options.seed)),
             history: options.history.clone(),
@@ -75,7 +78,7 @@
 
     fn set(&self, faults: T) {
         let party = Arc::clone(&self.party);
-        self.history.write(if faults == T::default() {
+        self.history.write(if faults == self.initial {
             HistoryEvent::FaultCleared { party }
         } else {
             let fault = serde_json::to_string(&faults).unwrap_or_default().into();
