Move a task after a lease only when the log confirms the claim

Cause: an owner that is cut off from the log and from some workers took the end of a lease in its own book for the end of the task. A later owner, unknown to it, had fenced the worker, adopted the task and renewed its lease; the first one started the task on a worker that nobody had fenced. Two new tests showed a task in two places, one of them through a handover: the owner that hands over vouched for owners before it that were neither fenced nor waited out.

Ruled out: the lease computation itself (the first start ended where the book said, had nobody renewed it), and the fence of the reachable workers.

Change: the end of a lease and the end of the wait in a takeover count only when the log has confirmed the claim after them; then any later owner finds the lease ended. A handover needs no fencing wait only when no owner before the one that hands over is left.

--- a/crates/magnolia-daemon/src/ownership/confirmation.rs
+++ b/crates/magnolia-daemon/src/ownership/confirmation.rs
@@ -21,6 +21,15 @@
 /// Longest age of the instance list by which this daemon knows that it is alone.
 const ALONE_AGE: Millis = Millis::from_secs(5);
 
+/// Who has confirmed a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimWord {
+    /// The log held no later claim when it was asked, which proves the ownership until then.
+    Log,
+    /// A peer knew of no later claim; it may not have read the newest one.
+    Peer,
+}
+
 impl DaemonContext {
     /// Returns this daemon's claim of a unit if it is the current one as far as known.
     pub fn own_claim(&self, unit: &UnitId) -> Option<ClaimRecord> {
@@ -33,16 +42,27 @@
     /// Tells whether this daemon still owns a unit by the newest claims of the log, or by a peer's
     /// word while the log is away.
     pub async fn confirm_claim(&self, unit: &UnitId) -> bool {
+        self.claim_word(unit).await.is_some()
+    }
+
+    /// Asks the log, or peers while it is away, whether this daemon still owns a unit; returns who
+    /// has confirmed it.
+    pub async fn claim_word(&self, unit: &UnitId) -> Option<ClaimWord> {
         let asked = self.clock.now();
         let read = tokio::time::timeout(LOG_LIMIT, read_to_end(self)).await;
-        if !matches!(read, Ok(Ok(()))) && !fetch_from_peers(self).await {
-            // Nobody else can have claimed anything when no other daemon is listed.
-            if !self.members.is_alone(&self.identity.daemon, ALONE_AGE) {
-                return false;
+        let word = if matches!(read, Ok(Ok(()))) {
+            ClaimWord::Log
+        } else {
+            if !fetch_from_peers(self).await {
+                // Nobody else can have claimed anything when no other daemon is listed.
+                if !self.members.is_alone(&self.identity.daemon, ALONE_AGE) {
+                    return None;
+                }
+                self.claims.record_word(asked);
             }
-            self.claims.record_word(asked);
-        }
-        self.own_claim(unit).is_some()
+            ClaimWord::Peer
+        };
+        self.own_claim(unit).map(|_| word)
     }
 
     /// Tells whether the owner of an executor group may send, after a confirmation if needed.
--- a/crates/magnolia-daemon/src/partition/events.rs
+++ b/crates/magnolia-daemon/src/partition/events.rs
@@ -14,6 +14,8 @@
 
 use super::committer::AppendResult;
 
+use crate::ownership::ClaimWord;
+
 /// Where the reply to an operation goes.
 pub type ReplySender = oneshot::Sender<JobReply>;
 
@@ -63,8 +65,8 @@
     Confirmed {
         /// When the question was asked.
         asked: Millis,
-        /// Whether the claim is current.
-        confirmed: bool,
+        /// Who says that the claim is current, if somebody does.
+        word: Option<ClaimWord>,
     },
     /// The end of an append.
     Appended(AppendResult),
--- a/crates/magnolia-daemon/src/partition/evidence.rs
+++ b/crates/magnolia-daemon/src/partition/evidence.rs
@@ -4,6 +4,7 @@
 use magnolia_types::{DaemonId, Incarnation, Millis};
 
 use crate::context::DaemonContext;
+use crate::ownership::ClaimWord;
 
 /// Returns when the end of a run of a daemon was proved, on this daemon's clock.
 pub fn proof_of_end(
@@ -19,11 +20,9 @@
     context.members.proof_of_end(daemon, incarnation)
 }
 
-/// Tells whether the claim of an owner is still the current one.
-pub async fn confirm_claim(context: &DaemonContext, claim: &ClaimRecord) -> bool {
-    if !context.confirm_claim(&claim.unit).await {
-        return false;
-    }
-    let current = context.own_claim(&claim.unit);
-    current.is_some_and(|current| current.epoch == claim.epoch)
+/// Returns who confirms that the claim of an owner is still the current one.
+pub async fn confirm_claim(context: &DaemonContext, claim: &ClaimRecord) -> Option<ClaimWord> {
+    let word = context.claim_word(&claim.unit).await?;
+    let current = context.own_claim(&claim.unit)?;
+    (current.epoch == claim.epoch).then_some(word)
 }
--- a/crates/magnolia-daemon/src/partition/exchange.rs
+++ b/crates/magnolia-daemon/src/partition/exchange.rs
@@ -11,14 +11,10 @@
 use magnolia_types::{AttemptId, Millis, WorkerId};
 
 use super::events::{ExchangeResult, OwnerEvent};
-use super::evidence;
 use super::owner::{OwnerPhase, PartitionOwner};
 use super::worker_link::{AttemptOrder, WorkerLink};
 use crate::metrics::names;
 
-/// Pause before the claim is asked about again after it was not confirmed.
-const CONFIRM_PAUSE: Millis = Millis::new(500);
-
 impl PartitionOwner {
     /// Sends each worker what is due.
     pub(super) fn drive_workers(&mut self) {
@@ -46,7 +42,7 @@
                 self.send_fence(&worker, now);
             }
         }
-        if unconfirmed && self.confirming.is_none() && now >= self.confirm_after {
+        if unconfirmed {
             self.ask_for_confirmation(now);
         }
     }
@@ -289,18 +285,8 @@
         }
     }
 
-    /// Ends attempts whose leases are over on workers that do not answer.
-    pub(super) fn expire_leases(&mut self, now: Millis) {
-        for (worker, lost) in self.book.expire(now) {
-            self.context
-                .metrics
-                .add(names::ATTEMPTS_WAITED_OUT, lost.len() as u64);
-            self.lose_attempts(&worker, lost);
-        }
-    }
-
     /// Ends attempts that can no longer run on a worker, with an end that nobody knows.
-    fn lose_attempts(&mut self, worker: &WorkerId, lost: Vec<AttemptId>) {
+    pub(super) fn lose_attempts(&mut self, worker: &WorkerId, lost: Vec<AttemptId>) {
         for attempt in lost {
             let link = self.links.get(worker);
             let sends = link.and_then(|link| Some(link.starts.get(&attempt)?.sends));
@@ -344,37 +330,6 @@
             self.place_due = true;
         }
     }
-
-    fn ask_for_confirmation(&mut self, now: Millis) {
-        self.confirming = Some(now);
-        let (context, events) = (Arc::clone(&self.context), self.events.clone());
-        let claim = self.claim.clone();
-        tokio::spawn(async move {
-            let confirmed = evidence::confirm_claim(&context, &claim).await;
-            let asked = now;
-            events.send(OwnerEvent::Confirmed { asked, confirmed }).ok();
-        });
-    }
-
-    /// Allows starts on the incarnations that were known before the question was asked.
-    pub(super) fn claim_confirmed(&mut self, asked: Millis, confirmed: bool) {
-        self.confirming = None;
-        if !confirmed {
-            self.context.metrics.count(names::CLAIMS_NOT_CONFIRMED);
-            self.confirm_after = self.now().saturating_add(CONFIRM_PAUSE);
-            return;
-        }
-        let workers: Vec<WorkerId> = self.links.keys().cloned().collect();
-        for worker in workers {
-            let citation = self.book.citation(&worker);
-            if let Some(link) = self.links.get_mut(&worker)
-                && link.learned <= asked
-            {
-                link.confirmed = citation.map(|citation| citation.incarnation);
-            }
-            self.update_view(&worker);
-        }
-    }
 }
 
 /// Translates the end that a worker reports.
--- a/crates/magnolia-daemon/src/partition/fencing.rs
+++ b/crates/magnolia-daemon/src/partition/fencing.rs
@@ -5,7 +5,7 @@
 use magnolia_platform::{AttemptReport, AttemptState, WorkerReport};
 use magnolia_policy::AttemptRecord;
 use magnolia_state::{AttemptResult, FoundAttempt, JournalEntry, TakeoverTracker, with_drift};
-use magnolia_types::{AttemptId, JobId, Millis, TaskRef, WorkerId};
+use magnolia_types::{AttemptId, Epoch, JobId, Millis, TaskRef, WorkerId};
 
 use super::committer::JournalCommitter;
 use super::events::OpenedJournal;
@@ -33,7 +33,10 @@
         let is_first = self.earlier_owners().next().is_none();
         let lease = self.lease.max(self.table.longest_lease());
         self.tracker = TakeoverTracker::new(epoch, lease, self.workers_to_fence());
-        if journal.handed_over || is_first {
+        // The owner that hands over vouches for itself, not for owners before it.
+        let handing = Epoch::new(epoch.get().saturating_sub(1));
+        let has_older = self.table.owners().iter().any(|owner| owner.0 < handing);
+        if is_first || (journal.handed_over && !has_older) {
             self.tracker = self.tracker.clone().with_confirmed_end();
             self.bound_unseen(now, lease);
         }
@@ -160,8 +163,8 @@
         }
     }
 
-    /// Looks for the proof that earlier owners have ended, and at the wait after it.
-    pub(super) fn advance_takeover(&mut self, now: Millis) {
+    /// Looks for the proof that earlier owners have ended.
+    pub(super) fn advance_takeover(&mut self) {
         if self.tracker.is_complete() || !self.is_serving() {
             return;
         }
@@ -172,16 +175,15 @@
         if let Some(latest) = proofs.and_then(|proofs| proofs.into_iter().max()) {
             self.tracker.proved(latest);
         }
-        if self.tracker.advance(now) {
-            self.takeover_done();
-        }
     }
 
     /// Ends the attempts that nobody can run any more and queues the tasks of earlier owners.
-    fn takeover_done(&mut self) {
+    pub(super) fn takeover_done(&mut self) {
         log::info!("{}: every worker is fenced or waited out", self.claim.unit);
         let now = self.now();
-        self.committer.push(JournalEntry::TakeoverDone, None, now);
+        let done = JournalEntry::TakeoverDone;
+        self.table.apply(self.claim.epoch, &done);
+        self.committer.push(done, None, now);
         for (worker, unseen) in std::mem::take(&mut self.unseen) {
             for (task, attempt) in unseen {
                 if self.attempts.contains_key(&attempt) {
--- a/crates/magnolia-daemon/src/partition/mod.rs
+++ b/crates/magnolia-daemon/src/partition/mod.rs
@@ -3,6 +3,7 @@
 mod committer;
 #[cfg(test)]
 mod committer_tests;
+mod confirming;
 mod describe;
 mod events;
 mod evidence;
--- a/crates/magnolia-daemon/src/partition/owner.rs
+++ b/crates/magnolia-daemon/src/partition/owner.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::committer::JournalCommitter;
+use super::confirming::ConfirmationTimes;
 use super::events::{JournalWaiter, OnceKey, OwnerCommand, OwnerEvent, ReplySender};
 use super::opening::stream_of;
 use super::placement_notes::PlacementNotes;
@@ -96,6 +97,7 @@
     /// When the question for the claim in flight was asked.
     pub(super) confirming: Option<Millis>,
     pub(super) confirm_after: Millis,
+    pub(super) confirmed: ConfirmationTimes,
     pub(super) place_due: bool,
     pub(super) snapshots: u64,
     drive_at: Millis,
@@ -150,6 +152,7 @@
             start_window: document.rules.start_window_ms,
             confirming: None,
             confirm_after: zero,
+            confirmed: ConfirmationTimes::default(),
             place_due: false,
             snapshots: 0,
             drive_at: zero,
@@ -233,7 +236,7 @@
         match event {
             OwnerEvent::Opened(journal) => self.opened(*journal),
             OwnerEvent::Exchanged(result) => self.take_exchange(*result),
-            OwnerEvent::Confirmed { asked, confirmed } => self.claim_confirmed(asked, confirmed),
+            OwnerEvent::Confirmed { asked, word } => self.claim_confirmed(asked, word),
             OwnerEvent::Appended(result) => {
                 let outcome = self.committer.appended(result, self.now());
                 self.take_commit(outcome);
@@ -251,7 +254,7 @@
 
     fn tick(&mut self) {
         let now = self.now();
-        self.advance_takeover(now);
+        self.advance_takeover();
         self.expire_leases(now);
         self.expire_waits(now);
         if now >= self.place_at {
--- a/crates/magnolia-daemon/tests/cell/fleet.rs
+++ b/crates/magnolia-daemon/tests/cell/fleet.rs
@@ -1,6 +1,6 @@
 //! Workers in memory, behind faults, with a history of what ran where.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
@@ -199,6 +199,20 @@
     pub fleet: Arc<FakeFleet>,
     /// Holds the daemon's calls up.
     pub gate: PauseGate,
+    /// Workers that this daemon alone cannot reach.
+    pub cut: Arc<Mutex<BTreeSet<SocketAddr>>>,
+}
+
+impl GatedFleet {
+    /// Passes the gate; fails when the worker is cut off from this daemon.
+    async fn enter(&self, worker: SocketAddr) -> Result<(), PlatformError> {
+        self.gate.pass().await;
+        let cut = self.cut.lock().unwrap_or_else(PoisonError::into_inner);
+        if cut.contains(&worker) {
+            return Err(HttpError::NotConnected("cut off".into()).into());
+        }
+        Ok(())
+    }
 }
 
 impl WorkerClient for GatedFleet {
@@ -208,7 +222,7 @@
         partition: &'a str,
     ) -> BoxFuture<'a, Result<WorkerReport, PlatformError>> {
         Box::pin(async move {
-            self.gate.pass().await;
+            self.enter(worker).await?;
             self.fleet
                 .call(worker, |model, now| model.report(now, partition, None))
         })
@@ -220,7 +234,7 @@
         request: &'a FenceRequest,
     ) -> BoxFuture<'a, Result<CommandAnswer, PlatformError>> {
         Box::pin(async move {
-            self.gate.pass().await;
+            self.enter(worker).await?;
             let answer = self
                 .fleet
                 .call(worker, |model, now| model.fence(now, request));
@@ -235,7 +249,7 @@
         batch: &'a CommandBatch,
     ) -> BoxFuture<'a, Result<CommandAnswer, PlatformError>> {
         Box::pin(async move {
-            self.gate.pass().await;
+            self.enter(worker).await?;
             let answer = self
                 .fleet
                 .call(worker, |model, now| model.command(now, batch));
--- a/crates/magnolia-daemon/tests/cell/log.rs
+++ b/crates/magnolia-daemon/tests/cell/log.rs
@@ -128,6 +128,8 @@
     pub log: Arc<FakeLog>,
     /// Holds the daemon's calls up.
     pub gate: PauseGate,
+    /// Holds only the daemon's calls of the log up.
+    pub log_gate: PauseGate,
     /// Time that an append takes.
     pub delay: Duration,
 }
@@ -140,9 +142,11 @@
     ) -> BoxFuture<'a, Result<LogOffset, PlatformError>> {
         Box::pin(async move {
             self.gate.pass().await;
+            self.log_gate.pass().await;
             tokio::time::sleep(self.delay).await;
             let result = self.log.append_now(stream, data);
             self.gate.pass().await;
+            self.log_gate.pass().await;
             result
         })
     }
@@ -156,8 +160,10 @@
     ) -> BoxFuture<'a, Result<LogPage, PlatformError>> {
         Box::pin(async move {
             self.gate.pass().await;
+            self.log_gate.pass().await;
             let result = self.log.read_now(stream, from, max);
             self.gate.pass().await;
+            self.log_gate.pass().await;
             result
         })
     }
--- a/crates/magnolia-daemon/tests/cell/mod.rs
+++ b/crates/magnolia-daemon/tests/cell/mod.rs
@@ -5,9 +5,10 @@
 pub mod gate;
 pub mod log;
 
+use std::collections::BTreeSet;
 use std::ffi::OsString;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -46,7 +47,12 @@
 /// One daemon.
 pub struct TestDaemon {
     pub context: Arc<DaemonContext>,
+    /// Holds all calls of the daemon up.
     pub gate: PauseGate,
+    /// Holds only its calls of the log up.
+    pub log_gate: PauseGate,
+    /// Workers that it cannot reach.
+    pub cut: Arc<Mutex<BTreeSet<SocketAddr>>>,
 }
 
 pub fn worker_address(index: usize) -> SocketAddr {
@@ -136,19 +142,27 @@
         let settings = DaemonSettings::from_args(args.map(OsString::from));
         let settings = settings.unwrap_or_else(|error| panic!("{error}"));
         let mut context = DaemonContext::new(settings).expect("a context");
-        let gate = PauseGate::new();
+        let (gate, log_gate) = (PauseGate::new(), PauseGate::new());
+        let cut: Arc<Mutex<BTreeSet<SocketAddr>>> = Arc::default();
         context.log = Arc::new(GatedLog {
             log: Arc::clone(&self.log),
             gate: gate.clone(),
+            log_gate: log_gate.clone(),
             delay: self.append_delay,
         });
         context.workers = Arc::new(GatedFleet {
             fleet: Arc::clone(&self.fleet),
             gate: gate.clone(),
+            cut: Arc::clone(&cut),
         });
         let context = Arc::new(context);
         set_config(&context, 1, self.document.clone());
-        TestDaemon { context, gate }
+        TestDaemon {
+            context,
+            gate,
+            log_gate,
+            cut,
+        }
     }
 }
 
@@ -181,6 +195,12 @@
         start_owner(&self.context, &claim);
     }
 
+    /// Cuts this daemon off from workers.
+    pub fn cut_off(&self, workers: impl IntoIterator<Item = SocketAddr>) {
+        let mut cut = self.cut.lock().unwrap_or_else(PoisonError::into_inner);
+        cut.extend(workers);
+    }
+
     pub async fn run(&self, operation: JobOperation) -> JobReply {
         run_local(&self.context, PARTITION, operation).await
     }
--- a/crates/magnolia-daemon/tests/takeover.rs
+++ b/crates/magnolia-daemon/tests/takeover.rs
@@ -142,6 +142,80 @@
     cell.fleet.assert_single_runs();
 }
 
+/// Guards against a handover that vouches for owners before the one that hands over: the first
+/// owner still renews the leases of a worker that nobody has fenced, so its tasks must not start
+/// elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_handover_does_not_vouch_for_earlier_owners() {
+    let cell = TestCell::new(3);
+    let (first, second) = (cell.daemon("d1"), cell.daemon("d2"));
+    let (third, successor) = cell.reachable_daemon("d3").await;
+    first.claim(1).await;
+    let job = first.submit(batch(10, 600_000)).await;
+    eventually("all tasks run", || cell.fleet.runs().len() == 10).await;
+    let runs = cell.fleet.runs();
+    let tasks_on = |index: usize| {
+        let name = format!("w{index:03}");
+        runs.iter()
+            .filter(|run| run.worker.as_str() == name)
+            .count()
+    };
+    let held = (0..3)
+        .max_by_key(|index| tasks_on(*index))
+        .expect("a worker");
+    // Ten tasks on three workers of eight: the others have room for the tasks of this one.
+    first.log_gate.set_open(false);
+    first.cut_off((0..3).filter(|index| *index != held).map(worker_address));
+    second.cut_off([worker_address(held)]);
+    third.cut_off([worker_address(held)]);
+    second.claim(2).await;
+    eventually("the second owner serves", || {
+        second
+            .context
+            .partitions
+            .dump()
+            .to_string()
+            .contains("serving")
+    })
+    .await;
+    assert!(hand_over(&second.context, &unit(), &successor).await);
+    third.claim(3).await;
+    third.submit(batch(1, 1)).await;
+    tokio::time::sleep(Duration::from_millis(3 * LEASE_MS)).await;
+    assert!(third.view(&job).await.is_some());
+    cell.fleet.assert_single_runs();
+}
+
+/// Guards against an owner that takes the end of a lease in its own book for the end of the task:
+/// a later owner, unknown to it, has fenced the worker and renews the lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_without_the_log_moves_no_task_after_a_lease() {
+    let cell = TestCell::new(2);
+    let (first, second) = (cell.daemon("d1"), cell.daemon("d2"));
+    first.claim(1).await;
+    first.submit(batch(8, 600_000)).await;
+    eventually("all tasks run", || cell.fleet.runs().len() == 8).await;
+    let runs = cell.fleet.runs();
+    let lost = usize::from(runs[0].worker.as_str() != "w000");
+    let name = runs[0].worker.clone();
+    let held = runs.iter().filter(|run| run.worker == name).count();
+    // The first owner reaches one worker only, the second one the other.
+    first.log_gate.set_open(false);
+    first.cut_off([worker_address(lost)]);
+    second.cut_off([worker_address(1 - lost)]);
+    second.claim(2).await;
+    tokio::time::sleep(Duration::from_millis(3 * LEASE_MS)).await;
+    assert_eq!(second.counter("attempts.adopted"), held as u64);
+    cell.fleet.assert_single_runs();
+    // With the log back, the first owner learns that it was superseded.
+    first.log_gate.set_open(true);
+    eventually("the first owner stops", || {
+        first.context.partitions.get(&unit()).is_none()
+    })
+    .await;
+    cell.fleet.assert_single_runs();
+}
+
 /// Guards against an intent that is sent after a takeover, or a key that is free again.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_intent_without_an_outcome_is_unknown_after_a_takeover() {
--- a/crates/magnolia-state/src/lease_book.rs
+++ b/crates/magnolia-state/src/lease_book.rs
@@ -45,6 +45,12 @@
     attempts: BTreeSet<AttemptId>,
 }
 
+impl WorkerLeases {
+    fn is_over(&self, now: Millis) -> bool {
+        self.until > Millis::new(0) && now >= self.until
+    }
+}
+
 /// The leases of all workers of a partition, on the owner's clock.
 ///
 /// A lease runs from the reading that a command cites. The reading was taken before it was
@@ -154,9 +160,8 @@
     ///
     /// A worker that was never granted a lease runs nothing; its attempts are not sent yet.
     pub fn expire(&mut self, now: Millis) -> Vec<(WorkerId, Vec<AttemptId>)> {
-        let over = self.workers.iter_mut().filter(|(_, leases)| {
-            leases.until > Millis::new(0) && now >= leases.until && !leases.attempts.is_empty()
-        });
+        let workers = self.workers.iter_mut();
+        let over = workers.filter(|(_, leases)| leases.is_over(now) && !leases.attempts.is_empty());
         let taken = over.map(|(worker, leases)| {
             let attempts = std::mem::take(&mut leases.attempts);
             (worker.clone(), attempts.into_iter().collect())
@@ -164,6 +169,15 @@
         taken.collect()
     }
 
+    /// Returns the attempts on workers whose leases have all ended, without removing them.
+    pub fn expired(&self, now: Millis) -> impl Iterator<Item = (&WorkerId, &AttemptId)> {
+        let over = self
+            .workers
+            .iter()
+            .filter(move |(_, leases)| leases.is_over(now));
+        over.flat_map(|(worker, leases)| leases.attempts.iter().map(move |id| (worker, id)))
+    }
+
     /// Forgets a worker.
     pub fn remove(&mut self, worker: &WorkerId) {
         self.workers.remove(worker);
--- a/crates/magnolia-state/src/takeover.rs
+++ b/crates/magnolia-state/src/takeover.rs
@@ -77,15 +77,19 @@
         self.proved_at.get_or_insert(at);
     }
 
-    /// Checks the wait; `true` when it completes the takeover.
-    pub fn advance(&mut self, now: Millis) -> bool {
-        if self.complete {
-            return false;
-        }
-        let waited = self
+    /// Tells whether the wait after the proof is over and has not completed the takeover yet.
+    pub fn is_wait_over(&self, now: Millis) -> bool {
+        let end = self
             .proved_at
-            .is_some_and(|at| now >= at.saturating_add(with_drift(self.lease)));
-        self.complete = waited;
+            .map(|at| at.saturating_add(with_drift(self.lease)));
+        !self.complete && end.is_some_and(|end| now >= end)
+    }
+
+    /// Checks the wait at a time at which the claim was current; `true` when that completes the
+    /// takeover.
+    pub fn advance(&mut self, at: Millis) -> bool {
+        let waited = self.is_wait_over(at);
+        self.complete |= waited;
         waited
     }
 
