--- a/crates/magnolia-daemon/src/partition/owner.rs
+++ b/crates/magnolia-daemon/src/partition/owner.rs
@@ -163,7 +163,9 @@
             events,
         };
         let workers = owner.take_inventory(&document);
-        owner.tracker = TakeoverTracker::new(owner.claim.epoch, owner.lease, workers);
+        owner.tracker = TakeoverTracker::new(owner.claim.epoch, owner.lease, workers.clone());
+        // The placement has to know the inventory before the first job is checked against it.
+        workers.iter().for_each(|worker| owner.update_view(worker));
         owner
     }
 
