--- a/crates/magnolia-config/src/replay.rs
+++ b/crates/magnolia-config/src/replay.rs
@@ -11,10 +11,14 @@
 /// 5,300 publications a day, so this is far more than can lie between the two.
 const RECENT_IDS: usize = 1024;
 
+/// Offset in a snapshot that restores a configuration from a daemon's memory.
+const RESTORED: LogOffset = LogOffset::new(u64::MAX);
+
 /// A publication that waits for a snapshot.
 struct HeldPublication {
     offset: LogOffset,
     id: PublicationId,
+    written_unix_ms: u64,
     publication: ConfigPublication,
 }
 
@@ -76,17 +80,23 @@
         self.skip(offset);
         match record {
             ConfigRecord::Publication {
-                id, publication, ..
+                id,
+                written_unix_ms,
+                publication,
             } => match &mut self.held {
                 Some((_, held)) => {
                     held.push(HeldPublication {
                         offset,
                         id,
+                        written_unix_ms,
                         publication,
                     });
                     Vec::new()
                 }
-                None => self.decide(id, &publication).into_iter().collect(),
+                None => self
+                    .decide(id, written_unix_ms, &publication)
+                    .into_iter()
+                    .collect(),
             },
             ConfigRecord::Snapshot { snapshot, .. } => self.take_snapshot(*snapshot),
         }
@@ -105,7 +115,7 @@
     pub fn restoring_snapshot(&self, config: CellConfig) -> ConfigSnapshot {
         ConfigSnapshot {
             config,
-            next: LogOffset::new(u64::MAX),
+            next: RESTORED,
             ..self.snapshot()
         }
     }
@@ -113,6 +123,7 @@
     fn decide(
         &mut self,
         id: PublicationId,
+        written_unix_ms: u64,
         publication: &ConfigPublication,
     ) -> Option<(PublicationId, PublicationVerdict)> {
         if self.recent.contains(&id) {
@@ -124,6 +135,7 @@
         }
         let verdict = self.config.apply(publication).map(|config| {
             self.config = config;
+            self.config.note_key_sets(written_unix_ms);
             self.config.version
         });
         Some((id, verdict))
@@ -144,9 +156,12 @@
         let held = self.held.take().map(|(_, held)| held).unwrap_or_default();
         self.config = snapshot.config;
         self.recent = snapshot.recent.into();
+        // Nobody knows which records a restored configuration includes. All are applied again:
+        // one that it includes conflicts with itself, because its sections changed after its base.
+        let is_restored = snapshot.next == RESTORED;
         held.into_iter()
-            .filter(|held| held.offset >= snapshot.next)
-            .filter_map(|held| self.decide(held.id, &held.publication))
+            .filter(|held| is_restored || held.offset >= snapshot.next)
+            .filter_map(|held| self.decide(held.id, held.written_unix_ms, &held.publication))
             .collect()
     }
 }
--- a/crates/magnolia-daemon/src/callers/job_routes.rs
+++ b/crates/magnolia-daemon/src/callers/job_routes.rs
@@ -40,7 +40,12 @@
         check_job(document, &spec)?;
     }
     let partitions = match &spec.idempotency_key {
-        Some(key) => vec![partition_of_key(context, &spec.customer, key)?],
+        Some(key) => vec![partition_of_key(
+            context,
+            &spec.customer,
+            key,
+            spec.repeatable,
+        )?],
         None => partitions_for_size(context, &spec.size)?,
     };
     let mut reply = None;
@@ -170,7 +175,19 @@
         job: job.clone(),
         timeout_ms,
     };
-    run_on_job(context, &job, operation).await
+    tokio::select! {
+        answer = run_on_job(context, &job, operation) => answer,
+        // A wait would hold up a planned stop; the caller learns where the job stands and may wait
+        // again at another daemon.
+        () = wait_until_closing(context) => {
+            run_on_job(context, &job, JobOperation::Get { job: job.clone() }).await
+        }
+    }
+}
+
+async fn wait_until_closing(context: &DaemonContext) {
+    let mut closing = context.closing.subscribe();
+    closing.wait_for(|is_closing| *is_closing).await.ok();
 }
 
 /// Answers `POST /v1/jobs/{id}/cancel`.
--- a/crates/magnolia-lab/src/history/event.rs
+++ b/crates/magnolia-lab/src/history/event.rs
@@ -61,6 +61,15 @@
             /// Epoch of the command.
             epoch: Epoch,
         },
+        /// An attempt runs with a share of its processors from now on.
+        AttemptThrottled {
+            /// The worker.
+            worker: WorkerId,
+            /// The attempt.
+            attempt: AttemptId,
+            /// Share of the reserved processors in percent.
+            percent: u8,
+        },
         /// An attempt ended on a worker.
         AttemptEnded {
             /// The worker.
@@ -156,11 +165,13 @@
         JobSent {
             /// Number of the call at this client.
             id: Arc<str>,
+            /// Idempotency key; the same for each submission of a job.
+            key: Arc<str>,
             /// Kind.
             kind: JobKind,
             /// Number of tasks.
             tasks: u32,
-            /// Size of each task; unique for each job of a run, so that it names the job.
+            /// Declared size of each task.
             size: ResourceVector,
             /// Whether tasks may run again.
             repeatable: bool,
