Plan every due job of a blocked lane, and keep plans in order

Only the first blocked job of a lane could get a plan, so a job that waits for its turn to be planned, or that no worker can hold any more, kept the gangs behind it from theirs (found by the new test of explanations).

--- a/crates/magnolia-bench/src/workload.rs
+++ b/crates/magnolia-bench/src/workload.rs
@@ -55,15 +55,21 @@
 ///
 /// Fails when a name is not valid.
 pub fn workers(count: usize, capacity: ResourceVector) -> Result<Vec<WorkerView>, BenchError> {
-    let workers = (0..count).map(|index| {
-        Ok(WorkerView {
-            worker: WorkerId::new(&format!("w{index:05}"))?,
-            rack: RackName::new(&format!("r{}", index / WORKERS_PER_RACK))?,
-            capacity,
-            condition: WorkerCondition::Usable,
-        })
-    });
-    workers.collect()
+    (0..count).map(|index| worker(index, capacity)).collect()
+}
+
+/// Makes one worker of a fleet.
+///
+/// # Errors
+///
+/// Fails when a name is not valid.
+pub fn worker(index: usize, capacity: ResourceVector) -> Result<WorkerView, BenchError> {
+    Ok(WorkerView {
+        worker: WorkerId::new(&format!("w{index:05}"))?,
+        rack: RackName::new(&format!("r{}", index / WORKERS_PER_RACK))?,
+        capacity,
+        condition: WorkerCondition::Usable,
+    })
 }
 
 /// Makes a job with the usual limits.
--- a/crates/magnolia-policy/src/scored/decide.rs
+++ b/crates/magnolia-policy/src/scored/decide.rs
@@ -145,7 +145,7 @@
     ) -> Option<PlacementDecision> {
         let jobs = self.book.lane(lane).jobs.values();
         let jobs: Vec<JobIndex> = jobs.copied().take(LOOKAHEAD).collect();
-        let mut blocked_job = None;
+        let mut blocked_jobs = Vec::new();
         for index in jobs {
             round.tries += 1;
             match self.try_job(index, now, round) {
@@ -153,18 +153,26 @@
                     round.starts += starts;
                     return Some(decision);
                 }
-                // Jobs that have a plan already leave the next one to those behind them.
-                TryOutcome::NoRoom if self.plans.plan(index).is_some() => {}
-                TryOutcome::NoRoom => blocked_job = blocked_job.or(Some(index)),
+                TryOutcome::NoRoom if !self.wants_plan(index, now) => {}
+                TryOutcome::NoRoom => blocked_jobs.push(index),
                 TryOutcome::OverQuota | TryOutcome::Skipped => {}
             }
         }
         let entry = self.book.lane_mut(lane);
         entry.blocked_at = Some(self.generation);
-        entry.blocked_job = blocked_job;
+        entry.blocked_jobs = blocked_jobs;
         None
     }
 
+    /// Tells whether a job may be the next of its lane to be planned.
+    ///
+    /// Jobs that have a plan, and those for which none was possible just now, leave it to the jobs
+    /// behind them: a job that no worker can hold any more must not keep a gang from its plan.
+    pub fn wants_plan(&self, index: JobIndex, now: Millis) -> bool {
+        let job = self.book.job(index);
+        self.plans.plan(index).is_none() && job.is_some_and(|job| job.plan_retry_at <= now)
+    }
+
     fn try_job(&mut self, index: JobIndex, now: Millis, round: &mut RoundState) -> TryOutcome {
         let Some(need) = self.need_of(index, now) else {
             return TryOutcome::Skipped;
--- a/crates/magnolia-policy/src/scored/job_book.rs
+++ b/crates/magnolia-policy/src/scored/job_book.rs
@@ -89,8 +89,8 @@
     pub share: u64,
     /// Room generation at which nothing of the lane fitted.
     pub blocked_at: Option<u64>,
-    /// First job that did not fit then.
-    pub blocked_job: Option<JobIndex>,
+    /// Jobs that did not fit then and may be planned, in order.
+    pub blocked_jobs: Vec<JobIndex>,
 }
 
 /// A class with its use of the fleet.
@@ -187,7 +187,7 @@
             used: ResourceVector::default(),
             share: 0,
             blocked_at: None,
-            blocked_job: None,
+            blocked_jobs: Vec::new(),
         });
         self.lane_of.insert((class, customer), lane);
         lane
--- a/crates/magnolia-policy/src/scored/plan.rs
+++ b/crates/magnolia-policy/src/scored/plan.rs
@@ -95,24 +95,29 @@
         let mut jobs: Vec<(Millis, JobIndex)> = lanes
             .filter_map(|&(_, lane)| {
                 let lane = self.book.lane(lane);
-                let index = lane.blocked_job.filter(|_| lane.blocked_at.is_some())?;
-                let job = self.book.job(index)?;
-                let wait_needed = match (preempts, job.spec.kind) {
-                    (true, _) => PREEMPT_AFTER,
-                    (false, JobKind::Gang) => Millis::new(0),
-                    (false, _) => PLAN_AFTER,
-                };
-                let is_due = now.saturating_sub(job.submitted) >= wait_needed
-                    && job.plan_retry_at <= now
-                    && !job.waiting.is_empty()
-                    && self.plans.plan(index).is_none();
-                is_due.then_some((job.submitted, index))
+                lane.blocked_at?;
+                let mut blocked = lane.blocked_jobs.iter();
+                let index = *blocked.find(|&&index| self.is_due_for_plan(index, now, preempts))?;
+                Some((self.book.job(index)?.submitted, index))
             })
             .collect();
         jobs.sort_unstable();
         jobs.into_iter().map(|(_, job)| job).collect()
     }
 
+    fn is_due_for_plan(&self, index: JobIndex, now: Millis, preempts: bool) -> bool {
+        let Some(job) = self.book.job(index).filter(|job| !job.waiting.is_empty()) else {
+            return false;
+        };
+        let wait_needed = match (preempts, job.spec.kind) {
+            (true, _) => PREEMPT_AFTER,
+            (false, JobKind::Gang) => Millis::new(0),
+            (false, _) => PLAN_AFTER,
+        };
+        let waited = now.saturating_sub(job.submitted);
+        waited >= wait_needed && self.wants_plan(index, now)
+    }
+
     /// Drops plans of jobs that wait no longer and makes overdue ones again.
     fn drop_stale_plans(&mut self, now: Millis, decisions: &mut Vec<PlacementDecision>) {
         let jobs: Vec<JobIndex> = self.plans.jobs().collect();
--- a/crates/magnolia-policy/src/scored/plan_book.rs
+++ b/crates/magnolia-policy/src/scored/plan_book.rs
@@ -1,6 +1,6 @@
 //! Reservations of future room for jobs that do not fit now.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use magnolia_types::{Millis, ResourceVector};
 
@@ -34,7 +34,7 @@
 /// All plans; a worker is part of at most one.
 #[derive(Default)]
 pub struct PlanBook {
-    plans: HashMap<JobIndex, JobPlan>,
+    plans: BTreeMap<JobIndex, JobPlan>,
     earmarks: HashMap<WorkerIndex, WorkerEarmark>,
 }
 
--- a/crates/magnolia-policy/tests/scored_behaviour.rs
+++ b/crates/magnolia-policy/tests/scored_behaviour.rs
@@ -3,10 +3,13 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use common::{Harness, document, spec, worker};
-use magnolia_policy::{PreemptionMeans, TaskEnd, WorkerCondition, new_engine};
-use magnolia_types::{CustomerName, JobId, JobKind, Millis, ResourceVector, WorkerId};
+use magnolia_policy::{AttemptRecord, PreemptionMeans, TaskEnd, WorkerCondition, new_engine};
+use magnolia_types::{
+    AttemptId, CustomerName, JobId, JobKind, Millis, ResourceVector, TaskRef, WorkerId,
+};
 use quickcheck::{Gen, QuickCheck};
 
 const CORE: ResourceVector = ResourceVector::new(1000, 1024, 0);
@@ -436,3 +439,69 @@
         .for_each(|attempt| harness.end(attempt, TaskEnd::Interrupted));
     assert_eq!(harness.step(1000), 0);
 }
+
+/// Guards against a task that runs already, as found at a takeover, and is started a second time.
+#[test]
+fn adopted_attempts_are_not_started_again() {
+    let mut harness = harness("headroom_percent = 0", 1, cores(4));
+    let spec = spec("batch", JobKind::Batch, 2, CORE);
+    let job = harness.submit("adopted", spec.clone());
+    harness.engine.attempt_started(AttemptRecord {
+        attempt: AttemptId::new("from-before").unwrap(),
+        task: TaskRef::new(job.clone(), 0),
+        worker: WorkerId::new("w000").unwrap(),
+        size: cores(3),
+        spec: Arc::new(spec),
+        started: Millis::new(0),
+    });
+    assert_eq!(harness.engine.waiting_tasks(), 1);
+    harness.step(1);
+    let tasks: Vec<u32> = harness
+        .running
+        .values()
+        .map(|record| record.task.task)
+        .collect();
+    assert_eq!(tasks, vec![1]);
+    harness.submit("more", common::spec("batch", JobKind::Batch, 1, CORE));
+    assert_eq!(
+        harness.step(1),
+        0,
+        "the adopted attempt holds three of four cores"
+    );
+}
+
+/// Guards against jobs of which an operator cannot learn why they wait.
+#[test]
+fn explanations_name_the_reason() {
+    let mut harness = harness("headroom_percent = 0", 2, cores(4));
+    let mut long = spec("batch", JobKind::Batch, 2, cores(3));
+    long.run_ms = Some(Millis::from_secs(100));
+    harness.submit("running", long);
+    harness.step(1);
+    let expectations = [
+        (
+            "large",
+            spec("batch", JobKind::Batch, 1, cores(5)),
+            "can never run",
+        ),
+        (
+            "gang",
+            spec("batch", JobKind::Gang, 2, cores(4)),
+            "room on 2 workers is reserved",
+        ),
+        (
+            "waiting",
+            spec("batch", JobKind::Batch, 1, cores(2)),
+            "no usable worker has",
+        ),
+    ];
+    for (name, spec, reason) in expectations {
+        let job = harness.submit(name, spec);
+        harness.step(1);
+        let lines = harness.engine.explain(&job, harness.now);
+        assert!(
+            lines.iter().any(|line| line.contains(reason)),
+            "{name}: {lines:?}"
+        );
+    }
+}
