--- a/crates/magnolia-cli/src/config_commands.rs
+++ b/crates/magnolia-cli/src/config_commands.rs
@@ -1,5 +1,6 @@
 //! Configuration.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use clap::ArgMatches;
@@ -93,6 +94,9 @@
     let mut base = base.unwrap_or(config.version);
     let diff = ConfigDiff::new(config.document.as_ref(), Some(&document));
     output.remark(diff.to_string().trim_end());
+    if let Some(old) = &config.document {
+        warn_of_moved_keys(old, &document, output);
+    }
     let changed: Vec<String> = diff.sections.into_keys().collect();
     for changes in split_changes(whole.changes) {
         let publication = ConfigPublication {
@@ -116,6 +120,24 @@
     Ok(ExitStatus::Success)
 }
 
+/// Tells the operator when keys move, because that holds back work that may not repeat.
+fn warn_of_moved_keys(old: &ConfigDocument, new: &ConfigDocument, output: CommandOutput) {
+    let regions: BTreeSet<&str> = old
+        .data_centres
+        .iter()
+        .map(|centre| &*centre.region)
+        .collect();
+    for region in regions {
+        let before = old.partitions_of_region(region);
+        if !before.is_empty() && before != new.partitions_of_region(region) {
+            output.remark(&format!(
+                "note: the partitions of region {region} change; work that may not repeat is \
+                 refused there for 24 hours, or until key_set_confirmed is published"
+            ));
+        }
+    }
+}
+
 /// Splits changes that are too large for one body. Sections come before those that refer to them,
 /// and removals last and in the opposite order, so that each part leaves a valid configuration.
 fn split_changes(mut changes: Vec<SectionChange>) -> Vec<Vec<SectionChange>> {
@@ -176,6 +198,9 @@
         age("in_force_ms"),
         age("confirmed_ms_ago"),
     );
+    for (region, set) in &config.key_sets {
+        text.push_str(&format!("key set of region {region}: {}\n", set.hash));
+    }
     for (section, version) in &config.section_versions {
         text.push_str(&format!("  {section} changed by version {version}\n"));
     }
--- a/crates/magnolia-daemon/src/callers/status.rs
+++ b/crates/magnolia-daemon/src/callers/status.rs
@@ -162,7 +162,7 @@
             }
             Some(claim) if !live.contains(claim.daemon.as_str()) => {
                 format!(
-                    "the owner {} of {unit} is not in the instance list",
+                    "the owner {} of {unit} is leaving, or not in the instance list",
                     claim.daemon
                 )
             }
--- a/crates/magnolia-lab/tests/command_line.rs
+++ b/crates/magnolia-lab/tests/command_line.rs
@@ -207,6 +207,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_configuration_is_shown_edited_and_published() {
     let cell = cell("edit_config", 1).start().await.expect("a cell");
+    cell.wait_owners(0).await.expect("owners");
     let to = endpoints(&cell);
     let shown = expect(&to, "config show --toml", 0, "# version 1").await;
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("edit_config");
@@ -227,6 +228,13 @@
     expect(&to, &publish(&first), 0, "already is").await;
     expect(&to, &publish(&second), 1, "was changed by version 2").await;
     expect(&to, "config show", 0, "customer/board changed by version 2").await;
+    let moved = folder.join("moved.toml");
+    let newest = expect(&to, "config show --toml", 0, "# version 2").await;
+    assert!(newest.contains("partition = \"p0\""), "{newest}");
+    let text = newest.replace("partition = \"p0\"", "partition = \"p1\"");
+    std::fs::write(&moved, text).expect("a file");
+    expect(&to, &publish(&moved), 0, "key_set_confirmed").await;
+    expect(&to, "status", 0, "key_set_confirmed").await;
     let faulty = folder.join("faulty.toml");
     std::fs::write(&faulty, "[cell]\nname = 3\n[rack]\n").expect("a file");
     let check = format!("config check {}", faulty.display());
