--- a/crates/magnolia-lab/tests/caller_interface.rs
+++ b/crates/magnolia-lab/tests/caller_interface.rs
@@ -249,6 +249,47 @@
     );
 }
 
+/// Guards against jobs of one partition only when there are several, and against a list that hides
+/// a partition.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_spread_over_partitions_and_are_listed_together() {
+    let builder = cell("two_partitions", 1).with_backends(16, 3);
+    let mut cell = builder.start_unpublished().await.expect("stand-ins");
+    cell.document.racks[1].partition = "p1".into();
+    cell.start_daemon(0).expect("a daemon");
+    cell.announce_instances().await.expect("instances");
+    let document = cell.document.clone();
+    cell.publish_first(&document).await.expect("a publication");
+    cell.wait_owners(0).await.expect("owners");
+    let mut submitted = Vec::new();
+    for number in 0..12 {
+        let body = job(json!({"idempotency_key": format!("spread-{number}"), "run_ms": 20}));
+        let answer = send(&cell, &Method::POST, "/v1/jobs", body).await;
+        let view: Value = answer.json().expect("JSON");
+        submitted.push(view["job"].as_str().expect("a job id").to_owned());
+    }
+    for partition in ["p0.", "p1."] {
+        let found = submitted.iter().any(|job| job.starts_with(partition));
+        assert!(found, "{partition}: {submitted:?}");
+    }
+    for id in &submitted {
+        let path = format!("/v1/jobs/{id}/wait?timeout_ms=20000");
+        let answer = send(&cell, &Method::GET, &path, Vec::new()).await;
+        let view: Value = answer.json().expect("JSON");
+        assert_eq!(view["state"], json!("done"), "{view}");
+    }
+    let answer = send(&cell, &Method::GET, "/v1/jobs?state=done", Vec::new()).await;
+    let list: Value = answer.json().expect("JSON");
+    let jobs = list["jobs"].as_array().expect("jobs").iter();
+    let mut listed: Vec<&str> = jobs.filter_map(|job| job["job"].as_str()).collect();
+    listed.sort_unstable();
+    submitted.sort_unstable();
+    assert_eq!(listed, submitted);
+    let answer = send(&cell, &Method::GET, "/v1/jobs?limit=3", Vec::new()).await;
+    let list: Value = answer.json().expect("JSON");
+    assert_eq!(list["jobs"].as_array().map(Vec::len), Some(3), "{list}");
+}
+
 /// Guards against a planned stop that cuts off a wait for a job, or that the wait holds up.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_wait_is_answered_at_a_planned_stop() {
