--- a/crates/magnolia-lab/tests/config_feed.rs
+++ b/crates/magnolia-lab/tests/config_feed.rs
@@ -6,7 +6,8 @@
 
 use common::{LIMIT, cell};
 use magnolia_config::{CellConfig, ConfigPublication, ConfigSection, SectionChange};
-use magnolia_lab::cell::RunningCell;
+use magnolia_lab::cell::{ProxyPlan, RunningCell};
+use magnolia_lab::proxy::ProxyFaults;
 use magnolia_types::{ConfigVersion, RackName, ResultCode};
 use serde_json::{Value, json};
 
@@ -99,6 +100,33 @@
     wait_for_version(&cell, 0, 2).await;
 }
 
+/// Guards against a daemon that keeps an old configuration because its own way to the log went
+/// silent while the other daemons have a newer one, or that goes back when the way opens again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_without_a_way_to_the_log_follows_its_peers() {
+    let plan = ProxyPlan {
+        log: true,
+        ..ProxyPlan::default()
+    };
+    let builder = cell("config_cut_off", 3).with_proxies(plan);
+    let cell = builder.start().await.expect("a cell");
+    cell.proxy("log:d2").set_faults(ProxyFaults::new_silent());
+    for round in 0..3_u32 {
+        let base = 1 + u64::from(round);
+        let published = cell.publish(0, &publication(&cell, base, round)).await;
+        assert_eq!(published.expect("accepted"), base + 1);
+        wait_for_version(&cell, 2, base + 1).await;
+    }
+    let config = show_config(&cell, 2).await;
+    assert_eq!(config["source"], json!("peer"), "{config}");
+    cell.proxy("log:d2").set_faults(ProxyFaults::default());
+    let published = cell.publish(2, &publication(&cell, 4, 9)).await;
+    assert_eq!(published.expect("accepted"), 5);
+    for daemon in 0..3 {
+        wait_for_version(&cell, daemon, 5).await;
+    }
+}
+
 /// Guards against a configuration that is lost when its publications leave the log.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_reader_of_a_trimmed_stream_starts_from_a_snapshot() {
