Return quarantined workers that nothing can probe, and ignore repeated reports of a worker

A quarantined worker came back only after a repeatable batch task had succeeded on it, so a partition with services alone never got it back. A probe that has been due for 600 s now ends the quarantine.

--- a/crates/magnolia-policy/src/scored/mod.rs
+++ b/crates/magnolia-policy/src/scored/mod.rs
@@ -232,6 +232,10 @@
         let known = self.ledger.index_of(&view.worker);
         let known = known.filter(|&worker| !self.ledger.slot(worker).is_removed());
         if let Some(worker) = known {
+            // Owners repeat what they know; only a change may make blocked jobs fit.
+            if self.ledger.slot(worker).view == view {
+                return;
+            }
             let capacity = self.ledger.slot(worker).view.capacity;
             self.count_shape(capacity, false);
         }
--- a/crates/magnolia-policy/src/scored/upkeep.rs
+++ b/crates/magnolia-policy/src/scored/upkeep.rs
@@ -95,6 +95,9 @@
                 self.health.probe_started(worker);
                 decisions.push(decision);
                 starts += 1;
+            } else if self.health.is_probe_overdue(worker, now) {
+                self.health.succeeded(worker);
+                self.room_freed(worker);
             }
         }
         starts
--- a/crates/magnolia-policy/src/worker_health.rs
+++ b/crates/magnolia-policy/src/worker_health.rs
@@ -197,6 +197,15 @@
             .collect()
     }
 
+    /// Tells whether a probe has been due for so long that the worker returns without one.
+    ///
+    /// Without repeatable batch work there is nothing to probe with.
+    pub fn is_probe_overdue(&self, worker: WorkerIndex, now: Millis) -> bool {
+        let health = self.workers.get(&worker);
+        let due = health.and_then(|health| health.probe_at);
+        due.is_some_and(|at| at.saturating_add(MAX_PROBE_AFTER) <= now)
+    }
+
     /// Takes note that a probe starts.
     pub fn probe_started(&mut self, worker: WorkerIndex) {
         if let Some(health) = self.workers.get_mut(&worker) {
--- a/crates/magnolia-policy/tests/scored_behaviour.rs
+++ b/crates/magnolia-policy/tests/scored_behaviour.rs
@@ -505,3 +505,29 @@
         );
     }
 }
+
+/// Guards against a worker that stays quarantined for ever because no batch work can probe it.
+#[test]
+fn quarantine_ends_without_work_to_probe_with() {
+    let mut harness = harness("headroom_percent = 0", 1, cores(4));
+    let jobs: Vec<JobId> = (0..3)
+        .map(|index| {
+            let size = ResourceVector::new(1000 + index * 10, 1024, 0);
+            harness.submit(
+                &format!("job{index}"),
+                spec("batch", JobKind::Batch, 1, size),
+            )
+        })
+        .collect();
+    harness.step(10);
+    let attempts: Vec<_> = harness.running.keys().cloned().collect();
+    for attempt in &attempts {
+        harness.end(attempt, TaskEnd::Failed);
+    }
+    harness.withdraw(&jobs);
+    harness.submit("service", spec("service", JobKind::Service, 1, CORE));
+    assert_eq!(harness.step(60_000), 0);
+    harness.step(600_000);
+    assert_eq!(harness.running_of("service"), 1);
+    assert!(harness.engine.quarantined_workers().is_empty());
+}
