--- a/crates/magnolia-daemon/src/partition/mod.rs
+++ b/crates/magnolia-daemon/src/partition/mod.rs
@@ -17,6 +17,9 @@
 mod placement_notes;
 mod placing;
 mod registry;
+mod retry_delays;
+#[cfg(test)]
+mod retry_delays_tests;
 mod router;
 mod run_once;
 mod worker_link;
--- a/crates/magnolia-daemon/src/partition/operations.rs
+++ b/crates/magnolia-daemon/src/partition/operations.rs
@@ -4,7 +4,9 @@
 
 use magnolia_protocol::{JobOperation, JobReply, JobView, TaskCounts};
 use magnolia_state::{JobEntry, JournalEntry, KeyLookup, KeyUse};
-use magnolia_types::{CustomerName, JobId, JobOutcome, JobSpec, JobState, Millis, ResultCode};
+use magnolia_types::{
+    CustomerName, JobId, JobOutcome, JobSpec, JobState, Millis, ResultCode, TaskRef,
+};
 
 use super::events::{JournalWaiter, OwnerCommand, ReplySender};
 use super::owner::{OwnerPhase, PartitionOwner, refused, wall_clock};
@@ -327,7 +329,16 @@
         if self.held.contains(job) {
             return vec!["tasks that may not repeat wait for the log".into()];
         }
-        self.engine.explain(job, self.now())
+        let delayed = entry
+            .ready()
+            .into_iter()
+            .filter(|task| self.delays.is_delayed(&TaskRef::new(job.clone(), *task)))
+            .count();
+        let mut lines = self.engine.explain(job, self.now());
+        if delayed > 0 {
+            lines.push(format!("{delayed} tasks failed and wait before their next attempt").into());
+        }
+        lines
     }
 
     /// Queues the tasks of a job that may be placed now.
@@ -335,8 +346,12 @@
         let Some(entry) = self.table.get(job) else {
             return;
         };
-        let tasks = entry.ready();
-        if tasks.is_empty() || self.must_wait_for_takeover(entry) {
+        let ready = entry.ready();
+        let mut tasks = ready.clone();
+        tasks.retain(|task| !self.delays.is_delayed(&TaskRef::new(job.clone(), *task)));
+        // The tasks of a gang start together, after the longest delay of one of them.
+        let is_partial = entry.is_gang() && tasks.len() < ready.len();
+        if tasks.is_empty() || is_partial || self.must_wait_for_takeover(entry) {
             return;
         }
         self.engine.enqueue(magnolia_policy::WaitingJob {
--- a/crates/magnolia-daemon/src/partition/owner.rs
+++ b/crates/magnolia-daemon/src/partition/owner.rs
@@ -19,6 +19,7 @@
 use super::events::{JournalWaiter, OnceKey, OwnerCommand, OwnerEvent, ReplySender};
 use super::opening::stream_of;
 use super::placement_notes::PlacementNotes;
+use super::retry_delays::RetryDelays;
 use super::worker_link::WorkerLink;
 use crate::context::DaemonContext;
 use crate::metrics::names;
@@ -90,6 +91,8 @@
     pub(super) intents: HashMap<AttemptId, StartCommand>,
     /// Jobs that may not repeat and wait for the log.
     pub(super) held: BTreeSet<JobId>,
+    /// Tasks that wait before their next attempt.
+    pub(super) delays: RetryDelays,
     pub(super) notes: PlacementNotes,
     pub(super) lease: Millis,
     pub(super) start_window: Millis,
@@ -145,6 +148,7 @@
             once_running: BTreeMap::new(),
             intents: HashMap::new(),
             held: BTreeSet::new(),
+            delays: RetryDelays::new(),
             notes: PlacementNotes::new(),
             lease: document.rules.lease_ms,
             start_window: document.rules.start_window_ms,
@@ -256,6 +260,9 @@
         self.advance_takeover(now);
         self.expire_leases(now);
         self.expire_waits(now);
+        for task in self.delays.expire(now) {
+            self.enqueue_ready(&task.job);
+        }
         if now >= self.place_at {
             self.place_at = now.saturating_add(PLACE_INTERVAL);
             self.place_due = true;
--- a/crates/magnolia-daemon/src/partition/placing.rs
+++ b/crates/magnolia-daemon/src/partition/placing.rs
@@ -6,7 +6,7 @@
 use magnolia_policy::{
     AttemptRecord, PlacementDecision, PreemptionMeans, TaskEnd, WorkerCondition,
 };
-use magnolia_state::{AttemptResult, JobEffects, JournalEntry};
+use magnolia_state::{AttemptResult, JobEffects, JournalEntry, TaskState};
 use magnolia_types::{
     AttemptId, JobId, JobKind, JobOutcome, JobState, Millis, ResourceVector, ResultCode, TaskIndex,
     TaskRef, WorkerId,
@@ -213,7 +213,9 @@
         self.engine.attempt_ended(attempt, end, now);
         self.place_due = true;
         self.journal_end(&task, attempt, &worker, (result, reported));
-        if let Some(effects) = self.table.end(&task, attempt, result, at) {
+        let effects = self.table.end(&task, attempt, result, at);
+        self.delay_retry(&task, result, now);
+        if let Some(effects) = effects {
             if result != AttemptResult::Succeeded {
                 let note = format!("task {} on {worker} ended: {result:?}", task.task);
                 self.notes.add(&task.job, note);
@@ -222,6 +224,18 @@
         }
     }
 
+    /// Delays the next attempt of a task that failed, or of a service that ended by itself.
+    fn delay_retry(&mut self, task: &TaskRef, result: AttemptResult, now: Millis) {
+        let entry = self.table.get(&task.job);
+        let state = entry.and_then(|entry| entry.tasks.get(task.task as usize));
+        let Some(state) = state.filter(|state| state.state == TaskState::Waiting) else {
+            return;
+        };
+        if matches!(result, AttemptResult::Failed | AttemptResult::Succeeded) {
+            self.delays.delay(task.clone(), state.failures, now);
+        }
+    }
+
     fn journal_end(
         &mut self,
         task: &TaskRef,
--- a/crates/magnolia-lab/tests/checker.rs
+++ b/crates/magnolia-lab/tests/checker.rs
@@ -277,6 +277,21 @@
     good [(1, seen(1, 1)), (2, seen(2, 2)), (3, daemon("daemon_started")), (4, seen(4, 0))],
     bad [(1, seen(1, 2)), (2, seen(2, 1))];
 
+    /// Guards against a job that is given up although no task of it failed, or that may repeat.
+    job_given_up_is_found: check_accepted_jobs,
+    good [
+        (1, job_sent("1", "k", false)), (2, job_accepted("1", "p0.1")), (3, start_of("p0.1")),
+        (4, json!({
+            "event": "attempt_ended", "worker": "w0", "attempt": "p0.1-0", "end": "Failed",
+        })),
+        (5, json!({"event": "job_final", "job": "p0.1", "state": "failed"})),
+    ],
+    bad [
+        (1, job_sent("1", "k", false)), (2, job_accepted("1", "p0.1")), (3, start_of("p0.1")),
+        (4, end_on("w0", "p0.1-0")),
+        (5, json!({"event": "job_final", "job": "p0.1", "state": "failed"})),
+    ];
+
     /// Guards against accepted jobs that are forgotten.
     forgotten_job_is_found: check_accepted_jobs,
     good [
