Let executors rest until they answer again; claim only with contact to another daemon

Cause: a request was spent on an executor that answers nothing at all; a daemon that reaches the log but no other daemon would take every unit; requests counted twice against the advertised slots.

Change: a rest ends with a status asked for after it. Without a proof of the end, a daemon claims only if some further daemon has answered within 3 s. An entry counts only requests sent since the last advertised number.

--- a/crates/magnolia-daemon/src/ownership/unit_watch.rs
+++ b/crates/magnolia-daemon/src/ownership/unit_watch.rs
@@ -4,6 +4,7 @@
 use magnolia_types::{Millis, UnitId};
 
 use crate::context::DaemonContext;
+use crate::membership::MemberEntry;
 
 /// Time of failed probes after which a partition is claimed without a proof; the first failure is
 /// noted when its probe has already lasted half a second.
@@ -12,6 +13,9 @@
 /// freshness rule, so that the old owner has stopped sending.
 const GROUP_FAILING: Millis = Millis::from_secs(3);
 
+/// Age of the last answer of any other daemon within which this daemon trusts its own probes.
+const CONTACT_AGE: Millis = Millis::from_secs(3);
+
 /// Tells whether a unit has no owner that could still act, as far as claims go.
 pub fn is_free(context: &DaemonContext, unit: &UnitId) -> bool {
     match context.claims.get(unit) {
@@ -54,5 +58,22 @@
         .members
         .with_tracker(|tracker| tracker.failing_since(&claim.daemon));
     let lasted = since.is_some_and(|since| now.saturating_sub(since) >= limit);
-    lasted && context.members.is_suspect(&claim.daemon)
+    lasted && context.members.is_suspect(&claim.daemon) && has_contact(context, claim, now)
+}
+
+/// Tells whether another daemon has answered lately, if there are further ones to ask.
+///
+/// A daemon that reaches the log but no other daemon would otherwise take every unit, to lose them
+/// again as soon as the others suspect it.
+fn has_contact(context: &DaemonContext, claim: &ClaimRecord, now: Millis) -> bool {
+    let mut others = context.members.listed_daemons();
+    others
+        .retain(|member| member.daemon != context.identity.daemon && member.daemon != claim.daemon);
+    let answers = |member: &MemberEntry| {
+        let answered = context
+            .members
+            .with_tracker(|tracker| tracker.answered(&member.daemon));
+        answered.is_some_and(|sent| now.saturating_sub(sent) < CONTACT_AGE)
+    };
+    others.is_empty() || others.iter().any(answers)
 }
--- a/crates/magnolia-daemon/src/quick/attempt.rs
+++ b/crates/magnolia-daemon/src/quick/attempt.rs
@@ -22,7 +22,8 @@
     is_first: bool,
 ) -> QuickOutcome {
     let started = Instant::now();
-    let _permit = context.entry.start(&claim.unit, is_first);
+    let now = context.clock.now();
+    context.entry.record_sent(&claim.unit, is_first, now);
     let (outcome, heard) = if claim.daemon == context.identity.daemon {
         (run_in_group(context, &forward).await, true)
     } else {
--- a/crates/magnolia-daemon/src/quick/executor_slots.rs
+++ b/crates/magnolia-daemon/src/quick/executor_slots.rs
@@ -116,8 +116,8 @@
         let held = self.in_flight + u32::try_from(self.unsettled.len()).unwrap_or(u32::MAX);
         let free = self.capacity().saturating_sub(held);
         match self.rests_until {
-            _ if self.is_settling(now) => 0,
-            Some(until) if now < until || self.in_flight > 0 => 0,
+            _ if self.is_settling(now) || self.is_resting(now) => 0,
+            Some(_) if self.in_flight > 0 => 0,
             Some(_) => free.min(1),
             None => free,
         }
@@ -134,8 +134,7 @@
 
     /// Tells whether the executor may take requests, now or when a slot becomes free.
     pub fn is_usable(&self, now: Millis) -> bool {
-        let resting = self.rests_until.is_some_and(|until| now < until);
-        self.capacity() > 0 && !resting
+        self.capacity() > 0 && !self.is_resting(now)
     }
 
     /// Takes a slot; the caller has checked that one is free.
@@ -183,10 +182,13 @@
         self.status = Some((asked, status));
     }
 
-    /// Tells whether a status is wanted before its turn: the first one, and one while nothing of
-    /// this owner is in flight that settles the open slots.
+    /// Tells whether a status is wanted before its turn: the first one, one after a rest, and one
+    /// while nothing of this owner is in flight that settles the open slots.
     pub fn wants_status(&self, now: Millis) -> bool {
-        self.status.is_none() || (self.is_settling(now) && self.in_flight == 0)
+        let rested = self.rests_until.is_some_and(|until| until <= now);
+        self.status.is_none()
+            || (rested && self.is_resting(now))
+            || (self.is_settling(now) && self.in_flight == 0)
     }
 
     /// Returns the requests in flight.
@@ -205,11 +207,23 @@
             "unsettled": self.unsettled.len(),
             "leaving": self.is_leaving(),
             "failures": self.failures,
-            "resting": self.rests_until.is_some_and(|until| now < until),
+            "resting": self.is_resting(now),
             "status_ms_ago": asked.map(|asked| now.saturating_sub(asked)),
         })
     }
 
+    /// Tells whether the executor rests after failures. A rest ends with a status that was asked for
+    /// after its time, so that no request is spent on an executor that does not answer at all.
+    fn is_resting(&self, now: Millis) -> bool {
+        self.rests_until.is_some_and(|until| {
+            let answered = self
+                .status
+                .as_ref()
+                .is_some_and(|(asked, _)| *asked >= until);
+            now < until || !answered
+        })
+    }
+
     fn is_settling(&self, now: Millis) -> bool {
         let oldest = self.unsettled.iter().min();
         oldest.is_some_and(|found| now.saturating_sub(*found) > Self::SETTLE_AGE)
--- a/crates/magnolia-daemon/src/quick/executor_slots_tests.rs
+++ b/crates/magnolia-daemon/src/quick/executor_slots_tests.rs
@@ -188,6 +188,9 @@
     }
     assert_eq!(slots.free(now), 0);
     let later = Millis::from_secs(1);
+    assert_eq!(slots.free(later), 0);
+    assert!(slots.wants_status(later));
+    slots.apply_status(Model::new(SlotEnd::Lost).snapshot(), later, later);
     assert_eq!(slots.free(later), 1);
     slots.take();
     assert_eq!(slots.free(later), 0);
--- a/crates/magnolia-daemon/src/quick/group_view.rs
+++ b/crates/magnolia-daemon/src/quick/group_view.rs
@@ -12,6 +12,9 @@
 const MAX_IN_FLIGHT: usize = 8192;
 /// Age of an advertised number of free slots after which a group without any is tried again.
 const FULL_LIFETIME: Millis = Millis::new(100);
+/// Time after which requests without a reply no longer count against a group; without this limit,
+/// a group whose replies were lost once would not be chosen again.
+const SENT_LIFETIME: Millis = Millis::from_secs(1);
 /// Shortest time until a hedge is sent.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(50);
 /// Smoothed times of a request after which a hedge is sent.
@@ -24,8 +27,10 @@
 struct GroupEntry {
     /// Free slots as the owner last said, and when.
     advertised: Option<(u32, Millis)>,
-    /// Requests of this entry that the owner has not answered.
-    in_flight: u32,
+    /// Requests that this entry has sent since then.
+    sent_since: u32,
+    /// When the last of them was sent.
+    last_sent: Millis,
     /// Smoothed time of a request.
     time: Option<Duration>,
     budget: RetryBudget,
@@ -48,21 +53,6 @@
     }
 }
 
-/// A request in flight to the owner of a group.
-pub struct GroupPermit<'a> {
-    view: &'a EntryView,
-    unit: UnitId,
-}
-
-impl Drop for GroupPermit<'_> {
-    fn drop(&mut self) {
-        let mut groups = self.view.lock();
-        if let Some(entry) = groups.get_mut(&self.unit) {
-            entry.in_flight = entry.in_flight.saturating_sub(1);
-        }
-    }
-}
-
 impl EntryView {
     /// Creates a view without groups.
     pub fn new() -> Self {
@@ -80,17 +70,14 @@
     }
 
     /// Takes note that a request goes to the owner of a group.
-    pub fn start(&self, unit: &UnitId, is_first: bool) -> GroupPermit<'_> {
+    pub fn record_sent(&self, unit: &UnitId, is_first: bool, now: Millis) {
         let mut groups = self.lock();
         let entry = groups.entry(unit.clone()).or_default();
-        entry.in_flight += 1;
+        entry.sent_since = entry.sent_since.saturating_add(1);
+        entry.last_sent = now;
         if is_first {
             entry.budget.record_request();
         }
-        GroupPermit {
-            view: self,
-            unit: unit.clone(),
-        }
     }
 
     /// Takes note of what the owner of a group said.
@@ -98,6 +85,7 @@
         let mut groups = self.lock();
         let entry = groups.entry(unit.clone()).or_default();
         entry.advertised = Some((free_slots, now));
+        entry.sent_since = 0;
         if let Some(took) = took {
             let smoothed = |time: Duration| (time * (SMOOTHING - 1) + took) / SMOOTHING;
             entry.time = Some(entry.time.map_or(took, smoothed));
@@ -123,7 +111,8 @@
             let outdated = now.saturating_sub(at) > FULL_LIFETIME;
             if outdated { free.max(1) } else { free }
         });
-        advertised.saturating_sub(entry.in_flight)
+        let unanswered = now.saturating_sub(entry.last_sent) > SENT_LIFETIME;
+        advertised.saturating_sub(if unanswered { 0 } else { entry.sent_since })
     }
 
     /// Returns the smoothed time of a request to a group.
--- a/crates/magnolia-daemon/tests/support/mod.rs
+++ b/crates/magnolia-daemon/tests/support/mod.rs
@@ -138,6 +138,17 @@
         daemon.runtime.take().expect("alive").shutdown_background();
     }
 
+    /// Pauses a daemon, by blocking its only thread, until the result is dropped.
+    #[must_use]
+    pub fn pause(&self, index: usize) -> std::sync::mpsc::Sender<()> {
+        let (paused, resumed) = std::sync::mpsc::channel();
+        let runtime = self.daemons[index].runtime.as_ref().expect("alive");
+        runtime.spawn(async move {
+            resumed.recv().ok();
+        });
+        paused
+    }
+
     /// Tells a daemon to stop; the result is its exit status.
     pub fn stop(&mut self, index: usize) -> JoinHandle<ExitStatus> {
         let daemon = &mut self.daemons[index];
