--- a/crates/magnolia-daemon/src/membership.rs
+++ b/crates/magnolia-daemon/src/membership.rs
@@ -1,6 +1,6 @@
 //! Members of the cell: the platform's instance list and the evidence of probes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -110,6 +110,15 @@
         })
     }
 
+    /// Returns the names of the leaving instances of a kind.
+    pub fn leaving_names(&self, kind: InstanceKind) -> BTreeSet<Arc<str>> {
+        let entries = self.entries();
+        let leaving = entries
+            .iter()
+            .filter(|entry| entry.kind == kind && entry.state == InstanceState::Leaving);
+        leaving.map(|entry| Arc::clone(&entry.instance)).collect()
+    }
+
     /// Returns the hash of the list as last read.
     pub fn list_digest(&self) -> u64 {
         self.digest.load(Ordering::SeqCst)
--- a/crates/magnolia-daemon/tests/cell/log.rs
+++ b/crates/magnolia-daemon/tests/cell/log.rs
@@ -12,12 +12,16 @@
 
 use super::gate::PauseGate;
 
+/// Chooses records by their content.
+type RecordFilter = Box<dyn Fn(&[u8]) -> bool + Send>;
+
 #[derive(Default)]
 struct LogState {
     streams: HashMap<String, Vec<Bytes>>,
     first: HashMap<String, usize>,
     is_away: bool,
     lost_answers: u32,
+    lost_records: Option<RecordFilter>,
     appends: u64,
 }
 
@@ -38,6 +42,11 @@
         self.with(|state| state.lost_answers = count);
     }
 
+    /// Lets appends of the chosen records take effect without an answer.
+    pub fn lose_answers_of(&self, filter: Option<RecordFilter>) {
+        self.with(|state| state.lost_records = filter);
+    }
+
     /// Forgets the records of a stream before `first`.
     pub fn trim(&self, stream: &str, first: usize) {
         self.with(|state| state.first.insert(stream.to_owned(), first));
@@ -63,6 +72,10 @@
                 return Err(PlatformError::new_refused(503, b"away"));
             }
             state.appends += 1;
+            let is_chosen = state
+                .lost_records
+                .as_ref()
+                .is_some_and(|filter| filter(&data));
             let records = state.streams.entry(stream.to_owned()).or_default();
             records.push(data);
             let offset = LogOffset::new(records.len() as u64 - 1);
@@ -70,6 +83,9 @@
                 state.lost_answers -= 1;
                 return Err(HttpError::Lost("the answer was dropped".into()).into());
             }
+            if is_chosen {
+                return Err(HttpError::Lost("the answer was dropped".into()).into());
+            }
             Ok(offset)
         })
     }
@@ -112,6 +128,8 @@
     pub log: Arc<FakeLog>,
     /// Holds the daemon's calls up.
     pub gate: PauseGate,
+    /// Holds only the daemon's calls of the log up.
+    pub log_gate: PauseGate,
     /// Time that an append takes.
     pub delay: Duration,
 }
@@ -124,9 +142,11 @@
     ) -> BoxFuture<'a, Result<LogOffset, PlatformError>> {
         Box::pin(async move {
             self.gate.pass().await;
+            self.log_gate.pass().await;
             tokio::time::sleep(self.delay).await;
             let result = self.log.append_now(stream, data);
             self.gate.pass().await;
+            self.log_gate.pass().await;
             result
         })
     }
@@ -140,8 +160,10 @@
     ) -> BoxFuture<'a, Result<LogPage, PlatformError>> {
         Box::pin(async move {
             self.gate.pass().await;
+            self.log_gate.pass().await;
             let result = self.log.read_now(stream, from, max);
             self.gate.pass().await;
+            self.log_gate.pass().await;
             result
         })
     }
