--- a/crates/magnolia-http/src/server.rs
+++ b/crates/magnolia-http/src/server.rs
@@ -69,6 +69,8 @@
         }
     }
     drop(listener);
+    // A connection that was accepted last may still have its first request on the way.
+    tokio::time::sleep(LINGER).await;
     tokio::time::timeout(drain_limit, graceful.shutdown())
         .await
         .is_ok()
