--- a/crates/magnolia-lab/src/cell/builder.rs
+++ b/crates/magnolia-lab/src/cell/builder.rs
@@ -65,6 +65,7 @@
     layout: CellLayout,
     plan: ProxyPlan,
     seed: u64,
+    instance_lag_ms: u64,
     worker_faults: String,
     executor_faults: String,
 }
@@ -81,6 +82,7 @@
             layout: CellLayout::new(),
             plan: ProxyPlan::default(),
             seed: 0,
+            instance_lag_ms: 0,
             worker_faults: "{}".into(),
             executor_faults: "{}".into(),
         }
@@ -129,6 +131,13 @@
         self
     }
 
+    /// Sets the time until a change of the instance list is visible.
+    #[must_use]
+    pub fn with_instance_lag_ms(mut self, lag_ms: u64) -> Self {
+        self.instance_lag_ms = lag_ms;
+        self
+    }
+
     /// Sets the faults that all workers and all executors have from the start, in JSON.
     #[must_use]
     pub fn with_backend_faults(mut self, workers: &str, executors: &str) -> Self {
@@ -172,9 +181,10 @@
         let config = format!("--config={}", file.display());
         let log = format!("--listen={}", layout.address(ports::LOG));
         let instances = format!("--listen={}", layout.address(ports::INSTANCES));
+        let lag = format!("{{\"lag_ms\": {}}}", self.instance_lag_ms);
         let standins = vec![
             self.standin("log", &log, "{}")?,
-            self.standin("instances", &instances, "{}")?,
+            self.standin("instances", &instances, &lag)?,
             self.standin("workers", &config, &self.worker_faults)?,
             self.standin("executors", &config, &self.executor_faults)?,
         ];
--- a/crates/magnolia-lab/src/load/mod.rs
+++ b/crates/magnolia-lab/src/load/mod.rs
@@ -1,5 +1,6 @@
 //! Load of clients with a seed, and reports from the joined histories.
 
+mod busiest;
 mod client;
 mod gaps;
 mod jobs;
@@ -7,6 +8,7 @@
 mod observer;
 mod report;
 
+pub use busiest::{busiest_executor, busiest_worker};
 pub use client::{LoadClient, LoadSettings};
 pub use gaps::{PlacementGap, placement_gap};
 pub use mix::{LoadMix, WorkKind};
--- a/crates/magnolia-lab/src/scenario/measure.rs
+++ b/crates/magnolia-lab/src/scenario/measure.rs
@@ -11,7 +11,7 @@
 use super::{ScenarioError, ScenarioRun, lab_rules};
 use crate::cell::{CellBuilder, RunningCell};
 use crate::history::{History, HistoryEvent, QuickResult, monotonic_us};
-use crate::load::{LoadMix, placement_gap};
+use crate::load::{LoadMix, busiest_executor, busiest_worker, placement_gap};
 
 /// Daemons of a measured cell.
 const DAEMONS: usize = 7;
@@ -58,7 +58,7 @@
         measure_configuration(program, folder, &mut latency).await?;
     }
     println!(
-        "configuration accepted until in force at {DAEMONS} daemons: p50 {} ms, p99 {} ms, {} samples",
+        "configuration sent until in force at each of {DAEMONS} daemons: p50 {} ms, p99 {} ms, {} samples",
         latency.value_at_quantile(0.5) / 1000,
         latency.value_at_quantile(0.99) / 1000,
         latency.len()
@@ -169,28 +169,28 @@
     latency: &mut Histogram<u64>,
 ) -> Result<(), ScenarioError> {
     let mut run = ScenarioRun::start(builder(program, folder, 0)).await?;
+    let mut sent = Vec::new();
     for round in 0..PUBLICATIONS {
         let publication = rules_change(&run.cell, round).await?;
         let through = usize::try_from(round).unwrap_or_default() % DAEMONS;
-        run.cell.publish(through, &publication).await?;
+        let sent_us = monotonic_us();
+        let version = run.cell.publish(through, &publication).await?;
+        sent.push((sent_us, version));
         tokio::time::sleep(PUBLICATION_INTERVAL).await;
     }
     let history = run.finish().await?;
-    for (accepted_us, event) in history.iter() {
-        let HistoryEvent::ConfigAccepted { version: accepted } = event else {
-            continue;
-        };
+    for (sent_us, wanted) in sent {
         for daemon in &run.cell.daemons {
             let seen = history.iter().find_map(|(at_us, event)| match event {
                 HistoryEvent::ConfigSeen {
                     daemon: name,
                     version,
                     ..
-                } if *name == daemon.name && version >= accepted => Some(at_us),
+                } if *name == daemon.name && *version >= wanted => Some(at_us),
                 _ => None,
             });
             if let Some(seen) = seen {
-                latency.saturating_record(seen.saturating_sub(accepted_us));
+                latency.saturating_record(seen.saturating_sub(sent_us));
             }
         }
     }
@@ -224,11 +224,13 @@
     let load = run.load(RATE, measured_mix(), 6, seed)?;
     run.start_load(load);
     tokio::time::sleep(Duration::from_secs(1)).await;
-    let is_worker = endpoint == "worker";
-    let (name, address) = if is_worker {
-        ("w000", run.cell.worker(0))
+    let history = run.cell.read_history()?;
+    let (name, address) = if endpoint == "worker" {
+        let index = busiest_worker(&history).unwrap_or_default();
+        (format!("w{index:03}"), run.cell.worker(index))
     } else {
-        ("e000", run.cell.executor(0))
+        let index = busiest_executor(&history).unwrap_or_default();
+        (format!("e{index:03}"), run.cell.executor(index))
     };
     run.cell
         .set_faults(address, &json!({"leaving": true}))
--- a/crates/magnolia-lab/src/scenario/torture.rs
+++ b/crates/magnolia-lab/src/scenario/torture.rs
@@ -23,6 +23,8 @@
 /// Times in which a fault is held and the cell is left alone, in milliseconds.
 const HOLD_MS: std::ops::Range<u64> = 300..5000;
 
+/// Time until a change of the instance list is visible.
+const INSTANCE_LAG_MS: u64 = 2000;
 /// Faults of all back ends: the scheduler alone keeps them from being overcommitted.
 const UNLIMITED: &str = r#"{"ignore_limits": true}"#;
 
@@ -60,6 +62,7 @@
         .with_rules(lab_rules())
         .with_seed(settings.seed)
         .with_backend_faults(UNLIMITED, UNLIMITED)
+        .with_instance_lag_ms(INSTANCE_LAG_MS)
         .with_proxies(plan);
     let mut run = ScenarioRun::start(builder).await?;
     let seconds = settings.duration.as_secs();
--- a/crates/magnolia-lab/tests/backend_failures.rs
+++ b/crates/magnolia-lab/tests/backend_failures.rs
@@ -7,6 +7,7 @@
 use common::{cell, count_answers, finish_clean, start_mixed, starts};
 use magnolia_lab::cell::ProxyPlan;
 use magnolia_lab::history::{HistoryEvent, monotonic_us};
+use magnolia_lab::load::{busiest_executor, busiest_worker};
 use serde_json::{Value, json};
 
 /// Time of load before a failure.
@@ -51,8 +52,11 @@
 /// Guards against a worker that spoils every job because it fails fast and always has room.
 #[tokio::test(flavor = "multi_thread")]
 async fn worker_that_fails_everything() {
-    let mut run = start_mixed(cell("worker_fails", 3), 10, 22).await;
-    let worker = run.cell.worker(0);
+    let mut run = start_mixed(cell("worker_fails", 3), 12, 22).await;
+    tokio::time::sleep(BEFORE).await;
+    let history = run.cell.read_history().expect("histories");
+    let index = busiest_worker(&history).expect("a worker with tasks");
+    let worker = run.cell.worker(index);
     let fault = json!({"fail_tasks": true, "ignore_limits": true});
     run.cell.set_faults(worker, &fault).await.expect("a fault");
     let began_us = monotonic_us();
@@ -63,7 +67,12 @@
         .filter(|(at_us, _)| *at_us > began_us)
         .collect();
     let second_half = &later[later.len() / 2..];
-    let on_worker = second_half.iter().filter(|(_, worker)| worker == "w000");
+    let name = format!("w{index:03}");
+    let failed = history.iter().filter(
+        |(_, event)| matches!(event, HistoryEvent::AttemptEnded { end, .. } if &**end == "Failed"),
+    );
+    assert!(failed.count() > 0, "no task was on the worker");
+    let on_worker = second_half.iter().filter(|(_, worker)| *worker == name);
     // One of eight workers: without quarantine it would get at least its share.
     let share = second_half.len() / 8;
     assert!(
@@ -78,7 +87,10 @@
     let mut run = start_mixed(cell("leaving", 3), 10, 23).await;
     tokio::time::sleep(BEFORE).await;
     let fault = json!({"leaving": true, "ignore_limits": true});
-    for backend in [run.cell.worker(0), run.cell.executor(0)] {
+    let history = run.cell.read_history().expect("histories");
+    let worker = busiest_worker(&history).expect("a worker with tasks");
+    let executor = busiest_executor(&history).expect("an executor with requests");
+    for backend in [run.cell.worker(worker), run.cell.executor(executor)] {
         run.cell.set_faults(backend, &fault).await.expect("a fault");
     }
     let left_us = monotonic_us();
--- a/crates/magnolia-lab/tests/daemon_failures.rs
+++ b/crates/magnolia-lab/tests/daemon_failures.rs
@@ -13,10 +13,13 @@
 /// Time of load before a failure.
 const BEFORE: Duration = Duration::from_secs(2);
 
+/// Time until a change of the instance list is visible.
+const LAG_MS: u64 = 2000;
+
 /// Guards against jobs that are lost, doubled or stuck when the owner of their partition dies.
 #[tokio::test(flavor = "multi_thread")]
 async fn owner_killed_under_load() {
-    let mut run = start_mixed(cell("owner_killed", 3), 7, 1).await;
+    let mut run = start_mixed(cell("owner_killed", 3).with_instance_lag_ms(LAG_MS), 7, 1).await;
     tokio::time::sleep(BEFORE).await;
     let owner = run.cell.owner(0, PARTITION).await.expect("an owner");
     let killed_us = monotonic_us();
@@ -63,7 +66,7 @@
 /// Guards against state that lives in one instance only: each one is replaced in turn.
 #[tokio::test(flavor = "multi_thread")]
 async fn all_daemons_replaced_one_after_another() {
-    let mut run = start_mixed(cell("all_replaced", 7), 15, 4).await;
+    let mut run = start_mixed(cell("all_replaced", 7).with_instance_lag_ms(LAG_MS), 15, 4).await;
     for daemon in 0..run.cell.daemons.len() {
         let status = run.cell.stop_daemon(daemon).await.expect("a stop");
         assert_eq!(status, Some(0), "daemon {daemon}");
@@ -77,7 +80,7 @@
 /// Guards against a takeover that depends on a daemon that died at the same time.
 #[tokio::test(flavor = "multi_thread")]
 async fn two_daemons_killed_at_once() {
-    let mut run = start_mixed(cell("two_killed", 5), 8, 5).await;
+    let mut run = start_mixed(cell("two_killed", 5).with_instance_lag_ms(LAG_MS), 8, 5).await;
     tokio::time::sleep(BEFORE).await;
     let owner = run.cell.owner(0, PARTITION).await.expect("an owner");
     let killed_us = monotonic_us();
--- a/crates/magnolia-lab/tests/log_failures.rs
+++ b/crates/magnolia-lab/tests/log_failures.rs
@@ -6,6 +6,8 @@
 
 use common::{cell, count_answers, count_refusals, count_results, finish_clean, start_mixed};
 use magnolia_lab::history::{HistoryEvent, QuickResult, monotonic_us};
+use magnolia_lab::load::{LoadMix, placement_gap};
+use magnolia_lab::scenario::ScenarioRun;
 use magnolia_types::ResultCode;
 use serde_json::json;
 
@@ -116,3 +118,63 @@
         .expect("no fault");
     finish_clean(&mut run).await;
 }
+
+/// Guards against an owner whose death falls into a log outage: nobody can claim its partition
+/// until the log is back, and then its accepted jobs must go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_killed_while_the_log_is_away() {
+    let mut run = start_mixed(cell("killed_without_log", 3), 10, 15).await;
+    tokio::time::sleep(BEFORE).await;
+    let log = run.cell.log;
+    let fault = json!({"outage": "hang"});
+    run.cell.set_faults(log, &fault).await.expect("a fault");
+    let owner = run
+        .cell
+        .owner(0, common::PARTITION)
+        .await
+        .expect("an owner");
+    let killed_us = monotonic_us();
+    run.cell.kill_daemon(owner).await.expect("a kill");
+    tokio::time::sleep(OUTAGE).await;
+    let until_us = monotonic_us();
+    run.cell
+        .set_faults(log, &json!({}))
+        .await
+        .expect("no fault");
+    let history = finish_clean(&mut run).await;
+    let gap = placement_gap(&history, killed_us).expect("a later owner");
+    assert!(gap.first_us > until_us, "a claim without the log");
+}
+
+/// Guards against jobs, claims and configuration that are lost when their records leave the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn records_leave_the_log_under_load() {
+    let retention_ms = 10_000;
+    let builder = cell("retention", 3);
+    let mut cell = builder.start_unpublished().await.expect("stand-ins");
+    let fault = json!({"retention_ms": retention_ms});
+    cell.set_faults(cell.log, &fault).await.expect("a fault");
+    for daemon in 0..cell.daemons.len() {
+        let flag = format!("--log-retention-ms={retention_ms}");
+        cell.daemons[daemon].args.push(flag);
+        cell.start_daemon(daemon).expect("a start");
+    }
+    cell.announce_instances().await.expect("a list");
+    cell.publish_first(&cell.document).await.expect("accepted");
+    cell.wait_ready().await.expect("ready daemons");
+    let mut run = ScenarioRun::new(cell).await.expect("owners");
+    let load = run.load(common::RATE, LoadMix::new_mixed(), 16, 16);
+    run.start_load(load.expect("a history"));
+    // Everything written at the start has left the log by now.
+    tokio::time::sleep(Duration::from_millis(retention_ms + 2000)).await;
+    let owner = run
+        .cell
+        .owner(0, common::PARTITION)
+        .await
+        .expect("an owner");
+    let killed_us = monotonic_us();
+    run.cell.kill_daemon(owner).await.expect("a kill");
+    let history = finish_clean(&mut run).await;
+    let gap = placement_gap(&history, killed_us);
+    assert!(gap.is_some(), "no later owner placed anything");
+}
