--- a/crates/magnolia-lab/tests/checker.rs
+++ b/crates/magnolia-lab/tests/checker.rs
@@ -60,6 +60,14 @@
     json!({"event": "attempt_ended", "worker": worker, "attempt": attempt, "end": "Succeeded"})
 }
 
+fn failed_on(worker: &str, attempt: &str) -> Value {
+    json!({"event": "attempt_ended", "worker": worker, "attempt": attempt, "end": "Failed"})
+}
+
+fn job_failed(job: &str) -> Value {
+    json!({"event": "job_final", "job": job, "state": "failed"})
+}
+
 fn executor_up(slots: u32) -> Value {
     json!({"event": "executor_up", "executor": "e0", "slots": slots, "connections": 1})
 }
@@ -267,6 +275,27 @@
     ],
     bad [(1, job_sent("1", "k", true)), (2, job_accepted("1", "p0.1"))];
 
+    /// Guards against a job that fails although its tasks may run again elsewhere.
+    failed_job_is_found: check_accepted_jobs,
+    good [
+        (1, job_sent("1", "k", false)), (2, job_accepted("1", "p0.1")),
+        (3, start_on("w0", "a", 0, 7)), (4, failed_on("w0", "a")), (5, job_failed("p0.1")),
+    ],
+    bad [
+        (1, job_sent("1", "k", true)), (2, job_accepted("1", "p0.1")),
+        (3, start_on("w0", "a", 0, 7)), (4, failed_on("w0", "a")), (5, job_failed("p0.1")),
+    ];
+
+    /// Guards against a job that may not repeat and fails although no task of it failed.
+    failed_job_without_cause_is_found: check_accepted_jobs,
+    good [
+        (1, job_sent("1", "k", false)), (2, job_accepted("1", "p0.1")), (3, job_done("p0.1")),
+    ],
+    bad [
+        (1, job_sent("1", "k", false)), (2, job_accepted("1", "p0.1")),
+        (3, start_on("w0", "a", 0, 7)), (4, end_on("w0", "a")), (5, job_failed("p0.1")),
+    ];
+
     /// Guards against a job whose acceptance got no answer and that runs a second time under the
     /// key of a later acceptance.
     second_job_of_a_lost_answer_is_found: check_not_run,
