Make the tests of owners, budgets and withdrawal able to fail

Cause: with the freshness check, the status at a takeover, the budget of an entry or the withdrawal removed one at a time, the tests still passed.

Change: the killed owner leaves requests running on every slot; the paused owner wakes up while the log is away; retries are counted and compared with the budgets; a queue must become empty while all slots are held.

--- a/crates/magnolia-daemon/tests/quick_requests.rs
+++ b/crates/magnolia-daemon/tests/quick_requests.rs
@@ -70,24 +70,41 @@
 }
 
 /// Guards against two owners that both fill the slots of an executor when one takes over after the
-/// other was killed, and against answers to other requests.
+/// other was killed with requests still running, and against answers to other requests.
 #[tokio::test(flavor = "multi_thread")]
 async fn slots_hold_when_the_owner_is_killed() {
     let mut cell = TestCell::start(3, &[2]).await;
     let owner = cell.owner(0).await.expect("an owner");
     let entries: Vec<usize> = (0..3).filter(|index| *index != owner).collect();
-    for executor in &cell.groups[0] {
-        executor.set_mode(ExecutorMode::Answer(Duration::from_millis(20)));
-    }
+    let set_modes = |cell: &TestCell, mode| {
+        let executors = cell.groups[0].iter();
+        executors.for_each(|executor| executor.set_mode(mode));
+    };
+    set_modes(&cell, ExecutorMode::Hold);
     let flood = Flood::start(&cell, &entries);
-    flood.progress().await;
+    wait_for("full executors", async || {
+        let mut executors = cell.groups[0].iter();
+        executors.all(|executor| executor.busy() == SLOTS)
+    })
+    .await;
     cell.kill(owner);
     cell.list();
+    // The new owner knows all executors, has requests to send, and no slot is free.
+    wait_for("a queue at the new owner", async || {
+        let Some(index) = cell.owner(0).await else {
+            return false;
+        };
+        let state = cell.state(index).await.unwrap_or_default();
+        let group = &state["groups"]["groups"]["group:g0"];
+        let executors = group["executors"].as_array().cloned().unwrap_or_default();
+        let known = |line: &Value| line["capacity"].as_u64() == Some(u64::from(SLOTS));
+        executors.iter().all(known) && group["queued"].as_u64() > Some(0)
+    })
+    .await;
+    set_modes(&cell, ExecutorMode::Answer(Duration::from_millis(20)));
     flood.progress().await;
-    assert_ne!(cell.owner(0).await, Some(owner));
     flood.stop().await;
     for executor in &cell.groups[0] {
-        assert!(executor.requests() > 0);
         assert!(executor.most_busy() <= SLOTS, "{}", executor.most_busy());
     }
 }
@@ -147,6 +164,8 @@
         owned
     })
     .await;
+    // The old owner can learn only from its peers that it was replaced.
+    cell.log.is_away.store(true, Ordering::SeqCst);
     drop(paused);
     wait_for("the old owner to step down", async || {
         let state = cell.state(owner).await.unwrap_or_default();
@@ -205,9 +224,18 @@
     // One budget at the owner for each executor, and at each entry for each group.
     let budgets = executors.len() + 2 * cell.groups.len();
     let bound = requests + requests / 10 + 10 * budgets;
+    // Without a budget each request would have been tried at both owners.
+    assert!(bound < requests * cell.groups.len());
     assert!(arrived <= bound, "{arrived} attempts, bound {bound}");
-    // Without a budget each request would have been tried on all executors.
-    assert!(bound < requests * executors.len());
+    let mut retries = 0;
+    for index in 0..2 {
+        let counters = &cell.state(index).await.expect("a state")["counters"];
+        let names = ["quick.retries", "quick.executor_retries", "quick.hedges"];
+        let counted = names.iter().filter_map(|name| counters[*name].as_u64());
+        retries += usize::try_from(counted.sum::<u64>()).expect("a small number");
+    }
+    assert!(retries > 0);
+    assert!(retries <= bound - requests, "{retries} retries");
 }
 
 /// Guards against requests that fail although another executor works, and against a failed executor
@@ -235,31 +263,30 @@
     .await;
 }
 
-/// Guards against a request that runs although its caller went away while it was queued.
+/// Guards against a request that stays in the queue, or runs, although its caller went away.
 #[tokio::test(flavor = "multi_thread")]
 async fn queued_request_of_a_gone_caller_is_withdrawn() {
     let cell = TestCell::start(1, &[1]).await;
     let executor = &cell.groups[0][0];
-    executor.set_mode(ExecutorMode::Answer(Duration::from_secs(1)));
+    executor.set_mode(ExecutorMode::Hold);
     let address = cell.daemons[0].callers;
-    let blockers: Vec<_> = (0..SLOTS)
-        .map(|_| {
-            let client = cell.client.clone();
-            tokio::spawn(async move { send_request(&client, address, "blocker", 20_000).await })
-        })
-        .collect();
+    let send = |body: &'static str| {
+        let client = cell.client.clone();
+        tokio::spawn(async move { send_request(&client, address, body, 60_000).await })
+    };
+    let blockers: Vec<_> = (0..SLOTS).map(|_| send("blocker")).collect();
     wait_for("full slots", async || executor.busy() == SLOTS).await;
-    executor.set_mode(ExecutorMode::Answer(Duration::from_millis(1)));
-    let client = cell.client.clone();
-    let gone =
-        tokio::spawn(async move { send_request(&client, address, "withdrawn", 20_000).await });
+    let gone = send("withdrawn");
     let queued = async || {
         let state = cell.state(0).await.unwrap_or_default();
         state["groups"]["groups"]["group:g0"]["queued"].as_u64()
     };
     wait_for("a queued request", async || queued().await == Some(1)).await;
     gone.abort();
+    // All slots are still held, so that only a withdrawal empties the queue.
     wait_for("an empty queue", async || queued().await == Some(0)).await;
+    assert_eq!(executor.busy(), SLOTS);
+    executor.set_mode(ExecutorMode::Answer(Duration::from_millis(1)));
     for blocker in blockers {
         blocker.await.expect("a task").expect("an answer");
     }
--- a/crates/magnolia-daemon/tests/support/executor.rs
+++ b/crates/magnolia-daemon/tests/support/executor.rs
@@ -25,6 +25,8 @@
     Refuse,
     /// Never answers.
     Hang,
+    /// Keeps requests until another mode is set, then answers.
+    Hold,
 }
 
 /// One executor.
@@ -118,9 +120,12 @@
         }
     }
 
+    fn mode(&self) -> ExecutorMode {
+        *self.mode.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn execute(&self, body: &str) -> HttpResponse {
-        let mode = *self.mode.lock().unwrap_or_else(PoisonError::into_inner);
-        match mode {
+        match self.mode() {
             ExecutorMode::Refuse => {
                 let mut response = error_response(ResultCode::NoBackend, "refused");
                 let yes = HeaderValue::from_static("1");
@@ -128,6 +133,12 @@
                 response
             }
             ExecutorMode::Hang => std::future::pending().await,
+            ExecutorMode::Hold => {
+                while self.mode() == ExecutorMode::Hold {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+                HttpResponse::new(Full::from(format!("answer to {body}")))
+            }
             ExecutorMode::Answer(time) => {
                 tokio::time::sleep(time).await;
                 HttpResponse::new(Full::from(format!("answer to {body}")))
