--- a/crates/magnolia-daemon/tests/graceful_stop.rs
+++ b/crates/magnolia-daemon/tests/graceful_stop.rs
@@ -9,7 +9,7 @@
 
 use magnolia_daemon::ExitStatus;
 use magnolia_http::{HttpClient, HttpError, PoolSettings};
-use support::{ExecutorMode, TestCell, send_request, wait_for};
+use support::{ExecutorMode, FakeLog, LIMIT, TestCell, send_request, wait_for};
 
 /// Callers, each with its own connections.
 const CALLERS: usize = 16;
@@ -77,6 +77,30 @@
     assert_eq!(cell.owner(1).await, Some(1));
 }
 
+/// Guards against requests that are refused before a balancer can notice the failed readiness, and
+/// against groups that stay without an owner until the process ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_taken_during_the_grace_time() {
+    // Longer than the test, so that the daemon is in its grace time to the end.
+    let mut cell = TestCell::start_on(FakeLog::default(), 2, &[1, 1], 600_000).await;
+    let _stopping = cell.stop(0);
+    let address = cell.daemons[0].callers;
+    wait_for("a failed readiness", async || {
+        let answer = cell.client.get(address, "/readyz", LIMIT).await;
+        answer.is_ok_and(|answer| answer.status == 503)
+    })
+    .await;
+    wait_for("owners elsewhere", async || {
+        cell.owner(0).await == Some(1) && cell.owner(1).await == Some(1)
+    })
+    .await;
+    cell.until_answered(0, "x").await;
+    for _ in 0..20 {
+        let answer = cell.request(0, "x", 5000).await.expect("an answer");
+        assert!(answer.status.is_success(), "{:?}", answer.body);
+    }
+}
+
 /// Shows that the callers notice a daemon that ends without draining.
 #[tokio::test(flavor = "multi_thread")]
 async fn sudden_end_cuts_requests_off() {
--- a/crates/magnolia-daemon/tests/ownership.rs
+++ b/crates/magnolia-daemon/tests/ownership.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use serde_json::Value;
-use support::{FakeLog, TestCell, wait_for};
+use support::{FakeLog, SHORT_GRACE_MS, TestCell, wait_for};
 
 /// Returns the current claims as a daemon knows them: unit, epoch and daemon.
 async fn claims(cell: &TestCell, index: usize) -> Vec<(String, u64, String)> {
@@ -26,7 +26,7 @@
     // Neither of them is a message: a part of one, and text of another program.
     log.append("claims", "gA==".into());
     log.append("claims", "aGVsbG8=".into());
-    let cell = TestCell::start_on(log, 3, &[1, 1]).await;
+    let cell = TestCell::start_on(log, 3, &[1, 1], SHORT_GRACE_MS).await;
     cell.log.append("claims", "gA==".into());
     for index in 0..3 {
         wait_for("equal claims", async || {
--- a/crates/magnolia-daemon/tests/support/mod.rs
+++ b/crates/magnolia-daemon/tests/support/mod.rs
@@ -28,6 +28,8 @@
 
 /// Longest wait for something that must come about.
 pub const LIMIT: Duration = Duration::from_secs(30);
+/// Grace time of a stop, unless a test needs another.
+pub const SHORT_GRACE_MS: u64 = 500;
 /// Slots of each executor.
 pub const SLOTS: u32 = 4;
 
@@ -44,6 +46,7 @@
 /// Daemons, platform and executors.
 pub struct TestCell {
     pub client: HttpClient,
+    grace_ms: u64,
     pub daemons: Vec<TestDaemon>,
     /// Executors of each group.
     pub groups: Vec<Vec<Arc<FakeExecutor>>>,
@@ -63,15 +66,16 @@
     /// Starts daemons and groups of executors, publishes the inventory and waits until every group
     /// has an owner and every daemon is ready.
     pub async fn start(daemons: usize, groups: &[usize]) -> Self {
-        Self::start_on(FakeLog::default(), daemons, groups).await
+        Self::start_on(FakeLog::default(), daemons, groups, SHORT_GRACE_MS).await
     }
 
-    /// Starts a cell on a given log.
-    pub async fn start_on(log: FakeLog, daemons: usize, groups: &[usize]) -> Self {
+    /// Starts a cell on a given log, with a given grace time of a stop.
+    pub async fn start_on(log: FakeLog, daemons: usize, groups: &[usize], grace_ms: u64) -> Self {
         let log = Arc::new(log);
         let instances = Arc::new(FakeInstances::default());
         let mut cell = Self {
             client: HttpClient::new(PoolSettings::new()),
+            grace_ms,
             daemons: Vec::new(),
             groups: Vec::new(),
             log_address: platform::start(Arc::clone(&log) as _).await,
@@ -105,7 +109,7 @@
             format!("--inner-listen={inner}"),
             format!("--log={}", self.log_address),
             format!("--instances={}", self.instance_address),
-            "--drain-grace-ms=500".to_owned(),
+            format!("--drain-grace-ms={}", self.grace_ms),
         ];
         let args = args.into_iter().map(Into::into);
         let settings = DaemonSettings::from_args(args).expect("settings");
--- a/crates/magnolia-http/tests/connections.rs
+++ b/crates/magnolia-http/tests/connections.rs
@@ -57,16 +57,23 @@
         _ => Step::Answer,
     };
     let (peer, counts) = start(Arc::new(script)).await;
-    let client = HttpClient::new(PoolSettings::new().with_progress_deadline(SHORT));
+    let mut settings = PoolSettings::new().with_progress_deadline(SHORT);
+    // The idle connection must not be closed for another reason.
+    settings.max_idle_time = Duration::from_secs(600);
+    let client = HttpClient::new(settings);
     join_all((0..2).map(|_| client.get(peer, "/warm", LIMIT))).await;
     let stuck = tokio::spawn({
         let client = client.clone();
-        async move { client.get(peer, "/stuck", Duration::from_secs(60)).await }
+        async move { client.get(peer, "/stuck", Duration::from_secs(3600)).await }
     });
     // The silent connection in use stays open, the idle one is closed.
-    while client.open_connections(peer) > 1 {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
+    let dropped = async {
+        while client.open_connections(peer) > 1 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let dropped = tokio::time::timeout(LIMIT, dropped).await;
+    dropped.expect("the idle connection is dropped");
     let answer = client.get(peer, "/next", LIMIT).await.expect("an answer");
     assert_eq!(answer.body, "/next");
     assert_eq!(counts.accepted(), 3);
