Wait in tests until the owners of partitions answer

A claim is known a little before its owner answers; a call in between is refused with NoOwner, which is right. Tests now wait until every partition answers a list, and send work again that was not run for want of an owner.

--- a/crates/magnolia-lab/tests/caller_interface.rs
+++ b/crates/magnolia-lab/tests/caller_interface.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use common::{LIMIT, cell};
+use common::{LIMIT, cell, wait_partitions};
 use http::{Method, Request};
 use http_body_util::Full;
 use magnolia_http::HttpAnswer;
@@ -185,6 +185,7 @@
 async fn bad_input_is_refused_and_leaves_nothing_behind() {
     let cell = cell("bad_input", 1).start().await.expect("the cell starts");
     cell.wait_owners(0).await.expect("owners");
+    wait_partitions(&cell).await;
     let mut faults = Vec::new();
     for case in refusal_cases() {
         let answer = send(&cell, &case.method, case.path, case.body.clone()).await;
@@ -261,6 +262,7 @@
     let document = cell.document.clone();
     cell.publish_first(&document).await.expect("a publication");
     cell.wait_owners(0).await.expect("owners");
+    wait_partitions(&cell).await;
     let mut submitted = Vec::new();
     for number in 0..12 {
         let body = job(json!({"idempotency_key": format!("spread-{number}"), "run_ms": 20}));
@@ -296,6 +298,7 @@
     let mut cell = cell("wait_at_stop", 2).start().await.expect("a cell");
     cell.wait_owners(0).await.expect("owners");
     cell.wait_owners(1).await.expect("owners");
+    wait_partitions(&cell).await;
     let service = job(json!({"kind": "service", "class": "service"}));
     let answer = send(&cell, &Method::POST, "/v1/jobs", service).await;
     let view: Value = answer.json().expect("JSON");
--- a/crates/magnolia-lab/tests/command_line.rs
+++ b/crates/magnolia-lab/tests/command_line.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
 
-use common::cell;
+use common::{cell, wait_partitions};
 use magnolia_config::ConfigDocument;
 use magnolia_lab::cell::RunningCell;
 use magnolia_lab::history::HistoryEvent;
@@ -99,6 +99,7 @@
     let cell = cell("first_session", 2).start().await.expect("a cell");
     cell.wait_owners(0).await.expect("owners");
     cell.wait_owners(1).await.expect("owners");
+    wait_partitions(&cell).await;
     let to = endpoints(&cell);
     expect(&to, "status", 0, "It is not down").await;
     expect(&to, "config show", 0, "version 1").await;
@@ -164,6 +165,7 @@
     let cell = cell("service_session", 2).start().await.expect("a cell");
     cell.wait_owners(0).await.expect("owners");
     cell.wait_owners(1).await.expect("owners");
+    wait_partitions(&cell).await;
     let to = endpoints(&cell);
     let submit = "submit --customer board --class service --kind service --tasks 2 \
                   --cpu-millis 1000 --memory-mib 256 --key watch-1";
@@ -189,6 +191,7 @@
     let cell = cell("once_session", 2).start().await.expect("a cell");
     cell.wait_owners(0).await.expect("owners");
     cell.wait_owners(1).await.expect("owners");
+    wait_partitions(&cell).await;
     let to = endpoints(&cell);
     let once = "request --customer board --class quick --not-repeatable --key once-1 one-skin";
     expect(&to, once, 0, "answer to one-skin").await;
@@ -208,6 +211,7 @@
 async fn a_configuration_is_shown_edited_and_published() {
     let cell = cell("edit_config", 1).start().await.expect("a cell");
     cell.wait_owners(0).await.expect("owners");
+    wait_partitions(&cell).await;
     let to = endpoints(&cell);
     let shown = expect(&to, "config show --toml", 0, "# version 1").await;
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("edit_config");
@@ -261,6 +265,7 @@
 async fn refusals_have_their_exit_codes() {
     let cell = cell("exit_codes", 1).start().await.expect("a cell");
     cell.wait_owners(0).await.expect("owners");
+    wait_partitions(&cell).await;
     let to = endpoints(&cell);
     let unknown = "request --customer nobody --class quick x";
     expect(&to, unknown, 1, "UnknownCustomer (104)").await;
@@ -288,6 +293,7 @@
 async fn the_next_endpoint_is_tried_only_when_that_is_safe() {
     let cell = cell("endpoints", 1).start().await.expect("a cell");
     cell.wait_owners(0).await.expect("owners");
+    wait_partitions(&cell).await;
     let daemon = cell.daemons[0].callers;
     let (closed, silent) = (closed_address().await, silent_server().await);
     expect(&[closed, daemon], "status", 0, "It is not down").await;
--- a/crates/magnolia-lab/tests/common/mod.rs
+++ b/crates/magnolia-lab/tests/common/mod.rs
@@ -7,9 +7,9 @@
 
 use std::path::Path;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use magnolia_lab::cell::CellBuilder;
+use magnolia_lab::cell::{CellBuilder, RunningCell};
 use magnolia_lab::checker::check_all;
 use magnolia_lab::history::{History, HistoryEvent, QuickResult};
 use magnolia_lab::load::LoadMix;
@@ -211,3 +211,20 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// Waits until the owner of every partition answers through every daemon. A claim is known a little
+/// before its owner answers, and calls in between are refused as not run.
+pub async fn wait_partitions(cell: &RunningCell) {
+    let deadline = Instant::now() + LIMIT;
+    for daemon in &cell.daemons {
+        loop {
+            let answer = cell.client.get(daemon.callers, "/v1/jobs?limit=1", LIMIT);
+            let list: Value = answer.await.expect("an answer").json().expect("JSON");
+            if list["missing"] == serde_json::json!([]) {
+                break;
+            }
+            assert!(Instant::now() < deadline, "{}: {list}", daemon.name);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
--- a/crates/magnolia-lab/tests/config_feed.rs
+++ b/crates/magnolia-lab/tests/config_feed.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{LIMIT, cell};
+use common::{LIMIT, cell, wait_partitions};
 use magnolia_config::{CellConfig, ConfigPublication, ConfigSection, SectionChange};
 use magnolia_lab::cell::{ProxyPlan, RunningCell};
 use magnolia_lab::proxy::ProxyFaults;
@@ -158,8 +158,23 @@
     assert_eq!(published.expect("accepted"), 3);
 }
 
-/// Sends a request that must not repeat and returns the code of the answer.
+/// Sends a request that must not repeat and returns the code of the answer. While the executors have
+/// no owner yet, nothing runs, and the key stays free or tells so; another key is tried.
 async fn send_once(cell: &RunningCell, key: &str) -> u64 {
+    let deadline = Instant::now() + LIMIT;
+    let no_owner = u64::from(ResultCode::NoOwner.number());
+    let mut number = 0;
+    loop {
+        let code = send_key(cell, &format!("{key}-{number}")).await;
+        if code != no_owner || Instant::now() > deadline {
+            return code;
+        }
+        number += 1;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn send_key(cell: &RunningCell, key: &str) -> u64 {
     let body = json!({
         "customer": "board", "class": "quick", "deadline_ms": 2000, "body": key,
         "repeatable": false, "idempotency_key": key,
@@ -177,6 +192,7 @@
     let changed = u64::from(ResultCode::KeySetChanged.number());
     let cell = cell("config_key_set", 1).start().await.expect("a cell");
     cell.wait_owners(0).await.expect("owners");
+    wait_partitions(&cell).await;
     assert_eq!(send_once(&cell, "before").await, 0);
     let old = CellConfig {
         version: ConfigVersion::new(1),
--- a/crates/magnolia-lab/tests/documented_calls.rs
+++ b/crates/magnolia-lab/tests/documented_calls.rs
@@ -2,11 +2,15 @@
 
 mod common;
 
-use common::{LIMIT, cell};
+use std::time::{Duration, Instant};
+
+use common::{LIMIT, cell, wait_partitions};
 use http::{Method, Request};
 use http_body_util::Full;
 use magnolia_config::{CellConfig, ConfigDocument};
+use magnolia_http::HttpAnswer;
 use magnolia_lab::cell::RunningCell;
+use magnolia_types::ResultCode;
 use serde_json::Value;
 
 const PAGE: &str = include_str!("../../../docs/CALLERS.md");
@@ -56,11 +60,32 @@
     cell.publish(0, &publication).await.expect("accepted");
 }
 
+/// Sends a call, again while the owner of an executor group is not there yet and nothing ran.
+async fn send(cell: &RunningCell, method: &Method, path: &str, body: String) -> HttpAnswer {
+    let deadline = Instant::now() + LIMIT;
+    loop {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .body(Full::from(body.clone()))
+            .expect("a request");
+        let address = cell.daemons[0].callers;
+        let answer = cell.client.call(address, request, LIMIT).await;
+        let answer = answer.unwrap_or_else(|error| panic!("{path}: {error}"));
+        let code = answer.json::<Value>().unwrap_or_default()["code"].clone();
+        if code != ResultCode::NoOwner.number() || Instant::now() > deadline {
+            return answer;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Guards against an example that a reader cannot use.
 #[tokio::test(flavor = "multi_thread")]
 async fn every_documented_call_succeeds() {
     let cell = cell("documented_calls", 1).start().await.expect("a cell");
     cell.wait_owners(0).await.expect("owners");
+    wait_partitions(&cell).await;
     publish_board(&cell).await;
     let calls = documented_calls();
     assert!(calls.len() >= 13, "{calls:?}");
@@ -72,14 +97,7 @@
         let body = call
             .body
             .replace("\"base\": 1", &format!("\"base\": {version}"));
-        let request = Request::builder()
-            .method(&call.method)
-            .uri(&path)
-            .body(Full::from(body))
-            .expect("a request");
-        let address = cell.daemons[0].callers;
-        let answer = cell.client.call(address, request, LIMIT).await;
-        let answer = answer.unwrap_or_else(|error| panic!("{path}: {error}"));
+        let answer = send(&cell, &call.method, &path, body).await;
         let text = String::from_utf8_lossy(&answer.body);
         assert!(answer.status.is_success(), "{call:?}: {text}");
         let value: Value = answer.json().expect("JSON");
