--- a/crates/magnolia-daemon/src/partition/lifecycle.rs
+++ b/crates/magnolia-daemon/src/partition/lifecycle.rs
@@ -92,33 +92,47 @@
 
 /// Stops the owner of a partition as planned and passes its state to `successor`.
 ///
-/// Returns whether the successor has taken it. An owner that was still reading its journal goes on;
-/// any other has stopped in either case.
+/// Returns whether the successor has taken it. When it has not, the state is kept, so that the next
+/// call can pass it to another one. An owner that was still reading its journal goes on; any other
+/// has stopped in either case.
 pub async fn hand_over(
     context: &Arc<DaemonContext>,
     unit: &UnitId,
     successor: &MemberEntry,
 ) -> bool {
-    let Some(owner) = context.partitions.get(unit) else {
+    let Some(handover) = drained_state(context, unit).await else {
         return false;
     };
-    let (reply, drained) = oneshot::channel();
-    if owner.events.send(OwnerEvent::HandOver(reply)).is_err() {
-        return false;
-    }
-    let Ok(Ok(Some(handover))) = tokio::time::timeout(DRAIN_LIMIT, drained).await else {
-        log::warn!("{unit} was not drained for a handover");
-        return false;
-    };
-    let request = PeerRequest::Handover(handover);
+    let request = PeerRequest::Handover(handover.clone());
     let reply = context
         .call_peer(successor.address, request, HANDOVER_TIMEOUT)
         .await;
     let taken = matches!(reply.map(|reply| reply.body), Ok(PeerReply::HandoverTaken));
     log::info!("handover of {unit} to {}: taken {taken}", successor.daemon);
+    if !taken {
+        context.partitions.keep_handover(handover);
+    }
     taken
 }
 
+/// Drains the owner of a partition, or returns the state of one that has drained before.
+async fn drained_state(context: &DaemonContext, unit: &UnitId) -> Option<Handover> {
+    let Some(owner) = context.partitions.get(unit) else {
+        let claim = context.own_claim(unit)?;
+        let next = claim.epoch.saturating_add(Epoch::new(1));
+        return context.partitions.take_handover(unit, next);
+    };
+    let (reply, drained) = oneshot::channel();
+    owner.events.send(OwnerEvent::HandOver(reply)).ok()?;
+    match tokio::time::timeout(DRAIN_LIMIT, drained).await {
+        Ok(Ok(Some(handover))) => Some(handover),
+        _ => {
+            log::warn!("{unit} was not drained for a handover");
+            None
+        }
+    }
+}
+
 /// Keeps the state that an earlier owner passes on, for [`start_owner`].
 pub fn take_handover(context: &Arc<DaemonContext>, handover: Handover) -> PeerReply {
     let known = context.claims.get(&handover.unit).map(|claim| claim.epoch);
--- a/crates/magnolia-daemon/tests/takeover.rs
+++ b/crates/magnolia-daemon/tests/takeover.rs
@@ -119,6 +119,10 @@
     eventually("tasks run", || cell.fleet.runs().len() >= 16).await;
     cell.fleet.set_reachable(worker_address(0), false);
     let began = cell.fleet.now();
+    let mut absent = successor.clone();
+    absent.address = worker_address(0);
+    assert!(!hand_over(&first.context, &unit(), &absent).await);
+    // The owner has stopped by now, and its state is kept for the next candidate.
     assert!(hand_over(&first.context, &unit(), &successor).await);
     assert!(first.context.partitions.get(&unit()).is_none());
     second.claim(2).await;
