--- a/crates/magnolia-daemon/tests/placement_load.rs
+++ b/crates/magnolia-daemon/tests/placement_load.rs
@@ -53,10 +53,8 @@
         let cell = TestCell::new(WORKERS);
         let (first, second) = (cell.daemon("d1"), cell.daemon("d2"));
         first.claim(1).await;
-        // Three times the room of the fleet, so that tasks wait, and ends free room all the time.
-        for _ in 0..30 {
-            first.submit(batch(200, 100 + 10 * round)).await;
-        }
+        // Ten times the room of the fleet, so that tasks wait and ends free room all the time.
+        first.submit(batch(20_000, 400 + 10 * round)).await;
         eventually("tasks run", || cell.fleet.runs().len() >= 2000).await;
         first.gate.set_open(false);
         let killed = cell.fleet.now();
@@ -74,9 +72,7 @@
         let first = cell.daemon("d1");
         let (second, successor) = cell.reachable_daemon("d2").await;
         first.claim(1).await;
-        for _ in 0..30 {
-            first.submit(batch(200, 100 + 10 * round)).await;
-        }
+        first.submit(batch(20_000, 400 + 10 * round)).await;
         eventually("tasks run", || cell.fleet.runs().len() >= 2000).await;
         let began = cell.fleet.now();
         assert!(hand_over(&first.context, &unit(), &successor).await);
