--- a/crates/magnolia-lab/src/command.rs
+++ b/crates/magnolia-lab/src/command.rs
@@ -133,7 +133,13 @@
         .subcommand(
             Command::new("measure")
                 .about("Measures what failures, stops and changes cost")
-                .arg(number_arg::<u64>("runs", "5", "Runs of each measurement")),
+                .arg(number_arg::<u64>("runs", "5", "Runs of each measurement"))
+                .arg(
+                    Arg::new("only")
+                        .long("only")
+                        .value_parser(["kill", "stop", "configuration", "leaving"])
+                        .help("Takes this measurement alone"),
+                ),
         )
         .subcommand(
             Command::new("check")
@@ -229,7 +235,8 @@
         }
         "measure" => {
             let runs = value(matches, "runs");
-            run_measure(&std::env::current_exe()?, &run_folder(), runs).await?;
+            let only = matches.get_one::<String>("only").map(String::as_str);
+            run_measure(&std::env::current_exe()?, &run_folder(), runs, only).await?;
         }
         "check" => return check(Path::new(&value::<String>(matches, "folder"))),
         _ => return Ok(false),
--- a/crates/magnolia-lab/src/scenario/measure.rs
+++ b/crates/magnolia-lab/src/scenario/measure.rs
@@ -40,9 +40,18 @@
 /// # Errors
 ///
 /// Fails when a cell does not start or obey.
-pub async fn run_measure(program: &Path, folder: &Path, runs: u64) -> Result<(), ScenarioError> {
+pub async fn run_measure(
+    program: &Path,
+    folder: &Path,
+    runs: u64,
+    only: Option<&str>,
+) -> Result<(), ScenarioError> {
+    let is_wanted = |name: &str| only.is_none_or(|only| only == name);
     println!("{runs} runs with {DAEMONS} daemons, {RATE} operations a second");
     for is_planned in [false, true] {
+        if !is_wanted(if is_planned { "stop" } else { "kill" }) {
+            continue;
+        }
         let name = if is_planned { "planned stop" } else { "kill" };
         let mut costs = Vec::new();
         for seed in 1..=runs {
@@ -53,16 +62,35 @@
         }
         print_costs(name, &costs);
     }
+    if is_wanted("configuration") {
+        print_configuration(program, folder, runs).await?;
+    }
+    if is_wanted("leaving") {
+        print_leaving(program, folder, runs).await?;
+    }
+    Ok(())
+}
+
+async fn print_configuration(
+    program: &Path,
+    folder: &Path,
+    runs: u64,
+) -> Result<(), ScenarioError> {
     let mut latency = new_histogram();
     for _ in 0..runs {
         measure_configuration(program, folder, &mut latency).await?;
     }
     println!(
-        "configuration sent until in force at each of {DAEMONS} daemons: p50 {} ms, p99 {} ms, {} samples",
+        "configuration sent until in force at each of {DAEMONS} daemons: p50 {} ms, p99 {} ms, {} \
+         samples",
         latency.value_at_quantile(0.5) / 1000,
         latency.value_at_quantile(0.99) / 1000,
         latency.len()
     );
+    Ok(())
+}
+
+async fn print_leaving(program: &Path, folder: &Path, runs: u64) -> Result<(), ScenarioError> {
     for endpoint in ["worker", "executor"] {
         let mut times = Vec::new();
         for seed in 1..=runs {
