Wait for the owner to serve its partition before a test uses it; record latencies beyond 1 us

A claim is read back before the takeover has ended, so the first request could be refused as NoOwner. The histogram of configuration latencies clamped each value to its first bucket.

--- a/crates/magnolia-lab/src/scenario/measure.rs
+++ b/crates/magnolia-lab/src/scenario/measure.rs
@@ -25,6 +25,8 @@
 const PUBLICATIONS: u64 = 20;
 /// Time from one publication to the next.
 const PUBLICATION_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest latency that a histogram tells apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
 /// Unit whose owner is stopped.
 const UNIT: &str = "partition:p0";
 
@@ -105,7 +107,7 @@
 }
 
 fn new_histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("three digits are valid")
+    Histogram::new_with_max(MAX_LATENCY_US, 3).expect("the bounds are valid")
 }
 
 fn builder(program: &Path, folder: &Path, seed: u64) -> CellBuilder {
--- a/crates/magnolia-lab/tests/config_feed.rs
+++ b/crates/magnolia-lab/tests/config_feed.rs
@@ -170,6 +170,20 @@
     answer["code"].as_u64().unwrap_or(0)
 }
 
+/// Sends a request that must not repeat until its partition is served: the owner takes it over
+/// only after its claim, and says until then that nothing ran.
+async fn send_once_owned(cell: &RunningCell, key: &str) -> u64 {
+    let no_owner = u64::from(ResultCode::NoOwner.number());
+    let deadline = tokio::time::Instant::now() + LIMIT;
+    loop {
+        let code = send_once(cell, key).await;
+        if code != no_owner || tokio::time::Instant::now() > deadline {
+            return code;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Guards against work that may not repeat and runs again because its key moved to a partition that
 /// does not know it.
 #[tokio::test(flavor = "multi_thread")]
@@ -177,7 +191,7 @@
     let changed = u64::from(ResultCode::KeySetChanged.number());
     let cell = cell("config_key_set", 1).start().await.expect("a cell");
     cell.wait_owners(0).await.expect("owners");
-    assert_eq!(send_once(&cell, "before").await, 0);
+    assert_eq!(send_once_owned(&cell, "before").await, 0);
     let old = CellConfig {
         version: ConfigVersion::new(1),
         document: Some(cell.document.clone()),
