--- a/crates/magnolia-lab/src/scenario/measure.rs
+++ b/crates/magnolia-lab/src/scenario/measure.rs
@@ -25,6 +25,8 @@
 const PUBLICATIONS: u64 = 20;
 /// Time from one publication to the next.
 const PUBLICATION_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest latency that a histogram tells apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
 /// Unit whose owner is stopped.
 const UNIT: &str = "partition:p0";
 
@@ -40,9 +42,18 @@
 /// # Errors
 ///
 /// Fails when a cell does not start or obey.
-pub async fn run_measure(program: &Path, folder: &Path, runs: u64) -> Result<(), ScenarioError> {
+pub async fn run_measure(
+    program: &Path,
+    folder: &Path,
+    runs: u64,
+    only: Option<&str>,
+) -> Result<(), ScenarioError> {
+    let is_wanted = |name: &str| only.is_none_or(|only| only == name);
     println!("{runs} runs with {DAEMONS} daemons, {RATE} operations a second");
     for is_planned in [false, true] {
+        if !is_wanted(if is_planned { "stop" } else { "kill" }) {
+            continue;
+        }
         let name = if is_planned { "planned stop" } else { "kill" };
         let mut costs = Vec::new();
         for seed in 1..=runs {
@@ -53,16 +64,35 @@
         }
         print_costs(name, &costs);
     }
+    if is_wanted("configuration") {
+        print_configuration(program, folder, runs).await?;
+    }
+    if is_wanted("leaving") {
+        print_leaving(program, folder, runs).await?;
+    }
+    Ok(())
+}
+
+async fn print_configuration(
+    program: &Path,
+    folder: &Path,
+    runs: u64,
+) -> Result<(), ScenarioError> {
     let mut latency = new_histogram();
     for _ in 0..runs {
         measure_configuration(program, folder, &mut latency).await?;
     }
     println!(
-        "configuration sent until in force at each of {DAEMONS} daemons: p50 {} ms, p99 {} ms, {} samples",
+        "configuration sent until in force at each of {DAEMONS} daemons: p50 {} ms, p99 {} ms, {} \
+         samples",
         latency.value_at_quantile(0.5) / 1000,
         latency.value_at_quantile(0.99) / 1000,
         latency.len()
     );
+    Ok(())
+}
+
+async fn print_leaving(program: &Path, folder: &Path, runs: u64) -> Result<(), ScenarioError> {
     for endpoint in ["worker", "executor"] {
         let mut times = Vec::new();
         for seed in 1..=runs {
@@ -77,7 +107,7 @@
 }
 
 fn new_histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("three digits are valid")
+    Histogram::new_with_max(MAX_LATENCY_US, 3).expect("the bounds are valid")
 }
 
 fn builder(program: &Path, folder: &Path, seed: u64) -> CellBuilder {
