--- /dev/null
+++ b/crates/magnolia-lab/src/capacity/process_probe.rs
@@ -0,0 +1,138 @@
+//! Processor time, memory and traffic of a daemon process.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use magnolia_http::{HttpClient, TrafficTotals};
+use nix::unistd::{SysconfVar, sysconf};
+use serde::Deserialize;
+
+use crate::cell::CellError;
+
+/// Longest time of a reading of the state dump.
+const DUMP_LIMIT: Duration = Duration::from_secs(10);
+/// Position of the user time behind the command name in `/proc/<pid>/stat`.
+const USER_TIME_FIELD: usize = 11;
+
+/// Reads the usage of one process.
+pub struct ProcessProbe {
+    client: HttpClient,
+    process: u32,
+    callers: SocketAddr,
+}
+
+/// Usage since the start of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct UsageSample {
+    taken: Instant,
+    cpu: Duration,
+    resident_kib: u64,
+    traffic: TrafficTotals,
+    /// Bytes that one reading of the state dump itself costs.
+    dump_bytes: u64,
+}
+
+/// Usage over a window.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct UsageRate {
+    /// Share of one core in percent.
+    pub cpu_percent: f64,
+    /// Resident memory at the end in MiB.
+    pub resident_mib: f64,
+    /// Bytes sent and received a second, in KB of 1000 bytes.
+    pub traffic_kb: f64,
+}
+
+#[derive(Deserialize)]
+struct StateTraffic {
+    traffic: TrafficTotals,
+}
+
+impl ProcessProbe {
+    /// Creates the probe of the daemon with this process id and address for callers.
+    pub fn new(client: HttpClient, process: u32, callers: SocketAddr) -> Self {
+        Self {
+            client,
+            process,
+            callers,
+        }
+    }
+
+    /// Measures over a window.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended or gives no state dump.
+    pub async fn measure(&self, window: Duration) -> Result<UsageRate, CellError> {
+        let before = self.sample().await?;
+        tokio::time::sleep(window).await;
+        let after = self.sample().await?;
+        Ok(UsageRate::new(&before, &after))
+    }
+
+    /// Reads the usage now.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended or gives no state dump.
+    pub async fn sample(&self) -> Result<UsageSample, CellError> {
+        let first = self.traffic().await?;
+        let second = self.traffic().await?;
+        Ok(UsageSample {
+            taken: Instant::now(),
+            cpu: self.cpu()?,
+            resident_kib: self.resident_kib()?,
+            traffic: second,
+            dump_bytes: total(&second) - total(&first),
+        })
+    }
+
+    async fn traffic(&self) -> Result<TrafficTotals, CellError> {
+        let answer = self
+            .client
+            .get(self.callers, "/v1/state", DUMP_LIMIT)
+            .await?;
+        Ok(answer.json::<StateTraffic>()?.traffic)
+    }
+
+    fn cpu(&self) -> Result<Duration, CellError> {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.process))?;
+        let fields = text.rsplit_once(')').map(|(_, fields)| fields);
+        let fields: Vec<&str> = fields.unwrap_or_default().split_whitespace().collect();
+        let ticks = |field: usize| fields.get(field).and_then(|text| text.parse::<u64>().ok());
+        let (user, system) = (ticks(USER_TIME_FIELD), ticks(USER_TIME_FIELD + 1));
+        let (Some(user), Some(system)) = (user, system) else {
+            return Err(CellError::NotReady("unreadable process statistics".into()));
+        };
+        let rate = sysconf(SysconfVar::CLK_TCK).ok().flatten().unwrap_or(100);
+        Ok(Duration::from_secs_f64(
+            (user + system) as f64 / rate as f64,
+        ))
+    }
+
+    fn resident_kib(&self) -> Result<u64, CellError> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.process))?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        kib.ok_or_else(|| CellError::NotReady("unreadable process status".into()))
+    }
+}
+
+impl UsageRate {
+    /// Computes the rate between two samples, without the traffic of the sampling.
+    pub fn new(before: &UsageSample, after: &UsageSample) -> Self {
+        let seconds = after.taken.duration_since(before.taken).as_secs_f64();
+        let cpu = after.cpu.saturating_sub(before.cpu).as_secs_f64();
+        let bytes = total(&after.traffic) - total(&before.traffic);
+        let bytes = bytes.saturating_sub(2 * after.dump_bytes);
+        Self {
+            cpu_percent: 100.0 * cpu / seconds,
+            resident_mib: after.resident_kib as f64 / 1024.0,
+            traffic_kb: bytes as f64 / 1000.0 / seconds,
+        }
+    }
+}
+
+fn total(traffic: &TrafficTotals) -> u64 {
+    traffic.received_bytes + traffic.sent_bytes
+}
--- a/crates/magnolia-lab/src/command.rs
+++ b/crates/magnolia-lab/src/command.rs
@@ -8,6 +8,7 @@
 
 use clap::{Arg, ArgMatches, Command};
 
+use crate::capacity::run_capacity;
 use crate::cell::CHILD_VARIABLE;
 use crate::checker::check_all;
 use crate::history::{History, HistoryWriter};
@@ -115,6 +116,20 @@
                 .about("Measures what failures, stops and changes cost")
                 .arg(number_arg::<u64>("runs", "5", "Runs of each measurement")),
         )
+        .subcommand(
+            Command::new("capacity")
+                .about("Measures what a daemon costs and works out the target size from it")
+                .arg(number_arg::<u64>(
+                    "window",
+                    "10",
+                    "Seconds of one measurement",
+                ))
+                .arg(
+                    Arg::new("series")
+                        .long("series")
+                        .help("Measures only this series"),
+                ),
+        )
         .subcommand(
             Command::new("check")
                 .about("Checks the histories of a folder")
@@ -211,6 +226,11 @@
             let runs = value(matches, "runs");
             run_measure(&std::env::current_exe()?, &run_folder(), runs).await?;
         }
+        "capacity" => {
+            let window = Duration::from_secs(value(matches, "window"));
+            let only = matches.get_one::<String>("series").map(String::as_str);
+            run_capacity(&std::env::current_exe()?, &run_folder(), window, only).await?;
+        }
         "check" => return check(Path::new(&value::<String>(matches, "folder"))),
         _ => return Ok(false),
     }
--- a/crates/magnolia-lab/src/lib.rs
+++ b/crates/magnolia-lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins of the platform, fault-injecting proxy, load, demo and history checker.
 
+pub mod capacity;
 pub mod cell;
 pub mod checker;
 mod command;
