--- a/crates/magnolia-daemon/src/membership.rs
+++ b/crates/magnolia-daemon/src/membership.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::DaemonClock;
 use crate::context::DaemonContext;
+use crate::metrics::names;
 
 /// Shortest time between two readings of the instance list.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
@@ -120,7 +121,6 @@
     ///
     /// Asking makes this daemon probe the other one for some seconds, so that a caller that waits
     /// for the proof asks again.
-    #[allow(dead_code)]
     pub fn proof_of_end(&self, daemon: &DaemonId, incarnation: Incarnation) -> Option<Millis> {
         self.learn(daemon, incarnation);
         let proof = self.with_tracker(|tracker| tracker.proof_of_end(daemon, incarnation));
@@ -137,7 +137,6 @@
     }
 
     /// Tells whether a daemon is draining or the instance list says that it leaves.
-    #[allow(dead_code)]
     pub fn is_draining(&self, daemon: &DaemonId) -> bool {
         self.with_tracker(|tracker| tracker.is_draining(daemon))
             || self.is_leaving(InstanceKind::Entry, daemon.as_str())
@@ -262,12 +261,12 @@
         let pause = match context.instances.list().await {
             Ok(entries) => {
                 let count = entries.len() as u64;
-                context.metrics.gauge("instances.listed", count);
+                context.metrics.gauge(names::INSTANCES_LISTED, count);
                 context.members.replace_entries(entries, asked);
                 list_interval(count)
             }
             Err(_) => {
-                context.metrics.count("instances.read_failed");
+                context.metrics.count(names::INSTANCES_READ_FAILED);
                 LIST_RETRY_PAUSE
             }
         };
