--- a/crates/magnolia-daemon/src/callers/operator_routes.rs
+++ b/crates/magnolia-daemon/src/callers/operator_routes.rs
@@ -1,6 +1,6 @@
 //! Health and state.
 
-use magnolia_http::{HttpResponse, error_response, json_response};
+use magnolia_http::{HttpResponse, error_response, json_response, traffic};
 use magnolia_state::ClaimRecord;
 use magnolia_types::ResultCode;
 use serde_json::json;
@@ -32,6 +32,7 @@
     let feed = context.config_feed.status();
     let now = context.clock.now();
     let age = |at| now.saturating_sub(at);
+    let traffic = traffic();
     json_response(
         200,
         &json!({
@@ -52,6 +53,7 @@
             "partitions": context.partitions.dump(),
             "groups": context.groups.dump(),
             "claims": claims,
+            "traffic": {"read_bytes": traffic.read, "written_bytes": traffic.written},
             "counters": context.metrics.counters(),
             "gauges": context.metrics.gauges(),
         }),
--- a/crates/magnolia-lab/src/capacity/process_probe.rs
+++ b/crates/magnolia-lab/src/capacity/process_probe.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use magnolia_http::{HttpClient, TrafficTotals};
+use magnolia_http::HttpClient;
 use nix::unistd::{SysconfVar, sysconf};
 use serde::Deserialize;
 
@@ -43,11 +43,19 @@
     pub traffic_kb: f64,
 }
 
+/// The part of the state dump that the probe reads.
 #[derive(Deserialize)]
 struct StateTraffic {
     traffic: TrafficTotals,
 }
 
+/// Bytes of all connections of the daemon since its start.
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct TrafficTotals {
+    read_bytes: u64,
+    written_bytes: u64,
+}
+
 impl ProcessProbe {
     /// Creates the probe of the daemon with this process id and address for callers.
     pub fn new(client: HttpClient, process: u32, callers: SocketAddr) -> Self {
@@ -134,5 +142,5 @@
 }
 
 fn total(traffic: &TrafficTotals) -> u64 {
-    traffic.received_bytes + traffic.sent_bytes
+    traffic.read_bytes + traffic.written_bytes
 }
