--- a/crates/magnolia-daemon/src/partition/worker_link.rs
+++ b/crates/magnolia-daemon/src/partition/worker_link.rs
@@ -18,8 +18,9 @@
 const MESSAGE_GAP: Millis = Millis::new(10);
 
 /// Time between two full reports of a worker. Other reports list only ends and new starts, so that
-/// traffic does not grow with the number of running tasks.
-const FULL_REPORT_INTERVAL: Millis = Millis::from_secs(10);
+/// traffic hardly grows with the number of running tasks: a full report costs about 260 bytes for
+/// each. Usage for learned sizes also comes with the report of each end.
+const FULL_REPORT_INTERVAL: Millis = Millis::from_secs(60);
 
 /// A start that was not answered yet.
 #[derive(Clone, Debug)]
