--- a/crates/magnolia-lab/tests/common/mod.rs
+++ b/crates/magnolia-lab/tests/common/mod.rs
@@ -212,18 +212,23 @@
     }
 }
 
-/// Waits until the owner of every partition answers through every daemon. A claim is known a little
-/// before its owner answers, and calls in between are refused as not run.
+/// Waits until the owner of every partition answers through every daemon, and no daemon has a reason
+/// to complain in its status. A claim is known a little before its owner answers and knows the free
+/// slots of its executors; calls in between are refused as not run.
 pub async fn wait_partitions(cell: &RunningCell) {
     let deadline = Instant::now() + LIMIT;
     for daemon in &cell.daemons {
         loop {
             let answer = cell.client.get(daemon.callers, "/v1/jobs?limit=1", LIMIT);
             let list: Value = answer.await.expect("an answer").json().expect("JSON");
-            if list["missing"] == serde_json::json!([]) {
+            let answer = cell.client.get(daemon.callers, "/v1/status", LIMIT);
+            let status: Value = answer.await.expect("an answer").json().expect("JSON");
+            let none = serde_json::json!([]);
+            if list["missing"] == none && status["reasons"] == none {
                 break;
             }
-            assert!(Instant::now() < deadline, "{}: {list}", daemon.name);
+            let name = &daemon.name;
+            assert!(Instant::now() < deadline, "{name}: {list} {status}");
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
