--- a/crates/magnolia-daemon/tests/quick_requests.rs
+++ b/crates/magnolia-daemon/tests/quick_requests.rs
@@ -139,7 +139,8 @@
         assert!(executor.most_busy() <= SLOTS, "{}", executor.most_busy());
     }
     // The successor claimed the epoch after the handed-over one, and nobody else claimed.
-    assert_eq!(cell.log.len("claims"), 2);
+    let claims = cell.claims();
+    assert_eq!(claims.len(), 2, "{claims:#?}");
 }
 
 /// Guards against an owner that wakes up late and fills slots that another daemon counts by then.
--- a/crates/magnolia-daemon/tests/support/mod.rs
+++ b/crates/magnolia-daemon/tests/support/mod.rs
@@ -8,10 +8,12 @@
 pub use executor::{ExecutorMode, FakeExecutor};
 pub use platform::FakeLog;
 
-use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use base64::prelude::{BASE64_STANDARD, Engine};
 use magnolia_config::{
     CellConfig, CellSection, ClassSection, ConfigDocument, CustomerSection, DataCentreSection,
     ExecutorBlockSection, ExecutorSection, RulesSection,
@@ -19,6 +21,8 @@
 use magnolia_daemon::{DaemonSettings, ExitStatus, run_daemon};
 use magnolia_http::{HttpAnswer, HttpClient, HttpError, PoolSettings};
 use magnolia_platform::{InstanceEntry, InstanceKind, InstanceState};
+use magnolia_protocol::decode;
+use magnolia_state::ClaimChange;
 use magnolia_types::{CustomerName, DataCentreName, ExecutorId, Millis, WorkClass};
 use platform::FakeInstances;
 use serde_json::{Value, json};
@@ -56,10 +60,18 @@
     instance_address: SocketAddr,
 }
 
-/// Finds an unused loopback address.
+/// Returns an address that nothing else uses.
+///
+/// A port of the kernel's choice could be taken for an outgoing connection before the daemon
+/// listens on it, so the ports lie below that range, on a loopback address of this process alone.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
-    listener.local_addr().expect("an address")
+    static HOST: OnceLock<Ipv4Addr> = OnceLock::new();
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(15_000);
+    let host = *HOST.get_or_init(|| {
+        let [_, b, c, d] = rand::random::<u32>().to_be_bytes();
+        Ipv4Addr::new(127, b.clamp(1, 254), c, d.clamp(1, 254))
+    });
+    (host, NEXT_PORT.fetch_add(1, Ordering::SeqCst)).into()
 }
 
 impl TestCell {
@@ -98,6 +110,16 @@
         cell
     }
 
+    /// Decodes the records of stream `claims`.
+    pub fn claims(&self) -> Vec<ClaimChange> {
+        let records = self.log.records("claims");
+        let decoded = records.iter().map(|data| {
+            let bytes = BASE64_STANDARD.decode(data).expect("base64");
+            decode(&bytes).expect("a claim")
+        });
+        decoded.collect()
+    }
+
     /// Starts a daemon and lists it.
     pub fn start_daemon(&mut self, name: &str) {
         let (callers, inner) = (free_address(), free_address());
--- a/crates/magnolia-daemon/tests/support/platform.rs
+++ b/crates/magnolia-daemon/tests/support/platform.rs
@@ -47,6 +47,12 @@
         streams.get(stream).map_or(0, Vec::len)
     }
 
+    /// Returns the records of a stream, in base64.
+    pub fn records(&self, stream: &str) -> Vec<String> {
+        let streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
+        streams.get(stream).cloned().unwrap_or_default()
+    }
+
     /// Appends a record.
     pub fn append(&self, stream: &str, data: String) -> LogOffset {
         let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
