--- a/crates/magnolia-lab/src/capacity/series.rs
+++ b/crates/magnolia-lab/src/capacity/series.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use magnolia_config::{ConfigPublication, ConfigSection, SectionChange};
 use magnolia_http::HttpClient;
@@ -19,6 +19,8 @@
 const SETTLE: Duration = Duration::from_secs(4);
 /// Longest time of a call.
 const CALL_LIMIT: Duration = Duration::from_secs(5);
+/// Pause before a refused submission is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Workers where the series does not vary them.
 const WORKERS: usize = 50;
 /// Run time of a batch task.
@@ -165,7 +167,7 @@
     let client = cell.client.clone();
     Ok(match kind {
         SeriesKind::RunningTasks if point > 0 => {
-            submit(&client, callers, &job("service", point as u64, None)).await?;
+            submit_when_open(&client, callers, &job("service", point as u64, None)).await?;
             tokio::spawn(std::future::ready(()))
         }
         SeriesKind::StartsPerSecond if point > 0 => {
@@ -203,6 +205,21 @@
     Err(CellError::NotReady(text))
 }
 
+/// Submits a job, again while the owner still reads its journal.
+async fn submit_when_open(
+    client: &HttpClient,
+    callers: SocketAddr,
+    job: &Value,
+) -> Result<(), CellError> {
+    let deadline = Instant::now() + CALL_LIMIT;
+    loop {
+        match submit(client, callers, job).await {
+            Err(_) if Instant::now() < deadline => tokio::time::sleep(RETRY_PAUSE).await,
+            result => return result,
+        }
+    }
+}
+
 async fn keep_submitting(client: HttpClient, callers: SocketAddr, starts_per_second: u64) {
     let job = job(
         "batch",
