--- a/crates/magnolia-config/src/key_sets.rs
+++ b/crates/magnolia-config/src/key_sets.rs
@@ -49,7 +49,7 @@
         Some((region, set))
     }
 
-    /// Takes note of sets that a publication written at `written_unix_ms` has changed.
+    /// Records sets that a publication written at `written_unix_ms` has changed.
     pub(crate) fn note_key_sets(&mut self, written_unix_ms: u64) {
         let Some(document) = &self.document else {
             return;
--- a/crates/magnolia-config/src/replay.rs
+++ b/crates/magnolia-config/src/replay.rs
@@ -58,7 +58,7 @@
         self.held.is_some()
     }
 
-    /// Takes note of the oldest offset that the log keeps, before the records of a page.
+    /// Records the oldest offset that the log keeps, before the records of a page.
     pub fn note_first(&mut self, first: LogOffset) {
         if first > self.next {
             self.held = Some((first, Vec::new()));
--- a/crates/magnolia-daemon/src/config_feed/feed_state.rs
+++ b/crates/magnolia-daemon/src/config_feed/feed_state.rs
@@ -76,7 +76,7 @@
         *lock(&self.status)
     }
 
-    /// Takes note that a peer has `version` in force.
+    /// Records that a peer has `version` in force.
     pub fn note_peer(&self, address: SocketAddr, version: ConfigVersion) {
         let mut hint = lock(&self.hint);
         if hint.is_none_or(|known| known.version < version) {
@@ -101,7 +101,7 @@
         status.source = source;
     }
 
-    /// Takes note of a read of the log.
+    /// Records a read of the log.
     pub(super) fn note_read(&self, now: Millis, is_up_to_date: bool, waiting: bool) {
         let mut status = lock(&self.status);
         if is_up_to_date {
@@ -113,7 +113,7 @@
         }
     }
 
-    /// Takes note of a failed read of the log.
+    /// Records a failed read of the log.
     pub(super) fn note_failure(&self, now: Millis, reason: &dyn fmt::Display) {
         let mut status = lock(&self.status);
         if status.log_away_since.is_none() {
--- a/crates/magnolia-daemon/src/membership.rs
+++ b/crates/magnolia-daemon/src/membership.rs
@@ -124,7 +124,7 @@
         self.digest.load(Ordering::SeqCst)
     }
 
-    /// Takes note of the hash of a list that a peer has read.
+    /// Records the hash of a list that a peer has read.
     pub fn compare_digest(&self, digest: u64) {
         if digest != self.list_digest() {
             self.list_hint.notify_one();
@@ -170,13 +170,13 @@
             || self.is_leaving(InstanceKind::Entry, daemon.as_str())
     }
 
-    /// Takes note that a run of a daemon exists.
+    /// Records that a run of a daemon exists.
     pub fn learn(&self, daemon: &DaemonId, incarnation: Incarnation) {
         let now = self.clock.now();
         self.with_tracker(|tracker| tracker.learn(daemon, incarnation, now));
     }
 
-    /// Takes note that a daemon is used or asked about, which makes this daemon probe it.
+    /// Records that a daemon is used or asked about, which makes this daemon probe it.
     pub fn note_interest(&self, daemon: &DaemonId) {
         let now = self.clock.now();
         let mut interest = self.interest.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/magnolia-daemon/src/ownership/announce.rs
+++ b/crates/magnolia-daemon/src/ownership/announce.rs
@@ -28,7 +28,7 @@
 /// Serves a group whose earlier owner may still run.
 ///
 /// That owner goes on for as long as a daemon that has not read this claim confirms its own. So
-/// the claim is announced first, and the group is served once every earlier word is outdated.
+/// the claim is announced first, and the group is served once every earlier confirmation has expired.
 pub async fn serve_after_announcement(context: Arc<DaemonContext>, claim: ClaimRecord) {
     announce(&context, &claim).await;
     tokio::time::sleep(FRESHNESS.into()).await;
--- a/crates/magnolia-daemon/src/ownership/claim_book.rs
+++ b/crates/magnolia-daemon/src/ownership/claim_book.rs
@@ -37,7 +37,7 @@
     /// Peers that named such epochs and were not asked for their claims yet.
     informed: Vec<SocketAddr>,
     /// When this daemon last asked a question whose answer showed its claims to be current.
-    word: Option<Millis>,
+    confirmed: Option<Millis>,
     /// Units released by their owners with the epoch of the release.
     released: BTreeMap<UnitId, Epoch>,
     /// Whether the last reading of the log worked.
@@ -85,7 +85,7 @@
         self.state().log_healthy
     }
 
-    /// Takes note of whether a reading of the log worked.
+    /// Records whether a reading of the log worked.
     pub fn record_log_health(&self, healthy: bool) {
         self.state().log_healthy = healthy;
     }
@@ -163,7 +163,7 @@
         })
     }
 
-    /// Takes note that a peer knows a claim of this daemon to be replaced.
+    /// Records that a peer knows a claim of this daemon to be replaced.
     pub fn record_superseded(&self, unit: &UnitId, epoch: Epoch, peer: SocketAddr) {
         let mut state = self.state();
         let known = state.table.get(unit).map(|claim| claim.epoch);
@@ -196,23 +196,23 @@
             && named.is_none_or(|named| *named <= claim.epoch)
     }
 
-    /// Takes note that the log or a peer, asked at `asked`, knows no newer claims.
-    pub fn record_word(&self, asked: Millis) {
+    /// Records that the log or a peer, asked at `asked`, knows no newer claims.
+    pub fn record_confirmation(&self, asked: Millis) {
         let mut state = self.state();
-        state.word = state.word.max(Some(asked));
+        state.confirmed = state.confirmed.max(Some(asked));
     }
 
     /// Forgets that the claims were confirmed.
-    pub fn forget_word(&self) {
-        self.state().word = None;
+    pub fn forget_confirmation(&self) {
+        self.state().confirmed = None;
     }
 
     /// Returns when the question was asked that last showed the claims to be current.
-    pub fn last_word(&self) -> Option<Millis> {
-        self.state().word
+    pub fn last_confirmation(&self) -> Option<Millis> {
+        self.state().confirmed
     }
 
-    /// Takes note that the owner of a unit at `epoch` has stopped for good.
+    /// Records that the owner of a unit at `epoch` has stopped for good.
     pub fn record_release(&self, unit: &UnitId, epoch: Epoch) {
         self.state().released.insert(unit.clone(), epoch);
         self.signal(true);
--- a/crates/magnolia-daemon/src/ownership/claim_reader.rs
+++ b/crates/magnolia-daemon/src/ownership/claim_reader.rs
@@ -61,7 +61,7 @@
         let asked = context.clock.now();
         read_page(context, Millis::new(0)).await?;
         if context.claims.is_caught_up() {
-            context.claims.record_word(asked);
+            context.claims.record_confirmation(asked);
             return Ok(());
         }
     }
--- a/crates/magnolia-daemon/src/ownership/claimer.rs
+++ b/crates/magnolia-daemon/src/ownership/claimer.rs
@@ -151,7 +151,7 @@
         }
     }
 
-    /// Takes note of the wanted units whose last owner has not ended for certain.
+    /// Records the wanted units whose last owner has not ended for certain.
     fn note_contested(&mut self, context: &DaemonContext, wanted: &[UnitId]) {
         for unit in wanted {
             if is_proved_free(context, unit) {
@@ -234,7 +234,7 @@
     };
     if tokio::time::timeout(READ_BACK_LIMIT, decided).await.is_ok() {
         // The stream was read up to a record that is younger than this moment.
-        context.claims.record_word(asked);
+        context.claims.record_confirmation(asked);
     }
 }
 
--- a/crates/magnolia-daemon/src/ownership/confirmation.rs
+++ b/crates/magnolia-daemon/src/ownership/confirmation.rs
@@ -23,7 +23,7 @@
 
 /// Who has confirmed a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClaimWord {
+pub enum ConfirmationSource {
     /// The log held no later claim when it was asked, which proves the ownership until then.
     Log,
     /// A peer knew of no later claim; it may not have read the newest one.
@@ -40,29 +40,29 @@
     }
 
     /// Tells whether this daemon still owns a unit by the newest claims of the log, or by a peer's
-    /// word while the log is away.
+    /// confirmation while the log is unavailable.
     pub async fn confirm_claim(&self, unit: &UnitId) -> bool {
-        self.claim_word(unit).await.is_some()
+        self.confirmation_source(unit).await.is_some()
     }
 
     /// Asks the log, or peers while it is away, whether this daemon still owns a unit; returns who
     /// has confirmed it.
-    pub async fn claim_word(&self, unit: &UnitId) -> Option<ClaimWord> {
+    pub async fn confirmation_source(&self, unit: &UnitId) -> Option<ConfirmationSource> {
         let asked = self.clock.now();
         let read = tokio::time::timeout(LOG_LIMIT, read_to_end(self)).await;
-        let word = if matches!(read, Ok(Ok(()))) {
-            ClaimWord::Log
+        let source = if matches!(read, Ok(Ok(()))) {
+            ConfirmationSource::Log
         } else {
             if !fetch_from_peers(self).await {
                 // Nobody else can have claimed anything when no other daemon is listed.
                 if !self.members.is_alone(&self.identity.daemon, ALONE_AGE) {
                     return None;
                 }
-                self.claims.record_word(asked);
+                self.claims.record_confirmation(asked);
             }
-            ClaimWord::Peer
+            ConfirmationSource::Peer
         };
-        self.own_claim(unit).map(|_| word)
+        self.own_claim(unit).map(|_| source)
     }
 
     /// Tells whether the owner of an executor group may send, after a confirmation if needed.
@@ -82,9 +82,9 @@
     /// two seconds, and this daemon was not paused since.
     pub fn is_fresh(&self) -> bool {
         let now = self.clock.now();
-        let word = self.claims.last_word();
+        let confirmed = self.claims.last_confirmation();
         self.pause.is_steady(now)
-            && word.is_some_and(|asked| now.saturating_sub(asked) <= FRESHNESS)
+            && confirmed.is_some_and(|asked| now.saturating_sub(asked) <= FRESHNESS)
     }
 }
 
@@ -93,8 +93,8 @@
     loop {
         tokio::time::sleep(REFRESH_INTERVAL).await;
         let now = context.clock.now();
-        let word = context.claims.last_word();
-        let aged = word.is_none_or(|asked| now.saturating_sub(asked) > REFRESH_AGE);
+        let confirmed = context.claims.last_confirmation();
+        let aged = confirmed.is_none_or(|asked| now.saturating_sub(asked) > REFRESH_AGE);
         if !aged {
             continue;
         }
--- a/crates/magnolia-daemon/src/ownership/mod.rs
+++ b/crates/magnolia-daemon/src/ownership/mod.rs
@@ -11,5 +11,5 @@
 pub use claim_book::ClaimBook;
 pub use claim_reader::{follow_claims, follow_hints};
 pub use claimer::{keep_claiming, next_candidate};
-pub use confirmation::{ClaimWord, keep_fresh};
+pub use confirmation::{ConfirmationSource, keep_fresh};
 pub use pause_guard::{PauseGuard, watch_pauses};
--- a/crates/magnolia-daemon/src/ownership/pause_guard.rs
+++ b/crates/magnolia-daemon/src/ownership/pause_guard.rs
@@ -55,7 +55,7 @@
         }
         context.metrics.count(names::PAUSES_NOTICED);
         log::warn!("this process was paused; claims are being confirmed");
-        context.claims.forget_word();
+        context.claims.forget_confirmation();
         while !confirm_all(&context).await {
             tokio::time::sleep(PULSE_INTERVAL).await;
         }
@@ -76,5 +76,5 @@
     };
     // One reading covers all units; a claim that it shows as lost is stopped by the claimer.
     context.confirm_claim(first).await;
-    context.claims.last_word().is_some()
+    context.claims.last_confirmation().is_some()
 }
--- a/crates/magnolia-daemon/src/partition/confirming.rs
+++ b/crates/magnolia-daemon/src/partition/confirming.rs
@@ -8,7 +8,7 @@
 use super::evidence;
 use super::owner::PartitionOwner;
 use crate::metrics::names;
-use crate::ownership::ClaimWord;
+use crate::ownership::ConfirmationSource;
 
 /// Pause before the claim is asked about again after it was not confirmed by the log.
 const CONFIRM_PAUSE: Millis = Millis::new(500);
@@ -32,21 +32,21 @@
         let (context, events) = (Arc::clone(&self.context), self.events.clone());
         let claim = self.claim.clone();
         tokio::spawn(async move {
-            let word = evidence::confirm_claim(&context, &claim).await;
+            let source = evidence::confirm_claim(&context, &claim).await;
             let asked = now;
-            events.send(OwnerEvent::Confirmed { asked, word }).ok();
+            events.send(OwnerEvent::Confirmed { asked, source }).ok();
         });
     }
 
     /// Allows starts on the incarnations that were known before the question was asked.
-    pub(super) fn claim_confirmed(&mut self, asked: Millis, word: Option<ClaimWord>) {
+    pub(super) fn claim_confirmed(&mut self, asked: Millis, source: Option<ConfirmationSource>) {
         self.confirming = None;
-        if word != Some(ClaimWord::Log) {
+        if source != Some(ConfirmationSource::Log) {
             self.confirm_after = self.now().saturating_add(CONFIRM_PAUSE);
         }
-        match word {
-            Some(ClaimWord::Log) => self.confirmed.by_log = asked,
-            Some(ClaimWord::Peer) => {}
+        match source {
+            Some(ConfirmationSource::Log) => self.confirmed.by_log = asked,
+            Some(ConfirmationSource::Peer) => {}
             None => {
                 self.context.metrics.count(names::CLAIMS_NOT_CONFIRMED);
                 return;
@@ -84,7 +84,7 @@
         }
     }
 
-    /// Ends the attempts of services by a peer's word, so that a log outage does not keep services
+    /// Ends the attempts of services on the confirmation of a peer, so that a log outage does not keep services
     /// down; two runs of a service task do less harm than none.
     fn expire_services(&mut self) {
         let expired = self.book.expired(self.confirmed.by_anyone);
--- a/crates/magnolia-daemon/src/partition/events.rs
+++ b/crates/magnolia-daemon/src/partition/events.rs
@@ -14,7 +14,7 @@
 
 use super::committer::AppendResult;
 
-use crate::ownership::ClaimWord;
+use crate::ownership::ConfirmationSource;
 
 /// Where the reply to an operation goes.
 pub type ReplySender = oneshot::Sender<JobReply>;
@@ -66,7 +66,7 @@
         /// When the question was asked.
         asked: Millis,
         /// Who says that the claim is current, if somebody does.
-        word: Option<ClaimWord>,
+        source: Option<ConfirmationSource>,
     },
     /// The end of an append.
     Appended(AppendResult),
--- a/crates/magnolia-daemon/src/partition/evidence.rs
+++ b/crates/magnolia-daemon/src/partition/evidence.rs
@@ -4,7 +4,7 @@
 use magnolia_types::{DaemonId, Incarnation, Millis};
 
 use crate::context::DaemonContext;
-use crate::ownership::ClaimWord;
+use crate::ownership::ConfirmationSource;
 
 /// Returns when the end of a run of a daemon was proved, on this daemon's clock.
 pub fn proof_of_end(
@@ -21,8 +21,11 @@
 }
 
 /// Returns who confirms that the claim of an owner is still the current one.
-pub async fn confirm_claim(context: &DaemonContext, claim: &ClaimRecord) -> Option<ClaimWord> {
-    let word = context.claim_word(&claim.unit).await?;
+pub async fn confirm_claim(
+    context: &DaemonContext,
+    claim: &ClaimRecord,
+) -> Option<ConfirmationSource> {
+    let source = context.confirmation_source(&claim.unit).await?;
     let current = context.own_claim(&claim.unit)?;
-    (current.epoch == claim.epoch).then_some(word)
+    (current.epoch == claim.epoch).then_some(source)
 }
--- a/crates/magnolia-daemon/src/partition/exchange.rs
+++ b/crates/magnolia-daemon/src/partition/exchange.rs
@@ -163,7 +163,7 @@
         self.update_view(&result.worker);
     }
 
-    /// Takes note of incarnation, clock and condition.
+    /// Records incarnation, clock and condition.
     fn note_answer(&mut self, result: &ExchangeResult, answer: &CommandAnswer, now: Millis) {
         let worker = &result.worker;
         for refused in &answer.refused {
--- a/crates/magnolia-daemon/src/partition/fencing.rs
+++ b/crates/magnolia-daemon/src/partition/fencing.rs
@@ -33,7 +33,7 @@
         let is_first = self.earlier_owners().next().is_none();
         let lease = self.lease.max(self.table.longest_lease());
         self.tracker = TakeoverTracker::new(epoch, lease, self.workers_to_fence());
-        // The owner that hands over vouches for itself, not for owners before it.
+        // A handover proves the end of the owner that hands over, not of owners before it.
         let handing = Epoch::new(epoch.get().saturating_sub(1));
         let has_older = self.table.owners().iter().any(|owner| owner.0 < handing);
         if is_first || (journal.handed_over && !has_older) {
--- a/crates/magnolia-daemon/src/partition/inventory.rs
+++ b/crates/magnolia-daemon/src/partition/inventory.rs
@@ -52,7 +52,7 @@
         added
     }
 
-    /// Takes over which workers the instance list says are leaving; their own word counts as well.
+    /// Takes over which workers the instance list says are leaving; their own reports count as well.
     pub(super) fn take_leaving(&mut self) {
         let leaving = self.context.members.leaving_names(InstanceKind::Worker);
         let changed: Vec<WorkerId> = self
--- a/crates/magnolia-daemon/src/partition/owner.rs
+++ b/crates/magnolia-daemon/src/partition/owner.rs
@@ -242,7 +242,7 @@
         match event {
             OwnerEvent::Opened(journal) => self.opened(*journal),
             OwnerEvent::Exchanged(result) => self.take_exchange(*result),
-            OwnerEvent::Confirmed { asked, word } => self.claim_confirmed(asked, word),
+            OwnerEvent::Confirmed { asked, source } => self.claim_confirmed(asked, source),
             OwnerEvent::Appended(result) => {
                 let outcome = self.committer.appended(result, self.now());
                 self.take_commit(outcome);
--- a/crates/magnolia-daemon/src/partition/worker_link.rs
+++ b/crates/magnolia-daemon/src/partition/worker_link.rs
@@ -151,7 +151,7 @@
         }
     }
 
-    /// Takes note of an attempt that still runs; one that should have ended is asked about again.
+    /// Records an attempt that still runs; one that should have ended is asked about again.
     pub fn still_running(&mut self, attempt: &AttemptId, now: Millis) {
         let is_ending = self.orders.get(attempt).is_some_and(|order| {
             order.is_delivered && !matches!(order.order, AttemptOrder::Throttle(_))
@@ -166,7 +166,7 @@
         }
     }
 
-    /// Takes note that a message goes out; the next renewal is due after a third of the lease.
+    /// Records that a message goes out; the next renewal is due after a third of the lease.
     pub fn sent(&mut self, now: Millis, lease: Millis) {
         self.is_busy = true;
         self.next_renewal = now.saturating_add(Millis::new(lease.get() / 3));
@@ -176,7 +176,7 @@
             .for_each(|order| order.is_delivered = true);
     }
 
-    /// Takes note of an answer.
+    /// Records an answer.
     pub fn answered(&mut self, now: Millis) {
         self.is_busy = false;
         self.failures = 0;
@@ -190,7 +190,7 @@
         }
     }
 
-    /// Takes note that no answer came.
+    /// Records that no answer came.
     pub fn failed(&mut self, now: Millis) {
         self.is_busy = false;
         self.failures = self.failures.saturating_add(1);
@@ -213,7 +213,7 @@
         }
     }
 
-    /// Returns what the worker has by both the inventory and its own word, whichever is less.
+    /// Returns what the worker has by the inventory or by its own report, whichever is less.
     pub fn usable_capacity(&self) -> ResourceVector {
         let Some(reported) = self.reported else {
             return self.capacity;
@@ -261,7 +261,7 @@
         stopped.map(|(attempt, _)| attempt.clone())
     }
 
-    /// Takes note that the worker has a start; the end is expected after the declared run time.
+    /// Records that the worker has a start; the end is expected after the declared run time.
     pub fn start_answered(&mut self, attempt: &AttemptId, ran: Millis, now: Millis) {
         if let Some(start) = self.starts.remove(attempt)
             && let Some(run) = start.command.run_ms
@@ -277,7 +277,7 @@
         now >= self.next_full_report
     }
 
-    /// Takes note of a full report.
+    /// Records a full report.
     pub fn full_report_taken(&mut self, now: Millis) {
         self.next_full_report = now.saturating_add(FULL_REPORT_INTERVAL);
     }
--- a/crates/magnolia-daemon/src/peers.rs
+++ b/crates/magnolia-daemon/src/peers.rs
@@ -50,7 +50,7 @@
                 });
                 self.hear(&reply, peer);
                 if !self.claims.names_newer(&reply.superseded) {
-                    self.claims.record_word(sent);
+                    self.claims.record_confirmation(sent);
                 }
                 Ok(reply)
             }
@@ -86,7 +86,7 @@
         }
     }
 
-    /// Takes note of what an envelope says besides its body.
+    /// Records what an envelope says besides its body.
     pub fn hear<T>(&self, envelope: &PeerEnvelope<T>, address: SocketAddr) {
         if envelope.config_version > self.config().version {
             self.metrics.count(names::CONFIG_BEHIND_PEER);
--- a/crates/magnolia-daemon/src/quick/executor_slots.rs
+++ b/crates/magnolia-daemon/src/quick/executor_slots.rs
@@ -45,19 +45,19 @@
     leaving: bool,
     /// Consecutive requests that failed, were refused, not sent or lost.
     failures: u32,
-    /// Until when the executor rests after failures; then one request at a time tries it.
-    rests_until: Option<Millis>,
-    /// Length of the last rest.
-    rest: Millis,
+    /// Until when the executor gets no requests after failures; then one request at a time tries it.
+    backoff_until: Option<Millis>,
+    /// Length of the last backoff.
+    backoff: Millis,
 }
 
 impl ExecutorSlots {
-    /// Failures after which an executor rests.
+    /// Failures after which an executor gets no requests for a while.
     const FAILURE_LIMIT: u32 = 3;
-    /// First rest after failures; doubled each time a trial fails.
-    const FIRST_REST: Millis = Millis::new(500);
-    /// Longest rest after failures.
-    const MAX_REST: Millis = Millis::from_secs(8);
+    /// First backoff after failures; doubled each time a trial fails.
+    const FIRST_BACKOFF: Millis = Millis::new(500);
+    /// Longest backoff after failures.
+    const MAX_BACKOFF: Millis = Millis::from_secs(8);
     /// Time that a lost request gets to arrive before a status may free its slot.
     const ARRIVAL_MARGIN: Millis = Millis::from_secs(1);
     /// Age of an unsettled slot at which the executor gets nothing new, so that its status shows
@@ -76,8 +76,8 @@
             status: None,
             leaving: false,
             failures: 0,
-            rests_until: None,
-            rest: Millis::new(0),
+            backoff_until: None,
+            backoff: Millis::new(0),
         }
     }
 
@@ -115,8 +115,8 @@
     pub fn free(&self, now: Millis) -> u32 {
         let held = self.in_flight + u32::try_from(self.unsettled.len()).unwrap_or(u32::MAX);
         let free = self.capacity().saturating_sub(held);
-        match self.rests_until {
-            _ if self.is_settling(now) || self.is_resting(now) => 0,
+        match self.backoff_until {
+            _ if self.is_settling(now) || self.is_backing_off(now) => 0,
             Some(_) if self.in_flight > 0 => 0,
             Some(_) => free.min(1),
             None => free,
@@ -134,7 +134,7 @@
 
     /// Tells whether the executor may take requests, now or when a slot becomes free.
     pub fn is_usable(&self, now: Millis) -> bool {
-        self.capacity() > 0 && !self.is_resting(now)
+        self.capacity() > 0 && !self.is_backing_off(now)
     }
 
     /// Takes a slot; the caller has checked that one is free.
@@ -148,8 +148,8 @@
         match end {
             SlotEnd::Answered => {
                 self.failures = 0;
-                self.rests_until = None;
-                self.rest = Millis::new(0);
+                self.backoff_until = None;
+                self.backoff = Millis::new(0);
             }
             SlotEnd::Failed | SlotEnd::NotSent => self.record_failure(now),
             SlotEnd::Refused | SlotEnd::Lost => {
@@ -182,12 +182,12 @@
         self.status = Some((asked, status));
     }
 
-    /// Tells whether a status is wanted before its turn: the first one, one after a rest, and one
+    /// Tells whether a status is wanted before its turn: the first one, one after a backoff, and one
     /// while nothing of this owner is in flight that settles the open slots.
     pub fn wants_status(&self, now: Millis) -> bool {
-        let rested = self.rests_until.is_some_and(|until| until <= now);
+        let rested = self.backoff_until.is_some_and(|until| until <= now);
         self.status.is_none()
-            || (rested && self.is_resting(now))
+            || (rested && self.is_backing_off(now))
             || (self.is_settling(now) && self.in_flight == 0)
     }
 
@@ -207,15 +207,15 @@
             "unsettled": self.unsettled.len(),
             "leaving": self.is_leaving(),
             "failures": self.failures,
-            "resting": self.is_resting(now),
+            "backing_off": self.is_backing_off(now),
             "status_ms_ago": asked.map(|asked| now.saturating_sub(asked)),
         })
     }
 
-    /// Tells whether the executor rests after failures. A rest ends with a status that was asked for
+    /// Tells whether the executor is in backoff after failures. A backoff ends with a status that was asked for
     /// after its time, so that no request is spent on an executor that does not answer at all.
-    fn is_resting(&self, now: Millis) -> bool {
-        self.rests_until.is_some_and(|until| {
+    fn is_backing_off(&self, now: Millis) -> bool {
+        self.backoff_until.is_some_and(|until| {
             let answered = self
                 .status
                 .as_ref()
@@ -231,14 +231,14 @@
 
     fn record_failure(&mut self, now: Millis) {
         self.failures = self.failures.saturating_add(1);
-        let was_trial = self.rests_until.is_some_and(|until| until <= now);
+        let was_trial = self.backoff_until.is_some_and(|until| until <= now);
         if self.failures < Self::FAILURE_LIMIT && !was_trial {
             return;
         }
-        if self.rests_until.is_none() || was_trial {
-            let doubled = Millis::new(self.rest.get() * 2);
-            self.rest = doubled.clamp(Self::FIRST_REST, Self::MAX_REST);
-            self.rests_until = Some(now.saturating_add(self.rest));
+        if self.backoff_until.is_none() || was_trial {
+            let doubled = Millis::new(self.backoff.get() * 2);
+            self.backoff = doubled.clamp(Self::FIRST_BACKOFF, Self::MAX_BACKOFF);
+            self.backoff_until = Some(now.saturating_add(self.backoff));
         }
     }
 }
--- a/crates/magnolia-daemon/src/quick/group_state.rs
+++ b/crates/magnolia-daemon/src/quick/group_state.rs
@@ -178,7 +178,7 @@
         }
     }
 
-    /// Takes note that a request held a slot.
+    /// Records that a request held a slot.
     pub fn finished(&mut self, now: Millis, entry: &AdmissionEntry, took: Millis) {
         self.admission
             .finished(now, &entry.customer, &entry.class, took);
--- a/crates/magnolia-daemon/src/quick/group_view.rs
+++ b/crates/magnolia-daemon/src/quick/group_view.rs
@@ -69,7 +69,7 @@
         (before < MAX_IN_FLIGHT).then_some(permit)
     }
 
-    /// Takes note that a request goes to the owner of a group.
+    /// Records that a request goes to the owner of a group.
     pub fn record_sent(&self, unit: &UnitId, is_first: bool, now: Millis) {
         let mut groups = self.lock();
         let entry = groups.entry(unit.clone()).or_default();
@@ -80,7 +80,7 @@
         }
     }
 
-    /// Takes note of what the owner of a group said.
+    /// Records what the owner of a group said.
     pub fn record(&self, unit: &UnitId, free_slots: u32, took: Option<Duration>, now: Millis) {
         let mut groups = self.lock();
         let entry = groups.entry(unit.clone()).or_default();
--- a/crates/magnolia-daemon/tests/quick_requests.rs
+++ b/crates/magnolia-daemon/tests/quick_requests.rs
@@ -353,7 +353,7 @@
 async fn quick_requests_go_on_while_the_log_is_away() {
     let cell = TestCell::start(2, &[1]).await;
     cell.log.is_away.store(true, Ordering::SeqCst);
-    // Longer than a claim stays confirmed without a new word.
+    // Longer than a claim stays confirmed without a new confirmation.
     tokio::time::sleep(Duration::from_millis(2500)).await;
     for index in 0..20 {
         let answer = cell.request(index % 2, "x", 2000).await.expect("an answer");
--- a/crates/magnolia-daemon/tests/takeover.rs
+++ b/crates/magnolia-daemon/tests/takeover.rs
@@ -146,11 +146,11 @@
     cell.fleet.assert_single_runs();
 }
 
-/// Guards against a handover that vouches for owners before the one that hands over: the first
+/// Guards against a handover that counts as proof for owners before the one that hands over: the first
 /// owner still renews the leases of a worker that nobody has fenced, so its tasks must not start
 /// elsewhere.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_handover_does_not_vouch_for_earlier_owners() {
+async fn a_handover_proves_nothing_about_earlier_owners() {
     let cell = TestCell::new(3);
     let (first, second) = (cell.daemon("d1"), cell.daemon("d2"));
     let (third, successor) = cell.reachable_daemon("d3").await;
--- a/crates/magnolia-http/src/pool.rs
+++ b/crates/magnolia-http/src/pool.rs
@@ -163,7 +163,7 @@
         self.changed.notify_one();
     }
 
-    /// Takes note that a connection is closed or was not opened.
+    /// Records that a connection is closed or was not opened.
     pub(crate) fn closed(&mut self) {
         self.open = self.open.saturating_sub(1);
         self.changed.notify_one();
--- a/crates/magnolia-lab/src/standin/server.rs
+++ b/crates/magnolia-lab/src/standin/server.rs
@@ -57,7 +57,7 @@
     /// Answers one request.
     fn handle(self: Arc<Self>, request: StandinRequest) -> BoxFuture<'static, StandinReply>;
 
-    /// Takes note of the number of open connections; `false` closes the newest one at once.
+    /// Records the number of open connections; `false` closes the newest one at once.
     fn connections(&self, _open: u32) -> bool {
         true
     }
--- a/crates/magnolia-policy/src/admission.rs
+++ b/crates/magnolia-policy/src/admission.rs
@@ -52,7 +52,7 @@
     /// Removes a queued request whose caller went away; `false` when it is not queued.
     fn withdraw(&mut self, ticket: AdmissionTicket) -> bool;
 
-    /// Takes note that a request of this class and customer held a slot for `took`.
+    /// Records that a request of this class and customer held a slot for `took`.
     fn finished(&mut self, now: Millis, customer: &CustomerName, class: &WorkClass, took: Millis);
 
     /// Sets the number of slots that the queues feed.
--- a/crates/magnolia-policy/src/placement.rs
+++ b/crates/magnolia-policy/src/placement.rs
@@ -133,7 +133,7 @@
     /// Removes the waiting tasks of jobs that were cancelled or given up.
     fn withdraw(&mut self, jobs: &[JobId]);
 
-    /// Takes note of an attempt that runs, after a start or as found at takeover.
+    /// Records an attempt that runs, after a start or as found at takeover.
     ///
     /// Room that a `Start` decision reserved for the same task is replaced by the record.
     fn attempt_started(&mut self, record: AttemptRecord);
@@ -144,7 +144,7 @@
     /// Releases the room of an attempt that ended; the caller queues the task again if it wants.
     fn attempt_ended(&mut self, attempt: &AttemptId, end: TaskEnd, now: Millis);
 
-    /// Takes note of measured usage.
+    /// Records measured usage.
     fn observe_usage(&mut self, attempt: &AttemptId, usage: ResourceVector);
 
     /// Decides, at most `limit` starts; a gang is never split and may go beyond the limit.
--- a/crates/magnolia-policy/src/scored/plan_book.rs
+++ b/crates/magnolia-policy/src/scored/plan_book.rs
@@ -72,7 +72,7 @@
             || size.fits_in(&earmark.slack)
     }
 
-    /// Takes note of a start on an earmarked worker.
+    /// Records a start on an earmarked worker.
     pub fn started(
         &mut self,
         worker: WorkerIndex,
--- a/crates/magnolia-policy/src/worker_health.rs
+++ b/crates/magnolia-policy/src/worker_health.rs
@@ -64,7 +64,7 @@
 }
 
 impl HealthBook {
-    /// Takes note of a failed task.
+    /// Records a failed task.
     ///
     /// `usable_workers` bounds the number of workers on which a job can fail at all.
     pub fn failed(
@@ -104,7 +104,7 @@
         }
     }
 
-    /// Takes note of a task that ended well; `true` when the worker returns from quarantine.
+    /// Records a task that ended well; `true` when the worker returns from quarantine.
     pub fn succeeded(&mut self, worker: WorkerIndex) -> bool {
         let Some(health) = self.workers.remove(&worker) else {
             return false;
@@ -118,7 +118,7 @@
         }
     }
 
-    /// Takes note that a probe ended without a verdict; another one follows.
+    /// Records that a probe ended without a verdict; another one follows.
     pub fn probe_interrupted(&mut self, worker: WorkerIndex) {
         if let Some(health) = self.workers.get_mut(&worker) {
             health.probing = false;
@@ -206,7 +206,7 @@
         due.is_some_and(|at| at.saturating_add(MAX_PROBE_AFTER) <= now)
     }
 
-    /// Takes note that a probe starts.
+    /// Records that a probe starts.
     pub fn probe_started(&mut self, worker: WorkerIndex) {
         if let Some(health) = self.workers.get_mut(&worker) {
             health.probing = true;
--- a/crates/magnolia-state/src/jobs/job_entry.rs
+++ b/crates/magnolia-state/src/jobs/job_entry.rs
@@ -171,7 +171,7 @@
             })
     }
 
-    /// Takes note that an attempt was started; `false` when the task does not wait or the attempt
+    /// Records that an attempt was started; `false` when the task does not wait or the attempt
     /// is not newer than those before, as in a replay over a snapshot that has it already.
     pub fn start(&mut self, task: TaskIndex, running: RunningAttempt) -> bool {
         let Some(entry) = self.tasks.get_mut(task as usize) else {
@@ -190,7 +190,7 @@
         true
     }
 
-    /// Takes note of the end of an attempt; `None` when it is not the task's current attempt.
+    /// Records the end of an attempt; `None` when it is not the task's current attempt.
     pub fn end(
         &mut self,
         task: TaskIndex,
--- a/crates/magnolia-state/src/jobs/job_table.rs
+++ b/crates/magnolia-state/src/jobs/job_table.rs
@@ -173,7 +173,7 @@
         true
     }
 
-    /// Takes note of a started attempt; `false` when the task does not wait.
+    /// Records a started attempt; `false` when the task does not wait.
     pub fn start(&mut self, task: &TaskRef, attempt: AttemptId, worker: WorkerId) -> bool {
         let running = RunningAttempt { attempt, worker };
         self.jobs
@@ -181,7 +181,7 @@
             .is_some_and(|entry| entry.start(task.task, running))
     }
 
-    /// Takes note of the end of an attempt; `None` when it is not the task's current attempt.
+    /// Records the end of an attempt; `None` when it is not the task's current attempt.
     pub fn end(
         &mut self,
         task: &TaskRef,
--- a/crates/magnolia-state/src/lease_book.rs
+++ b/crates/magnolia-state/src/lease_book.rs
@@ -67,7 +67,7 @@
         Self::default()
     }
 
-    /// Takes note of an answer received at `now`.
+    /// Records an answer received at `now`.
     pub fn heard(
         &mut self,
         worker: &WorkerId,
@@ -110,7 +110,7 @@
         self.workers.get(worker)?.citation
     }
 
-    /// Takes note that a command with a renewal or a start goes out; it counts even when no
+    /// Records that a command with a renewal or a start goes out; it counts even when no
     /// answer comes.
     pub fn sent(&mut self, worker: &WorkerId, cited: &WorkerCitation, lease: Millis) {
         let leases = self.workers.entry(worker.clone()).or_default();
@@ -121,20 +121,20 @@
         }
     }
 
-    /// Takes note that an attempt may run on a worker from now on.
+    /// Records that an attempt may run on a worker from now on.
     pub fn placed(&mut self, worker: &WorkerId, attempt: AttemptId) {
         let leases = self.workers.entry(worker.clone()).or_default();
         leases.attempts.insert(attempt);
     }
 
-    /// Takes note of an attempt of an earlier owner whose lease ends by `until`.
+    /// Records an attempt of an earlier owner whose lease ends by `until`.
     pub fn adopted(&mut self, worker: &WorkerId, attempt: AttemptId, until: Millis) {
         let leases = self.workers.entry(worker.clone()).or_default();
         leases.until = leases.until.max(until);
         leases.attempts.insert(attempt);
     }
 
-    /// Takes note that an attempt no longer runs on a worker.
+    /// Records that an attempt no longer runs on a worker.
     pub fn released(&mut self, worker: &WorkerId, attempt: &AttemptId) {
         if let Some(leases) = self.workers.get_mut(worker) {
             leases.attempts.remove(attempt);
--- a/crates/magnolia-state/src/request_state.rs
+++ b/crates/magnolia-state/src/request_state.rs
@@ -54,7 +54,7 @@
         self.phase
     }
 
-    /// Takes note that the request waits for a slot.
+    /// Records that the request waits for a slot.
     ///
     /// # Errors
     ///
@@ -71,7 +71,7 @@
         !self.is_final() && (self.repeatable || (self.open == 0 && !self.may_have_run))
     }
 
-    /// Takes note that an attempt is being sent. Called before the first byte leaves.
+    /// Records that an attempt is being sent. Called before the first byte leaves.
     ///
     /// # Errors
     ///
@@ -83,7 +83,7 @@
         Ok(())
     }
 
-    /// Takes note that an attempt provably did not run: the endpoint refused it or never got it.
+    /// Records that an attempt provably did not run: the endpoint refused it or never got it.
     ///
     /// # Errors
     ///
@@ -94,7 +94,7 @@
         Ok(())
     }
 
-    /// Takes note that an attempt has no answer and may have run.
+    /// Records that an attempt has no answer and may have run.
     ///
     /// # Errors
     ///
@@ -105,7 +105,7 @@
         Ok(())
     }
 
-    /// Takes note of a whole answer to an attempt; a second answer is ignored.
+    /// Records a whole answer to an attempt; a second answer is ignored.
     ///
     /// # Errors
     ///
--- a/crates/magnolia-state/src/suspicion_tracker.rs
+++ b/crates/magnolia-state/src/suspicion_tracker.rs
@@ -52,7 +52,7 @@
         Self::default()
     }
 
-    /// Takes note that a run exists, so that later evidence can prove its end.
+    /// Records that a run exists, so that later evidence can prove its end.
     pub fn learn(&mut self, daemon: &DaemonId, incarnation: Incarnation, now: Millis) {
         self.runs
             .entry((daemon.clone(), incarnation))
@@ -62,7 +62,7 @@
             });
     }
 
-    /// Takes note of an answer to a message sent at `sent`.
+    /// Records an answer to a message sent at `sent`.
     ///
     /// Two runs of a daemon never overlap, so the answer proves the end of every other run that
     /// was known before the message was sent.
@@ -87,12 +87,12 @@
         self.learn(daemon, incarnation, now);
     }
 
-    /// Takes note of whether the daemon says that it is draining.
+    /// Records whether the daemon says that it is draining.
     pub fn record_draining(&mut self, daemon: &DaemonId, draining: bool) {
         self.peers.entry(daemon.clone()).or_default().draining = draining;
     }
 
-    /// Takes note of a probe without an answer.
+    /// Records a probe without an answer.
     pub fn record_failure(&mut self, daemon: &DaemonId, now: Millis) {
         let peer = self.peers.entry(daemon.clone()).or_default();
         peer.failures = peer.failures.saturating_add(1);
@@ -101,7 +101,7 @@
         peer.refused = false;
     }
 
-    /// Takes note of a refused connection: every run known when it was tried has ended.
+    /// Records a refused connection: every run known when it was tried has ended.
     pub fn record_refusal(&mut self, daemon: &DaemonId, tried: Millis, now: Millis) {
         self.record_failure(daemon, now);
         if let Some(peer) = self.peers.get_mut(daemon) {
@@ -111,13 +111,13 @@
         self.end_runs(daemon, None, tried, now);
     }
 
-    /// Takes note that the instance list has not named the daemon since `since`, which is longer
+    /// Records that the instance list has not named the daemon since `since`, which is longer
     /// than the list can lag.
     pub fn record_dropped(&mut self, daemon: &DaemonId, since: Millis, now: Millis) {
         self.end_runs(daemon, None, since, now);
     }
 
-    /// Takes note of evidence from `evidence` that another daemon passed on.
+    /// Records evidence from `evidence` that another daemon passed on.
     pub fn record_report(&mut self, daemon: &DaemonId, evidence: Millis) {
         let peer = self.peers.entry(daemon.clone()).or_default();
         let newest = peer.reported.map_or(evidence, |known| known.max(evidence));
--- a/crates/magnolia-state/src/takeover.rs
+++ b/crates/magnolia-state/src/takeover.rs
@@ -62,7 +62,7 @@
         self.unfenced.iter()
     }
 
-    /// Takes note that a worker accepted the fence; `true` when that completes the takeover.
+    /// Records that a worker accepted the fence; `true` when that completes the takeover.
     pub fn fenced(&mut self, worker: &WorkerId) -> bool {
         self.unfenced.remove(worker);
         let completes = !self.complete && self.unfenced.is_empty();
@@ -70,7 +70,7 @@
         completes
     }
 
-    /// Takes note of the time at which the end of the earlier owner was proved.
+    /// Records the time at which the end of the earlier owner was proved.
     ///
     /// The first proof counts: a later one cannot shorten or lengthen the wait.
     pub fn proved(&mut self, at: Millis) {
