Probe only ring neighbours and owners in use again

Cause: the check whether the last owner has certainly stopped asked MemberList::proof_of_end, which also makes this daemon probe that owner. The check asks the tracker alone now, and a test waits until an idle cell probes nobody besides the neighbours; it fails without the change.

The state dump names the daemons that are probed besides the neighbours.

--- a/crates/magnolia-daemon/src/membership.rs
+++ b/crates/magnolia-daemon/src/membership.rs
@@ -240,6 +240,7 @@
     /// Describes the members for the state dump.
     pub fn dump(&self) -> serde_json::Value {
         let now = self.clock.now();
+        let interesting = self.interesting();
         let listed = self.listed_daemons();
         let described = self.with_tracker(|tracker| {
             let lines = listed.iter().map(|member| {
@@ -259,6 +260,7 @@
         let list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
         serde_json::json!({
             "daemons": described,
+            "probed_besides_ring": interesting,
             "list_read_ms_ago": list.read_at.map(|read| now.saturating_sub(read)),
         })
     }
--- a/crates/magnolia-daemon/src/ownership/unit_watch.rs
+++ b/crates/magnolia-daemon/src/ownership/unit_watch.rs
@@ -37,9 +37,10 @@
         // An earlier run of this daemon; two runs never overlap.
         return claim.incarnation != context.identity.incarnation;
     }
+    // Asks the tracker alone: `MemberList::proof_of_end` also makes this daemon probe the owner.
     let proof = context
         .members
-        .proof_of_end(&claim.daemon, claim.incarnation);
+        .with_tracker(|tracker| tracker.proof_of_end(&claim.daemon, claim.incarnation));
     proof.is_some()
 }
 
--- a/crates/magnolia-daemon/tests/quick_requests.rs
+++ b/crates/magnolia-daemon/tests/quick_requests.rs
@@ -360,3 +360,18 @@
         assert!(answer.status.is_success(), "{:?}", answer.body);
     }
 }
+
+/// Guards against traffic that grows with the number of daemons: in an idle cell nobody probes the
+/// owner of a group besides its neighbours on the ring.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_daemons_probe_only_their_neighbours() {
+    let cell = TestCell::start(5, &[1]).await;
+    for index in 0..5 {
+        wait_for("an end of the interest in owners", async || {
+            let state = cell.state(index).await.unwrap_or_default();
+            let probed = state["members"]["probed_besides_ring"].as_array();
+            probed.is_some_and(Vec::is_empty)
+        })
+        .await;
+    }
+}
