--- a/crates/magnolia-lab/src/checker/answers.rs
+++ b/crates/magnolia-lab/src/checker/answers.rs
@@ -36,8 +36,8 @@
 /// Checks that work reported as not run did not run, before or after the report.
 ///
 /// A request that may not repeat is one piece of work over all its calls: an early call may say
-/// that it did not run although a later call of the same key ran it. For these the last report
-/// counts, and only when no call of the key was still in flight.
+/// that it did not run although a later call of the same key ran it. It counts as reported not run
+/// only when every call of it ended so.
 pub fn check_not_run(history: &History) -> Vec<Violation> {
     let mut violations = check_requests_not_run(history);
     violations.extend(check_jobs_not_run(history));
