Let one piece of code serve where logic stood twice

The room beside an earmark, the record of a preemption, the refusal of a job operation and the check whether a group may send each stood twice; the proof that an owner has ended was asked for twice. advance_takeover only looks for proofs since the wait is checked elsewhere, so it is prove_earlier_ends now.

--- a/crates/magnolia-daemon/src/ownership/unit_watch.rs
+++ b/crates/magnolia-daemon/src/ownership/unit_watch.rs
@@ -47,8 +47,11 @@
 fn has_ended(context: &DaemonContext, claim: &ClaimRecord) -> bool {
     let members = &context.members;
     members.learn(&claim.daemon, claim.incarnation);
-    if claim.daemon == context.identity.daemon || is_proved_ended(context, claim) {
-        return is_proved_ended(context, claim);
+    if is_proved_ended(context, claim) {
+        return true;
+    }
+    if claim.daemon == context.identity.daemon {
+        return false;
     }
     let listed = members.address_of(&claim.daemon).is_some();
     if members.is_suspect(&claim.daemon) || !listed {
--- a/crates/magnolia-daemon/src/partition/fencing.rs
+++ b/crates/magnolia-daemon/src/partition/fencing.rs
@@ -164,7 +164,7 @@
     }
 
     /// Looks for the proof that earlier owners have ended.
-    pub(super) fn advance_takeover(&mut self) {
+    pub(super) fn prove_earlier_ends(&mut self) {
         if self.tracker.is_complete() || !self.is_serving() {
             return;
         }
--- a/crates/magnolia-daemon/src/partition/owner.rs
+++ b/crates/magnolia-daemon/src/partition/owner.rs
@@ -260,7 +260,7 @@
 
     fn tick(&mut self) {
         let now = self.now();
-        self.advance_takeover();
+        self.prove_earlier_ends();
         self.expire_leases(now);
         self.expire_waits(now);
         for task in self.delays.expire(now) {
--- a/crates/magnolia-daemon/src/partition/router.rs
+++ b/crates/magnolia-daemon/src/partition/router.rs
@@ -8,6 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::events::OwnerCommand;
+use super::owner::refused;
 use crate::context::DaemonContext;
 
 /// Longest time of an operation besides a wait that it asks for.
@@ -87,10 +88,3 @@
         _ => Millis::new(0),
     }
 }
-
-fn refused(code: ResultCode, message: &str) -> JobReply {
-    JobReply::Refused {
-        code,
-        message: message.into(),
-    }
-}
--- a/crates/magnolia-daemon/src/quick/group_runner.rs
+++ b/crates/magnolia-daemon/src/quick/group_runner.rs
@@ -110,8 +110,7 @@
         let left = self.entry.deadline.saturating_sub(self.context.clock.now());
         let confirmed = self.context.ensure_fresh(&self.group.claim.unit);
         let confirmed = tokio::time::timeout(left.into(), confirmed).await;
-        let is_fresh = matches!(confirmed, Ok(true));
-        if !is_fresh || !self.context.claims.is_current(&self.group.claim) {
+        if confirmed.is_err() || !self.group.may_send() {
             self.context.metrics.count(names::QUICK_NOT_FRESH);
             return Err(outcome(ResultCode::NotOwner, NOT_CONFIRMED));
         }
--- a/crates/magnolia-policy/src/scored/plan_book.rs
+++ b/crates/magnolia-policy/src/scored/plan_book.rs
@@ -72,6 +72,18 @@
             || size.fits_in(&earmark.slack)
     }
 
+    /// Returns the room beside an earmark that a start of another job uses, if it ends too late.
+    fn slack_for(
+        &mut self,
+        worker: WorkerIndex,
+        job: JobIndex,
+        end: Option<Millis>,
+    ) -> Option<&mut ResourceVector> {
+        let earmark = self.earmarks.get_mut(&worker)?;
+        let is_beside = earmark.job != job && end.is_none_or(|end| end > earmark.until);
+        is_beside.then_some(&mut earmark.slack)
+    }
+
     /// Records a start on an earmarked worker.
     pub fn started(
         &mut self,
@@ -80,11 +92,8 @@
         size: &ResourceVector,
         end: Option<Millis>,
     ) {
-        if let Some(earmark) = self.earmarks.get_mut(&worker)
-            && earmark.job != job
-            && end.is_none_or(|end| end > earmark.until)
-        {
-            earmark.slack = earmark.slack.checked_sub(size).unwrap_or_default();
+        if let Some(slack) = self.slack_for(worker, job, end) {
+            *slack = slack.checked_sub(size).unwrap_or_default();
         }
     }
 
@@ -96,11 +105,8 @@
         size: &ResourceVector,
         end: Option<Millis>,
     ) {
-        if let Some(earmark) = self.earmarks.get_mut(&worker)
-            && earmark.job != job
-            && end.is_none_or(|end| end > earmark.until)
-        {
-            earmark.slack = earmark.slack.saturating_add(size);
+        if let Some(slack) = self.slack_for(worker, job, end) {
+            *slack = slack.saturating_add(size);
         }
     }
 
--- a/crates/magnolia-policy/src/scored/upkeep.rs
+++ b/crates/magnolia-policy/src/scored/upkeep.rs
@@ -20,6 +20,23 @@
 const PROBE_LOOKAHEAD: usize = 4;
 
 impl ScoredEngine {
+    /// Records that an attempt has to give way and returns the decision.
+    fn preempt(
+        &mut self,
+        attempt: AttemptId,
+        means: PreemptionMeans,
+        beneficiary: JobId,
+        now: Millis,
+    ) -> PlacementDecision {
+        let entry = YieldEntry { means, since: now };
+        self.yields.insert(attempt.clone(), entry);
+        PlacementDecision::Preempt {
+            attempt,
+            means,
+            beneficiary,
+        }
+    }
+
     /// Stops attempts that did not end after their checkpoint.
     pub fn escalate_yields(&mut self, now: Millis, decisions: &mut Vec<PlacementDecision>) {
         let late = self.yields.iter().filter(|(_, entry)| {
@@ -35,14 +52,7 @@
             let earmark = self.plans.earmark(held.worker);
             let waiting = earmark.and_then(|earmark| self.book.job(earmark.job));
             let beneficiary = waiting.map_or(&held.record.task.job, |job| &job.id).clone();
-            let means = PreemptionMeans::Stop;
-            let entry = YieldEntry { means, since: now };
-            self.yields.insert(attempt.clone(), entry);
-            decisions.push(PlacementDecision::Preempt {
-                attempt,
-                means,
-                beneficiary,
-            });
+            decisions.push(self.preempt(attempt, PreemptionMeans::Stop, beneficiary, now));
         }
     }
 
@@ -70,14 +80,7 @@
             }
         }
         for (attempt, beneficiary) in moves {
-            let means = PreemptionMeans::Checkpoint;
-            let entry = YieldEntry { means, since: now };
-            self.yields.insert(attempt.clone(), entry);
-            decisions.push(PlacementDecision::Preempt {
-                attempt,
-                means,
-                beneficiary,
-            });
+            decisions.push(self.preempt(attempt, PreemptionMeans::Checkpoint, beneficiary, now));
         }
     }
 
