--- /dev/null
+++ b/crates/magnolia-node/src/committer.rs
@@ -0,0 +1,188 @@
+//! Stores what the scheduler decides, one call at a time, and tells who waits for it.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use magnolia_types::{Epoch, Millis};
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::sleep;
+
+use crate::owner::{OwnerSession, job_record};
+use crate::ports::{AppendCondition, AppendOutcome, StoreError, StreamName, StreamRecord};
+
+/// Pause before a call to the store is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause before a repeat, while the store is away.
+const MAX_REPEAT_PAUSE: Duration = Duration::from_millis(400);
+/// Shortest time between two calls: gathers submissions and ends, whose objectives are 250 ms.
+const COMMIT_GAP: Duration = Duration::from_millis(8);
+/// Most bytes of records in one call, below the platform's bound.
+const MAX_CALL_BYTES: usize = 1 << 20;
+
+/// Key of the record that an owner writes first.
+const EPOCH_KEY: &str = "epoch";
+
+/// Writer of the jobs' stream.
+pub(crate) struct Committer {
+    epoch: Epoch,
+    sequence: AtomicU64,
+    wanted: Notify,
+    waiters: Mutex<Vec<oneshot::Sender<()>>>,
+    /// Number of batches stored.
+    stored: watch::Sender<u64>,
+}
+
+impl Committer {
+    pub(crate) fn new(epoch: Epoch) -> Self {
+        Self {
+            epoch,
+            sequence: AtomicU64::new(0),
+            wanted: Notify::new(),
+            waiters: Mutex::default(),
+            stored: watch::Sender::new(0),
+        }
+    }
+
+    /// Asks for a batch.
+    pub(crate) fn want(&self) {
+        self.wanted.notify_one();
+    }
+
+    /// Waits until everything decided so far is stored; false when ownership ends before.
+    pub(crate) async fn stored(&self) -> bool {
+        let (sender, receiver) = oneshot::channel();
+        self.lock_waiters().push(sender);
+        self.want();
+        receiver.await.is_ok()
+    }
+
+    /// Returns a receiver of the number of stored batches.
+    pub(crate) fn batches(&self) -> watch::Receiver<u64> {
+        self.stored.subscribe()
+    }
+
+    /// Lets all who wait know that nothing more is stored.
+    pub(crate) fn abandon(&self) {
+        self.lock_waiters().clear();
+    }
+
+    fn lock_waiters(&self) -> std::sync::MutexGuard<'_, Vec<oneshot::Sender<()>>> {
+        self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Opens the epoch at the store, which fences every earlier writer.
+    pub(crate) async fn open(&self, session: &OwnerSession) -> bool {
+        let record = StreamRecord {
+            key: EPOCH_KEY.into(),
+            value: self.epoch.to_string().into_bytes(),
+        };
+        self.append(session, &[record]).await
+    }
+
+    /// Appends records, repeating the call until it has an outcome; false when fenced.
+    async fn append(&self, session: &OwnerSession, records: &[StreamRecord]) -> bool {
+        let sequence = self.sequence.load(Ordering::SeqCst);
+        let condition = AppendCondition::Writer {
+            epoch: self.epoch,
+            sequence,
+        };
+        let mut pause = REPEAT_PAUSE;
+        loop {
+            let store = &session.node.store;
+            match store.append(StreamName::Jobs, records, condition).await {
+                Ok(AppendOutcome::Stored { .. }) => {
+                    self.sequence.store(sequence + 1, Ordering::SeqCst);
+                    return true;
+                }
+                Ok(AppendOutcome::Fenced) => {
+                    session.close("the store has fenced the epoch");
+                    return false;
+                }
+                Ok(outcome) => {
+                    log::error!(outcome:? = outcome, sequence = sequence;
+                        "the store does not follow the writer's sequence");
+                    session.close("the store does not follow the writer's sequence");
+                    return false;
+                }
+                Err(StoreError::Malformed(reason)) => {
+                    log::error!(reason = &*reason; "append refused as malformed");
+                }
+                Err(error) => log::debug!(error:% = error; "append has no outcome; repeating"),
+            }
+            sleep(pause).await;
+            pause = (pause * 2).min(MAX_REPEAT_PAUSE);
+        }
+    }
+}
+
+/// Stores batch after batch.
+pub(crate) async fn run_committer(session: Arc<OwnerSession>) {
+    let committer = &session.committer;
+    loop {
+        committer.wanted.notified().await;
+        let waiters = std::mem::take(&mut *committer.lock_waiters());
+        let unix_ms = session.node.clock.unix_ms();
+        let batch = {
+            let mut scheduler = session.lock();
+            if waiters.is_empty() && !scheduler.has_unstored() {
+                continue;
+            }
+            scheduler.begin_batch(unix_ms)
+        };
+        let started = session.now();
+        if !store_records(&session, &batch.records).await {
+            return;
+        }
+        finish(&session, batch, started);
+        waiters.into_iter().for_each(|waiter| {
+            // A caller that left does not wait any more.
+            waiter.send(()).ok();
+        });
+        sleep(COMMIT_GAP).await;
+    }
+}
+
+async fn store_records(
+    session: &OwnerSession,
+    jobs: &[(
+        magnolia_scheduler::JobKey,
+        Option<magnolia_scheduler::JobRecord>,
+    )],
+) -> bool {
+    let mut records = Vec::with_capacity(jobs.len());
+    let mut bytes = 0;
+    for (key, job) in jobs {
+        let Some(record) = job_record(*key, job.as_ref()) else {
+            continue;
+        };
+        bytes += record.key.len() + record.value.len();
+        records.push(record);
+        if bytes > MAX_CALL_BYTES {
+            if !session.committer.append(session, &records).await {
+                return false;
+            }
+            records.clear();
+            bytes = 0;
+        }
+    }
+    records.is_empty() || session.committer.append(session, &records).await
+}
+
+fn finish(session: &Arc<OwnerSession>, batch: magnolia_scheduler::StoreBatch, started: Millis) {
+    let now = session.now();
+    let metrics = &session.node.metrics;
+    if !batch.records.is_empty() {
+        metrics.count("store_appends");
+        let records = u64::try_from(batch.records.len()).unwrap_or(0);
+        metrics.add("store_records", records);
+        metrics.latency("store_append", now.saturating_sub(started));
+    }
+    let ended = session.lock().finish_batch(batch, now);
+    for (job, status) in ended {
+        metrics.count("jobs_ended");
+        log::info!(job:% = job, status:? = status; "job ended");
+    }
+    session.committer.stored.send_modify(|count| *count += 1);
+    session.want_plan();
+}
--- /dev/null
+++ b/crates/magnolia-node/src/metrics.rs
@@ -0,0 +1,102 @@
+//! Counters and latency histograms as text.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::sync::{Mutex, PoisonError};
+
+use hdrhistogram::Histogram;
+use magnolia_types::Millis;
+
+/// Counters, gauges and histograms of a daemon.
+#[derive(Default)]
+pub struct NodeMetrics {
+    counters: Mutex<BTreeMap<&'static str, u64>>,
+    gauges: Mutex<BTreeMap<&'static str, u64>>,
+    latencies: Mutex<BTreeMap<&'static str, Histogram<u32>>>,
+}
+
+/// Longest latency that a histogram tells apart, in milliseconds.
+const MAX_LATENCY_MS: u64 = 60_000;
+/// Significant digits of a histogram; one keeps it at a few kilobytes.
+const LATENCY_DIGITS: u8 = 1;
+/// Quantiles that are printed.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 1.0];
+
+impl NodeMetrics {
+    /// Creates metrics without values.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds one to a counter.
+    pub fn count(&self, name: &'static str) {
+        self.add(name, 1);
+    }
+
+    /// Adds to a counter.
+    pub fn add(&self, name: &'static str, amount: u64) {
+        let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+        *counters.entry(name).or_default() += amount;
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &'static str, value: u64) {
+        let mut gauges = self.gauges.lock().unwrap_or_else(PoisonError::into_inner);
+        gauges.insert(name, value);
+    }
+
+    /// Records a latency.
+    pub fn latency(&self, name: &'static str, time: Millis) {
+        let mut latencies = self
+            .latencies
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let new = || Histogram::new_with_bounds(1, MAX_LATENCY_MS, LATENCY_DIGITS);
+        if !latencies.contains_key(name) {
+            match new() {
+                Ok(histogram) => {
+                    latencies.insert(name, histogram);
+                }
+                Err(error) => {
+                    log::error!(name = name, error:% = error; "histogram can't be created");
+                    return;
+                }
+            }
+        }
+        if let Some(histogram) = latencies.get_mut(name) {
+            histogram.saturating_record(time.get().max(1));
+        }
+    }
+
+    /// Prints everything as lines of name and value.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        let mut line = |name: &str, value: u64| {
+            // Writing to a string cannot fail.
+            let _ = writeln!(text, "magnolia_{name} {value}");
+        };
+        let counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+        for (name, value) in counters.iter() {
+            line(&format!("{name}_total"), *value);
+        }
+        drop(counters);
+        let gauges = self.gauges.lock().unwrap_or_else(PoisonError::into_inner);
+        for (name, value) in gauges.iter() {
+            line(name, *value);
+        }
+        drop(gauges);
+        let latencies = self
+            .latencies
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        for (name, histogram) in latencies.iter() {
+            line(&format!("{name}_ms_count"), histogram.len());
+            for quantile in QUANTILES {
+                let value = histogram.value_at_quantile(quantile);
+                line(&format!("{name}_ms{{quantile=\"{quantile}\"}}"), value);
+            }
+        }
+        drop(latencies);
+        text
+    }
+}
--- /dev/null
+++ b/crates/magnolia-node/src/routed_store.rs
@@ -0,0 +1,266 @@
+//! The store, reached directly or through another daemon.
+//!
+//! The store may turn one daemon away while it serves the others. A daemon that can't reach it asks
+//! a peer to make the call, so that neither ownership nor the configuration is lost by that.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use magnolia_types::{LogOffset, Millis};
+
+use crate::clock::NodeClock;
+use crate::inner::{InnerCall, InnerReply, StoreCall};
+use crate::peers::PeerClient;
+use crate::ports::{
+    AppendCondition, AppendOutcome, NewestPage, StoreError, StreamName, StreamRecord, StreamStore,
+    TailPage,
+};
+
+/// Time for which a daemon that could not reach the store uses its peers first.
+const DIRECT_PAUSE: Millis = Millis::new(2000);
+/// Longest call through a peer: the peer's own limit of a call, and the way there.
+const RELAY_LIMIT: Duration = Duration::from_millis(1600);
+/// Peers asked for one call.
+const PEERS_ASKED: usize = 2;
+
+/// State of the direct path.
+#[derive(Default)]
+struct PathState {
+    /// Until when peers are asked first.
+    avoid_until: Millis,
+    /// When a call last had an outcome, by either path.
+    reached_at: Millis,
+    reachable: bool,
+}
+
+/// Store with a second path.
+pub(crate) struct RoutedStore {
+    direct: Arc<dyn StreamStore>,
+    peers: PeerClient,
+    clock: NodeClock,
+    /// Daemons to ask, the most likely to answer first.
+    relays: Mutex<Vec<SocketAddr>>,
+    path: Mutex<PathState>,
+}
+
+impl RoutedStore {
+    pub(crate) fn new(direct: Arc<dyn StreamStore>, peers: PeerClient, clock: NodeClock) -> Self {
+        let path = PathState {
+            reached_at: clock.now(),
+            reachable: true,
+            ..PathState::default()
+        };
+        Self {
+            direct,
+            peers,
+            clock,
+            relays: Mutex::default(),
+            path: Mutex::new(path),
+        }
+    }
+
+    /// Returns the direct path, for calls that peers ask for.
+    pub(crate) fn direct(&self) -> &Arc<dyn StreamStore> {
+        &self.direct
+    }
+
+    /// Sets the daemons to ask.
+    pub(crate) fn set_relays(&self, relays: Vec<SocketAddr>) {
+        *self.relays.lock().unwrap_or_else(PoisonError::into_inner) = relays;
+    }
+
+    /// Returns when a call last had an outcome.
+    pub(crate) fn reached_at(&self) -> Millis {
+        self.lock_path().reached_at
+    }
+
+    fn lock_path(&self) -> std::sync::MutexGuard<'_, PathState> {
+        self.path.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn note_reached(&self, started: Millis) {
+        let mut path = self.lock_path();
+        // The answer proves contact when the call was sent, not when it arrives after a freeze.
+        path.reached_at = path.reached_at.max(started);
+        if !path.reachable {
+            path.reachable = true;
+            drop(path);
+            log::info!("store reached again");
+        }
+    }
+
+    fn note_direct_failure(&self, error: &StoreError) {
+        let now = self.clock.now();
+        let mut path = self.lock_path();
+        path.avoid_until = now.saturating_add(DIRECT_PAUSE);
+        if path.reachable {
+            path.reachable = false;
+            drop(path);
+            log::warn!(error:% = error; "store not reached directly; asking peers");
+        }
+    }
+
+    fn avoids_direct(&self) -> bool {
+        self.clock.now() < self.lock_path().avoid_until
+    }
+
+    /// Makes a call by the direct path, then through peers.
+    async fn route(&self, call: StoreCall) -> Result<InnerReply, StoreError> {
+        let started = self.clock.now();
+        let mut failure = None;
+        let avoided = self.avoids_direct();
+        if !avoided {
+            let reply = run_store_call(&*self.direct, &call).await;
+            match store_error(&reply) {
+                Some(error) if is_path_failure(error) => {
+                    self.note_direct_failure(error);
+                    failure = Some(error.clone());
+                }
+                _ => {
+                    self.note_reached(started);
+                    return Ok(reply);
+                }
+            }
+        }
+        let relays = self
+            .relays
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        for relay in relays.into_iter().take(PEERS_ASKED) {
+            let message = InnerCall::Store(call.clone());
+            let silence = call_wait(&call);
+            let limit = RELAY_LIMIT + silence;
+            match self
+                .peers
+                .call(relay, &message, limit, silence + RELAY_LIMIT)
+                .await
+            {
+                Ok(reply) => match store_error(&reply) {
+                    Some(error) if is_path_failure(error) => failure = Some(error.clone()),
+                    _ => {
+                        self.lock_path().reached_at = started;
+                        return Ok(reply);
+                    }
+                },
+                Err(error) if error.is_not_sent() => {
+                    failure.get_or_insert(StoreError::Unreachable(error.to_string().into()));
+                }
+                Err(error) => failure = Some(StoreError::Lost(error.to_string().into())),
+            }
+        }
+        if avoided {
+            // Neither a peer nor, lately, the direct path: look again at once next time.
+            self.lock_path().avoid_until = Millis::new(0);
+        }
+        Err(failure.unwrap_or_else(|| StoreError::Unreachable("no path to the store".into())))
+    }
+
+    pub(crate) async fn append(
+        &self,
+        stream: StreamName,
+        records: &[StreamRecord],
+        condition: AppendCondition,
+    ) -> Result<AppendOutcome, StoreError> {
+        let call = StoreCall::Append {
+            stream,
+            records: records.to_vec(),
+            condition,
+        };
+        match self.route(call).await? {
+            InnerReply::Appended(result) => result,
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    pub(crate) async fn read_newest(
+        &self,
+        stream: StreamName,
+        after: Option<&str>,
+    ) -> Result<NewestPage, StoreError> {
+        let after = after.map(Into::into);
+        match self.route(StoreCall::Newest { stream, after }).await? {
+            InnerReply::Newest(result) => result,
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    /// Reads all newest records, page by page; returns them with the end before the first page.
+    pub(crate) async fn read_all(
+        &self,
+        stream: StreamName,
+    ) -> Result<(Vec<StreamRecord>, LogOffset), StoreError> {
+        let mut page = self.read_newest(stream, None).await?;
+        let end = page.end;
+        let mut records = std::mem::take(&mut page.records);
+        while page.more {
+            let after = records.last().map(|record| Arc::clone(&record.key));
+            page = self.read_newest(stream, after.as_deref()).await?;
+            if page.records.is_empty() {
+                break;
+            }
+            records.append(&mut page.records);
+        }
+        Ok((records, end))
+    }
+
+    pub(crate) async fn read_tail(
+        &self,
+        stream: StreamName,
+        from: LogOffset,
+        wait: Millis,
+    ) -> Result<TailPage, StoreError> {
+        match self.route(StoreCall::Tail { stream, from, wait }).await? {
+            InnerReply::Tail(result) => result,
+            other => Err(unexpected(&other)),
+        }
+    }
+}
+
+/// Makes a call on a store.
+pub(crate) async fn run_store_call(store: &dyn StreamStore, call: &StoreCall) -> InnerReply {
+    match call {
+        StoreCall::Append {
+            stream,
+            records,
+            condition,
+        } => InnerReply::Appended(store.append(*stream, records, *condition).await),
+        StoreCall::Newest { stream, after } => {
+            InnerReply::Newest(store.read_newest(*stream, after.as_deref()).await)
+        }
+        StoreCall::Tail { stream, from, wait } => {
+            InnerReply::Tail(store.read_tail(*stream, *from, *wait).await)
+        }
+    }
+}
+
+fn store_error(reply: &InnerReply) -> Option<&StoreError> {
+    match reply {
+        InnerReply::Appended(Err(error))
+        | InnerReply::Newest(Err(error))
+        | InnerReply::Tail(Err(error)) => Some(error),
+        _ => None,
+    }
+}
+
+/// Tells whether the failure is one of the path, so that another path may do better.
+fn is_path_failure(error: &StoreError) -> bool {
+    matches!(
+        error,
+        StoreError::Busy(_) | StoreError::Unreachable(_) | StoreError::Lost(_)
+    )
+}
+
+/// Returns the time that a call waits on purpose.
+fn call_wait(call: &StoreCall) -> Duration {
+    match call {
+        StoreCall::Tail { wait, .. } => (*wait).into(),
+        _ => Duration::ZERO,
+    }
+}
+
+fn unexpected(reply: &InnerReply) -> StoreError {
+    log::error!(reply:? = reply; "unexpected reply of a peer to a store call");
+    StoreError::Malformed("unexpected reply of a peer".into())
+}
--- /dev/null
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -0,0 +1,394 @@
+//! The scheduler of a cell: state, submissions, cancellations and what is to be stored.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use magnolia_types::{Epoch, ExecutorId, Millis};
+
+use crate::admission::{AdmissionDecision, AdmissionLoad, decide_admission};
+use crate::advice_queue::AdviceQueue;
+use crate::executors::{ExecutorTable, Slot};
+use crate::job::JobState;
+use crate::record::JobRecord;
+use crate::step::TaskPhase;
+use crate::{
+    CellAction, CellRules, ExecutorLife, JobKey, JobSpec, JobStatus, QueueName, QueueRules,
+    SchedulerSettings, StepRef, TaskRef,
+};
+
+/// Position of a step among those that can start tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ReadyKey {
+    pub(crate) priority: u32,
+    pub(crate) order: u64,
+    pub(crate) step: StepRef,
+}
+
+/// What became of a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SubmitOutcome {
+    /// Accepted; true once the next batch is stored.
+    Accepted,
+    /// The job is known and stored.
+    Known,
+    /// Refused; the job never runs.
+    Refused {
+        /// When to come back.
+        retry_after: Millis,
+    },
+}
+
+/// Records to store in one call, and what their storing proves.
+#[derive(Debug, Default)]
+pub struct StoreBatch {
+    /// Key and record; no record drops the key.
+    pub records: Vec<(JobKey, Option<JobRecord>)>,
+    /// Ends of executors that the batch covers.
+    ends: Vec<(Slot, ExecutorLife, u64)>,
+    /// Tasks that ended well.
+    done: Vec<TaskRef>,
+}
+
+/// Counts for logs, metrics and the state dump.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CellSummary {
+    /// Jobs that are not over.
+    pub live_jobs: usize,
+    /// Jobs that are remembered after their end.
+    pub ended_jobs: usize,
+    /// Steps with tasks that wait.
+    pub ready_steps: usize,
+    /// Calls for eligibility that wait.
+    pub waiting_advice: usize,
+    /// Runs on all executors.
+    pub active_runs: usize,
+    /// Executors that take work.
+    pub usable_executors: usize,
+    /// Executors that have not seen this epoch.
+    pub unsettled_executors: usize,
+    /// Processors reserved, in thousandths.
+    pub used_cpu: u64,
+    /// Processors of all listed executors, in thousandths.
+    pub total_cpu: u64,
+}
+
+/// Scheduler of one cell; owned by the daemon that holds the epoch.
+pub struct CellScheduler {
+    pub(crate) settings: SchedulerSettings,
+    pub(crate) epoch: Epoch,
+    pub(crate) rules: Arc<CellRules>,
+    pub(crate) jobs: HashMap<JobKey, JobState>,
+    pub(crate) live: BTreeSet<JobKey>,
+    pub(crate) executors: ExecutorTable,
+    pub(crate) ready: BTreeSet<ReadyKey>,
+    pub(crate) advice: AdviceQueue,
+    /// Share of named executors that was eligible, by queue.
+    pub(crate) eligible_share: HashMap<QueueName, f64>,
+    pub(crate) actions: Vec<CellAction>,
+    dirty: BTreeSet<JobKey>,
+    pub(crate) done_seen: Vec<TaskRef>,
+    /// Whether an executor rejected the epoch.
+    pub(crate) superseded: bool,
+    /// Tasks of urgent steps for which room is being made, by executor and time of the order.
+    pub(crate) preempted: BTreeMap<Slot, Millis>,
+}
+
+impl CellScheduler {
+    /// Share of named executors expected to be eligible before any answer.
+    pub(crate) const FIRST_ELIGIBLE_SHARE: f64 = 0.5;
+
+    /// Creates the scheduler of an epoch.
+    pub fn new(settings: SchedulerSettings, epoch: Epoch) -> Self {
+        Self {
+            settings,
+            epoch,
+            rules: Arc::default(),
+            jobs: HashMap::new(),
+            live: BTreeSet::new(),
+            executors: ExecutorTable::default(),
+            ready: BTreeSet::new(),
+            advice: AdviceQueue::new(),
+            eligible_share: HashMap::new(),
+            actions: Vec::new(),
+            dirty: BTreeSet::new(),
+            done_seen: Vec::new(),
+            superseded: false,
+            preempted: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the epoch.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Tells whether an executor has rejected the epoch.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Takes a version of the configuration unless a newer one is known.
+    pub fn set_rules(&mut self, rules: Arc<CellRules>) {
+        if rules.version >= self.rules.version {
+            self.rules = rules;
+        }
+    }
+
+    /// Takes a stored job in before anything starts.
+    pub fn load(&mut self, key: JobKey, record: &JobRecord, rules: &Arc<QueueRules>, now: Millis) {
+        let job = match record {
+            JobRecord::Ended(ended) => JobState::new_ended(Arc::clone(rules), ended),
+            JobRecord::Live(live) => {
+                let spec = Arc::clone(&live.spec);
+                let mut job = JobState::new(Arc::clone(&live.rules), spec, live.accepted_unix_ms);
+                job.restore(live, now);
+                job.inherited = true;
+                job.stored = true;
+                self.live.insert(key);
+                job
+            }
+        };
+        let live = job.ended.is_none();
+        self.jobs.insert(key, job);
+        if live {
+            self.queue_open_steps(key);
+        }
+    }
+
+    /// Decides on a submission.
+    pub fn submit(
+        &mut self,
+        key: JobKey,
+        rules: &Arc<QueueRules>,
+        spec: &Arc<JobSpec>,
+        now: Millis,
+        now_unix_ms: u64,
+    ) -> SubmitOutcome {
+        if let Some(job) = self.jobs.get(&key) {
+            return if job.stored {
+                SubmitOutcome::Known
+            } else {
+                SubmitOutcome::Accepted
+            };
+        }
+        let load = self.admission_load(rules, spec);
+        if let AdmissionDecision::Refuse { retry_after } = decide_admission(&load) {
+            return SubmitOutcome::Refused { retry_after };
+        }
+        let mut job = JobState::new(Arc::clone(rules), Arc::clone(spec), now_unix_ms);
+        if spec.recurrence.is_none() {
+            job.open_occurrence(now);
+        }
+        self.jobs.insert(key, job);
+        self.live.insert(key);
+        self.dirty.insert(key);
+        SubmitOutcome::Accepted
+    }
+
+    fn admission_load(&self, rules: &QueueRules, spec: &JobSpec) -> AdmissionLoad {
+        let before = |job: &&JobState| job.rules.priority <= rules.priority;
+        let live = self.live.iter().filter_map(|key| self.jobs.get(key));
+        let backlog_work = live.filter(before).map(waiting_work).sum();
+        let chain = spec.longest_chain();
+        AdmissionLoad {
+            backlog_work,
+            capacity_millis: self.shared_capacity(rules),
+            advice_backlog: self.advice.backlog(rules.priority),
+            objective: rules.objective(chain),
+            chain,
+        }
+    }
+
+    /// Returns the processors of the service that lasting tasks leave to others.
+    fn shared_capacity(&self, rules: &QueueRules) -> u64 {
+        let mine = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| executor.listed && executor.entry.service == rules.service);
+        let total: u64 = mine
+            .map(|(_, executor)| executor.entry.capacity.cpu_millis.get())
+            .sum();
+        let lasting = |job: &&JobState| job.spec.as_ref().is_some_and(|spec| spec.is_lasting());
+        let live = self.live.iter().filter_map(|key| self.jobs.get(key));
+        let held: u64 = live.filter(lasting).map(held_cpu).sum();
+        total.saturating_sub(held)
+    }
+
+    /// Cancels a job; `None` when it is not known. Returns whether the cancellation is stored.
+    pub fn cancel(&mut self, key: JobKey, now: Millis) -> Option<bool> {
+        let job = self.jobs.get(&key)?;
+        if job.ended.is_some() {
+            return Some(true);
+        }
+        if job.ending.is_none() {
+            self.end_job(key, JobStatus::Cancelled, now);
+        }
+        Some(false)
+    }
+
+    /// Returns what callers are told of a job.
+    pub fn status(&self, key: JobKey) -> Option<JobStatus> {
+        let job = self.jobs.get(&key)?;
+        job.stored.then(|| job.status())
+    }
+
+    /// Returns the number of accepted jobs of a queue of which no task has started.
+    pub fn pending(&self, queue: &QueueName) -> u64 {
+        let live = self.live.iter().filter_map(|key| self.jobs.get(key));
+        let waiting = live.filter(|job| job.queue() == queue && job.stored && !job.started);
+        u64::try_from(waiting.count()).unwrap_or(u64::MAX)
+    }
+
+    /// Takes the actions decided so far.
+    pub fn take_actions(&mut self) -> Vec<CellAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    pub(crate) fn mark_dirty(&mut self, key: JobKey) {
+        self.dirty.insert(key);
+    }
+
+    /// Tells whether anything waits to be stored.
+    pub fn has_unstored(&self) -> bool {
+        !self.dirty.is_empty()
+            || self
+                .executors
+                .iter()
+                .any(|(_, e)| e.seen_through > e.stored_through)
+    }
+
+    /// Takes what has to be stored next; `finish_batch` follows once it is stored.
+    pub fn begin_batch(&mut self, now_unix_ms: u64) -> StoreBatch {
+        let mut batch = StoreBatch::default();
+        for key in std::mem::take(&mut self.dirty) {
+            let Some(job) = self.jobs.get_mut(&key) else {
+                batch.records.push((key, None));
+                continue;
+            };
+            if job.ending.is_none() && job.is_seen_done() {
+                job.ending = Some(JobStatus::Completed);
+            }
+            batch.records.push((key, Some(job.record(now_unix_ms))));
+        }
+        batch.done = std::mem::take(&mut self.done_seen);
+        batch.ends = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| executor.seen_through > executor.stored_through)
+            .map(|(slot, executor)| (slot, executor.entry.life, executor.seen_through))
+            .collect();
+        batch
+    }
+
+    /// Applies what the storing of a batch proves; returns the jobs whose end it stored.
+    pub fn finish_batch(&mut self, batch: StoreBatch, now: Millis) -> Vec<(JobKey, JobStatus)> {
+        for (slot, life, through) in batch.ends {
+            let executor = self.executors.get_mut(slot);
+            if executor.entry.life == life {
+                executor.stored_through = executor.stored_through.max(through);
+            }
+        }
+        for task in batch.done {
+            self.finish_task(task, now);
+        }
+        let mut ended = Vec::new();
+        for (key, record) in batch.records {
+            let Some(job) = self.jobs.get_mut(&key) else {
+                continue;
+            };
+            let first = !job.stored;
+            job.stored = true;
+            if let Some(JobRecord::Ended(record)) = record
+                && job.ended.is_none()
+            {
+                job.ended = Some((record.status, record.ended_unix_ms));
+                ended.push((key, record.status));
+            }
+            if first && job.ending.is_none() {
+                self.queue_open_steps(key);
+            }
+        }
+        for (key, _) in &ended {
+            self.close_job(*key);
+        }
+        ended
+    }
+
+    /// Forgets jobs that ended longer ago than they have to be remembered.
+    pub fn forget_ended(&mut self, now_unix_ms: u64) {
+        let retention = self.settings.ended_retention.get() + Self::FORGET_MARGIN_MS;
+        let old = |job: &JobState| {
+            let since = job.ended.map(|(_, at)| now_unix_ms.saturating_sub(at));
+            since.is_some_and(|since| since > retention)
+        };
+        let keys: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| old(job))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in keys {
+            self.jobs.remove(&key);
+            self.dirty.insert(key);
+        }
+    }
+
+    /// Added to the time for which ended jobs are kept: clocks of daemons differ.
+    const FORGET_MARGIN_MS: u64 = 10_000;
+
+    /// Returns counts of the present state.
+    pub fn summary(&self, now: Millis) -> CellSummary {
+        let mut summary = CellSummary {
+            live_jobs: self.live.len(),
+            ended_jobs: self.jobs.len() - self.live.len().min(self.jobs.len()),
+            ready_steps: self.ready.len(),
+            waiting_advice: self.advice.waiting(),
+            ..CellSummary::default()
+        };
+        for (_, executor) in self.executors.iter() {
+            summary.active_runs += executor.runs.len();
+            summary.used_cpu += executor.used.cpu_millis.get();
+            if executor.listed {
+                summary.total_cpu += executor.entry.capacity.cpu_millis.get();
+            }
+            summary.usable_executors += usize::from(executor.takes_work(now));
+            summary.unsettled_executors += usize::from(!executor.settled);
+        }
+        summary
+    }
+
+    /// Returns the identifier of an executor.
+    pub(crate) fn executor_id(&self, slot: Slot) -> ExecutorId {
+        self.executors.get(slot).entry.id.clone()
+    }
+}
+
+/// Returns the work of a job's tasks that have not started, in core-milliseconds.
+fn waiting_work(job: &JobState) -> u64 {
+    let Some(spec) = job.spec.as_ref().filter(|spec| !spec.is_lasting()) else {
+        return 0;
+    };
+    let occurrences = job.occurrences.iter();
+    let of_steps = occurrences.flat_map(|occurrence| occurrence.steps.iter().zip(&spec.steps));
+    of_steps
+        .filter(|(_, spec)| !spec.filler)
+        .map(|(step, spec)| spec.work() * u64::from(step.waiting) / u64::from(spec.tasks.max(1)))
+        .sum()
+}
+
+/// Returns the processors that the tasks of a lasting job hold or will hold.
+fn held_cpu(job: &JobState) -> u64 {
+    let spec = job.spec.iter().flat_map(|spec| &spec.steps);
+    spec.map(|step| step.reserved().cpu_millis.get() * u64::from(step.tasks))
+        .sum()
+}
+
+impl CellScheduler {
+    /// Returns a task that can be looked up.
+    pub(crate) fn task_phase(&self, task: TaskRef) -> Option<TaskPhase> {
+        let job = self.jobs.get(&task.step.job)?;
+        let occurrence = job.occurrences.get(task.step.occurrence as usize)?;
+        let step = occurrence.steps.get(usize::from(task.step.step))?;
+        Some(step.tasks.get(task.index as usize)?.phase)
+    }
+}
--- /dev/null
+++ b/crates/magnolia-scheduler/src/executors.rs
@@ -0,0 +1,79 @@
+//! The executors of the cell, by a dense number.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use magnolia_types::{DataCentreName, ExecutorId, ResourceVector};
+
+use crate::executor_state::ExecutorState;
+use crate::{ExecutorLife, ServiceName};
+
+/// What the platform lists of an executor.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ExecutorEntry {
+    /// Identifier; may be used again by a later life.
+    pub id: ExecutorId,
+    /// Life that wrote the entry.
+    pub life: ExecutorLife,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Service that it runs tasks of.
+    pub service: ServiceName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+    /// What it has.
+    pub capacity: ResourceVector,
+    /// Its kind and rack.
+    pub labels: Vec<Arc<str>>,
+    /// Whether it takes new work.
+    pub status: ExecutorStatus,
+}
+
+/// Whether an executor takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExecutorStatus {
+    /// Takes work.
+    Ready,
+    /// Leaves soon.
+    Draining,
+}
+
+/// Dense number of an executor within one owner.
+pub(crate) type Slot = usize;
+
+/// All executors that the owner knows.
+#[derive(Default)]
+pub(crate) struct ExecutorTable {
+    slots: HashMap<ExecutorId, Slot>,
+    states: Vec<ExecutorState>,
+}
+
+impl ExecutorTable {
+    pub(crate) fn slot(&self, id: &ExecutorId) -> Option<Slot> {
+        self.slots.get(id).copied()
+    }
+
+    pub(crate) fn get(&self, slot: Slot) -> &ExecutorState {
+        &self.states[slot]
+    }
+
+    pub(crate) fn get_mut(&mut self, slot: Slot) -> &mut ExecutorState {
+        &mut self.states[slot]
+    }
+
+    pub(crate) fn add(&mut self, entry: ExecutorEntry) -> Slot {
+        let slot = self.states.len();
+        self.slots.insert(entry.id.clone(), slot);
+        self.states.push(ExecutorState::new(entry));
+        slot
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (Slot, &ExecutorState)> {
+        self.states.iter().enumerate()
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (Slot, &mut ExecutorState)> {
+        self.states.iter_mut().enumerate()
+    }
+}
--- /dev/null
+++ b/crates/magnolia-scheduler/src/ids.rs
@@ -0,0 +1,133 @@
+//! Identifiers of jobs, steps, tasks and runs.
+
+use std::fmt;
+use std::str::FromStr;
+
+use magnolia_types::{Epoch, number_type, value_types};
+
+/// Text that is not a job key.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("job key: {0:?} is not 16 hexadecimal digits")]
+pub struct ParseKeyError(String);
+
+value_types! {
+    /// Key of a job, chosen by its caller.
+    #[serde(transparent)]
+    pub struct JobKey(u64);
+
+    /// One step of one occurrence of a job.
+    pub struct StepRef {
+        /// The job.
+        pub job: JobKey,
+        /// Occurrence of the job, from 0.
+        pub occurrence: u32,
+        /// Step, from 0.
+        pub step: u16,
+    }
+
+    /// One task of a step.
+    pub struct TaskRef {
+        /// The step.
+        pub step: StepRef,
+        /// Number of the task in its step, from 0.
+        pub index: u32,
+    }
+}
+
+impl JobKey {
+    /// Digits of a key.
+    const DIGITS: usize = 16;
+
+    /// Creates the key from its number.
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for JobKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for JobKey {
+    type Err = ParseKeyError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let lower_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+        if text.len() != Self::DIGITS || !text.bytes().all(lower_hex) {
+            return Err(ParseKeyError(text.chars().take(64).collect()));
+        }
+        u64::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ParseKeyError(text.into()))
+    }
+}
+
+impl fmt::Display for StepRef {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
+impl fmt::Display for TaskRef {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.step, self.index)
+    }
+}
+
+impl FromStr for TaskRef {
+    type Err = ParseKeyError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || ParseKeyError(text.chars().take(64).collect());
+        let mut parts = text.split('.');
+        let mut next = || parts.next().ok_or_else(error);
+        let job = next()?.parse()?;
+        let occurrence = next()?.parse().map_err(|_| error())?;
+        let step = next()?.parse().map_err(|_| error())?;
+        let index = next()?.parse().map_err(|_| error())?;
+        if parts.next().is_some() {
+            return Err(error());
+        }
+        let step = StepRef {
+            job,
+            occurrence,
+            step,
+        };
+        Ok(Self { step, index })
+    }
+}
+
+number_type!(
+    /// Number of a run of a task; rises with every start, across changes of owner.
+    RunNumber,
+    ""
+);
+number_type!(
+    /// One life of an executor process: the Unix millisecond of its start.
+    ExecutorLife,
+    ""
+);
+
+impl RunNumber {
+    /// Runs of one task that one epoch can number.
+    const PER_EPOCH: u64 = 1 << 20;
+
+    /// Numbers the start `count` (from 1) of a task in an epoch.
+    ///
+    /// Numbers of a later epoch are always higher, so that no start has to be stored.
+    pub const fn new_in(epoch: Epoch, count: u64) -> Self {
+        let earlier = epoch.get().saturating_sub(1);
+        Self::new(
+            earlier
+                .saturating_mul(Self::PER_EPOCH)
+                .saturating_add(count),
+        )
+    }
+}
--- /dev/null
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -0,0 +1,365 @@
+//! Transitions of tasks and jobs.
+
+use std::sync::Arc;
+
+use magnolia_types::{Millis, ResourceVector};
+
+use crate::cell::{CellScheduler, ReadyKey};
+use crate::executor_state::{ActiveRun, RunPhase};
+use crate::executors::Slot;
+use crate::job::{JobState, open_steps};
+use crate::step::{StepState, TaskPhase, TaskState};
+use crate::{
+    CellAction, EndKind, JobKey, JobStatus, RunNumber, StepRef, StepSpec, StopOrder, TaskRef,
+};
+
+/// Pause before a task starts again after a failed run, per failure.
+const RETRY_PAUSE: Millis = Millis::new(100);
+/// Longest pause; lasting tasks have to be back within seconds.
+const MAX_RETRY_PAUSE: Millis = Millis::new(1000);
+/// Time after which an unanswered stop is sent again: several answer times.
+const STOP_RESEND: Millis = Millis::new(400);
+
+impl CellScheduler {
+    pub(crate) fn step_state(&mut self, step: StepRef) -> Option<&mut StepState> {
+        let job = self.jobs.get_mut(&step.job)?;
+        let occurrence = job.occurrences.get_mut(step.occurrence as usize)?;
+        occurrence.steps.get_mut(usize::from(step.step))
+    }
+
+    pub(crate) fn step_spec(&self, step: StepRef) -> Option<&StepSpec> {
+        let spec = self.jobs.get(&step.job)?.spec.as_ref()?;
+        spec.steps.get(usize::from(step.step))
+    }
+
+    pub(crate) fn task_state(&mut self, task: TaskRef) -> Option<&mut TaskState> {
+        let step = self.step_state(task.step)?;
+        step.tasks.get_mut(task.index as usize)
+    }
+
+    fn ready_key(job: &JobState, step: StepRef) -> ReadyKey {
+        ReadyKey {
+            priority: job.rules.priority,
+            order: job.order,
+            step,
+        }
+    }
+
+    /// Puts a step among those that can start tasks, or takes it out.
+    pub(crate) fn update_ready(&mut self, step: StepRef) {
+        let Some(job) = self.jobs.get(&step.job) else {
+            return;
+        };
+        let key = Self::ready_key(job, step);
+        let state = job
+            .occurrences
+            .get(step.occurrence as usize)
+            .and_then(|occurrence| occurrence.steps.get(usize::from(step.step)));
+        let can_start = job.stored && job.ending.is_none();
+        if can_start && state.is_some_and(|state| state.open && state.waiting > 0) {
+            self.ready.insert(key);
+        } else {
+            self.ready.remove(&key);
+            self.advice.remove(step);
+        }
+    }
+
+    /// Puts all open steps of a job among those that can start tasks.
+    pub(crate) fn queue_open_steps(&mut self, key: JobKey) {
+        for step in self.steps_of(key) {
+            self.update_ready(step);
+        }
+    }
+
+    fn steps_of(&self, key: JobKey) -> Vec<StepRef> {
+        let Some(job) = self.jobs.get(&key) else {
+            return Vec::new();
+        };
+        let mut steps = Vec::new();
+        for (occurrence, state) in (0u32..).zip(&job.occurrences) {
+            let numbers = 0..u16::try_from(state.steps.len()).unwrap_or(u16::MAX);
+            steps.extend(numbers.map(|step| StepRef {
+                job: key,
+                occurrence,
+                step,
+            }));
+        }
+        steps
+    }
+
+    /// Decides the outcome of a job and stops what runs of it.
+    pub(crate) fn end_job(&mut self, key: JobKey, status: JobStatus, now: Millis) {
+        let steps = self.steps_of(key);
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.ending = Some(status);
+        }
+        for step in &steps {
+            self.update_ready(*step);
+        }
+        self.stop_job_runs(key, now);
+        self.mark_dirty(key);
+    }
+
+    fn stop_job_runs(&mut self, key: JobKey, now: Millis) {
+        let mut placed = Vec::new();
+        for step in self.steps_of(key) {
+            let Some(state) = self.step_state(step) else {
+                continue;
+            };
+            for (index, task) in (0u32..).zip(&state.tasks) {
+                if let TaskPhase::Placed(slot, run) = task.phase {
+                    placed.push((slot, TaskRef { step, index }, run));
+                }
+            }
+        }
+        for (slot, task, run) in placed {
+            self.order_stop(slot, task, run, now);
+        }
+    }
+
+    /// Releases the memory of a job whose end is stored; its runs are still being stopped.
+    pub(crate) fn close_job(&mut self, key: JobKey) {
+        self.live.remove(&key);
+        for step in self.steps_of(key) {
+            self.update_ready(step);
+        }
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.spec = None;
+            job.occurrences = Vec::new();
+        }
+    }
+
+    /// Orders the stop of a run; its room stays taken until its end is known.
+    pub(crate) fn order_stop(&mut self, slot: Slot, task: TaskRef, run: RunNumber, now: Millis) {
+        let executor = self.executors.get_mut(slot);
+        let (id, life) = (executor.entry.id.clone(), executor.entry.life);
+        if let Some(active) = executor.runs.get_mut(&(task, run)) {
+            let recent = |sent: Millis| now.saturating_sub(sent) < STOP_RESEND;
+            active.phase = RunPhase::Stopping;
+            if active.stop_acked || active.stop_sent.is_some_and(recent) {
+                return;
+            }
+            active.stop_sent = Some(now);
+        }
+        self.actions.push(CellAction::Stop(StopOrder {
+            executor: id,
+            life,
+            task,
+            run,
+        }));
+    }
+
+    /// Orders a stop again where none was confirmed.
+    pub(crate) fn resend_stops(&mut self, now: Millis) {
+        let mut due = Vec::new();
+        for (slot, executor) in self.executors.iter() {
+            let reachable = executor.is_heard(now);
+            let stopping = executor.runs.iter().filter(|(_, active)| {
+                active.phase == RunPhase::Stopping && !active.stop_acked && reachable
+            });
+            due.extend(stopping.map(|((task, run), _)| (slot, *task, *run)));
+        }
+        for (slot, task, run) in due {
+            self.order_stop(slot, task, run, now);
+        }
+    }
+
+    /// Starts counting a run on an executor.
+    pub(crate) fn place(
+        &mut self,
+        slot: Slot,
+        task: TaskRef,
+        run: RunNumber,
+        reserved: ResourceVector,
+        filler_cpu: u64,
+        now: Millis,
+    ) {
+        let active = ActiveRun::new(reserved, now).with_filler_cpu(filler_cpu);
+        self.executors.get_mut(slot).add_run(task, run, active);
+        let job = task.step.job;
+        if let Some(state) = self.step_state(task.step) {
+            state.waiting = state.waiting.saturating_sub(1);
+            if let Some(task) = state.tasks.get_mut(task.index as usize) {
+                task.phase = TaskPhase::Placed(slot, run);
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(&job) {
+            job.started = true;
+        }
+        self.update_ready(task.step);
+    }
+
+    /// Stops counting a run and returns its task to those that wait.
+    pub(crate) fn release(&mut self, slot: Slot, task: TaskRef, run: RunNumber, now: Millis) {
+        let removed = self.executors.get_mut(slot).remove_run(task, run);
+        let saved = removed.and_then(|active| active.saved);
+        let Some(state) = self.step_state(task.step) else {
+            return;
+        };
+        let Some(entry) = state.tasks.get_mut(task.index as usize) else {
+            return;
+        };
+        if entry.phase != TaskPhase::Placed(slot, run) {
+            return;
+        }
+        entry.phase = TaskPhase::Waiting;
+        if saved.is_some() {
+            entry.saved = saved;
+        }
+        state.waiting += 1;
+        state.ready_since = now;
+        self.update_ready(task.step);
+    }
+
+    /// Applies an end that an executor lists.
+    pub(crate) fn apply_end(
+        &mut self,
+        slot: Slot,
+        task: TaskRef,
+        run: RunNumber,
+        kind: EndKind,
+        saved: Option<Arc<str>>,
+        now: Millis,
+    ) {
+        if let Some(saved) = saved
+            && let Some(state) = self.task_state(task)
+        {
+            state.saved = Some(saved);
+        }
+        match kind {
+            EndKind::Done => self.apply_done(slot, task, run, now),
+            EndKind::Failed => self.apply_failure(slot, task, run, now),
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
+                self.release(slot, task, run, now);
+            }
+        }
+    }
+
+    fn apply_done(&mut self, slot: Slot, task: TaskRef, run: RunNumber, now: Millis) {
+        self.executors.get_mut(slot).health.record_success();
+        self.learn_speed(slot, task, run, now);
+        let gang = self.step_spec(task.step).is_some_and(|spec| spec.gang);
+        let count = match self.step_state(task.step) {
+            Some(state) if gang => u32::try_from(state.tasks.len()).unwrap_or(u32::MAX),
+            _ => 1,
+        };
+        // One good end of a gang stands for all of its members.
+        let first = if gang { 0 } else { task.index };
+        for index in first..first.saturating_add(count) {
+            self.mark_done(TaskRef { index, ..task });
+        }
+        self.executors.get_mut(slot).remove_run(task, run);
+        self.update_ready(task.step);
+    }
+
+    fn mark_done(&mut self, task: TaskRef) {
+        let Some(state) = self.step_state(task.step) else {
+            return;
+        };
+        let Some(entry) = state.tasks.get_mut(task.index as usize) else {
+            return;
+        };
+        match entry.phase {
+            TaskPhase::Done | TaskPhase::DoneSeen => return,
+            TaskPhase::Waiting => state.waiting = state.waiting.saturating_sub(1),
+            TaskPhase::Placed(..) => {}
+        }
+        entry.phase = TaskPhase::DoneSeen;
+        self.done_seen.push(task);
+        self.mark_dirty(task.step.job);
+    }
+
+    /// Marks a task whose good end is stored, and opens what depended on it.
+    pub(crate) fn finish_task(&mut self, task: TaskRef, now: Millis) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let Some(occurrence) = job.occurrences.get_mut(task.step.occurrence as usize) else {
+            return;
+        };
+        let Some(step) = occurrence.steps.get_mut(usize::from(task.step.step)) else {
+            return;
+        };
+        let Some(entry) = step.tasks.get_mut(task.index as usize) else {
+            return;
+        };
+        if entry.phase != TaskPhase::DoneSeen {
+            return;
+        }
+        entry.phase = TaskPhase::Done;
+        step.done += 1;
+        if !step.is_done() {
+            return;
+        }
+        for number in open_steps(spec.as_deref(), occurrence, now) {
+            self.update_ready(StepRef {
+                step: number,
+                ..task.step
+            });
+        }
+    }
+
+    fn apply_failure(&mut self, slot: Slot, task: TaskRef, run: RunNumber, now: Millis) {
+        let job = task.step.job;
+        if self.executors.get_mut(slot).health.record_failure(job, now) {
+            let id = self.executor_id(slot);
+            log::info!(executor:% = id; "executor set aside after failures of several jobs");
+        }
+        self.release(slot, task, run, now);
+        let Some(rules) = self.jobs.get(&job).map(|job| Arc::clone(&job.rules)) else {
+            return;
+        };
+        let lasting = self.step_spec(task.step).is_some_and(|spec| spec.lasting);
+        let gang = self.step_spec(task.step).is_some_and(|spec| spec.gang);
+        let Some(entry) = self.task_state(task) else {
+            return;
+        };
+        if matches!(entry.phase, TaskPhase::Done | TaskPhase::DoneSeen) {
+            return;
+        }
+        entry.avoid = Some(slot);
+        entry.failed.insert(run.get());
+        let failures = entry.failed.len() as u64;
+        let pause = Millis::new(RETRY_PAUSE.get() * failures).min(MAX_RETRY_PAUSE);
+        entry.not_before = now.saturating_add(pause);
+        if lasting {
+            entry.failed.clear();
+            return;
+        }
+        // The members of a gang share their runs, so that each failed run is counted once.
+        let counted = if gang {
+            let step = self.step_state(task.step);
+            let runs = step.iter().flat_map(|step| &step.tasks);
+            let runs = runs.flat_map(|task| task.failed.iter());
+            runs.collect::<std::collections::BTreeSet<_>>().len() as u64
+        } else {
+            failures
+        };
+        self.mark_dirty(job);
+        if counted >= u64::from(rules.max_attempts) {
+            self.end_job(job, JobStatus::Failed, now);
+        }
+    }
+
+    /// Compares a run's time with those of its step's other tasks.
+    fn learn_speed(&mut self, slot: Slot, task: TaskRef, run: RunNumber, now: Millis) {
+        let Some(estimate) = self.step_spec(task.step).map(|spec| spec.estimate.get()) else {
+            return;
+        };
+        let executor = self.executors.get_mut(slot);
+        let Some(active) = executor.runs.get(&(task, run)) else {
+            return;
+        };
+        let took = now.saturating_sub(active.sent_at).get();
+        if estimate == 0 || took == 0 {
+            return;
+        }
+        let seen = (estimate as f64 / took as f64).clamp(0.1, 4.0);
+        executor.speed += (seen - executor.speed) * SPEED_WEIGHT;
+    }
+}
+
+/// Weight of one run in the measured speed; estimates are off by up to their size, so that it takes
+/// some twenty runs to tell executors apart.
+const SPEED_WEIGHT: f64 = 0.08;
--- /dev/null
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -0,0 +1,650 @@
+//! What starts next.
+
+use std::collections::BTreeSet;
+
+use magnolia_types::{Millis, ResourceVector};
+
+use crate::advice_queue::AdviceRequest;
+use crate::cell::{CellScheduler, ReadyKey};
+use crate::executor_state::{ExecutorState, RunPhase};
+use crate::executors::Slot;
+use crate::placement::{RoomView, choose_executor, choose_named};
+use crate::reports::filler_cpu;
+use crate::step::{StepState, TaskPhase};
+use crate::{CellAction, QueueRules, RunNumber, StartOrder, StepRef, StepSpec, TaskRef};
+
+/// Steps of one urgency that a pass looks at: those behind them wait for the same room.
+const STEPS_PER_PASS: usize = 48;
+/// Most executors in one call for eligibility; the platform's bound is 100, and each one adds to
+/// the time of the call.
+const MOST_NAMED: usize = 30;
+/// Urgency that may stop less urgent runs to make room.
+const PREEMPTING_PRIORITY: u32 = 0;
+/// Time for which room that is being made is not asked for again.
+const PREEMPTION_PAUSE: Millis = Millis::new(150);
+/// Time that a step that waits for eligibility leaves between two calls.
+const ADVICE_INTERVAL: Millis = Millis::new(100);
+
+/// Executors of a step, by what is known of their eligibility.
+#[derive(Default)]
+struct StepOptions {
+    /// May start tasks now.
+    usable: Vec<RoomView>,
+    /// Room there, eligibility unknown.
+    unknown: Vec<RoomView>,
+    /// Eligible, with room, but without a valid ticket.
+    expired: Vec<RoomView>,
+}
+
+impl CellScheduler {
+    /// Sets the daemons that can ask for eligibility.
+    pub fn set_advisers(&mut self, daemons: &BTreeSet<usize>) {
+        self.advice.set_daemons(daemons);
+    }
+
+    /// Marks a daemon as free for the next call.
+    pub fn release_adviser(&mut self, daemon: usize, usable: bool) {
+        self.advice.release(daemon, usable);
+    }
+
+    /// Does what is due by time: leases that ran out, orders to repeat, occurrences, hung runs.
+    pub fn tick(&mut self, now: Millis, now_unix_ms: u64) {
+        self.expire_leases(now);
+        self.resend_starts(now);
+        self.resend_stops(now);
+        self.open_due_occurrences(now, now_unix_ms);
+        self.stop_hung_runs(now);
+    }
+
+    fn expire_leases(&mut self, now: Millis) {
+        let late = self.settings.late_order_limit;
+        let mut lost = Vec::new();
+        for (slot, executor) in self.executors.iter_mut() {
+            if !executor.settled && now >= executor.settles_at {
+                executor.settled = true;
+                executor.heard_at = None;
+            }
+            let silent = !executor.is_heard(now);
+            let out = executor.lease.out_at().is_none_or(|out| now > out);
+            if !silent || !out || executor.runs.is_empty() || !executor.settled {
+                continue;
+            }
+            // A start without an answer may be carried out until its own bound has passed.
+            let pending = |sent: Millis| now.saturating_sub(sent) < late;
+            let open = executor
+                .runs
+                .values()
+                .any(|run| run.uncertain && pending(run.sent_at));
+            if !open {
+                lost.push(slot);
+            }
+        }
+        for slot in lost {
+            let id = self.executor_id(slot);
+            log::info!(executor:% = id; "lease of a silent executor ran out; its runs are lost");
+            self.lose_runs(slot, now);
+        }
+    }
+
+    fn open_due_occurrences(&mut self, now: Millis, now_unix_ms: u64) {
+        let due = |key: &&crate::JobKey| {
+            self.jobs.get(key).is_some_and(|job| {
+                let next = job.occurrences.len();
+                let open = job.stored && job.ending.is_none() && next < job.total_occurrences();
+                open && now_unix_ms >= job.due_unix_ms(next)
+            })
+        };
+        let keys: Vec<crate::JobKey> = self.live.iter().filter(due).copied().collect();
+        for key in keys {
+            if let Some(job) = self.jobs.get_mut(&key) {
+                job.open_occurrence(now);
+            }
+            self.queue_open_steps(key);
+        }
+    }
+
+    fn stop_hung_runs(&mut self, now: Millis) {
+        let limit = self.settings.hang_limit;
+        let mut hung = Vec::new();
+        for (slot, executor) in self.executors.iter() {
+            for ((task, run), active) in &executor.runs {
+                let still = now.saturating_sub(active.progress_at) > limit;
+                let heard = active
+                    .confirmed_at
+                    .is_some_and(|at| at > active.progress_at);
+                if active.phase == RunPhase::Running && still && heard && active.pace == 100 {
+                    hung.push((slot, *task, *run, active.percent));
+                }
+            }
+        }
+        for (slot, task, run, percent) in hung {
+            let Some(spec) = self.step_spec(task.step) else {
+                continue;
+            };
+            // A lasting task at work stays at 100; fillers and gangs wait for others.
+            let at_work = spec.lasting && percent >= 100;
+            if at_work || spec.filler || spec.gang || spec.lasting {
+                continue;
+            }
+            let slow = spec.estimate.get() > limit.get() * 50;
+            if slow {
+                continue;
+            }
+            let id = self.executor_id(slot);
+            log::info!(executor:% = id, task:% = task, run:% = run, percent = percent;
+                "run without progress; moving its task");
+            self.executors.get_mut(slot).health.set_aside(now);
+            if let Some(entry) = self.task_state(task) {
+                entry.avoid = Some(slot);
+            }
+            self.order_stop(slot, task, run, now);
+        }
+    }
+
+    /// Starts what can start and asks for eligibility where it is missing.
+    pub fn plan(&mut self, now: Millis) {
+        let mut looked = std::collections::BTreeMap::new();
+        let mut keys = Vec::new();
+        for key in &self.ready {
+            let count: &mut usize = looked.entry(key.priority).or_default();
+            *count += 1;
+            if *count <= STEPS_PER_PASS {
+                keys.push(*key);
+            }
+        }
+        let inherited_blocked = self.executors.iter().any(|(_, executor)| !executor.settled);
+        for key in keys {
+            self.plan_step(key, inherited_blocked, now);
+        }
+        for order in self.advice.dispatch() {
+            if let Some(state) = self.step_state(order.step) {
+                state.advice.in_flight = true;
+            }
+            self.actions.push(CellAction::Advise(order));
+        }
+    }
+
+    fn plan_step(&mut self, key: ReadyKey, inherited_blocked: bool, now: Millis) {
+        let step = key.step;
+        let Some(job) = self.jobs.get(&step.job) else {
+            return;
+        };
+        if job.inherited && inherited_blocked {
+            return;
+        }
+        let Some(job_spec) = job.spec.clone() else {
+            return;
+        };
+        let spec = &job_spec.steps[usize::from(step.step)];
+        let rules = self
+            .rules
+            .queues
+            .get(&job.rules.name)
+            .unwrap_or(&job.rules)
+            .clone();
+        let Some(state) = job
+            .occurrences
+            .get(step.occurrence as usize)
+            .and_then(|occurrence| occurrence.steps.get(usize::from(step.step)))
+        else {
+            return;
+        };
+        let startable = startable_tasks(state, now);
+        if startable.is_empty() {
+            return;
+        }
+        if spec.gang && startable.len() < state.tasks.len() {
+            return;
+        }
+        let mut options = self.options(spec, &rules, state, step, now);
+        let placed = if spec.gang {
+            self.place_gang(step, spec, &startable, &mut options, now)
+        } else {
+            self.place_tasks(step, spec, &rules, &startable, &mut options, now)
+        };
+        let left = startable.len() - placed;
+        if left == 0 {
+            self.advice.remove(step);
+            return;
+        }
+        let wanted = u32::try_from(left).unwrap_or(u32::MAX);
+        if rules.priority == PREEMPTING_PRIORITY {
+            self.make_room(step, spec, &rules, wanted, now);
+        }
+        if rules.advice.is_some() {
+            self.ask_eligibility(key, &rules, wanted, options, spec.gang, now);
+        }
+    }
+
+    /// Returns the executors that could run the step, with the tasks that fit on each.
+    fn options(
+        &self,
+        spec: &StepSpec,
+        rules: &QueueRules,
+        state: &StepState,
+        step: StepRef,
+        now: Millis,
+    ) -> StepOptions {
+        let mut options = StepOptions::default();
+        let avoided = avoided_slots(state);
+        for (slot, executor) in self.executors.iter() {
+            if !executor.takes_work(now) || !suits(executor, spec, rules) {
+                continue;
+            }
+            if state.advice.ineligible.contains(&slot) {
+                continue;
+            }
+            let room = self.room(executor, spec, rules, step, executor.free());
+            if room == 0 {
+                continue;
+            }
+            let view = room_view(slot, executor, spec, room, avoided.contains(&slot));
+            if rules.advice.is_none() {
+                options.usable.push(view);
+                continue;
+            }
+            match state.advice.tickets.get(&slot) {
+                Some(ticket) if ticket.life != executor.entry.life => options.expired.push(view),
+                Some(ticket) if ticket.valid_until > now => options.usable.push(view),
+                Some(_) => options.expired.push(view),
+                None => options.unknown.push(view),
+            }
+        }
+        options
+    }
+
+    /// Returns how many tasks of a step fit into `free` on an executor.
+    fn room(
+        &self,
+        executor: &ExecutorState,
+        spec: &StepSpec,
+        rules: &QueueRules,
+        step: StepRef,
+        free: ResourceVector,
+    ) -> u32 {
+        let mut free = free;
+        if rules.priority > PREEMPTING_PRIORITY && !spec.filler {
+            let capacity = executor.entry.capacity.cpu_millis.get();
+            let reserve = capacity * self.settings.urgent_reserve_permille / 1000;
+            let reserve = magnolia_types::CpuMillis::new(reserve);
+            free.cpu_millis = free.cpu_millis.saturating_sub(reserve);
+        }
+        let mut room = fitting(&spec.reserved(), &free);
+        if spec.filler {
+            let idle = free.cpu_millis.get().saturating_sub(executor.filler_cpu);
+            let each = spec.need.cpu_millis.get().max(1);
+            room = room.min(u32::try_from(idle.div_ceil(each)).unwrap_or(u32::MAX));
+        }
+        if let Some(limit) = spec.spread_limit {
+            let there = executor.runs.keys().filter(|(task, _)| task.step == step);
+            let there = u32::try_from(there.count()).unwrap_or(u32::MAX);
+            room = room.min(limit.saturating_sub(there));
+        }
+        room
+    }
+
+    fn place_tasks(
+        &mut self,
+        step: StepRef,
+        spec: &StepSpec,
+        rules: &QueueRules,
+        startable: &[u32],
+        options: &mut StepOptions,
+        now: Millis,
+    ) -> usize {
+        let spread = rules.priority == PREEMPTING_PRIORITY || spec.filler || spec.lasting;
+        let mut placed = 0;
+        for index in startable {
+            let Some(place) = choose_executor(&options.usable, spread) else {
+                break;
+            };
+            let slot = options.usable[place].slot;
+            let task = TaskRef {
+                step,
+                index: *index,
+            };
+            let run = self.next_run(task, spec.gang);
+            self.start(slot, task, run, spec, now);
+            take_room(&mut options.usable[place], spec);
+            placed += 1;
+        }
+        placed
+    }
+
+    /// Starts all tasks of a gang, or none.
+    fn place_gang(
+        &mut self,
+        step: StepRef,
+        spec: &StepSpec,
+        startable: &[u32],
+        options: &mut StepOptions,
+        now: Millis,
+    ) -> usize {
+        let total: u64 = options.usable.iter().map(|view| u64::from(view.room)).sum();
+        if total < startable.len() as u64 {
+            return 0;
+        }
+        let mut chosen = Vec::with_capacity(startable.len());
+        for _ in startable {
+            let Some(place) = choose_executor(&options.usable, false) else {
+                return 0;
+            };
+            chosen.push(options.usable[place].slot);
+            take_room(&mut options.usable[place], spec);
+        }
+        let Some(state) = self.step_state(step) else {
+            return 0;
+        };
+        state.gang_runs += 1;
+        let count = state.gang_runs;
+        // All members resume from one checkpoint, that of the member that came furthest.
+        let saved = state
+            .tasks
+            .iter()
+            .filter_map(|task| task.saved.clone())
+            .max();
+        for task in &mut state.tasks {
+            task.saved.clone_from(&saved);
+        }
+        let run = RunNumber::new_in(self.epoch, count);
+        for (index, slot) in startable.iter().zip(&chosen) {
+            let task = TaskRef {
+                step,
+                index: *index,
+            };
+            self.start(*slot, task, run, spec, now);
+        }
+        startable.len()
+    }
+
+    fn next_run(&mut self, task: TaskRef, gang: bool) -> RunNumber {
+        debug_assert!(!gang, "gangs number their runs together");
+        let epoch = self.epoch;
+        let count = self.task_state(task).map_or(1, |state| {
+            state.runs += 1;
+            state.runs
+        });
+        RunNumber::new_in(epoch, count)
+    }
+
+    fn start(&mut self, slot: Slot, task: TaskRef, run: RunNumber, spec: &StepSpec, now: Millis) {
+        let lease = self.settings.lease;
+        let Some(job) = self.jobs.get(&task.step.job) else {
+            return;
+        };
+        let Some(payload) = job.spec.as_ref().map(|spec| spec.payload.clone()) else {
+            return;
+        };
+        let state =
+            &job.occurrences[task.step.occurrence as usize].steps[usize::from(task.step.step)];
+        let checkpoint = state.tasks[task.index as usize].saved.clone();
+        let ticket = state
+            .advice
+            .tickets
+            .get(&slot)
+            .map(|ticket| ticket.text.clone());
+        let executor = self.executors.get_mut(slot);
+        let Some(until) = executor.lease.until_after(lease, now) else {
+            return;
+        };
+        executor.lease.grant(until);
+        let order = StartOrder {
+            executor: executor.entry.id.clone(),
+            life: executor.entry.life,
+            task,
+            run,
+            payload,
+            checkpoint,
+            ticket,
+            lease_until: until,
+        };
+        self.place(slot, task, run, spec.reserved(), filler_cpu(spec), now);
+        self.actions.push(CellAction::Start(order));
+    }
+
+    /// Stops less urgent runs where the step is known to be eligible.
+    fn make_room(
+        &mut self,
+        step: StepRef,
+        spec: &StepSpec,
+        rules: &QueueRules,
+        wanted: u32,
+        now: Millis,
+    ) {
+        let Some(state) = self.step_state(step) else {
+            return;
+        };
+        let eligible: Vec<Slot> = state.advice.tickets.keys().copied().collect();
+        let mut missing = wanted;
+        let mut victims = Vec::new();
+        for slot in eligible {
+            if missing == 0 {
+                break;
+            }
+            let executor = self.executors.get(slot);
+            if !executor.takes_work(now) || !suits(executor, spec, rules) {
+                continue;
+            }
+            let pending = self.preempted.get(&slot);
+            if pending.is_some_and(|at| now.saturating_sub(*at) < PREEMPTION_PAUSE) {
+                missing = missing.saturating_sub(1);
+                continue;
+            }
+            let freed = executor.free().saturating_add(&executor.being_freed());
+            let coming = self.room(executor, spec, rules, step, freed);
+            if coming > 0 {
+                missing = missing.saturating_sub(coming);
+                continue;
+            }
+            let Some((task, run, freed)) = self.victim(slot, rules) else {
+                continue;
+            };
+            let free = executor.free().saturating_add(&freed);
+            let gained = self.room(executor, spec, rules, step, free);
+            if gained > 0 {
+                missing = missing.saturating_sub(gained);
+                victims.push((slot, task, run));
+            }
+        }
+        for (slot, task, run) in victims {
+            log::info!(task:% = task, run:% = run, step:% = step; "run stopped for urgent work");
+            self.preempted.insert(slot, now);
+            self.order_stop(slot, task, run, now);
+        }
+    }
+
+    /// Returns the run of an executor whose stop loses least, among less urgent ones.
+    fn victim(
+        &self,
+        slot: Slot,
+        rules: &QueueRules,
+    ) -> Option<(TaskRef, RunNumber, ResourceVector)> {
+        let executor = self.executors.get(slot);
+        let less_urgent = executor.runs.iter().filter_map(|((task, run), active)| {
+            let job = self.jobs.get(&task.step.job)?;
+            let spec = self.step_spec(task.step)?;
+            let fixed = spec.lasting || spec.gang || spec.filler;
+            let yields = job.rules.priority > rules.priority && !fixed;
+            if !yields || active.phase != RunPhase::Running {
+                return None;
+            }
+            // A saved run loses only what came after its checkpoint.
+            let lost = if spec.checkpoints {
+                0
+            } else {
+                u32::from(active.percent)
+            };
+            let key = (lost, u32::from(active.percent));
+            Some((key, *task, *run, active.reserved))
+        });
+        less_urgent
+            .min_by_key(|(key, ..)| *key)
+            .map(|(_, task, run, freed)| (task, run, freed))
+    }
+
+    fn ask_eligibility(
+        &mut self,
+        key: ReadyKey,
+        rules: &QueueRules,
+        wanted: u32,
+        mut options: StepOptions,
+        gang: bool,
+        now: Millis,
+    ) {
+        let step = key.step;
+        let Some(cost) = rules.advice.clone() else {
+            return;
+        };
+        let urgent = rules.priority == PREEMPTING_PRIORITY;
+        let share = self
+            .eligible_share
+            .get(&rules.name)
+            .copied()
+            .unwrap_or(Self::FIRST_ELIGIBLE_SHARE);
+        if urgent && options.unknown.is_empty() && options.expired.is_empty() {
+            options.unknown = self.preemptable_views(step, rules, now);
+        }
+        let Some(state) = self.step_state(step) else {
+            return;
+        };
+        if state.advice.in_flight || now < state.advice.not_before {
+            return;
+        }
+        let of_usable: u32 = options.usable.iter().map(|view| view.room).sum();
+        let mut named: Vec<Slot> = options.expired.iter().map(|view| view.slot).collect();
+        named.truncate(MOST_NAMED);
+        let of_expired: u32 = options.expired.iter().map(|view| view.room).sum();
+        let held = of_expired + if gang { of_usable } else { 0 };
+        let missing = wanted.saturating_sub(held);
+        if missing > 0 {
+            let limit = MOST_NAMED - named.len();
+            named.extend(choose_named(&mut options.unknown, missing, share, limit));
+        }
+        let of_unknown: u32 = options
+            .unknown
+            .iter()
+            .map(|view| view.room.min(wanted))
+            .sum();
+        let expected = f64::from(held) + f64::from(of_unknown) * share;
+        let needed = if gang {
+            f64::from(wanted)
+        } else if urgent {
+            0.0
+        } else {
+            (f64::from(wanted) / 3.0).max(0.7)
+        };
+        if named.is_empty() || expected < needed {
+            self.advice.remove(step);
+            return;
+        }
+        if let Some(state) = self.step_state(step) {
+            state.advice.not_before = now.saturating_add(ADVICE_INTERVAL);
+        }
+        self.advice.remove(step);
+        let expected = cost.call_time(named.len());
+        let executors = named.iter().map(|slot| self.executor_id(*slot)).collect();
+        self.advice.push(AdviceRequest {
+            priority: key.priority,
+            order: key.order,
+            step,
+            executors,
+            expected,
+        });
+    }
+
+    /// Returns executors where urgent work could make room.
+    fn preemptable_views(&self, step: StepRef, rules: &QueueRules, now: Millis) -> Vec<RoomView> {
+        let Some(spec) = self.step_spec(step) else {
+            return Vec::new();
+        };
+        let job = self.jobs.get(&step.job);
+        let state = job.and_then(|job| {
+            let occurrence = job.occurrences.get(step.occurrence as usize)?;
+            occurrence.steps.get(usize::from(step.step))
+        });
+        let Some(state) = state else {
+            return Vec::new();
+        };
+        let asked = |slot: &Slot| {
+            state.advice.ineligible.contains(slot) || state.advice.tickets.contains_key(slot)
+        };
+        self.executors
+            .iter()
+            .filter(|(slot, executor)| {
+                executor.takes_work(now) && suits(executor, spec, rules) && !asked(slot)
+            })
+            .filter_map(|(slot, executor)| {
+                let (_, _, freed) = self.victim(slot, rules)?;
+                let free = executor.free().saturating_add(&freed);
+                let room = self.room(executor, spec, rules, step, free);
+                (room > 0).then(|| room_view(slot, executor, spec, room, false))
+            })
+            .collect()
+    }
+}
+
+/// Returns the numbers of the tasks that may start now.
+fn startable_tasks(state: &StepState, now: Millis) -> Vec<u32> {
+    (0u32..)
+        .zip(&state.tasks)
+        .filter(|(_, task)| task.phase == TaskPhase::Waiting && now >= task.not_before)
+        .map(|(index, _)| index)
+        .collect()
+}
+
+/// Returns the executors that tasks of the step should not go back to.
+fn avoided_slots(state: &StepState) -> BTreeSet<Slot> {
+    let waiting = state
+        .tasks
+        .iter()
+        .filter(|task| task.phase == TaskPhase::Waiting);
+    waiting.filter_map(|task| task.avoid).collect()
+}
+
+/// Tells whether an executor may run the step by service and label.
+fn suits(executor: &ExecutorState, spec: &StepSpec, rules: &QueueRules) -> bool {
+    let labels = &executor.entry.labels;
+    let labelled = spec
+        .label
+        .as_ref()
+        .is_none_or(|label| labels.contains(label));
+    executor.entry.service == rules.service && labelled
+}
+
+fn room_view(
+    slot: Slot,
+    executor: &ExecutorState,
+    spec: &StepSpec,
+    room: u32,
+    avoided: bool,
+) -> RoomView {
+    let free = i64::try_from(executor.free().cpu_millis.get()).unwrap_or(i64::MAX);
+    let fillers = i64::try_from(executor.filler_cpu).unwrap_or(i64::MAX);
+    let near = spec
+        .data_rack
+        .as_ref()
+        .is_none_or(|rack| executor.entry.labels.contains(rack));
+    RoomView {
+        slot,
+        room,
+        spare_cpu: if spec.filler { free - fillers } else { free },
+        speed: executor.speed,
+        near,
+        avoided,
+    }
+}
+
+/// Counts a task against a view.
+fn take_room(view: &mut RoomView, spec: &StepSpec) {
+    view.room -= 1;
+    view.spare_cpu -= i64::try_from(spec.need.cpu_millis.get()).unwrap_or(i64::MAX);
+}
+
+/// Returns how many times `need` fits into `free`.
+fn fitting(need: &ResourceVector, free: &ResourceVector) -> u32 {
+    let times = |need: u64, free: u64| free.checked_div(need).unwrap_or(u64::MAX);
+    let cpu = times(need.cpu_millis.get(), free.cpu_millis.get());
+    let memory = times(need.memory_mib.get(), free.memory_mib.get());
+    let accelerators = times(u64::from(need.accelerators), u64::from(free.accelerators));
+    u32::try_from(cpu.min(memory).min(accelerators)).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/magnolia-scheduler/src/record.rs
@@ -0,0 +1,106 @@
+//! What is stored of a job: its newest state, one record a job.
+
+use std::sync::Arc;
+
+use magnolia_types::wire_types;
+
+use crate::{JobSpec, JobStatus, QueueName, QueueRules};
+
+/// A record that can't be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum RecordError {
+    /// The bytes are not a record of this format.
+    #[error("unreadable job record: {0}")]
+    Decode(#[from] rmp_serde::decode::Error),
+    /// The record can't be written.
+    #[error("job record can't be encoded: {0}")]
+    Encode(#[from] rmp_serde::encode::Error),
+}
+
+wire_types! {
+    /// Newest state of a job.
+    pub enum JobRecord {
+        /// The job may still start tasks.
+        Live(LiveRecord),
+        /// Nothing of the job starts any more.
+        Ended(EndedRecord),
+    }
+
+    /// State of a job that is not over.
+    pub struct LiveRecord {
+        /// Rules of the queue when the job was accepted.
+        pub rules: Arc<QueueRules>,
+        /// The job as submitted.
+        pub spec: Arc<JobSpec>,
+        /// Unix milliseconds of its acceptance.
+        pub accepted_unix_ms: u64,
+        /// Progress of each occurrence that has begun.
+        pub occurrences: Vec<OccurrenceRecord>,
+    }
+
+    /// Outcome of a job.
+    pub struct EndedRecord {
+        /// Its queue.
+        pub queue: QueueName,
+        /// Completed, failed or cancelled.
+        pub status: JobStatus,
+        /// Unix milliseconds of its end.
+        pub ended_unix_ms: u64,
+    }
+
+    /// Progress of one occurrence.
+    #[derive(Default)]
+    pub struct OccurrenceRecord {
+        /// Progress of each step.
+        pub steps: Vec<StepRecord>,
+    }
+
+    /// Progress of one step.
+    #[derive(Default)]
+    pub struct StepRecord {
+        /// Bit per task: ended well.
+        #[serde(with = "serde_bytes")]
+        pub done: Vec<u8>,
+        /// Failed runs as task and run number; a run counts once however often it is reported.
+        pub failed: Vec<(u32, u64)>,
+        /// Newest checkpoint of a task that does not run.
+        pub saved: Vec<(u32, Arc<str>)>,
+    }
+}
+
+impl StepRecord {
+    /// Marks a task as done.
+    pub fn set_done(&mut self, index: u32) {
+        let byte = index as usize / 8;
+        if self.done.len() <= byte {
+            self.done.resize(byte + 1, 0);
+        }
+        self.done[byte] |= 1 << (index % 8);
+    }
+
+    /// Tells whether a task is done.
+    pub fn is_done(&self, index: u32) -> bool {
+        let byte = self.done.get(index as usize / 8);
+        byte.is_some_and(|byte| byte & (1 << (index % 8)) != 0)
+    }
+}
+
+impl JobRecord {
+    /// Encodes the record.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the record can't be written.
+    pub fn encode(&self) -> Result<Vec<u8>, RecordError> {
+        Ok(rmp_serde::to_vec(self)?)
+    }
+
+    /// Decodes a record.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are not a record of this format.
+    pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
+        Ok(rmp_serde::from_slice(bytes)?)
+    }
+}
--- /dev/null
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -0,0 +1,473 @@
+//! What reports, answers and the platform's list change.
+
+use std::collections::BTreeSet;
+
+use magnolia_types::{ExecutorId, Millis};
+
+use crate::cell::CellScheduler;
+use crate::executor_state::{ActiveRun, HoldPlan, RunPhase};
+use crate::executors::{ExecutorEntry, ExecutorStatus, Slot};
+use crate::step::{TaskPhase, Ticket};
+use crate::{CellAction, PaceOrder};
+use crate::{
+    EligibilityAnswer, ExecutorLife, ExecutorReport, PaceDecision, RunNumber, RunningTask,
+    StartAnswer, StartOrder, StepRef, StopOrder, TaskRef, decide_pace,
+};
+
+/// Weight of one answer in the share of executors that are usually eligible.
+const SHARE_WEIGHT: f64 = 0.1;
+/// Shortest time between two changes of the pace of fillers: the tail covers half a second.
+const PACE_INTERVAL: Millis = Millis::new(400);
+/// Pause after an executor refused a start for want of room: its own count differs from the
+/// owner's until the next report.
+const NO_ROOM_PAUSE: Millis = Millis::new(300);
+/// Time before the end of its validity at which a ticket is no longer used: the order has to arrive.
+const TICKET_MARGIN: Millis = Millis::new(60);
+
+impl CellScheduler {
+    /// Takes an entry of the platform's list of executors.
+    pub fn upsert_executor(&mut self, entry: ExecutorEntry, now: Millis) {
+        let Some(slot) = self.executors.slot(&entry.id) else {
+            log::info!(executor:% = entry.id, service:% = entry.service, address:% = entry.address;
+                "executor listed");
+            let wait = self.settings.takeover_wait();
+            let slot = self.executors.add(entry);
+            self.executors.get_mut(slot).settles_at = now.saturating_add(wait);
+            return;
+        };
+        let known = self.executors.get_mut(slot);
+        if entry.life < known.entry.life {
+            return;
+        }
+        if entry.status != known.entry.status {
+            log::info!(executor:% = entry.id, draining = entry.status == ExecutorStatus::Draining;
+                "executor changed its status");
+        }
+        known.listed = true;
+        if entry.life > known.entry.life {
+            self.lose_life(slot, entry.life, now);
+        }
+        self.executors.get_mut(slot).entry = entry;
+    }
+
+    /// Takes the removal of an executor from the platform's list.
+    pub fn remove_executor(&mut self, id: &ExecutorId) {
+        if let Some(slot) = self.executors.slot(id) {
+            log::info!(executor:% = id; "executor no longer listed");
+            self.executors.get_mut(slot).listed = false;
+        }
+    }
+
+    /// Returns the executors that a renewal has to reach.
+    pub fn held_executors(&self) -> Vec<ExecutorEntry> {
+        let wanted = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| executor.listed || !executor.runs.is_empty());
+        wanted.map(|(_, executor)| executor.entry.clone()).collect()
+    }
+
+    /// Returns what the next renewal of an executor says; `None` when it needs none.
+    pub fn plan_hold(&mut self, id: &ExecutorId, now: Millis) -> Option<HoldPlan> {
+        let slot = self.executors.slot(id)?;
+        let lease = self.settings.lease;
+        let wait = self.settings.hold_wait;
+        let executor = self.executors.get_mut(slot);
+        if !executor.listed && executor.runs.is_empty() {
+            return None;
+        }
+        let lease_until = executor.lease.until_after(lease, now);
+        if let Some(until) = lease_until {
+            executor.lease.grant(until);
+        }
+        // Ends that are not stored yet would be listed again at once.
+        let unstored = executor.seen_through > executor.stored_through;
+        let wait = if executor.settled && !unstored {
+            wait
+        } else {
+            Millis::new(0)
+        };
+        Some(HoldPlan {
+            life: executor.entry.life,
+            acked_through: executor.stored_through,
+            lease_until,
+            wait,
+        })
+    }
+
+    /// Takes the answer to a renewal that was sent at `sent_at`.
+    pub fn apply_report(
+        &mut self,
+        id: &ExecutorId,
+        report: ExecutorReport,
+        sent_at: Millis,
+        now: Millis,
+    ) {
+        let Some(slot) = self.executors.slot(id) else {
+            return;
+        };
+        let known = self.executors.get(slot).entry.life;
+        if report.life < known {
+            return;
+        }
+        if report.life > known {
+            self.lose_life(slot, report.life, now);
+        }
+        let max_lease = self.settings.max_lease;
+        let executor = self.executors.get_mut(slot);
+        executor.lease.observe(report.clock, now);
+        executor.heard_at = Some(now);
+        if !executor.settled {
+            executor.settled = true;
+            // An earlier owner may have granted the longest lease just before.
+            executor.lease.grant(report.clock.saturating_add(max_lease));
+        }
+        let listed: BTreeSet<(TaskRef, RunNumber)> = report
+            .running
+            .iter()
+            .map(|row| (row.task, row.run))
+            .collect();
+        for row in report.running {
+            self.apply_running(slot, row, now);
+        }
+        let seen = self.executors.get(slot).seen_through;
+        let mut ended = BTreeSet::new();
+        for end in report.ends {
+            ended.insert((end.task, end.run));
+            if end.number <= seen {
+                continue;
+            }
+            let executor = self.executors.get_mut(slot);
+            executor.seen_through = executor.seen_through.max(end.number);
+            executor.strangers.remove(&(end.task, end.run));
+            self.apply_end(slot, end.task, end.run, end.kind, end.saved, now);
+        }
+        self.drop_missing(slot, &listed, sent_at, now);
+        self.pace_fillers(slot, now);
+    }
+
+    fn apply_running(&mut self, slot: Slot, row: RunningTask, now: Millis) {
+        let key = (row.task, row.run);
+        let executor = self.executors.get_mut(slot);
+        if let Some(active) = executor.runs.get_mut(&key) {
+            if active.percent != row.percent || active.confirmed_at.is_none() {
+                active.progress_at = now;
+            }
+            active.percent = row.percent;
+            active.confirmed_at = Some(now);
+            active.meter = row.meter;
+            if active.phase == RunPhase::Starting {
+                active.phase = RunPhase::Running;
+            }
+            if row.saved.is_some() {
+                active.saved = row.saved;
+            }
+            return;
+        }
+        self.adopt(slot, row, now);
+    }
+
+    /// Takes over a run that an earlier owner started, or stops one that nothing explains.
+    fn adopt(&mut self, slot: Slot, row: RunningTask, now: Millis) {
+        let alive = self
+            .jobs
+            .get(&row.task.step.job)
+            .is_some_and(|job| job.ending.is_none());
+        let phase = self.task_phase(row.task);
+        let spec = self.step_spec(row.task.step);
+        let known = spec.map(|spec| (spec.reserved(), filler_cpu(spec)));
+        if let (true, Some(TaskPhase::Waiting), Some((reserved, filler))) = (alive, phase, known) {
+            self.place(slot, row.task, row.run, reserved, filler, now);
+            let executor = self.executors.get_mut(slot);
+            if let Some(active) = executor.runs.get_mut(&(row.task, row.run)) {
+                active.phase = RunPhase::Running;
+                active.confirmed_at = Some(now);
+                active.percent = row.percent;
+                active.saved = row.saved;
+                active.meter = row.meter;
+            }
+            return;
+        }
+        if let Some((reserved, filler)) = known {
+            let mut active = ActiveRun::new(reserved, now).with_filler_cpu(filler);
+            active.confirmed_at = Some(now);
+            let executor = self.executors.get_mut(slot);
+            executor.add_run(row.task, row.run, active);
+        } else {
+            let executor = self.executors.get_mut(slot);
+            executor.strangers.insert((row.task, row.run), None);
+        }
+        let id = self.executor_id(slot);
+        log::info!(executor:% = id, task:% = row.task, run:% = row.run;
+            "stopping a run that no live task explains");
+        self.order_stop(slot, row.task, row.run, now);
+    }
+
+    /// Releases runs that the executor had confirmed and no longer lists.
+    fn drop_missing(
+        &mut self,
+        slot: Slot,
+        listed: &BTreeSet<(TaskRef, RunNumber)>,
+        sent_at: Millis,
+        now: Millis,
+    ) {
+        let executor = self.executors.get_mut(slot);
+        executor.strangers.retain(|key, _| listed.contains(key));
+        let confirmed = |active: &ActiveRun| active.confirmed_at.is_some_and(|at| at < sent_at);
+        let stopped = |active: &ActiveRun| {
+            let before = active.stop_sent.is_some_and(|at| at < sent_at);
+            active.stop_acked && before
+        };
+        let gone: Vec<(TaskRef, RunNumber)> = executor
+            .runs
+            .iter()
+            .filter(|(key, active)| !listed.contains(key) && (confirmed(active) || stopped(active)))
+            .map(|(key, _)| *key)
+            .collect();
+        for (task, run) in gone {
+            self.release(slot, task, run, now);
+        }
+    }
+
+    /// Releases all runs of an earlier life.
+    fn lose_life(&mut self, slot: Slot, life: ExecutorLife, now: Millis) {
+        let id = self.executor_id(slot);
+        log::info!(executor:% = id, life:% = life; "executor started again; its runs are lost");
+        self.lose_runs(slot, now);
+        self.executors.get_mut(slot).begin_life(life);
+    }
+
+    /// Releases all runs of an executor.
+    pub(crate) fn lose_runs(&mut self, slot: Slot, now: Millis) {
+        let executor = self.executors.get_mut(slot);
+        let runs: Vec<_> = executor.runs.keys().copied().collect();
+        for (task, run) in runs {
+            self.release(slot, task, run, now);
+        }
+    }
+
+    /// Takes the answer to a start.
+    pub fn apply_start(&mut self, order: &StartOrder, answer: StartAnswer, now: Millis) {
+        let Some(slot) = self.executors.slot(&order.executor) else {
+            return;
+        };
+        let key = (order.task, order.run);
+        let executor = self.executors.get_mut(slot);
+        let Some(active) = executor.runs.get_mut(&key) else {
+            return;
+        };
+        match answer {
+            StartAnswer::Started => {
+                active.confirmed_at = Some(now);
+                active.progress_at = now;
+                if active.phase == RunPhase::Starting {
+                    active.phase = RunPhase::Running;
+                }
+            }
+            StartAnswer::Fenced => self.superseded = true,
+            StartAnswer::Unknown => active.uncertain = true,
+            // An earlier copy of the order may have been carried out: the next report tells.
+            StartAnswer::Old if active.uncertain => active.confirmed_at = Some(now),
+            _ if active.uncertain => self.order_stop(slot, order.task, order.run, now),
+            _ => self.reject_start(slot, order, answer, now),
+        }
+    }
+
+    fn reject_start(&mut self, slot: Slot, order: &StartOrder, answer: StartAnswer, now: Millis) {
+        log::info!(task:% = order.task, run:% = order.run, executor:% = order.executor,
+            answer:? = answer; "start rejected");
+        let executor = self.executors.get_mut(slot);
+        match answer {
+            StartAnswer::NoRoom => executor.not_before = now.saturating_add(NO_ROOM_PAUSE),
+            StartAnswer::Unhealthy => executor.health.set_aside(now),
+            StartAnswer::NotSent => executor.heard_at = None,
+            StartAnswer::OtherLife => executor.heard_at = None,
+            _ => {}
+        }
+        if answer == StartAnswer::BadTicket
+            && let Some(step) = self.step_state(order.task.step)
+        {
+            step.advice.tickets.remove(&slot);
+        }
+        self.release(slot, order.task, order.run, now);
+    }
+
+    /// Returns the orders without an answer that are sent again; withdraws those sent often.
+    pub(crate) fn resend_starts(&mut self, now: Millis) {
+        let mut stops = Vec::new();
+        for (slot, executor) in self.executors.iter() {
+            for ((task, run), active) in &executor.runs {
+                if active.phase == RunPhase::Starting && active.uncertain {
+                    stops.push((slot, *task, *run));
+                }
+            }
+        }
+        for (slot, task, run) in stops {
+            self.order_stop(slot, task, run, now);
+        }
+    }
+
+    /// Takes the answer to a stop: after it, no copy of the start can take effect.
+    pub fn apply_stop(&mut self, order: &StopOrder, confirmed: bool, fenced: bool) {
+        self.superseded |= fenced;
+        let Some(slot) = self.executors.slot(&order.executor) else {
+            return;
+        };
+        let executor = self.executors.get_mut(slot);
+        if let Some(active) = executor.runs.get_mut(&(order.task, order.run)) {
+            active.stop_acked |= confirmed;
+        }
+    }
+
+    /// Takes the rejection of a renewal because of a higher epoch.
+    pub fn apply_fenced(&mut self) {
+        self.superseded = true;
+    }
+
+    /// Takes the news that an executor refuses connections or answers as another life.
+    pub fn apply_unreachable(&mut self, id: &ExecutorId) {
+        if let Some(slot) = self.executors.slot(id) {
+            self.executors.get_mut(slot).heard_at = None;
+        }
+    }
+
+    /// Takes an answer of the eligibility service, or `None` after a failed call.
+    pub fn apply_advice(
+        &mut self,
+        step: StepRef,
+        named: &[ExecutorId],
+        answer: Option<&EligibilityAnswer>,
+        asked_at: Millis,
+        now: Millis,
+    ) {
+        let slots: Vec<Slot> = named
+            .iter()
+            .filter_map(|id| self.executors.slot(id))
+            .collect();
+        let rows: Vec<(Slot, ExecutorLife, std::sync::Arc<str>)> = answer
+            .iter()
+            .flat_map(|answer| &answer.eligible)
+            .filter_map(|(id, ticket)| {
+                let slot = self.executors.slot(id)?;
+                Some((slot, self.executors.get(slot).entry.life, ticket.clone()))
+            })
+            .collect();
+        if answer.is_some()
+            && let Some(job) = self.jobs.get(&step.job)
+        {
+            let first = Self::FIRST_ELIGIBLE_SHARE;
+            let share = self
+                .eligible_share
+                .entry(job.rules.name.clone())
+                .or_insert(first);
+            let seen = rows.len() as f64 / slots.len().max(1) as f64;
+            *share += (seen - *share) * SHARE_WEIGHT;
+        }
+        let valid = answer.map_or(Millis::new(0), |answer| answer.valid);
+        let Some(state) = self.step_state(step) else {
+            return;
+        };
+        state.advice.in_flight = false;
+        if answer.is_none() {
+            state.advice.not_before = now.saturating_add(FAILED_ADVICE_PAUSE);
+            return;
+        }
+        state.advice.ineligible.extend(&slots);
+        // The ticket may have been issued any time after the call was sent.
+        let _ = asked_at;
+        for (slot, life, text) in rows {
+            state.advice.ineligible.remove(&slot);
+            let ticket = Ticket {
+                text,
+                life,
+                valid_until: now.saturating_add(valid).saturating_sub(TICKET_MARGIN),
+            };
+            state.advice.tickets.insert(slot, ticket);
+        }
+    }
+
+    fn pace_fillers(&mut self, slot: Slot, now: Millis) {
+        let executor = self.executors.get(slot);
+        if executor.filler_cpu == 0 || now.saturating_sub(executor.paced_at) < PACE_INTERVAL {
+            return;
+        }
+        let mut worst = 0;
+        for ((task, _), active) in &executor.runs {
+            let target = self
+                .step_spec(task.step)
+                .and_then(|spec| spec.latency_target);
+            if let (Some(target), Some(tail)) = (target, active.meter) {
+                worst = worst.max(tail * 100 / target.get().max(1));
+            }
+        }
+        let (id, life) = (executor.entry.id.clone(), executor.entry.life);
+        let fillers = executor
+            .runs
+            .iter()
+            .filter(|(_, active)| active.filler_cpu > 0 && active.phase == RunPhase::Running);
+        let orders: Vec<(TaskRef, RunNumber, u8)> = fillers
+            .filter_map(
+                |((task, run), active)| match decide_pace(worst, active.pace) {
+                    PaceDecision::Set(percent) => Some((*task, *run, percent)),
+                    PaceDecision::Keep => None,
+                },
+            )
+            .collect();
+        if orders.is_empty() {
+            return;
+        }
+        let executor = self.executors.get_mut(slot);
+        executor.paced_at = now;
+        for (task, run, percent) in orders {
+            if let Some(active) = executor.runs.get_mut(&(task, run)) {
+                active.pace = percent;
+            }
+            self.actions.push(CellAction::Pace(PaceOrder {
+                executor: id.clone(),
+                life,
+                task,
+                run,
+                percent,
+            }));
+        }
+    }
+}
+
+/// Pause before a step asks again after a call for eligibility failed.
+const FAILED_ADVICE_PAUSE: Millis = Millis::new(100);
+
+/// Returns the processors that a task of the step uses beside its reservation.
+pub(crate) fn filler_cpu(spec: &crate::StepSpec) -> u64 {
+    if spec.filler {
+        spec.need.cpu_millis.get()
+    } else {
+        0
+    }
+}
+
+impl CellScheduler {
+    /// Returns an executor's entry with what its next renewal says.
+    pub fn plan_executor_hold(
+        &mut self,
+        id: &ExecutorId,
+        now: Millis,
+    ) -> Option<(ExecutorEntry, HoldPlan)> {
+        let plan = self.plan_hold(id, now)?;
+        let slot = self.executors.slot(id)?;
+        Some((self.executors.get(slot).entry.clone(), plan))
+    }
+
+    /// Returns where an executor listens.
+    pub fn executor_address(&self, id: &ExecutorId) -> Option<std::net::SocketAddr> {
+        let slot = self.executors.slot(id)?;
+        Some(self.executors.get(slot).entry.address)
+    }
+
+    /// Tells whether ends of an executor wait to be stored.
+    pub fn has_unstored_ends(&self, id: &ExecutorId) -> bool {
+        self.executors.slot(id).is_some_and(|slot| {
+            let executor = self.executors.get(slot);
+            executor.seen_through > executor.stored_through
+        })
+    }
+}
--- /dev/null
+++ b/crates/magnolia-scheduler/src/rules.rs
@@ -0,0 +1,104 @@
+//! What the operator publishes: queues and services.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use magnolia_types::{Millis, number_type, text_id, wire_types};
+
+text_id!(
+    /// A queue of the configuration.
+    QueueName
+);
+text_id!(
+    /// A group of executors.
+    ServiceName
+);
+number_type!(
+    /// Version of the operator's configuration; only rises.
+    CellVersion,
+    ""
+);
+
+wire_types! {
+    /// Cost and validity of a call for eligibility.
+    pub struct AdviceCost {
+        /// Microseconds of each call.
+        pub base_us: u64,
+        /// Further microseconds for each executor named.
+        pub per_executor_us: u64,
+        /// Time for which a ticket is valid.
+        pub valid: Millis,
+    }
+
+    /// Rules of a queue.
+    pub struct QueueRules {
+        /// Name of the queue.
+        pub name: QueueName,
+        /// Host under which callers reach it.
+        pub host: Arc<str>,
+        /// Path under which callers reach it; a job's key follows.
+        pub path: Arc<str>,
+        /// Executors that run its tasks.
+        pub service: ServiceName,
+        /// Urgency; 0 comes first.
+        pub priority: u32,
+        /// Failed runs of a task until its job has failed.
+        pub max_attempts: u32,
+        /// Objective of a job, as a multiple of its longest chain of work, in thousandths.
+        pub stretch_permille: u64,
+        /// Time added to the objective.
+        pub latency_target: Millis,
+        /// Cost of eligibility, when the queue needs it.
+        pub advice: Option<AdviceCost>,
+    }
+
+    /// Rules of a service.
+    pub struct ServiceRules {
+        /// Whether its executors refuse starts beyond their capacity.
+        pub guards_capacity: bool,
+        /// Whether its machines are off until they are moved elsewhere.
+        pub standby: bool,
+    }
+}
+
+/// One version of the configuration.
+#[derive(Clone, Debug, PartialEq, Default)]
+pub struct CellRules {
+    /// Version.
+    pub version: CellVersion,
+    /// Queues by name.
+    pub queues: BTreeMap<QueueName, Arc<QueueRules>>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceName, ServiceRules>,
+    /// Largest body of a caller's request, in bytes.
+    pub max_body_bytes: u64,
+}
+
+impl CellRules {
+    /// Returns the queue that callers reach under a host and path: that with the longest path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<QueueRules>> {
+        let matching =
+            |queue: &&Arc<QueueRules>| *queue.host == *host && path.starts_with(&*queue.path);
+        let queues = self.queues.values().filter(matching);
+        queues.max_by_key(|queue| queue.path.len())
+    }
+}
+
+impl QueueRules {
+    /// Returns the time within which a job of this queue counts as on time.
+    pub fn objective(&self, chain: Millis) -> Millis {
+        let stretched = chain.get().saturating_mul(self.stretch_permille) / 1000;
+        self.latency_target.saturating_add(Millis::new(stretched))
+    }
+}
+
+impl AdviceCost {
+    /// Returns the time that the service takes for a call naming `executors`.
+    pub fn call_time(&self, executors: usize) -> Millis {
+        let named = u64::try_from(executors).unwrap_or(u64::MAX);
+        let total = self
+            .base_us
+            .saturating_add(self.per_executor_us.saturating_mul(named));
+        Millis::new(total.div_ceil(1000))
+    }
+}
--- /dev/null
+++ b/crates/magnolia-scheduler/src/settings.rs
@@ -0,0 +1,74 @@
+//! Bounds and weights of the scheduler.
+
+use magnolia_types::Millis;
+
+/// Bounds and weights; times of the deployment come from its settings file.
+#[derive(Clone, Debug)]
+pub struct SchedulerSettings {
+    /// Longest lease that an executor grants; from the settings file.
+    pub max_lease: Millis,
+    /// Lease that each renewal asks for: long enough to outlast a change of owner.
+    pub lease: Millis,
+    /// Time for which an ended job is remembered; from the settings file.
+    pub ended_retention: Millis,
+    /// Longest time of a stop; from the settings file.
+    pub stop_grace: Millis,
+    /// Longest time of one wait for ends at an executor; the platform's bound.
+    pub hold_wait: Millis,
+    /// Share of each executor, in thousandths, that only the most urgent work uses.
+    pub urgent_reserve_permille: u64,
+    /// Time without progress after which a run counts as hung: several reporting intervals.
+    pub hang_limit: Millis,
+    /// Latest execution of an order that got no answer; the platform's bound.
+    pub late_order_limit: Millis,
+    /// Time after which an owner without store and peers stops renewing leases.
+    pub isolation_limit: Millis,
+    /// Progress lost where data are on another rack, in thousandths; from the settings file.
+    pub remote_factor_permille: u64,
+}
+
+impl SchedulerSettings {
+    /// Creates the default bounds for a longest lease.
+    pub fn new(max_lease: Millis) -> Self {
+        Self {
+            max_lease,
+            lease: Millis::new(max_lease.get() * 3 / 4),
+            ended_retention: Millis::from_secs(120),
+            stop_grace: Millis::new(200),
+            hold_wait: Millis::new(1000),
+            urgent_reserve_permille: 80,
+            hang_limit: Millis::new(1500),
+            late_order_limit: Millis::from_secs(12),
+            isolation_limit: Millis::from_secs(2),
+            remote_factor_permille: 2000,
+        }
+    }
+
+    /// Sets the time for which an ended job is remembered.
+    #[must_use]
+    pub fn with_ended_retention(mut self, retention: Millis) -> Self {
+        self.ended_retention = retention;
+        self
+    }
+
+    /// Sets the longest time of a stop.
+    #[must_use]
+    pub fn with_stop_grace(mut self, grace: Millis) -> Self {
+        self.stop_grace = grace;
+        self
+    }
+
+    /// Sets how many times as long a task takes away from its data.
+    #[must_use]
+    pub fn with_remote_factor(mut self, factor: f64) -> Self {
+        self.remote_factor_permille = (factor.max(1.0) * 1000.0) as u64;
+        self
+    }
+
+    /// Returns the time after a change of owner from which an executor that could not be asked
+    /// holds no lease of an earlier owner, by a clock that runs up to 2% slow.
+    pub fn takeover_wait(&self) -> Millis {
+        let lease = self.max_lease.get() * 102 / 100;
+        self.isolation_limit.saturating_add(Millis::new(lease))
+    }
+}
