--- a/crates/magnolia-node/src/callers.rs
+++ b/crates/magnolia-node/src/callers.rs
@@ -69,6 +69,17 @@
     }
 }
 
+/// What a session of ownership made of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum ServeOutcome {
+    /// The final answer.
+    Answered(CallerAnswer),
+    /// Nothing was done; another daemon has to be asked.
+    Elsewhere,
+    /// Ownership ended before the outcome was known; the next owner knows it.
+    Unsettled,
+}
+
 impl CallerRequest {
     /// Returns the job, for logs.
     pub fn key(&self) -> Option<JobKey> {
--- a/crates/magnolia-node/src/committer.rs
+++ b/crates/magnolia-node/src/committer.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use magnolia_scheduler::{JobKey, JobRecord, StoreBatch};
 use magnolia_types::{Epoch, Millis};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::sleep;
@@ -17,18 +18,50 @@
 const MAX_REPEAT_PAUSE: Duration = Duration::from_millis(400);
 /// Shortest time between two calls: gathers submissions and ends, whose objectives are 250 ms.
 const COMMIT_GAP: Duration = Duration::from_millis(8);
+/// Time from which the store counts as away after a call failed: beyond its usual answer of 5 ms and
+/// one repeat, and within the objective of an urgent job.
+const FAILED_LIMIT: Millis = Millis::new(120);
+/// Time from which the store counts as away without an answer: a slow store takes some 400 ms.
+const SILENT_LIMIT: Millis = Millis::new(700);
 /// Most bytes of records in one call, below the platform's bound.
 const MAX_CALL_BYTES: usize = 1 << 20;
 
 /// Key of the record that an owner writes first.
 const EPOCH_KEY: &str = "epoch";
 
+/// What became of something to store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StoreOutcome {
+    /// It is stored.
+    Stored,
+    /// It was never sent and never will be.
+    Withdrawn,
+    /// Ownership ended; the next owner knows.
+    Abandoned,
+}
+
+/// A call to the store without an outcome.
+#[derive(Clone, Copy, Debug)]
+struct OpenCall {
+    since: Millis,
+    /// Whether a try failed.
+    failed: bool,
+}
+
+/// Who waits for the next batch.
+struct StoreWaiter {
+    submission: Option<JobKey>,
+    sender: oneshot::Sender<StoreOutcome>,
+}
+
 /// Writer of the jobs' stream.
 pub(crate) struct Committer {
     epoch: Epoch,
     sequence: AtomicU64,
     wanted: Notify,
-    waiters: Mutex<Vec<oneshot::Sender<()>>>,
+    waiters: Mutex<Vec<StoreWaiter>>,
+    /// The call to the store that has no outcome yet.
+    open_call: Mutex<Option<OpenCall>>,
     /// Number of batches stored.
     stored: watch::Sender<u64>,
 }
@@ -40,6 +73,7 @@
             sequence: AtomicU64::new(0),
             wanted: Notify::new(),
             waiters: Mutex::default(),
+            open_call: Mutex::new(None),
             stored: watch::Sender::new(0),
         }
     }
@@ -49,12 +83,52 @@
         self.wanted.notify_one();
     }
 
-    /// Waits until everything decided so far is stored; false when ownership ends before.
-    pub(crate) async fn stored(&self) -> bool {
+    /// Waits until everything decided so far is stored; `submission` names a job that may be
+    /// withdrawn instead.
+    pub(crate) async fn stored(&self, submission: Option<JobKey>) -> StoreOutcome {
         let (sender, receiver) = oneshot::channel();
-        self.lock_waiters().push(sender);
+        self.lock_waiters().push(StoreWaiter { submission, sender });
         self.want();
-        receiver.await.is_ok()
+        receiver.await.unwrap_or(StoreOutcome::Abandoned)
+    }
+
+    /// Returns for how long the store has been away, as far as this writer can tell.
+    pub(crate) fn away_for(&self, now: Millis) -> Option<Millis> {
+        let call = (*self.lock_call())?;
+        let lasted = now.saturating_sub(call.since);
+        let limit = if call.failed {
+            FAILED_LIMIT
+        } else {
+            SILENT_LIMIT
+        };
+        (lasted >= limit).then_some(lasted)
+    }
+
+    fn lock_call(&self) -> std::sync::MutexGuard<'_, Option<OpenCall>> {
+        self.open_call
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Withdraws the submissions that no call has carried, when the store is away.
+    pub(crate) fn withdraw_unsent(&self, session: &OwnerSession) {
+        if self.away_for(session.now()).is_none() {
+            return;
+        }
+        let waiters = std::mem::take(&mut *self.lock_waiters());
+        let mut kept = Vec::new();
+        for waiter in waiters {
+            let withdrawn = waiter
+                .submission
+                .is_some_and(|key| session.lock().withdraw(key));
+            if withdrawn {
+                // A caller that left does not wait any more.
+                waiter.sender.send(StoreOutcome::Withdrawn).ok();
+            } else {
+                kept.push(waiter);
+            }
+        }
+        self.lock_waiters().append(&mut kept);
     }
 
     /// Returns a receiver of the number of stored batches.
@@ -67,7 +141,7 @@
         self.lock_waiters().clear();
     }
 
-    fn lock_waiters(&self) -> std::sync::MutexGuard<'_, Vec<oneshot::Sender<()>>> {
+    fn lock_waiters(&self) -> std::sync::MutexGuard<'_, Vec<StoreWaiter>> {
         self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -88,10 +162,15 @@
             sequence,
         };
         let mut pause = REPEAT_PAUSE;
+        *self.lock_call() = Some(OpenCall {
+            since: session.now(),
+            failed: false,
+        });
         loop {
             let store = &session.node.store;
             match store.append(StreamName::Jobs, records, condition).await {
                 Ok(AppendOutcome::Stored { .. }) => {
+                    *self.lock_call() = None;
                     self.sequence.store(sequence + 1, Ordering::SeqCst);
                     return true;
                 }
@@ -110,6 +189,10 @@
                 }
                 Err(error) => log::debug!(error:% = error; "append has no outcome; repeating"),
             }
+            if let Some(call) = &mut *self.lock_call() {
+                call.failed = true;
+            }
+            self.withdraw_unsent(session);
             sleep(pause).await;
             pause = (pause * 2).min(MAX_REPEAT_PAUSE);
         }
@@ -137,19 +220,13 @@
         finish(&session, batch, started);
         waiters.into_iter().for_each(|waiter| {
             // A caller that left does not wait any more.
-            waiter.send(()).ok();
+            waiter.sender.send(StoreOutcome::Stored).ok();
         });
         sleep(COMMIT_GAP).await;
     }
 }
 
-async fn store_records(
-    session: &OwnerSession,
-    jobs: &[(
-        magnolia_scheduler::JobKey,
-        Option<magnolia_scheduler::JobRecord>,
-    )],
-) -> bool {
+async fn store_records(session: &OwnerSession, jobs: &[(JobKey, Option<JobRecord>)]) -> bool {
     let mut records = Vec::with_capacity(jobs.len());
     let mut bytes = 0;
     for (key, job) in jobs {
@@ -169,7 +246,7 @@
     records.is_empty() || session.committer.append(session, &records).await
 }
 
-fn finish(session: &Arc<OwnerSession>, batch: magnolia_scheduler::StoreBatch, started: Millis) {
+fn finish(session: &Arc<OwnerSession>, batch: StoreBatch, started: Millis) {
     let now = session.now();
     let metrics = &session.node.metrics;
     if !batch.records.is_empty() {
--- a/crates/magnolia-node/src/executor_loop.rs
+++ b/crates/magnolia-node/src/executor_loop.rs
@@ -16,6 +16,9 @@
 const STORE_WAIT: Duration = Duration::from_millis(600);
 /// Pause between renewals while ends are not stored.
 const UNSTORED_PAUSE: Duration = Duration::from_millis(300);
+/// Refused connections in a row from which the executor's process counts as gone; one may come from
+/// a listener that is being replaced.
+const REFUSALS_UNTIL_GONE: u32 = 2;
 /// Pause after a failed renewal.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed renewals.
@@ -40,6 +43,7 @@
 
 async fn hold_executor(session: Arc<OwnerSession>, id: ExecutorId) {
     let mut failures = 0u32;
+    let mut refusals = 0u32;
     let mut batches = session.committer.batches();
     loop {
         if session.is_isolated() {
@@ -52,17 +56,17 @@
         };
         match hold_once(&session, &entry, &plan).await {
             Ok(true) => {
-                failures = 0;
+                (failures, refusals) = (0, 0);
                 // The next renewal acknowledges the ends, which have to be stored first.
                 if timeout(STORE_WAIT, batches.changed()).await.is_err() {
                     sleep(UNSTORED_PAUSE).await;
                 }
                 sleep(GATHER_PAUSE).await;
             }
-            Ok(false) => failures = 0,
+            Ok(false) => (failures, refusals) = (0, 0),
             Err(error) => {
                 failures += 1;
-                on_failure(&session, &entry, &error, failures);
+                on_failure(&session, &entry, &error, failures, &mut refusals);
                 let pause = FAILURE_PAUSE * failures.min(6);
                 sleep(pause.min(MAX_FAILURE_PAUSE)).await;
             }
@@ -110,16 +114,29 @@
     entry: &ExecutorEntry,
     error: &OrderError,
     failures: u32,
+    refusals: &mut u32,
 ) {
     if *error == OrderError::Fenced {
         session.lock().apply_fenced();
         session.close("an executor has seen a later epoch");
         return;
     }
-    if failures == 1 {
+    if *error == OrderError::NoProcess {
+        *refusals += 1;
+    } else {
+        *refusals = 0;
+    }
+    if *refusals >= REFUSALS_UNTIL_GONE {
+        session.lock().apply_gone(&entry.id, session.now());
+        session.want_plan();
+    }
+    if failures <= 2 {
         log::info!(executor:% = entry.id, error:% = error; "executor does not answer");
     }
-    let gone = matches!(error, OrderError::NotSent(_) | OrderError::OtherExecutor);
+    let gone = matches!(
+        error,
+        OrderError::NoProcess | OrderError::NotSent(_) | OrderError::OtherExecutor
+    );
     if gone || failures > 1 {
         session.lock().apply_unreachable(&entry.id);
     }
--- a/crates/magnolia-node/src/inner.rs
+++ b/crates/magnolia-node/src/inner.rs
@@ -66,8 +66,10 @@
     pub(crate) enum InnerReply {
         Ping(PingReply),
         Caller(CallerAnswer),
-        /// The receiver does not own the cell.
+        /// The receiver does not own the cell and did nothing.
         NotOwner,
+        /// The receiver lost ownership before it knew the outcome.
+        Unsettled,
         Advice(Option<EligibilityAnswer>),
         Appended(Result<AppendOutcome, StoreError>),
         Newest(Result<NewestPage, StoreError>),
--- a/crates/magnolia-node/src/node.rs
+++ b/crates/magnolia-node/src/node.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::sleep;
 
-use crate::callers::{CallerAnswer, CallerCall, CallerRequest};
+use crate::callers::{CallerAnswer, CallerCall, CallerRequest, ServeOutcome};
 use crate::clock::NodeClock;
 use crate::inner::{InnerCall, InnerReply, PingCall, PingReply, RulesCopy};
 use crate::membership::{CellView, MemberRecord, OwnerClaim, claim_record, member_record};
@@ -28,15 +28,15 @@
 use crate::settings::NodeSettings;
 
 /// Time between two signs of life to the owner by the daemons next in line.
-const PING_INTERVAL: Duration = Duration::from_millis(250);
+const PING_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two signs of life by the others.
 const SLOW_PING_INTERVAL: Duration = Duration::from_millis(700);
 /// Daemons that watch the owner closely.
 const CLOSE_WATCHERS: usize = 3;
 /// Longest answer to a sign of life: many round trips, also on a slow instance.
-const PING_LIMIT: Duration = Duration::from_millis(500);
+const PING_LIMIT: Duration = Duration::from_millis(300);
 /// Silence of the owner after which the next in line claims.
-const SILENCE_LIMIT: Millis = Millis::new(900);
+const SILENCE_LIMIT: Millis = Millis::new(600);
 /// Head start of each daemon before the one after it in line.
 const RANK_DELAY: Millis = Millis::new(300);
 /// Longest wait of the follower for a record of the cell's stream.
@@ -276,6 +276,8 @@
         news.heard_at = now;
         news.refused = false;
         drop(news);
+        // The new owner sends calls for eligibility only through daemons that it has heard from.
+        self.owner_lost.notify_one();
         let mut slot = self.session.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(session) = slot.as_ref()
             && session.epoch() < claim.epoch
@@ -575,11 +577,15 @@
     ) -> Option<CallerAnswer> {
         if let Some(session) = self.session() {
             let limit = left.into();
-            let answer = tokio::time::timeout(limit, session.serve(request)).await;
-            return answer.unwrap_or_else(|_| {
-                *passed_on = true;
-                None
-            });
+            let outcome = tokio::time::timeout(limit, session.serve(request)).await;
+            return match outcome {
+                Ok(ServeOutcome::Answered(answer)) => Some(answer),
+                Ok(ServeOutcome::Elsewhere) => None,
+                Ok(ServeOutcome::Unsettled) | Err(_) => {
+                    *passed_on = true;
+                    None
+                }
+            };
         }
         let claim = self.cell.borrow().owner.clone()?;
         if claim.member.incarnation == self.incarnation {
@@ -597,6 +603,10 @@
         match reply {
             Ok(InnerReply::Caller(answer)) => Some(answer),
             Ok(InnerReply::NotOwner) => None,
+            Ok(InnerReply::Unsettled) => {
+                *passed_on = true;
+                None
+            }
             Ok(other) => {
                 log::warn!(reply:? = other; "unexpected reply to a caller's request");
                 None
@@ -615,10 +625,11 @@
         match call {
             InnerCall::Ping(ping) => InnerReply::Ping(self.answer_ping(&ping)),
             InnerCall::Caller(call) => match self.session() {
-                Some(session) => {
-                    let answer = session.serve(&call.request).await;
-                    answer.map_or(InnerReply::NotOwner, InnerReply::Caller)
-                }
+                Some(session) => match session.serve(&call.request).await {
+                    ServeOutcome::Answered(answer) => InnerReply::Caller(answer),
+                    ServeOutcome::Elsewhere => InnerReply::NotOwner,
+                    ServeOutcome::Unsettled => InnerReply::Unsettled,
+                },
                 None => InnerReply::NotOwner,
             },
             InnerCall::Advise(call) => {
--- a/crates/magnolia-node/src/peers.rs
+++ b/crates/magnolia-node/src/peers.rs
@@ -1,7 +1,6 @@
 //! Calls to other daemons.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -68,8 +67,3 @@
         .insert(header::CONTENT_TYPE, MESSAGE_TYPE);
     response
 }
-
-/// Text of an error, for errors that travel.
-pub(crate) fn error_text(error: &dyn std::fmt::Display) -> Arc<str> {
-    error.to_string().into()
-}
--- a/crates/magnolia-node/src/ports.rs
+++ b/crates/magnolia-node/src/ports.rs
@@ -144,6 +144,9 @@
     /// Another executor answers at the address.
     #[error("another executor answers at the address")]
     OtherExecutor,
+    /// No process listens at the address.
+    #[error("no process listens at the address")]
+    NoProcess,
     /// The order certainly did not arrive.
     #[error("order not sent: {0}")]
     NotSent(Arc<str>),
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -214,6 +214,20 @@
         total.saturating_sub(held)
     }
 
+    /// Forgets a submission that was never part of a batch; returns whether none is left.
+    pub fn withdraw(&mut self, key: JobKey) -> bool {
+        let Some(job) = self.jobs.get(&key) else {
+            return true;
+        };
+        let unsent = !job.stored && !job.sent;
+        if unsent {
+            self.dirty.remove(&key);
+            self.jobs.remove(&key);
+            self.live.remove(&key);
+        }
+        unsent
+    }
+
     /// Cancels a job; `None` when it is not known. Returns whether the cancellation is stored.
     pub fn cancel(&mut self, key: JobKey, now: Millis) -> Option<bool> {
         let job = self.jobs.get(&key)?;
@@ -226,6 +240,11 @@
         Some(false)
     }
 
+    /// Tells whether a job was accepted and not forgotten, stored or not.
+    pub fn knows(&self, key: JobKey) -> bool {
+        self.jobs.contains_key(&key)
+    }
+
     /// Returns what callers are told of a job.
     pub fn status(&self, key: JobKey) -> Option<JobStatus> {
         let job = self.jobs.get(&key)?;
@@ -268,6 +287,7 @@
             if job.ending.is_none() && job.is_seen_done() {
                 job.ending = Some(JobStatus::Completed);
             }
+            job.sent = true;
             batch.records.push((key, Some(job.record(now_unix_ms))));
         }
         batch.done = std::mem::take(&mut self.done_seen);
--- a/crates/magnolia-scheduler/src/job.rs
+++ b/crates/magnolia-scheduler/src/job.rs
@@ -46,6 +46,8 @@
     pub(crate) ending: Option<JobStatus>,
     /// Outcome that is stored, with the time of its decision.
     pub(crate) ended: Option<(JobStatus, u64)>,
+    /// Whether a call to the store has carried the job.
+    pub(crate) sent: bool,
     /// Whether the acceptance is stored.
     pub(crate) stored: bool,
     /// Position among the waiting, in Unix milliseconds.
@@ -65,6 +67,7 @@
             inherited: false,
             ending: None,
             ended: None,
+            sent: false,
             stored: false,
         }
     }
@@ -80,6 +83,7 @@
             inherited: false,
             ending: Some(ended.status),
             ended: Some((ended.status, ended.ended_unix_ms)),
+            sent: true,
             stored: true,
         }
     }
@@ -117,11 +121,6 @@
         self.occurrences.push(OccurrenceState { steps });
     }
 
-    pub(crate) fn is_timed(&self) -> bool {
-        let spec = self.spec.as_ref();
-        spec.is_some_and(|spec| spec.recurrence.is_some())
-    }
-
     /// Returns what callers are told.
     pub(crate) fn status(&self) -> JobStatus {
         match self.ended {
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -76,7 +76,13 @@
         if !executor.listed && executor.runs.is_empty() {
             return None;
         }
-        let lease_until = executor.lease.until_after(lease, now);
+        // A renewal without an answer may have arrived: a silent executor is only asked, so that its
+        // lease runs out at a known time.
+        let lease_until = if executor.is_heard(now) {
+            executor.lease.until_after(lease, now)
+        } else {
+            None
+        };
         if let Some(until) = lease_until {
             executor.lease.grant(until);
         }
@@ -324,7 +330,21 @@
         self.superseded = true;
     }
 
-    /// Takes the news that an executor refuses connections or answers as another life.
+    /// Takes the news that no process listens at an executor's address any more: nothing runs there.
+    pub fn apply_gone(&mut self, id: &ExecutorId, now: Millis) {
+        let Some(slot) = self.executors.slot(id) else {
+            return;
+        };
+        let executor = self.executors.get_mut(slot);
+        executor.heard_at = None;
+        executor.settled = true;
+        if !executor.runs.is_empty() {
+            log::info!(executor:% = id; "executor process is gone; its runs are lost");
+            self.lose_runs(slot, now);
+        }
+    }
+
+    /// Takes the news that an executor can't be reached or answers as another life.
     pub fn apply_unreachable(&mut self, id: &ExecutorId) {
         if let Some(slot) = self.executors.slot(id) {
             self.executors.get_mut(slot).heard_at = None;
--- a/crates/magnolia-scheduler/src/settings.rs
+++ b/crates/magnolia-scheduler/src/settings.rs
@@ -32,7 +32,7 @@
     pub fn new(max_lease: Millis) -> Self {
         Self {
             max_lease,
-            lease: Millis::new(max_lease.get() * 3 / 4),
+            lease: Millis::new(max_lease.get() * 3 / 5),
             ended_retention: Millis::from_secs(120),
             stop_grace: Millis::new(200),
             hold_wait: Millis::new(1000),
