Store which executors are in use

Now the owner stores which executors are in use, before it starts anything there, and takes them out again once nothing can run on them. A new owner waits for exactly these, and one lease at most once all recent owners are known to give no orders.

--- a/crates/magnolia-node/src/committer.rs
+++ b/crates/magnolia-node/src/committer.rs
@@ -4,12 +4,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use magnolia_scheduler::{JobKey, JobRecord, StoreBatch};
+use magnolia_scheduler::{JobKey, StoreBatch};
 use magnolia_types::{Epoch, Millis};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::sleep;
 
-use crate::owner::{OwnerSession, job_record};
+use crate::owner::{OwnerSession, executor_record, job_record};
 use crate::ports::{AppendCondition, AppendOutcome, StoreError, StreamName, StreamRecord};
 
 /// Pause before a call to the store is repeated.
@@ -214,7 +214,7 @@
             scheduler.begin_batch(unix_ms)
         };
         let started = session.now();
-        if !store_records(&session, &batch.records).await {
+        if !store_records(&session, &batch).await {
             return;
         }
         finish(&session, batch, started);
@@ -226,13 +226,18 @@
     }
 }
 
-async fn store_records(session: &OwnerSession, jobs: &[(JobKey, Option<JobRecord>)]) -> bool {
-    let mut records = Vec::with_capacity(jobs.len());
+async fn store_records(session: &OwnerSession, batch: &StoreBatch) -> bool {
+    let jobs = batch
+        .records
+        .iter()
+        .filter_map(|(key, job)| job_record(*key, job.as_ref()));
+    let executors = batch
+        .executors
+        .iter()
+        .filter_map(|(id, entry)| executor_record(id, entry.as_ref()));
+    let mut records = Vec::new();
     let mut bytes = 0;
-    for (key, job) in jobs {
-        let Some(record) = job_record(*key, job.as_ref()) else {
-            continue;
-        };
+    for record in executors.chain(jobs) {
         bytes += record.key.len() + record.value.len();
         records.push(record);
         if bytes > MAX_CALL_BYTES {
@@ -249,7 +254,7 @@
 fn finish(session: &Arc<OwnerSession>, batch: StoreBatch, started: Millis) {
     let now = session.now();
     let metrics = &session.node.metrics;
-    if !batch.records.is_empty() {
+    if !batch.records.is_empty() || !batch.executors.is_empty() {
         metrics.count("store_appends");
         let records = u64::try_from(batch.records.len()).unwrap_or(0);
         metrics.add("store_records", records);
--- a/crates/magnolia-node/src/executor_loop.rs
+++ b/crates/magnolia-node/src/executor_loop.rs
@@ -28,6 +28,8 @@
 
 /// Starts loops for executors that have none.
 pub(crate) fn ensure_loops(session: &Arc<OwnerSession>) {
+    // An executor is used only once the store holds that it is in use.
+    session.committer.want();
     let entries = session.lock().held_executors();
     for entry in entries {
         let mut loops = session
--- a/crates/magnolia-node/src/inner.rs
+++ b/crates/magnolia-node/src/inner.rs
@@ -82,6 +82,8 @@
 
     /// What the owner says of itself.
     pub(crate) struct PingReply {
+        /// Run of the receiver's process.
+        pub(crate) incarnation: Incarnation,
         /// Epoch that the receiver owns, if any.
         pub(crate) owned: Option<Epoch>,
         /// Whether the receiver stops soon.
--- a/crates/magnolia-node/src/membership.rs
+++ b/crates/magnolia-node/src/membership.rs
@@ -27,6 +27,44 @@
         pub epoch: Epoch,
         /// The claimant.
         pub member: MemberRecord,
+        /// Claims replaced lately, whose leases may not have run out.
+        pub earlier: Vec<EarlierClaim>,
+    }
+
+    /// A claim that was replaced.
+    pub struct EarlierClaim {
+        /// Its epoch.
+        pub epoch: Epoch,
+        /// Its claimant.
+        pub member: MemberRecord,
+        /// When it was replaced, in Unix milliseconds.
+        pub replaced_unix_ms: u64,
+    }
+}
+
+/// Time for which a replaced claim is remembered: twice the time after which an executor that can't
+/// be asked is given up, since times of day differ.
+const EARLIER_KEPT_MS: u64 = 20_000;
+
+impl OwnerClaim {
+    /// Creates the claim that follows `last`.
+    pub fn new(member: MemberRecord, last: Option<&OwnerClaim>, now_unix_ms: u64) -> Self {
+        let recent = |earlier: &&EarlierClaim| {
+            now_unix_ms.saturating_sub(earlier.replaced_unix_ms) < EARLIER_KEPT_MS
+        };
+        let earlier = last.iter().flat_map(|last| last.earlier.iter());
+        let mut earlier: Vec<EarlierClaim> = earlier.filter(recent).cloned().collect();
+        earlier.extend(last.map(|last| EarlierClaim {
+            epoch: last.epoch,
+            member: last.member.clone(),
+            replaced_unix_ms: now_unix_ms,
+        }));
+        let epoch = last.map_or(0, |last| last.epoch.get()) + 1;
+        Self {
+            epoch: Epoch::new(epoch),
+            member,
+            earlier,
+        }
     }
 }
 
@@ -100,14 +138,6 @@
     Ok(StreamRecord { key, value })
 }
 
-/// Makes the record that drops a member.
-pub(crate) fn member_removal(name: &DaemonId) -> StreamRecord {
-    StreamRecord {
-        key: format!("{MEMBER_PREFIX}{name}").into(),
-        value: Vec::new(),
-    }
-}
-
 /// Makes the record of a claim.
 pub(crate) fn claim_record(claim: &OwnerClaim) -> Result<StreamRecord, rmp_serde::encode::Error> {
     let value = rmp_serde::to_vec(claim)?;
--- a/crates/magnolia-node/src/node.rs
+++ b/crates/magnolia-node/src/node.rs
@@ -16,7 +16,9 @@
 use crate::callers::{CallerAnswer, CallerCall, CallerRequest, ServeOutcome};
 use crate::clock::NodeClock;
 use crate::inner::{InnerCall, InnerReply, PingCall, PingReply, RulesCopy};
-use crate::membership::{CellView, MemberRecord, OwnerClaim, claim_record, member_record};
+use crate::membership::{
+    CellView, EarlierClaim, MemberRecord, OwnerClaim, claim_record, member_record,
+};
 use crate::metrics::NodeMetrics;
 use crate::owner::OwnerSession;
 use crate::peers::{PeerClient, reply_response};
@@ -444,13 +446,12 @@
         if self.is_stopping() {
             return;
         }
-        let (epoch, next) = {
+        let (claim, next) = {
             let view = self.cell.borrow();
-            let last = view.owner.as_ref().map_or(0, |claim| claim.epoch.get());
-            (Epoch::new(last + 1), view.next)
+            let claim = OwnerClaim::new(self.member(), view.owner.as_ref(), self.clock.unix_ms());
+            (claim, view.next)
         };
-        let member = self.member();
-        let claim = OwnerClaim { epoch, member };
+        let epoch = claim.epoch;
         let record = match claim_record(&claim) {
             Ok(record) => record,
             Err(error) => {
@@ -649,6 +650,30 @@
         }
     }
 
+    /// Tells whether the claimant gives orders no more: its process is gone, or it says so.
+    pub(crate) async fn has_ended(&self, claim: &EarlierClaim) -> bool {
+        let member = &claim.member;
+        if member.name == self.settings.name {
+            return member.incarnation != self.incarnation;
+        }
+        let call = InnerCall::Ping(PingCall {
+            name: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            epoch: claim.epoch,
+            stopping: self.is_stopping(),
+        });
+        let reply = self
+            .peers
+            .call(member.address, &call, PING_LIMIT, Duration::ZERO);
+        match reply.await {
+            Ok(InnerReply::Ping(reply)) => {
+                reply.incarnation != member.incarnation || reply.owned != Some(claim.epoch)
+            }
+            Ok(_) => false,
+            Err(error) => matches!(error, magnolia_http::HttpError::Refused),
+        }
+    }
+
     fn answer_ping(&self, ping: &PingCall) -> PingReply {
         let session = self.session();
         if let Some(session) = &session {
@@ -659,6 +684,7 @@
         }
         let session = session.filter(|session| !session.is_closed());
         PingReply {
+            incarnation: self.incarnation,
             owned: session.as_ref().map(|session| session.epoch()),
             stopping: self.is_stopping(),
             live: session.map_or_else(Vec::new, |session| session.live_names()),
--- a/crates/magnolia-node/src/owner.rs
+++ b/crates/magnolia-node/src/owner.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use magnolia_scheduler::{
-    CellAction, CellRules, CellScheduler, JobKey, JobRecord, JobSpec, QueueRules, ServiceName,
-    StartAnswer, SubmitOutcome,
+    CellAction, CellRules, CellScheduler, ExecutorEntry, JobKey, JobRecord, JobSpec, QueueRules,
+    ServiceName, StartAnswer, SubmitOutcome,
 };
 use magnolia_types::{DaemonId, Epoch, Millis};
 use tokio::sync::{Notify, watch};
@@ -32,6 +32,10 @@
 /// it counts whole seconds.
 const MIN_OUTAGE_RETRY: Millis = Millis::new(1000);
 const MAX_OUTAGE_RETRY: Millis = Millis::new(4000);
+/// Time for which the earlier owner is asked; unreachable executors are given up after it anyway.
+const PREDECESSOR_WATCH: Millis = Millis::new(8000);
+/// Time between two questions to the earlier owner.
+const PREDECESSOR_PAUSE: Duration = Duration::from_millis(300);
 /// Time between two passes over ended jobs.
 const FORGET_INTERVAL: Millis = Millis::new(5000);
 
@@ -134,16 +138,51 @@
         self.serving.store(true, Ordering::SeqCst);
         self.spawn(crate::inventory::follow_inventory(Arc::clone(&self)));
         self.spawn(crate::committer::run_committer(Arc::clone(&self)));
+        self.spawn(Arc::clone(&self).watch_predecessors());
         self.spawn(Arc::clone(&self).plan_loop());
         self.spawn(Arc::clone(&self).tick_loop());
     }
 
+    /// Finds out when the earlier owner gives no orders any more, for executors that can't be asked.
+    async fn watch_predecessors(self: Arc<Self>) {
+        let claim = self.node.cell.borrow().owner.clone();
+        let mut earlier = match claim {
+            Some(claim) if claim.epoch == self.epoch => claim.earlier,
+            _ => return,
+        };
+        let limit = self.now().saturating_add(PREDECESSOR_WATCH);
+        while self.now() < limit {
+            let mut open = Vec::new();
+            for claim in earlier {
+                if !self.node.has_ended(&claim).await {
+                    open.push(claim);
+                }
+            }
+            if open.is_empty() {
+                self.lock().apply_predecessor_ended(self.now());
+                log::info!(epoch:% = self.epoch; "no earlier owner gives orders any more");
+                return;
+            }
+            earlier = open;
+            sleep(PREDECESSOR_PAUSE).await;
+        }
+    }
+
     async fn load_jobs(&self) -> Result<usize, StoreError> {
         let (records, _) = self.node.store.read_all(StreamName::Jobs).await?;
         let now = self.now();
         let mut scheduler = self.lock();
         let mut loaded = 0;
         for record in &records {
+            if record.key.starts_with(EXECUTOR_PREFIX) {
+                match rmp_serde::from_slice::<ExecutorEntry>(&record.value) {
+                    Ok(entry) => scheduler.load_executor(entry, now),
+                    Err(error) => {
+                        log::error!(key = &*record.key, error:% = error; "stored executor not read");
+                    }
+                }
+                continue;
+            }
             let Ok(key) = record.key.parse::<JobKey>() else {
                 continue;
             };
@@ -471,6 +510,26 @@
     ServiceName::new("none").expect("valid name")
 }
 
+/// Prefix of the keys of executors in use.
+const EXECUTOR_PREFIX: &str = "executor/";
+
+/// Makes the record of an executor that comes into use, or goes out of it.
+pub(crate) fn executor_record(
+    id: &magnolia_types::ExecutorId,
+    entry: Option<&ExecutorEntry>,
+) -> Option<StreamRecord> {
+    let value = match entry.map(rmp_serde::to_vec) {
+        None => Vec::new(),
+        Some(Ok(value)) => value,
+        Some(Err(error)) => {
+            log::error!(executor:% = id, error:% = error; "executor not stored");
+            return None;
+        }
+    };
+    let key = format!("{EXECUTOR_PREFIX}{id}").into();
+    Some(StreamRecord { key, value })
+}
+
 /// Makes the record of a job.
 pub(crate) fn job_record(key: JobKey, job: Option<&JobRecord>) -> Option<StreamRecord> {
     let value = match job.map(JobRecord::encode) {
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -12,8 +12,8 @@
 use crate::record::JobRecord;
 use crate::step::TaskPhase;
 use crate::{
-    CellAction, CellRules, ExecutorLife, JobKey, JobSpec, JobStatus, QueueName, QueueRules,
-    SchedulerSettings, StepRef, TaskRef,
+    CellAction, CellRules, ExecutorEntry, ExecutorLife, JobKey, JobSpec, JobStatus, QueueName,
+    QueueRules, SchedulerSettings, StepRef, TaskRef,
 };
 
 /// Position of a step among those that can start tasks.
@@ -43,6 +43,8 @@
 pub struct StoreBatch {
     /// Key and record; no record drops the key.
     pub records: Vec<(JobKey, Option<JobRecord>)>,
+    /// Executors that come into use, or go out of it.
+    pub executors: Vec<(ExecutorId, Option<ExecutorEntry>)>,
     /// Ends of executors that the batch covers.
     ends: Vec<(Slot, ExecutorLife, u64)>,
     /// Tasks that ended well.
@@ -64,7 +66,7 @@
     pub active_runs: usize,
     /// Executors that take work.
     pub usable_executors: usize,
-    /// Executors that have not seen this epoch.
+    /// Executors in use by an earlier owner that have not seen this epoch.
     pub unsettled_executors: usize,
     /// Processors reserved, in thousandths.
     pub used_cpu: u64,
@@ -86,6 +88,7 @@
     pub(crate) eligible_share: HashMap<QueueName, f64>,
     pub(crate) actions: Vec<CellAction>,
     dirty: BTreeSet<JobKey>,
+    dirty_executors: BTreeSet<Slot>,
     pub(crate) done_seen: Vec<TaskRef>,
     /// Whether an executor rejected the epoch.
     pub(crate) superseded: bool,
@@ -111,6 +114,7 @@
             eligible_share: HashMap::new(),
             actions: Vec::new(),
             dirty: BTreeSet::new(),
+            dirty_executors: BTreeSet::new(),
             done_seen: Vec::new(),
             superseded: false,
             preempted: BTreeMap::new(),
@@ -263,6 +267,10 @@
         std::mem::take(&mut self.actions)
     }
 
+    pub(crate) fn mark_executor(&mut self, slot: Slot) {
+        self.dirty_executors.insert(slot);
+    }
+
     pub(crate) fn mark_dirty(&mut self, key: JobKey) {
         self.dirty.insert(key);
     }
@@ -270,6 +278,7 @@
     /// Tells whether anything waits to be stored.
     pub fn has_unstored(&self) -> bool {
         !self.dirty.is_empty()
+            || !self.dirty_executors.is_empty()
             || self
                 .executors
                 .iter()
@@ -290,6 +299,11 @@
             job.sent = true;
             batch.records.push((key, Some(job.record(now_unix_ms))));
         }
+        for slot in std::mem::take(&mut self.dirty_executors) {
+            let executor = self.executors.get(slot);
+            let entry = executor.in_use.then(|| executor.entry.clone());
+            batch.executors.push((executor.entry.id.clone(), entry));
+        }
         batch.done = std::mem::take(&mut self.done_seen);
         batch.ends = self
             .executors
@@ -302,6 +316,11 @@
 
     /// Applies what the storing of a batch proves; returns the jobs whose end it stored.
     pub fn finish_batch(&mut self, batch: StoreBatch, now: Millis) -> Vec<(JobKey, JobStatus)> {
+        for (id, entry) in batch.executors {
+            if let Some(slot) = self.executors.slot(&id) {
+                self.executors.get_mut(slot).stored_in_use = entry.is_some();
+            }
+        }
         for (slot, life, through) in batch.ends {
             let executor = self.executors.get_mut(slot);
             if executor.entry.life == life {
@@ -372,7 +391,7 @@
                 summary.total_cpu += executor.entry.capacity.cpu_millis.get();
             }
             summary.usable_executors += usize::from(executor.takes_work(now));
-            summary.unsettled_executors += usize::from(!executor.settled);
+            summary.unsettled_executors += usize::from(executor.blocks_inherited());
         }
         summary
     }
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -134,6 +134,12 @@
     pub(crate) lease: ExecutorLease,
     /// Whether it has seen this owner's epoch, so that older orders do nothing there.
     pub(crate) settled: bool,
+    /// Whether an earlier owner may have started tasks there.
+    pub(crate) inherited: bool,
+    /// Whether it is in use, which the next owner has to know.
+    pub(crate) in_use: bool,
+    /// Whether the store holds that it is in use.
+    pub(crate) stored_in_use: bool,
     /// From when on nothing of an earlier owner can run there although it was never asked.
     pub(crate) settles_at: Millis,
     /// When it last answered.
@@ -163,6 +169,9 @@
             listed: true,
             lease: ExecutorLease::default(),
             settled: false,
+            inherited: false,
+            in_use: false,
+            stored_in_use: false,
             settles_at: Millis::new(u64::MAX),
             heard_at: None,
             runs: BTreeMap::new(),
@@ -178,6 +187,16 @@
         }
     }
 
+    /// Tells whether a renewal has to reach it.
+    pub(crate) fn wants_hold(&self) -> bool {
+        self.listed || !self.runs.is_empty() || self.blocks_inherited()
+    }
+
+    /// Tells whether tasks of an earlier owner may run there unseen.
+    pub(crate) fn blocks_inherited(&self) -> bool {
+        self.inherited && !self.settled
+    }
+
     /// Forgets what belongs to an earlier life.
     pub(crate) fn begin_life(&mut self, life: ExecutorLife) {
         self.entry.life = life;
@@ -226,6 +245,8 @@
         let healthy = self.health.state(now) == crate::HealthState::Trusted;
         self.listed
             && self.settled
+            && self.in_use
+            && self.stored_in_use
             && healthy
             && self.strangers.is_empty()
             && self.entry.status == ExecutorStatus::Ready
--- a/crates/magnolia-scheduler/src/executors.rs
+++ b/crates/magnolia-scheduler/src/executors.rs
@@ -4,13 +4,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use magnolia_types::{DataCentreName, ExecutorId, ResourceVector};
+use magnolia_types::{DataCentreName, ExecutorId, ResourceVector, value_types, wire_types};
 
 use crate::executor_state::ExecutorState;
 use crate::{ExecutorLife, ServiceName};
 
+wire_types! {
 /// What the platform lists of an executor.
-#[derive(Clone, Debug, PartialEq)]
 pub struct ExecutorEntry {
     /// Identifier; may be used again by a later life.
     pub id: ExecutorId,
@@ -29,15 +29,17 @@
     /// Whether it takes new work.
     pub status: ExecutorStatus,
 }
+}
 
+value_types! {
 /// Whether an executor takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExecutorStatus {
     /// Takes work.
     Ready,
     /// Leaves soon.
     Draining,
 }
+}
 
 /// Dense number of an executor within one owner.
 pub(crate) type Slot = usize;
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -50,6 +50,7 @@
     /// Does what is due by time: leases that ran out, orders to repeat, occurrences, hung runs.
     pub fn tick(&mut self, now: Millis, now_unix_ms: u64) {
         self.expire_leases(now);
+        self.retire_leaving();
         self.resend_starts(now);
         self.resend_stops(now);
         self.open_due_occurrences(now, now_unix_ms);
@@ -59,10 +60,12 @@
     fn expire_leases(&mut self, now: Millis) {
         let late = self.settings.late_order_limit;
         let mut lost = Vec::new();
+        let mut retired = Vec::new();
         for (slot, executor) in self.executors.iter_mut() {
             if !executor.settled && now >= executor.settles_at {
                 executor.settled = true;
                 executor.heard_at = None;
+                retired.push(slot);
             }
             let silent = !executor.is_heard(now);
             let out = executor.lease.out_at().is_none_or(|out| now > out);
@@ -83,7 +86,11 @@
             let id = self.executor_id(slot);
             log::info!(executor:% = id; "lease of a silent executor ran out; its runs are lost");
             self.lose_runs(slot, now);
+            retired.push(slot);
         }
+        retired
+            .into_iter()
+            .for_each(|slot| self.retire_executor(slot));
     }
 
     fn open_due_occurrences(&mut self, now: Millis, now_unix_ms: u64) {
@@ -152,7 +159,7 @@
                 keys.push(*key);
             }
         }
-        let inherited_blocked = self.executors.iter().any(|(_, executor)| !executor.settled);
+        let inherited_blocked = self.executors.iter().any(|(_, e)| e.blocks_inherited());
         for key in keys {
             self.plan_step(key, inherited_blocked, now);
         }
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -5,7 +5,7 @@
 use magnolia_types::{ExecutorId, Millis};
 
 use crate::cell::CellScheduler;
-use crate::executor_state::{ActiveRun, HoldPlan, RunPhase};
+use crate::executor_state::{ActiveRun, ExecutorState, HoldPlan, RunPhase};
 use crate::executors::{ExecutorEntry, ExecutorStatus, Slot};
 use crate::step::{TaskPhase, Ticket};
 use crate::{CellAction, PaceOrder};
@@ -30,9 +30,7 @@
         let Some(slot) = self.executors.slot(&entry.id) else {
             log::info!(executor:% = entry.id, service:% = entry.service, address:% = entry.address;
                 "executor listed");
-            let wait = self.settings.takeover_wait();
-            let slot = self.executors.add(entry);
-            self.executors.get_mut(slot).settles_at = now.saturating_add(wait);
+            self.executors.add(entry);
             return;
         };
         let known = self.executors.get_mut(slot);
@@ -50,6 +48,55 @@
         self.executors.get_mut(slot).entry = entry;
     }
 
+    /// Takes in an executor that an earlier owner had in use, before anything starts.
+    pub fn load_executor(&mut self, entry: ExecutorEntry, now: Millis) {
+        let wait = self.settings.takeover_wait();
+        let slot = self.executors.add(entry);
+        let executor = self.executors.get_mut(slot);
+        executor.listed = false;
+        executor.inherited = true;
+        executor.in_use = true;
+        executor.stored_in_use = true;
+        executor.settles_at = now.saturating_add(wait);
+    }
+
+    /// Takes the news that the earlier owner gives no orders any more: what it granted runs out one
+    /// lease from now at the latest.
+    pub fn apply_predecessor_ended(&mut self, now: Millis) {
+        let settles_at = now.saturating_add(self.settings.lease_end());
+        let waiting = self.executors.iter_mut().map(|(_, executor)| executor);
+        for executor in waiting.filter(|executor| executor.blocks_inherited()) {
+            executor.settles_at = executor.settles_at.min(settles_at);
+        }
+    }
+
+    /// Takes executors out of use that get nothing new and run nothing, so that the next owner does
+    /// not wait for them.
+    pub(crate) fn retire_leaving(&mut self) {
+        let leaving = |executor: &ExecutorState| {
+            let leaves = !executor.listed || executor.entry.status == ExecutorStatus::Draining;
+            leaves && executor.in_use && executor.settled && executor.runs.is_empty()
+        };
+        let slots: Vec<Slot> = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| leaving(executor))
+            .map(|(slot, _)| slot)
+            .collect();
+        slots
+            .into_iter()
+            .for_each(|slot| self.retire_executor(slot));
+    }
+
+    /// Takes an executor out of use, after nothing can run there any more.
+    pub(crate) fn retire_executor(&mut self, slot: Slot) {
+        let executor = self.executors.get_mut(slot);
+        if executor.in_use && executor.runs.is_empty() {
+            executor.in_use = false;
+            self.mark_executor(slot);
+        }
+    }
+
     /// Takes the removal of an executor from the platform's list.
     pub fn remove_executor(&mut self, id: &ExecutorId) {
         if let Some(slot) = self.executors.slot(id) {
@@ -63,7 +110,7 @@
         let wanted = self
             .executors
             .iter()
-            .filter(|(_, executor)| executor.listed || !executor.runs.is_empty());
+            .filter(|(_, executor)| executor.wants_hold());
         wanted.map(|(_, executor)| executor.entry.clone()).collect()
     }
 
@@ -73,7 +120,7 @@
         let lease = self.settings.lease;
         let wait = self.settings.hold_wait;
         let executor = self.executors.get_mut(slot);
-        if !executor.listed && executor.runs.is_empty() {
+        if !executor.wants_hold() {
             return None;
         }
         // A renewal without an answer may have arrived: a silent executor is only asked, so that its
@@ -119,14 +166,20 @@
         if report.life > known {
             self.lose_life(slot, report.life, now);
         }
-        let max_lease = self.settings.max_lease;
+        let lease = self.settings.lease;
         let executor = self.executors.get_mut(slot);
         executor.lease.observe(report.clock, now);
         executor.heard_at = Some(now);
+        let ready = executor.entry.status == ExecutorStatus::Ready;
+        if !executor.in_use && executor.listed && ready {
+            executor.in_use = true;
+            self.mark_executor(slot);
+        }
+        let executor = self.executors.get_mut(slot);
         if !executor.settled {
             executor.settled = true;
-            // An earlier owner may have granted the longest lease just before.
-            executor.lease.grant(report.clock.saturating_add(max_lease));
+            // An earlier owner may have granted a lease just before.
+            executor.lease.grant(report.clock.saturating_add(lease));
         }
         let listed: BTreeSet<(TaskRef, RunNumber)> = report
             .running
@@ -342,6 +395,7 @@
             log::info!(executor:% = id; "executor process is gone; its runs are lost");
             self.lose_runs(slot, now);
         }
+        self.retire_executor(slot);
     }
 
     /// Takes the news that an executor can't be reached or answers as another life.
--- a/crates/magnolia-scheduler/src/settings.rs
+++ b/crates/magnolia-scheduler/src/settings.rs
@@ -65,10 +65,19 @@
         self
     }
 
+    /// Returns the time from the last order of an owner, for which every owner asks the same lease,
+    /// to its certain end by a clock that runs up to 2% slow.
+    pub fn lease_end(&self) -> Millis {
+        let stretched = self.lease.get() * 102 / 100;
+        Millis::new(stretched).saturating_add(Self::ORDER_TIME)
+    }
+
+    /// Longest time that an order is under way.
+    const ORDER_TIME: Millis = Millis::new(400);
+
     /// Returns the time after a change of owner from which an executor that could not be asked
-    /// holds no lease of an earlier owner, by a clock that runs up to 2% slow.
+    /// holds no lease of an earlier owner.
     pub fn takeover_wait(&self) -> Millis {
-        let lease = self.max_lease.get() * 102 / 100;
-        self.isolation_limit.saturating_add(Millis::new(lease))
+        self.isolation_limit.saturating_add(self.lease_end())
     }
 }
