Ask for eligibility less often; ask other peers for the store

A call now names as many executors as the step is expected to need, known ones first, and runs are stopped only when no executor with room is left to ask for. An owner cut from the store asked the same two peers, which were cut as well; peers that fail are asked last, and say so at once.

--- a/crates/magnolia-node/src/node.rs
+++ b/crates/magnolia-node/src/node.rs
@@ -26,7 +26,7 @@
     AdvicePort, AppendCondition, AppendOutcome, ExecutorPort, OperatorCodec, StoreError,
     StreamName, StreamStore,
 };
-use crate::routed_store::{RoutedStore, run_store_call};
+use crate::routed_store::{RoutedStore, relay_call};
 use crate::settings::NodeSettings;
 
 /// Time between two signs of life to the owner by the daemons next in line.
@@ -637,7 +637,7 @@
                 let answer = crate::advisers::ask_here(self, &call).await;
                 InnerReply::Advice(answer)
             }
-            InnerCall::Store(call) => run_store_call(&**self.store.direct(), &call).await,
+            InnerCall::Store(call) => relay_call(&self.store, &call).await,
             InnerCall::Rules => InnerReply::Rules(Arc::new(RulesCopy::from(&*self.rules()))),
             InnerCall::TakeOver(epoch) => {
                 let current = self.cell.borrow().owner.clone();
--- a/crates/magnolia-node/src/routed_store.rs
+++ b/crates/magnolia-node/src/routed_store.rs
@@ -19,10 +19,10 @@
 
 /// Time for which a daemon that could not reach the store uses its peers first.
 const DIRECT_PAUSE: Millis = Millis::new(2000);
-/// Longest call through a peer: the peer's own limit of a call, and the way there.
-const RELAY_LIMIT: Duration = Duration::from_millis(1600);
-/// Peers asked for one call.
-const PEERS_ASKED: usize = 2;
+/// Longest call through a peer: the longest call to a slow store, and the way there.
+const RELAY_LIMIT: Duration = Duration::from_millis(800);
+/// Peers asked for one call; a peer that can't reach the store itself says so at once.
+const PEERS_ASKED: usize = 4;
 
 /// State of the direct path.
 #[derive(Default)]
@@ -60,14 +60,14 @@
         }
     }
 
-    /// Returns the direct path, for calls that peers ask for.
-    pub(crate) fn direct(&self) -> &Arc<dyn StreamStore> {
-        &self.direct
-    }
-
     /// Sets the daemons to ask.
-    pub(crate) fn set_relays(&self, relays: Vec<SocketAddr>) {
-        *self.relays.lock().unwrap_or_else(PoisonError::into_inner) = relays;
+    pub(crate) fn set_relays(&self, wanted: Vec<SocketAddr>) {
+        let mut relays = self.relays.lock().unwrap_or_else(PoisonError::into_inner);
+        // Peers that are known keep their order, which tells those that served before the others.
+        relays.retain(|relay| wanted.contains(relay));
+        let added = wanted.into_iter().filter(|relay| !relays.contains(relay));
+        let added: Vec<SocketAddr> = added.collect();
+        relays.extend(added);
     }
 
     /// Returns when a call last had an outcome.
@@ -75,6 +75,15 @@
         self.lock_path().reached_at
     }
 
+    /// Asks a peer that failed last from now on.
+    fn demote_relay(&self, relay: SocketAddr) {
+        let mut relays = self.relays.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(place) = relays.iter().position(|known| *known == relay) {
+            let failed = relays.remove(place);
+            relays.push(failed);
+        }
+    }
+
     fn lock_path(&self) -> std::sync::MutexGuard<'_, PathState> {
         self.path.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -101,7 +110,8 @@
         }
     }
 
-    fn avoids_direct(&self) -> bool {
+    /// Tells whether a call lately failed on the direct path.
+    pub(crate) fn avoids_direct(&self) -> bool {
         self.clock.now() < self.lock_path().avoid_until
     }
 
@@ -149,6 +159,7 @@
                 }
                 Err(error) => failure = Some(StoreError::Lost(error.to_string().into())),
             }
+            self.demote_relay(relay);
         }
         if avoided {
             // Neither a peer nor, lately, the direct path: look again at once next time.
@@ -218,8 +229,21 @@
     }
 }
 
+/// Makes a call for a peer, unless this daemon can't reach the store either.
+pub(crate) async fn relay_call(store: &RoutedStore, call: &StoreCall) -> InnerReply {
+    if !store.avoids_direct() {
+        return run_store_call(&*store.direct, call).await;
+    }
+    let error = StoreError::Unreachable("the peer does not reach the store either".into());
+    match call {
+        StoreCall::Append { .. } => InnerReply::Appended(Err(error)),
+        StoreCall::Newest { .. } => InnerReply::Newest(Err(error)),
+        StoreCall::Tail { .. } => InnerReply::Tail(Err(error)),
+    }
+}
+
 /// Makes a call on a store.
-pub(crate) async fn run_store_call(store: &dyn StreamStore, call: &StoreCall) -> InnerReply {
+async fn run_store_call(store: &dyn StreamStore, call: &StoreCall) -> InnerReply {
     match call {
         StoreCall::Append {
             stream,
--- a/crates/magnolia-scheduler/src/placement.rs
+++ b/crates/magnolia-scheduler/src/placement.rs
@@ -62,6 +62,6 @@
 }
 
 /// Room asked for against the tasks that wait; a call that falls short costs another one.
-const NAMING_MARGIN: f64 = 1.5;
+const NAMING_MARGIN: f64 = 1.3;
 /// Fewest executors in a call; the base cost of a call is that of many executors.
 const MIN_NAMED: usize = 6;
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -15,9 +15,9 @@
 
 /// Steps of one urgency that a pass looks at: those behind them wait for the same room.
 const STEPS_PER_PASS: usize = 48;
-/// Most executors in one call for eligibility; the platform's bound is 100, and each one adds to
-/// the time of the call.
-const MOST_NAMED: usize = 30;
+/// Most executors in one call for eligibility; the platform's bound. A second call costs the base
+/// time again, which is that of some 70 executors.
+const MOST_NAMED: usize = 100;
 /// Urgency that may stop less urgent runs to make room.
 const PREEMPTING_PRIORITY: u32 = 0;
 /// Time for which room that is being made is not asked for again.
@@ -215,7 +215,7 @@
             return;
         }
         let wanted = u32::try_from(left).unwrap_or(u32::MAX);
-        if rules.priority == PREEMPTING_PRIORITY {
+        if rules.priority == PREEMPTING_PRIORITY && !self.may_find_room(&options, &rules, wanted) {
             self.make_room(step, spec, &rules, wanted, now);
         }
         if rules.advice.is_some() {
@@ -409,6 +409,19 @@
         self.actions.push(CellAction::Start(order));
     }
 
+    /// Tells whether executors with room are left to ask for, so that no run has to be stopped.
+    fn may_find_room(&self, options: &StepOptions, rules: &QueueRules, wanted: u32) -> bool {
+        let room = |views: &[RoomView]| views.iter().map(|view| view.room.min(wanted)).sum::<u32>();
+        let expected = f64::from(room(&options.unknown)) * self.share(rules);
+        f64::from(room(&options.expired)) + expected >= f64::from(wanted)
+    }
+
+    /// Returns the share of executors that is usually eligible for steps of a queue.
+    fn share(&self, rules: &QueueRules) -> f64 {
+        let known = self.eligible_share.get(&rules.name).copied();
+        known.unwrap_or(Self::FIRST_ELIGIBLE_SHARE)
+    }
+
     /// Stops less urgent runs where the step is known to be eligible.
     fn make_room(
         &mut self,
@@ -503,11 +516,7 @@
             return;
         };
         let urgent = rules.priority == PREEMPTING_PRIORITY;
-        let share = self
-            .eligible_share
-            .get(&rules.name)
-            .copied()
-            .unwrap_or(Self::FIRST_ELIGIBLE_SHARE);
+        let share = self.share(rules);
         if urgent && options.unknown.is_empty() && options.expired.is_empty() {
             options.unknown = self.preemptable_views(step, rules, now);
         }
@@ -518,8 +527,8 @@
             return;
         }
         let of_usable: u32 = options.usable.iter().map(|view| view.room).sum();
-        let mut named: Vec<Slot> = options.expired.iter().map(|view| view.slot).collect();
-        named.truncate(MOST_NAMED);
+        // Known to be eligible: only their tickets have ended.
+        let mut named = choose_named(&mut options.expired, wanted, 1.0, MOST_NAMED);
         let of_expired: u32 = options.expired.iter().map(|view| view.room).sum();
         let held = of_expired + if gang { of_usable } else { 0 };
         let missing = wanted.saturating_sub(held);
