--- a/crates/magnolia-node/src/advisers.rs
+++ b/crates/magnolia-node/src/advisers.rs
@@ -80,6 +80,9 @@
     let now = session.now();
     node.metrics.count("advice_calls");
     node.metrics.latency("advice", now.saturating_sub(asked_at));
+    let eligible = answer.as_ref().map(|answer| answer.eligible.len());
+    log::info!(step:% = call.step, named = call.executors.len(), eligible:? = eligible,
+        took:% = now.saturating_sub(asked_at); "eligibility answered");
     let mut scheduler = session.lock();
     scheduler.release_adviser(order.daemon, usable);
     scheduler.apply_advice(call.step, &call.executors, answer.as_ref(), asked_at, now);
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -342,24 +342,39 @@
         }
     }
 
-    /// Compares a run's time with those of its step's other tasks.
+    /// Compares a run's time with those of its step's other tasks, whose work is about the same.
     fn learn_speed(&mut self, slot: Slot, task: TaskRef, run: RunNumber, now: Millis) {
-        let Some(estimate) = self.step_spec(task.step).map(|spec| spec.estimate.get()) else {
+        let executor = self.executors.get(slot);
+        let speed = executor.speed;
+        let Some(started) = executor
+            .runs
+            .get(&(task, run))
+            .filter(|active| active.saved.is_none())
+            .map(|active| active.sent_at)
+        else {
             return;
         };
-        let executor = self.executors.get_mut(slot);
-        let Some(active) = executor.runs.get(&(task, run)) else {
+        let took = now.saturating_sub(started).get() as f64;
+        let Some(state) = self.step_state(task.step) else {
             return;
         };
-        let took = now.saturating_sub(active.sent_at).get();
-        if estimate == 0 || took == 0 {
+        let work = took * speed;
+        let known = state.mean_work;
+        state.measured += 1;
+        state.mean_work += (work - known) / f64::from(state.measured);
+        if state.measured <= MIN_MEASURED || took <= 0.0 {
             return;
         }
-        let seen = (estimate as f64 / took as f64).clamp(0.1, 4.0);
-        executor.speed += (seen - executor.speed) * SPEED_WEIGHT;
+        let seen = (known / took).clamp(MIN_SPEED, MAX_SPEED);
+        self.executors.get_mut(slot).speed += (seen - speed) * SPEED_WEIGHT;
     }
 }
 
-/// Weight of one run in the measured speed; estimates are off by up to their size, so that it takes
-/// some twenty runs to tell executors apart.
-const SPEED_WEIGHT: f64 = 0.08;
+/// Tasks of a step that are measured before others are compared with them.
+const MIN_MEASURED: u32 = 2;
+/// Bounds of a measured speed: executors differ by a half, slow spells reach an eighth.
+const MIN_SPEED: f64 = 0.1;
+const MAX_SPEED: f64 = 2.0;
+/// Weight of one run in the measured speed: tasks of a step differ by up to a third, so that some ten
+/// runs tell executors apart.
+const SPEED_WEIGHT: f64 = 0.15;
--- a/crates/magnolia-scheduler/src/placement.rs
+++ b/crates/magnolia-scheduler/src/placement.rs
@@ -41,13 +41,22 @@
 
 /// Chooses the executors to name so that, at the share that is usually eligible, `tasks` find room
 /// with a margin; at most `limit`.
+///
+/// Several steps ask at the same time and see the same room, so that only a part of each executor's
+/// room counts, and each step begins at another place (`salt`).
 pub fn choose_named(
     views: &mut [RoomView],
     tasks: u32,
     eligible_share: f64,
     limit: usize,
+    salt: u64,
 ) -> Vec<Slot> {
-    views.sort_by(|a, b| (b.near, b.room, b.spare_cpu).cmp(&(a.near, a.room, a.spare_cpu)));
+    let counted = tasks.div_ceil(ROOM_PARTS);
+    let key = |view: &RoomView| {
+        let mixed = (view.slot as u64 ^ salt).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        (!view.near, std::cmp::Reverse(view.room.min(counted)), mixed)
+    };
+    views.sort_by_key(key);
     let wanted = f64::from(tasks) * NAMING_MARGIN;
     let mut expected = 0.0;
     let mut named = Vec::new();
@@ -55,7 +64,7 @@
         if named.len() >= limit || expected >= wanted && named.len() >= MIN_NAMED {
             break;
         }
-        expected += f64::from(view.room.min(tasks)) * eligible_share;
+        expected += f64::from(view.room.min(counted)) * eligible_share;
         named.push(view.slot);
     }
     named
@@ -64,4 +73,6 @@
 /// Room asked for against the tasks that wait; a call that falls short costs another one.
 const NAMING_MARGIN: f64 = 1.3;
 /// Fewest executors in a call; the base cost of a call is that of many executors.
-const MIN_NAMED: usize = 6;
+const MIN_NAMED: usize = 8;
+/// Parts of a step that one executor counts for at most one of.
+const ROOM_PARTS: u32 = 8;
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -22,8 +22,11 @@
 const PREEMPTING_PRIORITY: u32 = 0;
 /// Time for which room that is being made is not asked for again.
 const PREEMPTION_PAUSE: Millis = Millis::new(150);
-/// Time that a step that waits for eligibility leaves between two calls.
-const ADVICE_INTERVAL: Millis = Millis::new(100);
+/// Time that an urgent step leaves between two calls for eligibility.
+const URGENT_ADVICE_INTERVAL: Millis = Millis::new(100);
+/// Time that any other step leaves: while its tickets are valid, room that becomes free is used
+/// without a call, which takes some 500 ms of a daemon's turn.
+const ADVICE_INTERVAL: Millis = Millis::new(1800);
 
 /// Executors of a step, by what is known of their eligibility.
 #[derive(Default)]
@@ -197,6 +200,7 @@
             return;
         };
         let startable = startable_tasks(state, now);
+        let ready_since = state.ready_since;
         if startable.is_empty() {
             return;
         }
@@ -210,6 +214,11 @@
             self.place_tasks(step, spec, &rules, &startable, &mut options, now)
         };
         let left = startable.len() - placed;
+        if placed > 0 {
+            let waited = now.saturating_sub(ready_since);
+            log::info!(step:% = step, placed = placed, left = left, waited:% = waited;
+                "tasks started");
+        }
         if left == 0 {
             self.advice.remove(step);
             return;
@@ -528,13 +537,20 @@
         }
         let of_usable: u32 = options.usable.iter().map(|view| view.room).sum();
         // Known to be eligible: only their tickets have ended.
-        let mut named = choose_named(&mut options.expired, wanted, 1.0, MOST_NAMED);
+        let salt = step.job.get();
+        let mut named = choose_named(&mut options.expired, wanted, 1.0, MOST_NAMED, salt);
         let of_expired: u32 = options.expired.iter().map(|view| view.room).sum();
         let held = of_expired + if gang { of_usable } else { 0 };
         let missing = wanted.saturating_sub(held);
         if missing > 0 {
             let limit = MOST_NAMED - named.len();
-            named.extend(choose_named(&mut options.unknown, missing, share, limit));
+            named.extend(choose_named(
+                &mut options.unknown,
+                missing,
+                share,
+                limit,
+                salt,
+            ));
         }
         let of_unknown: u32 = options
             .unknown
@@ -554,7 +570,12 @@
             return;
         }
         if let Some(state) = self.step_state(step) {
-            state.advice.not_before = now.saturating_add(ADVICE_INTERVAL);
+            let interval = if urgent {
+                URGENT_ADVICE_INTERVAL
+            } else {
+                ADVICE_INTERVAL
+            };
+            state.advice.not_before = now.saturating_add(interval);
         }
         self.advice.remove(step);
         let expected = cost.call_time(named.len());
--- a/crates/magnolia-scheduler/src/step.rs
+++ b/crates/magnolia-scheduler/src/step.rs
@@ -79,6 +79,10 @@
     pub(crate) gang_runs: u64,
     /// When a task of the step last became able to start.
     pub(crate) ready_since: Millis,
+    /// Mean work of the tasks that ended well: time by the speed of the executor.
+    pub(crate) mean_work: f64,
+    /// Tasks in the mean.
+    pub(crate) measured: u32,
 }
 
 impl StepState {
@@ -91,6 +95,8 @@
             advice: StepAdvice::default(),
             gang_runs: 0,
             ready_since: Millis::new(0),
+            mean_work: 0.0,
+            measured: 0,
         }
     }
 
