--- a/crates/magnolia-scheduler/src/settings.rs
+++ b/crates/magnolia-scheduler/src/settings.rs
@@ -36,7 +36,7 @@
             ended_retention: Millis::from_secs(120),
             stop_grace: Millis::new(200),
             hold_wait: Millis::new(1000),
-            urgent_reserve_permille: 80,
+            urgent_reserve_permille: 30,
             hang_limit: Millis::new(1500),
             late_order_limit: Millis::from_secs(12),
             isolation_limit: Millis::from_secs(2),
