Play the sites' loads on the scheduler in tests; admit by reachable processors

The player runs executors, eligibility calls and storing without a network and counts what callers get. Four loads: a burst of urgent work, the daily load, a single adviser as baseline, and a flood of batch jobs; bounds from the users' target share. A flood showed that admission counted neither running work nor processors that no eligible task reaches.

--- a/crates/magnolia-scheduler/src/admission.rs
+++ b/crates/magnolia-scheduler/src/admission.rs
@@ -33,8 +33,12 @@
     },
 }
 
-/// Objectives after which a finished job is worth little to its caller.
-const LATE_OBJECTIVES: u64 = 3;
+/// Time, as a share of the objective in percent, within which a job has to be expected to end: up to
+/// three objectives it is late, beyond them it is of no use to its caller.
+const OBJECTIVE_PERCENT: u64 = 300;
+/// Share of the processors, in percent, that tasks of one queue reach: eligibility and the sizes of
+/// executors leave the rest between them.
+const REACHED_PERCENT: u64 = 75;
 /// Shortest time to come back; shorter ones only add load.
 const MIN_RETRY: Millis = Millis::new(1000);
 /// Longest time to come back; backlogs drain faster than they can be predicted beyond it.
@@ -42,11 +46,11 @@
 
 /// Decides by the expected completion against the time within which the caller still gains.
 pub fn decide_admission(load: &AdmissionLoad) -> AdmissionDecision {
-    let capacity = load.capacity_millis.max(1);
+    let capacity = (load.capacity_millis * REACHED_PERCENT / 100).max(1);
     let drain = load.backlog_work.saturating_mul(1000) / capacity;
     let wait = drain.saturating_add(load.advice_backlog.get());
     let expected = wait.saturating_add(load.chain.get());
-    let limit = load.objective.get().saturating_mul(LATE_OBJECTIVES);
+    let limit = load.objective.get().saturating_mul(OBJECTIVE_PERCENT) / 100;
     if expected <= limit {
         return AdmissionDecision::Accept;
     }
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -192,7 +192,7 @@
     fn admission_load(&self, rules: &QueueRules, spec: &JobSpec) -> AdmissionLoad {
         let before = |job: &&JobState| job.rules.priority <= rules.priority;
         let live = self.live.iter().filter_map(|key| self.jobs.get(key));
-        let backlog_work = live.filter(before).map(waiting_work).sum();
+        let backlog_work = live.filter(before).map(open_work).sum();
         let chain = spec.longest_chain();
         AdmissionLoad {
             backlog_work,
@@ -402,8 +402,8 @@
     }
 }
 
-/// Returns the work of a job's tasks that have not started, in core-milliseconds.
-fn waiting_work(job: &JobState) -> u64 {
+/// Returns the work of a job's tasks that are not done, in core-milliseconds; those that run count half.
+fn open_work(job: &JobState) -> u64 {
     let Some(spec) = job.spec.as_ref().filter(|spec| !spec.is_lasting()) else {
         return 0;
     };
@@ -411,7 +411,11 @@
     let of_steps = occurrences.flat_map(|occurrence| occurrence.steps.iter().zip(&spec.steps));
     of_steps
         .filter(|(_, spec)| !spec.filler)
-        .map(|(step, spec)| spec.work() * u64::from(step.waiting) / u64::from(spec.tasks.max(1)))
+        .map(|(step, spec)| {
+            let open = u64::from(spec.tasks.saturating_sub(step.done));
+            let halves = open + u64::from(step.waiting);
+            spec.work() * halves / u64::from(spec.tasks.max(1)) / 2
+        })
         .sum()
 }
 
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -45,6 +45,12 @@
         self.advice.set_daemons(daemons);
     }
 
+    /// Returns what a task of a step reserves, and its estimated run time.
+    pub fn step_size(&self, step: StepRef) -> Option<(ResourceVector, Millis)> {
+        let spec = self.step_spec(step)?;
+        Some((spec.reserved(), spec.estimate))
+    }
+
     /// Marks a daemon as free for the next call.
     pub fn release_adviser(&mut self, daemon: usize, usable: bool) {
         self.advice.release(daemon, usable);
--- /dev/null
+++ b/crates/magnolia-scheduler/tests/decisions.rs
@@ -0,0 +1,201 @@
+//! Single decisions: admission, eligibility calls, pacing, health, leases, numbering.
+
+use std::collections::BTreeSet;
+
+use magnolia_scheduler::{
+    AdmissionDecision, AdmissionLoad, AdviceQueue, AdviceRequest, ExecutorLease, HealthState,
+    HealthTracker, JobKey, PaceDecision, RoomView, RunNumber, StepRef, TaskRef, choose_executor,
+    choose_named, decide_admission, decide_pace,
+};
+use magnolia_types::{Epoch, Millis};
+use quickcheck::quickcheck;
+
+macro_rules! decision_test {
+    ($(#[$meta:meta])* $name:ident, $body:expr) => {
+        $(#[$meta])*
+        #[test]
+        fn $name() {
+            let check: fn() = $body;
+            check();
+        }
+    };
+}
+
+fn request(priority: u32, order: u64, expected: u64) -> AdviceRequest {
+    let step = StepRef {
+        job: JobKey::new(order),
+        occurrence: 0,
+        step: 0,
+    };
+    AdviceRequest {
+        priority,
+        order,
+        step,
+        executors: Vec::new(),
+        expected: Millis::new(expected),
+    }
+}
+
+decision_test!(
+    /// Guards urgent calls against waiting behind long batch calls on every daemon.
+    long_calls_leave_daemons_to_short_ones,
+    || {
+        let mut queue = AdviceQueue::new();
+        queue.set_daemons(&(0..7).collect());
+        (0..20).for_each(|order| queue.push(request(2, order, 500)));
+        assert_eq!(queue.dispatch().len(), 6);
+        queue.push(request(0, 100, 30));
+        assert_eq!(queue.dispatch().len(), 1);
+        assert_eq!(queue.waiting(), 14);
+    }
+);
+
+decision_test!(
+    /// Guards against a single daemon that keeps itself for calls that never come.
+    one_daemon_serves_all_calls,
+    || {
+        let mut queue = AdviceQueue::new();
+        queue.set_daemons(&BTreeSet::from([0]));
+        queue.push(request(2, 1, 500));
+        assert_eq!(queue.dispatch().len(), 1);
+        queue.release(0, true);
+        queue.push(request(2, 2, 500));
+        queue.push(request(0, 3, 30));
+        assert_eq!(queue.dispatch()[0].step.job, JobKey::new(3));
+    }
+);
+
+decision_test!(
+    /// Guards against a refusal without a time to come back, and one that is out of proportion.
+    a_refused_job_learns_when_to_come_back,
+    || {
+        let load = AdmissionLoad {
+            backlog_work: 100_000_000,
+            capacity_millis: 1_000_000,
+            advice_backlog: Millis::new(0),
+            objective: Millis::new(10_000),
+            chain: Millis::new(4000),
+        };
+        let AdmissionDecision::Refuse { retry_after } = decide_admission(&load) else {
+            panic!("accepted with a backlog of 100 s");
+        };
+        assert!(retry_after >= Millis::new(1000) && retry_after <= Millis::new(10_000));
+        let light = AdmissionLoad {
+            backlog_work: 1_000_000,
+            ..load
+        };
+        assert_eq!(decide_admission(&light), AdmissionDecision::Accept);
+    }
+);
+
+decision_test!(
+    /// Guards healthy executors against being set aside because of one job that fails anywhere.
+    one_failing_job_sets_no_executor_aside,
+    || {
+        let mut tracker = HealthTracker::default();
+        let now = Millis::new(1000);
+        for _ in 0..20 {
+            assert!(!tracker.record_failure(JobKey::new(1), now));
+        }
+        assert!(tracker.record_failure(JobKey::new(2), now));
+        assert_eq!(tracker.state(now), HealthState::SetAside);
+        let later = Millis::new(4000);
+        assert_eq!(tracker.state(later), HealthState::Trusted);
+    }
+);
+
+decision_test!(
+    /// Guards lasting tasks against fillers that go on beside a tail above its target.
+    fillers_give_way_to_tasks_that_serve,
+    || {
+        assert_eq!(decide_pace(120, 100), PaceDecision::Set(0));
+        assert_eq!(decide_pace(80, 100), PaceDecision::Set(50));
+        assert_eq!(decide_pace(60, 40), PaceDecision::Keep);
+        assert_eq!(decide_pace(20, 40), PaceDecision::Set(60));
+        assert_eq!(decide_pace(20, 100), PaceDecision::Keep);
+    }
+);
+
+decision_test!(
+    /// Guards against a lease that counts as over while a slow clock still runs it.
+    a_lease_ends_late_by_a_slow_clock,
+    || {
+        let mut lease = ExecutorLease::default();
+        assert_eq!(lease.out_at(), None);
+        lease.observe(Millis::new(50_000), Millis::new(1000));
+        lease.grant(Millis::new(53_000));
+        let out = lease.out_at().expect("a reading");
+        let shown = Millis::new(50_000 + (out.get() - 1000) * 98 / 100);
+        assert!(shown >= Millis::new(53_000), "over at {out}, clock at {shown}");
+        lease.grant(Millis::new(52_000));
+        assert_eq!(lease.out_at(), Some(out), "a lease never shortens");
+    }
+);
+
+decision_test!(
+    /// Guards steps that ask at the same time against naming the same executors.
+    steps_name_different_executors,
+    || {
+        let views = || -> Vec<RoomView> {
+            (0..40)
+                .map(|slot| RoomView {
+                    slot,
+                    room: 4,
+                    spare_cpu: 30_000,
+                    speed: 1.0,
+                    near: true,
+                    avoided: false,
+                })
+                .collect()
+        };
+        let first: BTreeSet<_> = choose_named(&mut views(), 10, 0.5, 100, 1).into_iter().collect();
+        let second: BTreeSet<_> = choose_named(&mut views(), 10, 0.5, 100, 2).into_iter().collect();
+        let shared = first.intersection(&second).count();
+        assert!(shared * 4 < first.len() * 3, "{shared} of {} shared", first.len());
+        assert!(choose_named(&mut views(), 10, 0.5, 3, 1).len() <= 3);
+    }
+);
+
+decision_test!(
+    /// Guards urgent tasks against slow executors while fast ones have room.
+    urgent_tasks_go_to_fast_executors,
+    || {
+        let view = |slot, speed, spare_cpu| RoomView {
+            slot,
+            room: 1,
+            spare_cpu,
+            speed,
+            near: true,
+            avoided: false,
+        };
+        let views = [view(0, 0.8, 60_000), view(1, 1.25, 10_000), view(2, 1.0, 30_000)];
+        assert_eq!(choose_executor(&views, true), Some(1));
+        assert_eq!(choose_executor(&views, false), Some(1), "the fullest that fits");
+        assert_eq!(choose_executor(&[], true), None);
+    }
+);
+
+quickcheck! {
+    /// Guards against a run number that does not rise with the epoch: executors refuse it.
+    fn runs_of_a_later_epoch_are_higher(epoch: u16, first: u16, second: u16) -> bool {
+        let epoch = u64::from(epoch) + 1;
+        let before = RunNumber::new_in(Epoch::new(epoch), u64::from(first) + 1);
+        let after = RunNumber::new_in(Epoch::new(epoch + 1), u64::from(second) + 1);
+        before < after && before.get() >= 1
+    }
+
+    /// Guards the names of tasks, which executors list, against being read differently.
+    fn task_names_are_read_as_written(job: u64, occurrence: u32, step: u16, index: u32) -> bool {
+        let step = StepRef { job: JobKey::new(job), occurrence, step };
+        let task = TaskRef { step, index };
+        task.to_string().parse() == Ok(task)
+    }
+
+    /// Guards against input that is taken for a task although it names none.
+    fn other_text_names_no_task(text: String) -> bool {
+        match text.parse::<TaskRef>() {
+            Ok(task) => task.to_string() == text,
+            Err(_) => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/magnolia-scheduler/tests/heavy_load.rs
@@ -0,0 +1,132 @@
+//! What callers get under the loads of the two sites, and what simpler decisions would give them.
+
+mod play;
+
+use magnolia_types::Millis;
+use play::{LoadPlayer, QueueResult, job, queue, step};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Share of the jobs to be done in time on heavy days: the users' target when grown.
+const TARGET_SHARE: f64 = 0.90;
+
+/// Urgent and batch queues with the cost of eligibility that the sites name.
+fn site_queues() -> Vec<magnolia_scheduler::QueueRules> {
+    vec![queue("urgent", 0, 21, 300), queue("batch", 2, 370, 5300)]
+}
+
+/// Executors of a site: two speeds around the mean, three sizes.
+fn site_executors(count: usize) -> Vec<(f64, u64)> {
+    let speeds = [0.8, 1.0, 1.25];
+    let sizes = [32_000, 32_000, 16_000, 64_000];
+    (0..count)
+        .map(|number| (speeds[number % speeds.len()], sizes[number % sizes.len()]))
+        .collect()
+}
+
+/// Plays 20 s of arrivals at the given rates a second, then as long as a late batch job may take.
+fn play_load(
+    executors: usize,
+    advisers: usize,
+    urgent_rate: f64,
+    batch_rate: f64,
+    seed: u64,
+) -> (Vec<QueueResult>, LoadPlayer) {
+    let executors = site_executors(executors);
+    let mut player = LoadPlayer::new(&executors, site_queues(), advisers);
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut key = 0;
+    for _ in 0..1000 {
+        for (queue, rate) in [urgent_rate, batch_rate].into_iter().enumerate() {
+            if random.random::<f64>() >= rate * 0.02 {
+                continue;
+            }
+            key += 1;
+            let spec = if queue == 0 {
+                let tasks = random.random_range(2..11);
+                job(vec![step(
+                    tasks,
+                    2500,
+                    random.random_range(500..1100),
+                    vec![],
+                )])
+            } else {
+                let tasks = random.random_range(6..21);
+                let run_ms = random.random_range(2500..5000);
+                let first = step(tasks, 5500, run_ms, vec![]);
+                job(vec![first, step(tasks, 5500, run_ms, vec![0])])
+            };
+            player.submit(queue, key, spec);
+        }
+        player.advance(Millis::new(20));
+    }
+    player.advance(Millis::from_secs(55));
+    (player.results(), player)
+}
+
+macro_rules! load_test {
+    ($(#[$meta:meta])* $name:ident, $seed:expr, $body:expr) => {
+        $(#[$meta])*
+        #[test]
+        fn $name() {
+            let check: fn(u64) = $body;
+            check($seed);
+        }
+    };
+}
+
+load_test!(
+    /// Guards urgent callers against a burst of twice their load beside full batch load.
+    urgent_jobs_are_in_time_in_a_burst,
+    11,
+    |seed| {
+        let (results, player) = play_load(48, 7, 26.0, 1.5, seed);
+        assert!(player.violations.is_empty(), "{:?}", player.violations);
+        let share = results[0].on_time_share();
+        assert!(share >= TARGET_SHARE, "urgent {share}: {results:?}");
+    }
+);
+
+load_test!(
+    /// Guards batch callers against calls for eligibility that keep all daemons busy while
+    /// processors are idle.
+    batch_jobs_are_in_time_at_the_daily_load,
+    12,
+    |seed| {
+        let (results, player) = play_load(48, 7, 13.4, 1.2, seed);
+        assert!(player.violations.is_empty(), "{:?}", player.violations);
+        let share = results[1].on_time_share();
+        assert!(share >= TARGET_SHARE, "batch {share}: {results:?}");
+    }
+);
+
+load_test!(
+    /// Guards against a single daemon that asks for all: the calls queue up, and urgent ones wait.
+    one_adviser_serves_callers_worse,
+    13,
+    |seed| {
+        let (all, _) = play_load(48, 7, 13.4, 1.5, seed);
+        let (one, _) = play_load(48, 1, 13.4, 1.5, seed);
+        assert!(
+            all[0].on_time > one[0].on_time && all[1].on_time > one[1].on_time,
+            "all daemons {all:?}, one {one:?}"
+        );
+    }
+);
+
+load_test!(
+    /// Guards against a flood of batch jobs that is taken on although it can't be served, and
+    /// against one that starves urgent callers.
+    a_flood_of_batch_jobs_is_refused_early,
+    14,
+    |seed| {
+        let (results, player) = play_load(48, 7, 13.4, 8.0, seed);
+        assert!(player.violations.is_empty(), "{:?}", player.violations);
+        assert!(results[1].refused > 0, "nothing refused: {results:?}");
+        let accepted = results[1].sent - results[1].refused;
+        let served = results[1].on_time + results[1].late;
+        assert!(served * 10 >= accepted * 9, "accepted but not served: {results:?}");
+        let share = results[0].on_time_share();
+        assert!(share >= TARGET_SHARE, "urgent {share}: {results:?}");
+    }
+);
--- /dev/null
+++ b/crates/magnolia-scheduler/tests/play/mod.rs
@@ -0,0 +1,440 @@
+//! Plays a load on the scheduler: executors, eligibility and callers without a network.
+//!
+//! Time advances in steps of a few milliseconds. Executors run what they are told for as long as
+//! their speed says; eligibility calls take their time at one of several daemons; storing takes a
+//! few milliseconds. What callers get is counted at the end.
+
+#![allow(dead_code, reason = "each test uses a part of the player")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use magnolia_scheduler::{
+    AdviceCost, AdviceOrder, CellAction, CellRules, CellScheduler, CellVersion, EligibilityAnswer,
+    EndKind, ExecutorEntry, ExecutorLife, ExecutorReport, ExecutorStatus, JobKey, JobSpec,
+    JobStatus, QueueName, QueueRules, RunEnd, RunNumber, RunningTask, SchedulerSettings,
+    ServiceName, StartAnswer, StartOrder, StepSpec, StoreBatch, SubmitOutcome, TaskRef,
+};
+use magnolia_types::{DataCentreName, Epoch, ExecutorId, Millis, ResourceVector};
+
+/// Length of a step of the player.
+const STEP: Millis = Millis::new(5);
+/// Time for which a batch is on its way to the store.
+const STORE_TIME: Millis = Millis::new(10);
+/// Steps between two reports of an executor without ends.
+const REPORT_STEPS: u64 = 100;
+/// Unix time at the start.
+const EPOCH_UNIX_MS: u64 = 1_000_000_000_000;
+
+/// A run on a played executor.
+struct PlayedRun {
+    ends_at: Millis,
+    need: ResourceVector,
+}
+
+/// An executor.
+struct PlayedExecutor {
+    entry: ExecutorEntry,
+    /// Speed against the mean.
+    speed: f64,
+    runs: BTreeMap<(TaskRef, RunNumber), PlayedRun>,
+    ends: Vec<RunEnd>,
+    last_end: u64,
+}
+
+/// A job that was submitted.
+struct PlayedJob {
+    queue: usize,
+    sent_at: Millis,
+    objective: Millis,
+    ended_at: Option<Millis>,
+    refused: bool,
+}
+
+/// What callers of a queue got.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct QueueResult {
+    pub sent: u32,
+    pub on_time: u32,
+    pub late: u32,
+    pub refused: u32,
+}
+
+impl QueueResult {
+    /// Returns the share of jobs that were done within their objective.
+    pub fn on_time_share(&self) -> f64 {
+        f64::from(self.on_time) / f64::from(self.sent.max(1))
+    }
+}
+
+/// Plays a load.
+pub struct LoadPlayer {
+    pub scheduler: CellScheduler,
+    now: Millis,
+    steps: u64,
+    executors: Vec<PlayedExecutor>,
+    jobs: BTreeMap<JobKey, PlayedJob>,
+    advisers: BTreeSet<usize>,
+    calls: Vec<(Millis, AdviceOrder)>,
+    batch: Option<(Millis, StoreBatch)>,
+    eligible_share: f64,
+    pub queues: Vec<Arc<QueueRules>>,
+    /// Breaches of capacity, of dependencies and of single runs.
+    pub violations: Vec<String>,
+    done: BTreeSet<TaskRef>,
+    /// Calls for eligibility that were made.
+    pub advice_calls: u32,
+    /// Runs that were stopped.
+    pub stops: u32,
+}
+
+/// Returns the rules of a queue.
+pub fn queue(name: &str, priority: u32, advice_ms: u64, per_executor_us: u64) -> QueueRules {
+    QueueRules {
+        name: QueueName::new(name).expect("valid name"),
+        host: "jobs.example".into(),
+        path: format!("/{name}/").into(),
+        service: ServiceName::new("desk").expect("valid name"),
+        priority,
+        max_attempts: 4,
+        stretch_permille: if priority == 0 { 1500 } else { 2200 },
+        latency_target: Millis::new(if priority == 0 { 250 } else { 1200 }),
+        advice: (advice_ms > 0).then(|| AdviceCost {
+            base_us: advice_ms * 1000,
+            per_executor_us,
+            valid: Millis::new(2500),
+        }),
+    }
+}
+
+/// Returns a step of equal tasks.
+pub fn step(tasks: u32, cpu: u64, run_ms: u64, after: Vec<u16>) -> StepSpec {
+    StepSpec {
+        tasks,
+        need: ResourceVector::new(cpu, 64, 0),
+        estimate: Millis::new(run_ms),
+        after,
+        checkpoints: false,
+        gang: false,
+        one_rack: false,
+        label: None,
+        data_rack: None,
+        spread_limit: None,
+        copies_allowed: false,
+        lasting: false,
+        image: None,
+        latency_target: None,
+        filler: false,
+        may_miss: 0,
+    }
+}
+
+/// Returns a job of steps.
+pub fn job(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        payload: "work".into(),
+        steps,
+        recurrence: None,
+    }
+}
+
+impl LoadPlayer {
+    /// Creates a cell with executors of the given speeds and processors in thousandths.
+    pub fn new(executors: &[(f64, u64)], queues: Vec<QueueRules>, advisers: usize) -> Self {
+        let queues: Vec<Arc<QueueRules>> = queues.into_iter().map(Arc::new).collect();
+        let rules = CellRules {
+            version: CellVersion::new(1),
+            queues: queues
+                .iter()
+                .map(|queue| (queue.name.clone(), Arc::clone(queue)))
+                .collect(),
+            ..CellRules::default()
+        };
+        let settings = SchedulerSettings::new(Millis::new(6000));
+        let mut scheduler = CellScheduler::new(settings, Epoch::new(1));
+        scheduler.set_rules(Arc::new(rules));
+        let mut player = Self {
+            scheduler,
+            now: Millis::new(1000),
+            steps: 0,
+            executors: Vec::new(),
+            jobs: BTreeMap::new(),
+            advisers: (0..advisers).collect(),
+            calls: Vec::new(),
+            batch: None,
+            eligible_share: 0.35,
+            queues,
+            violations: Vec::new(),
+            done: BTreeSet::new(),
+            advice_calls: 0,
+            stops: 0,
+        };
+        for (number, (speed, cpu)) in executors.iter().enumerate() {
+            player.add_executor(number, *speed, *cpu);
+        }
+        player.advance(Millis::new(100));
+        player
+    }
+
+    fn add_executor(&mut self, number: usize, speed: f64, cpu: u64) {
+        let address = format!("127.0.0.1:{}", 10_000 + number);
+        let entry = ExecutorEntry {
+            id: ExecutorId::new(&format!("i-{number:04}")).expect("valid id"),
+            life: ExecutorLife::new(1),
+            address: address.parse().expect("an address"),
+            service: ServiceName::new("desk").expect("valid name"),
+            data_centre: DataCentreName::new("here").expect("valid name"),
+            capacity: ResourceVector::new(cpu, 1 << 20, 0),
+            labels: vec![format!("r1-{}", number / 8).into()],
+            status: ExecutorStatus::Ready,
+        };
+        self.scheduler.upsert_executor(entry.clone(), self.now);
+        self.executors.push(PlayedExecutor {
+            entry,
+            speed,
+            runs: BTreeMap::new(),
+            ends: Vec::new(),
+            last_end: 0,
+        });
+    }
+
+    /// Submits a job to a queue.
+    pub fn submit(&mut self, queue: usize, key: u64, spec: JobSpec) {
+        let rules = Arc::clone(&self.queues[queue]);
+        let key = JobKey::new(key);
+        let objective = rules.objective(spec.longest_chain());
+        let unix_ms = self.unix_ms();
+        let spec = Arc::new(spec);
+        let outcome = self.scheduler.submit(key, &rules, &spec, self.now, unix_ms);
+        let refused = matches!(outcome, SubmitOutcome::Refused { .. });
+        self.jobs.insert(
+            key,
+            PlayedJob {
+                queue,
+                sent_at: self.now,
+                objective,
+                ended_at: None,
+                refused,
+            },
+        );
+    }
+
+    fn unix_ms(&self) -> u64 {
+        EPOCH_UNIX_MS + self.now.get()
+    }
+
+    /// Returns the present time.
+    pub fn now(&self) -> Millis {
+        self.now
+    }
+
+    /// Plays for a time.
+    pub fn advance(&mut self, time: Millis) {
+        let until = self.now.saturating_add(time);
+        while self.now < until {
+            self.now = self.now.saturating_add(STEP);
+            self.steps += 1;
+            self.end_runs();
+            self.report();
+            self.answer_calls();
+            self.store();
+            if self.steps.is_multiple_of(20) {
+                let unix_ms = self.unix_ms();
+                self.scheduler.tick(self.now, unix_ms);
+            }
+            self.scheduler.set_advisers(&self.advisers);
+            self.scheduler.plan(self.now);
+            self.perform();
+        }
+    }
+
+    fn end_runs(&mut self) {
+        let now = self.now;
+        for executor in &mut self.executors {
+            let over: Vec<_> = executor
+                .runs
+                .iter()
+                .filter(|(_, run)| run.ends_at <= now)
+                .map(|(key, _)| *key)
+                .collect();
+            for (task, run) in over {
+                executor.end(task, run, EndKind::Done);
+                self.done.insert(task);
+            }
+        }
+    }
+
+    fn report(&mut self) {
+        for number in 0..self.executors.len() {
+            let executor = &self.executors[number];
+            let due = (self.steps + number as u64).is_multiple_of(REPORT_STEPS);
+            if executor.ends.is_empty() && !due && self.steps > 2 {
+                continue;
+            }
+            let id = executor.entry.id.clone();
+            let Some((_, plan)) = self.scheduler.plan_executor_hold(&id, self.now) else {
+                continue;
+            };
+            let executor = &mut self.executors[number];
+            executor.ends.retain(|end| end.number > plan.acked_through);
+            let report = executor.report(self.now);
+            let sent_at = self.now;
+            self.scheduler.apply_report(&id, report, sent_at, self.now);
+        }
+    }
+
+    fn answer_calls(&mut self) {
+        let now = self.now;
+        let (due, left) = std::mem::take(&mut self.calls)
+            .into_iter()
+            .partition::<Vec<_>, _>(|(at, _)| *at <= now);
+        self.calls = left;
+        for (_, order) in due {
+            let eligible = order
+                .executors
+                .iter()
+                .filter(|id| self.is_eligible(&order, id));
+            let answer = EligibilityAnswer {
+                eligible: eligible.map(|id| (id.clone(), "ticket".into())).collect(),
+                valid: Millis::new(2500),
+            };
+            self.scheduler.release_adviser(order.daemon, true);
+            let named = &order.executors;
+            self.scheduler
+                .apply_advice(order.step, named, Some(&answer), now, now);
+        }
+    }
+
+    fn is_eligible(&self, order: &AdviceOrder, id: &ExecutorId) -> bool {
+        let text = format!("{}/{id}", order.step);
+        let hash = magnolia_types::stable_hash(text.as_bytes());
+        (hash % 1000) as f64 / 1000.0 < self.eligible_share
+    }
+
+    fn store(&mut self) {
+        if let Some((at, _)) = &self.batch
+            && *at <= self.now
+            && let Some((_, batch)) = self.batch.take()
+        {
+            for (key, status) in self.scheduler.finish_batch(batch, self.now) {
+                if let Some(job) = self.jobs.get_mut(&key)
+                    && status == JobStatus::Completed
+                {
+                    job.ended_at = Some(self.now);
+                }
+            }
+        }
+        if self.batch.is_none() && self.scheduler.has_unstored() {
+            let unix_ms = self.unix_ms();
+            let batch = self.scheduler.begin_batch(unix_ms);
+            self.batch = Some((self.now.saturating_add(STORE_TIME), batch));
+        }
+    }
+
+    fn perform(&mut self) {
+        for action in self.scheduler.take_actions() {
+            match action {
+                CellAction::Start(order) => self.start(&order),
+                CellAction::Stop(order) => {
+                    self.stops += 1;
+                    let executor = self.executor(&order.executor);
+                    executor.end(order.task, order.run, EndKind::Stopped);
+                    self.scheduler.apply_stop(&order, true, false);
+                }
+                CellAction::Pace(_) => {}
+                CellAction::Advise(order) => {
+                    self.advice_calls += 1;
+                    let at = self.now.saturating_add(order.expected);
+                    self.calls.push((at, order));
+                }
+            }
+        }
+    }
+
+    fn executor(&mut self, id: &ExecutorId) -> &mut PlayedExecutor {
+        let found = self
+            .executors
+            .iter_mut()
+            .find(|executor| executor.entry.id == *id);
+        found.expect("a known executor")
+    }
+
+    fn start(&mut self, order: &StartOrder) {
+        let now = self.now;
+        if self.done.contains(&order.task) {
+            self.violations
+                .push(format!("{} started after it was done", order.task));
+        }
+        let (need, run_ms) = self.task_of(order.task);
+        let executor = self.executor(&order.executor);
+        let used = executor.runs.values();
+        let used = used.fold(need, |sum, run| sum.saturating_add(&run.need));
+        let fits = used.fits_in(&executor.entry.capacity);
+        let took = (run_ms.get() as f64 / executor.speed).round() as u64;
+        let ends_at = now.saturating_add(Millis::new(took));
+        executor
+            .runs
+            .insert((order.task, order.run), PlayedRun { ends_at, need });
+        if !fits {
+            self.violations
+                .push(format!("{} beyond capacity", order.task));
+        }
+        self.scheduler.apply_start(order, StartAnswer::Started, now);
+    }
+
+    fn task_of(&self, task: TaskRef) -> (ResourceVector, Millis) {
+        let spec = self.scheduler.step_size(task.step);
+        spec.expect("a known step")
+    }
+
+    /// Returns what callers of each queue got.
+    pub fn results(&self) -> Vec<QueueResult> {
+        let mut results = vec![QueueResult::default(); self.queues.len()];
+        for job in self.jobs.values() {
+            let result = &mut results[job.queue];
+            result.sent += 1;
+            if job.refused {
+                result.refused += 1;
+            }
+            let took = job.ended_at.map(|at| at.saturating_sub(job.sent_at));
+            match took {
+                Some(took) if took <= job.objective => result.on_time += 1,
+                Some(_) => result.late += 1,
+                None => {}
+            }
+        }
+        results
+    }
+}
+
+impl PlayedExecutor {
+    fn end(&mut self, task: TaskRef, run: RunNumber, kind: EndKind) {
+        if self.runs.remove(&(task, run)).is_none() {
+            return;
+        }
+        self.last_end += 1;
+        self.ends.push(RunEnd {
+            number: self.last_end,
+            task,
+            run,
+            kind,
+            saved: None,
+        });
+    }
+
+    fn report(&self, now: Millis) -> ExecutorReport {
+        let running = self.runs.keys().map(|(task, run)| RunningTask {
+            task: *task,
+            run: *run,
+            saved: None,
+            percent: u8::try_from(now.get() / 100 % 100).unwrap_or(0),
+            meter: None,
+        });
+        ExecutorReport {
+            life: self.entry.life,
+            clock: now,
+            running: running.collect(),
+            ends: self.ends.clone(),
+        }
+    }
+}
