--- a/crates/magnolia-scheduler/src/job.rs
+++ b/crates/magnolia-scheduler/src/job.rs
@@ -150,7 +150,7 @@
         }
         JobRecord::Live(LiveRecord {
             rules: Arc::clone(&self.rules),
-            spec: self.spec.clone().unwrap_or_else(|| unreachable_spec()),
+            spec: self.spec.clone().unwrap_or_else(unreachable_spec),
             accepted_unix_ms: self.accepted_unix_ms,
             occurrences: self.occurrences.iter().map(occurrence_record).collect(),
         })
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -230,6 +230,9 @@
             EndKind::Done => self.apply_done(slot, task, run, now),
             EndKind::Failed => self.apply_failure(slot, task, run, now),
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
+                let id = self.executor_id(slot);
+                log::info!(task:% = task, run:% = run, executor:% = id, kind:? = kind;
+                    "run ended before its work was done");
                 self.release(slot, task, run, now);
             }
         }
@@ -337,6 +340,9 @@
             failures
         };
         self.mark_dirty(job);
+        let id = self.executor_id(slot);
+        log::info!(task:% = task, run:% = run, executor:% = id, failed = counted,
+            limit = rules.max_attempts; "run failed");
         if counted >= u64::from(rules.max_attempts) {
             self.end_job(job, JobStatus::Failed, now);
         }
