Open occurrences that an earlier owner started before their ends are applied

Cause: a recurring job's record holds an occurrence only after something of it was stored. An executor that reported the good end of an occurrence which the next owner had not opened was acknowledged, the end was dropped, and the occurrence ran again when it was due.

--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -187,6 +187,7 @@
             .map(|row| (row.task, row.run))
             .collect();
         for row in report.running {
+            self.open_occurrences_to(row.task, now);
             self.apply_running(slot, row, now);
         }
         let seen = self.executors.get(slot).seen_through;
@@ -199,12 +200,31 @@
             let executor = self.executors.get_mut(slot);
             executor.seen_through = executor.seen_through.max(end.number);
             executor.strangers.remove(&(end.task, end.run));
+            self.open_occurrences_to(end.task, now);
             self.apply_end(slot, end.task, end.run, end.kind, end.saved, now);
         }
         self.drop_missing(slot, &listed, sent_at, now);
         self.pace_fillers(slot, now);
     }
 
+    /// Opens the occurrence of a task that an earlier owner started, when its record does not hold it
+    /// yet or this daemon's time of day is behind.
+    fn open_occurrences_to(&mut self, task: TaskRef, now: Millis) {
+        let key = task.step.job;
+        let wanted = task.step.occurrence as usize;
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        let known = wanted < job.occurrences.len() || wanted >= job.total_occurrences();
+        if known || job.ending.is_some() {
+            return;
+        }
+        while job.occurrences.len() <= wanted {
+            job.open_occurrence(now);
+        }
+        self.queue_open_steps(key);
+    }
+
     fn apply_running(&mut self, slot: Slot, row: RunningTask, now: Millis) {
         let key = (row.task, row.run);
         let executor = self.executors.get_mut(slot);
