--- a/crates/magnolia-node/src/advisers.rs
+++ b/crates/magnolia-node/src/advisers.rs
@@ -85,7 +85,7 @@
         took:% = now.saturating_sub(asked_at); "eligibility answered");
     let mut scheduler = session.lock();
     scheduler.release_adviser(order.daemon, usable);
-    scheduler.apply_advice(call.step, &call.executors, answer.as_ref(), asked_at, now);
+    scheduler.apply_advice(call.step, &call.executors, answer.as_ref(), now);
     drop(scheduler);
     session.want_plan();
 }
--- a/crates/magnolia-node/src/node.rs
+++ b/crates/magnolia-node/src/node.rs
@@ -156,8 +156,16 @@
     /// Gives ownership up and tells the others, before the process stops.
     pub async fn begin_stop(&self) {
         self.stopping.store(true, Ordering::SeqCst);
-        if let Some(session) = self.session() {
-            self.hand_over(&session).await;
+        let Some(session) = self.session() else {
+            return;
+        };
+        // Without the store nobody can claim; the stop does not wait for it.
+        let limit = self.settings.notice_time;
+        if tokio::time::timeout(limit, self.hand_over(&session))
+            .await
+            .is_err()
+        {
+            log::warn!(limit:? = limit; "no daemon took ownership over in time");
         }
     }
 
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -60,7 +60,7 @@
     pub fn tick(&mut self, now: Millis, now_unix_ms: u64) {
         self.expire_leases(now);
         self.retire_leaving();
-        self.resend_starts(now);
+        self.withdraw_uncertain(now);
         self.resend_stops(now);
         self.open_due_occurrences(now, now_unix_ms);
         self.stop_hung_runs(now);
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -371,8 +371,8 @@
         self.release(slot, order.task, order.run, now);
     }
 
-    /// Returns the orders without an answer that are sent again; withdraws those sent often.
-    pub(crate) fn resend_starts(&mut self, now: Millis) {
+    /// Withdraws starts without an answer by stops, after which they can take no effect.
+    pub(crate) fn withdraw_uncertain(&mut self, now: Millis) {
         let mut stops = Vec::new();
         for (slot, executor) in self.executors.iter() {
             for ((task, run), active) in &executor.runs {
@@ -431,7 +431,6 @@
         step: StepRef,
         named: &[ExecutorId],
         answer: Option<&EligibilityAnswer>,
-        asked_at: Millis,
         now: Millis,
     ) {
         let slots: Vec<Slot> = named
@@ -467,8 +466,6 @@
             return;
         }
         state.advice.ineligible.extend(&slots);
-        // The ticket may have been issued any time after the call was sent.
-        let _ = asked_at;
         for (slot, life, text) in rows {
             state.advice.ineligible.remove(&slot);
             let ticket = Ticket {
--- a/crates/magnolia-scheduler/tests/play/mod.rs
+++ b/crates/magnolia-scheduler/tests/play/mod.rs
@@ -301,7 +301,7 @@
             self.scheduler.release_adviser(order.daemon, true);
             let named = &order.executors;
             self.scheduler
-                .apply_advice(order.step, named, Some(&answer), now, now);
+                .apply_advice(order.step, named, Some(&answer), now);
         }
     }
 
