Split the daemon and the planner by what they decide

node.rs: election.rs (signs of life, claims, handovers) and gateway.rs (callers); owner.rs: serving.rs; planning.rs: eligibility.rs and preemption.rs. The name of a wire field is gone from the renewal's plan. No change of behaviour.

--- a/crates/magnolia-node/src/lib.rs
+++ b/crates/magnolia-node/src/lib.rs
@@ -8,7 +8,9 @@
 mod callers;
 mod clock;
 mod committer;
+mod election;
 mod executor_loop;
+mod gateway;
 mod inner;
 mod inventory;
 mod membership;
@@ -19,6 +21,7 @@
 mod ports;
 mod routed_store;
 mod rules_feed;
+mod serving;
 mod settings;
 
 pub use callers::{CallerAnswer, CallerCall, CallerRequest};
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -58,7 +58,7 @@
     /// Life that is meant; unknown before the first entry.
     pub life: ExecutorLife,
     /// Ends up to this number are stored.
-    pub acked_through: u64,
+    pub ends_stored: u64,
     /// End of the lease on the executor's clock; none before its clock is known.
     pub lease_until: Option<Millis>,
     /// How long the executor waits for an end before it answers.
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -4,39 +4,28 @@
 
 use magnolia_types::{Millis, ResourceVector};
 
-use crate::advice_queue::AdviceRequest;
 use crate::cell::{CellScheduler, ReadyKey};
 use crate::executor_state::{ExecutorState, RunPhase};
 use crate::executors::Slot;
-use crate::placement::{RoomView, choose_executor, choose_named};
+use crate::placement::{RoomView, choose_executor};
 use crate::reports::filler_cpu;
 use crate::step::{StepState, TaskPhase};
 use crate::{CellAction, QueueRules, RunNumber, StartOrder, StepRef, StepSpec, TaskRef};
 
 /// Steps of one urgency that a pass looks at: those behind them wait for the same room.
 const STEPS_PER_PASS: usize = 48;
-/// Most executors in one call for eligibility; the platform's bound. A second call costs the base
-/// time again, which is that of some 70 executors.
-const MOST_NAMED: usize = 100;
 /// Urgency that may stop less urgent runs to make room.
-const PREEMPTING_PRIORITY: u32 = 0;
-/// Time for which room that is being made is not asked for again.
-const PREEMPTION_PAUSE: Millis = Millis::new(150);
-/// Time that an urgent step leaves between two calls for eligibility.
-const URGENT_ADVICE_INTERVAL: Millis = Millis::new(100);
-/// Time that any other step leaves: while its tickets are valid, room that becomes free is used
-/// without a call, which takes some 500 ms of a daemon's turn.
-const ADVICE_INTERVAL: Millis = Millis::new(1800);
+pub(crate) const PREEMPTING_PRIORITY: u32 = 0;
 
 /// Executors of a step, by what is known of their eligibility.
 #[derive(Default)]
-struct StepOptions {
+pub(crate) struct StepOptions {
     /// May start tasks now.
-    usable: Vec<RoomView>,
+    pub(crate) usable: Vec<RoomView>,
     /// Room there, eligibility unknown.
-    unknown: Vec<RoomView>,
+    pub(crate) unknown: Vec<RoomView>,
     /// Eligible, with room, but without a valid ticket.
-    expired: Vec<RoomView>,
+    pub(crate) expired: Vec<RoomView>,
 }
 
 impl CellScheduler {
@@ -276,7 +265,7 @@
     }
 
     /// Returns how many tasks of a step fit into `free` on an executor.
-    fn room(
+    pub(crate) fn room(
         &self,
         executor: &ExecutorState,
         spec: &StepSpec,
@@ -423,207 +412,6 @@
         self.place(slot, task, run, spec.reserved(), filler_cpu(spec), now);
         self.actions.push(CellAction::Start(order));
     }
-
-    /// Tells whether executors with room are left to ask for, so that no run has to be stopped.
-    fn may_find_room(&self, options: &StepOptions, rules: &QueueRules, wanted: u32) -> bool {
-        let room = |views: &[RoomView]| views.iter().map(|view| view.room.min(wanted)).sum::<u32>();
-        let expected = f64::from(room(&options.unknown)) * self.share(rules);
-        f64::from(room(&options.expired)) + expected >= f64::from(wanted)
-    }
-
-    /// Returns the share of executors that is usually eligible for steps of a queue.
-    fn share(&self, rules: &QueueRules) -> f64 {
-        let known = self.eligible_share.get(&rules.name).copied();
-        known.unwrap_or(Self::FIRST_ELIGIBLE_SHARE)
-    }
-
-    /// Stops less urgent runs where the step is known to be eligible.
-    fn make_room(
-        &mut self,
-        step: StepRef,
-        spec: &StepSpec,
-        rules: &QueueRules,
-        wanted: u32,
-        now: Millis,
-    ) {
-        let Some(state) = self.step_state(step) else {
-            return;
-        };
-        let eligible: Vec<Slot> = state.advice.tickets.keys().copied().collect();
-        let mut missing = wanted;
-        let mut victims = Vec::new();
-        for slot in eligible {
-            if missing == 0 {
-                break;
-            }
-            let executor = self.executors.get(slot);
-            if !executor.takes_work(now) || !suits(executor, spec, rules) {
-                continue;
-            }
-            let pending = self.preempted.get(&slot);
-            if pending.is_some_and(|at| now.saturating_sub(*at) < PREEMPTION_PAUSE) {
-                missing = missing.saturating_sub(1);
-                continue;
-            }
-            let freed = executor.free().saturating_add(&executor.being_freed());
-            let coming = self.room(executor, spec, rules, step, freed);
-            if coming > 0 {
-                missing = missing.saturating_sub(coming);
-                continue;
-            }
-            let Some((task, run, freed)) = self.victim(slot, rules) else {
-                continue;
-            };
-            let free = executor.free().saturating_add(&freed);
-            let gained = self.room(executor, spec, rules, step, free);
-            if gained > 0 {
-                missing = missing.saturating_sub(gained);
-                victims.push((slot, task, run));
-            }
-        }
-        for (slot, task, run) in victims {
-            log::info!(task:% = task, run:% = run, step:% = step; "run stopped for urgent work");
-            self.preempted.insert(slot, now);
-            self.order_stop(slot, task, run, now);
-        }
-    }
-
-    /// Returns the run of an executor whose stop loses least, among less urgent ones.
-    fn victim(
-        &self,
-        slot: Slot,
-        rules: &QueueRules,
-    ) -> Option<(TaskRef, RunNumber, ResourceVector)> {
-        let executor = self.executors.get(slot);
-        let less_urgent = executor.runs.iter().filter_map(|((task, run), active)| {
-            let job = self.jobs.get(&task.step.job)?;
-            let spec = self.step_spec(task.step)?;
-            let fixed = spec.lasting || spec.gang || spec.filler;
-            let yields = job.rules.priority > rules.priority && !fixed;
-            if !yields || active.phase != RunPhase::Running {
-                return None;
-            }
-            // A saved run loses only what came after its checkpoint.
-            let lost = if spec.checkpoints {
-                0
-            } else {
-                u32::from(active.percent)
-            };
-            let key = (lost, u32::from(active.percent));
-            Some((key, *task, *run, active.reserved))
-        });
-        less_urgent
-            .min_by_key(|(key, ..)| *key)
-            .map(|(_, task, run, freed)| (task, run, freed))
-    }
-
-    fn ask_eligibility(
-        &mut self,
-        key: ReadyKey,
-        rules: &QueueRules,
-        wanted: u32,
-        mut options: StepOptions,
-        gang: bool,
-        now: Millis,
-    ) {
-        let step = key.step;
-        let Some(cost) = rules.advice.clone() else {
-            return;
-        };
-        let urgent = rules.priority == PREEMPTING_PRIORITY;
-        let share = self.share(rules);
-        if urgent && options.unknown.is_empty() && options.expired.is_empty() {
-            options.unknown = self.preemptable_views(step, rules, now);
-        }
-        let Some(state) = self.step_state(step) else {
-            return;
-        };
-        if state.advice.in_flight || now < state.advice.not_before {
-            return;
-        }
-        let of_usable: u32 = options.usable.iter().map(|view| view.room).sum();
-        // Known to be eligible: only their tickets have ended.
-        let salt = step.job.get();
-        let mut named = choose_named(&mut options.expired, wanted, 1.0, MOST_NAMED, salt);
-        let of_expired: u32 = options.expired.iter().map(|view| view.room).sum();
-        let held = of_expired + if gang { of_usable } else { 0 };
-        let missing = wanted.saturating_sub(held);
-        if missing > 0 {
-            let limit = MOST_NAMED - named.len();
-            named.extend(choose_named(
-                &mut options.unknown,
-                missing,
-                share,
-                limit,
-                salt,
-            ));
-        }
-        let of_unknown: u32 = options
-            .unknown
-            .iter()
-            .map(|view| view.room.min(wanted))
-            .sum();
-        let expected = f64::from(held) + f64::from(of_unknown) * share;
-        let needed = if gang {
-            f64::from(wanted)
-        } else if urgent {
-            0.0
-        } else {
-            (f64::from(wanted) / 3.0).max(0.7)
-        };
-        if named.is_empty() || expected < needed {
-            self.advice.remove(step);
-            return;
-        }
-        if let Some(state) = self.step_state(step) {
-            let interval = if urgent {
-                URGENT_ADVICE_INTERVAL
-            } else {
-                ADVICE_INTERVAL
-            };
-            state.advice.not_before = now.saturating_add(interval);
-        }
-        self.advice.remove(step);
-        let expected = cost.call_time(named.len());
-        let executors = named.iter().map(|slot| self.executor_id(*slot)).collect();
-        self.advice.push(AdviceRequest {
-            priority: key.priority,
-            order: key.order,
-            step,
-            executors,
-            expected,
-        });
-    }
-
-    /// Returns executors where urgent work could make room.
-    fn preemptable_views(&self, step: StepRef, rules: &QueueRules, now: Millis) -> Vec<RoomView> {
-        let Some(spec) = self.step_spec(step) else {
-            return Vec::new();
-        };
-        let job = self.jobs.get(&step.job);
-        let state = job.and_then(|job| {
-            let occurrence = job.occurrences.get(step.occurrence as usize)?;
-            occurrence.steps.get(usize::from(step.step))
-        });
-        let Some(state) = state else {
-            return Vec::new();
-        };
-        let asked = |slot: &Slot| {
-            state.advice.ineligible.contains(slot) || state.advice.tickets.contains_key(slot)
-        };
-        self.executors
-            .iter()
-            .filter(|(slot, executor)| {
-                executor.takes_work(now) && suits(executor, spec, rules) && !asked(slot)
-            })
-            .filter_map(|(slot, executor)| {
-                let (_, _, freed) = self.victim(slot, rules)?;
-                let free = executor.free().saturating_add(&freed);
-                let room = self.room(executor, spec, rules, step, free);
-                (room > 0).then(|| room_view(slot, executor, spec, room, false))
-            })
-            .collect()
-    }
 }
 
 /// Returns the numbers of the tasks that may start now.
@@ -645,7 +433,7 @@
 }
 
 /// Tells whether an executor may run the step by service and label.
-fn suits(executor: &ExecutorState, spec: &StepSpec, rules: &QueueRules) -> bool {
+pub(crate) fn suits(executor: &ExecutorState, spec: &StepSpec, rules: &QueueRules) -> bool {
     let labels = &executor.entry.labels;
     let labelled = spec
         .label
@@ -654,7 +442,7 @@
     executor.entry.service == rules.service && labelled
 }
 
-fn room_view(
+pub(crate) fn room_view(
     slot: Slot,
     executor: &ExecutorState,
     spec: &StepSpec,
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -142,7 +142,7 @@
         };
         Some(HoldPlan {
             life: executor.entry.life,
-            acked_through: executor.stored_through,
+            ends_stored: executor.stored_through,
             lease_until,
             wait,
         })
--- a/crates/magnolia-scheduler/tests/play/mod.rs
+++ b/crates/magnolia-scheduler/tests/play/mod.rs
@@ -276,7 +276,7 @@
                 continue;
             };
             let executor = &mut self.executors[number];
-            executor.ends.retain(|end| end.number > plan.acked_through);
+            executor.ends.retain(|end| end.number > plan.ends_stored);
             let report = executor.report(self.now);
             let sent_at = self.now;
             self.scheduler.apply_report(&id, report, sent_at, self.now);
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -204,7 +204,7 @@
         bench.answer(0, vec![], vec![end]);
         let acked = |bench: &mut RuleBench| {
             let plan = bench.scheduler.plan_executor_hold(&id(0), bench.now);
-            plan.expect("in use").1.acked_through
+            plan.expect("in use").1.ends_stored
         };
         assert_eq!(acked(&mut bench), 0);
         bench.store();
