--- a/crates/magnolia-node/src/advisers.rs
+++ b/crates/magnolia-node/src/advisers.rs
@@ -25,8 +25,7 @@
         Self::default()
     }
 
-    /// Returns the numbers of the daemons that can be asked; the owner itself only when there are
-    /// few others, since its processor is the scarcest.
+    /// Returns the numbers of the daemons that can be asked, the owner itself included.
     pub(crate) fn numbers(&self, own: &DaemonId, live: &[DaemonId]) -> BTreeSet<usize> {
         let mut names = self.names.lock().unwrap_or_else(PoisonError::into_inner);
         let mut numbers = BTreeSet::new();
--- a/crates/magnolia-node/src/node.rs
+++ b/crates/magnolia-node/src/node.rs
@@ -118,7 +118,7 @@
         Arc::clone(&self.rules.borrow())
     }
 
-    /// Tells whether callers can be served: a configuration and an owner are known.
+    /// Tells whether callers may be sent here: a configuration is known and no stop was asked for.
     pub fn is_ready(&self) -> bool {
         let configured = self.rules.borrow().version.get() > 0;
         configured && !self.is_stopping()
--- a/crates/magnolia-node/src/settings.rs
+++ b/crates/magnolia-node/src/settings.rs
@@ -20,7 +20,7 @@
     pub weight: u64,
     /// Bounds of the scheduler.
     pub scheduler: Arc<SchedulerSettings>,
-    /// Most calls of this daemon in one stop of the process.
+    /// Longest time from the request to stop to the end of the process.
     pub stop_limit: Duration,
     /// Time after a stop was asked for in which the platform still sends new callers.
     pub notice_time: Duration,
--- a/crates/magnolia-scheduler/src/eligibility.rs
+++ b/crates/magnolia-scheduler/src/eligibility.rs
@@ -12,7 +12,8 @@
 /// Most executors in one call for eligibility; the platform's bound. A second call costs the base
 /// time again, which is that of some 70 executors.
 const MOST_NAMED: usize = 100;
-/// Time that an urgent step leaves between two calls for eligibility.
+/// Time that an urgent step leaves between two calls for eligibility, and a gang, whose members need
+/// valid tickets at the same time.
 const URGENT_ADVICE_INTERVAL: Millis = Millis::new(100);
 /// Time that any other step leaves: while its tickets are valid, room that becomes free is used
 /// without a call, which takes some 500 ms of a daemon's turn.
@@ -78,7 +79,7 @@
             return;
         }
         if let Some(state) = self.step_state(step) {
-            let interval = if urgent {
+            let interval = if urgent || gang {
                 URGENT_ADVICE_INTERVAL
             } else {
                 ADVICE_INTERVAL
--- a/crates/magnolia-scheduler/src/executors.rs
+++ b/crates/magnolia-scheduler/src/executors.rs
@@ -10,35 +10,35 @@
 use crate::{ExecutorLife, ServiceName};
 
 wire_types! {
-/// What the platform lists of an executor.
-pub struct ExecutorEntry {
-    /// Identifier; may be used again by a later life.
-    pub id: ExecutorId,
-    /// Life that wrote the entry.
-    pub life: ExecutorLife,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Service that it runs tasks of.
-    pub service: ServiceName,
-    /// Its data centre.
-    pub data_centre: DataCentreName,
-    /// What it has.
-    pub capacity: ResourceVector,
-    /// Its kind and rack.
-    pub labels: Vec<Arc<str>>,
-    /// Whether it takes new work.
-    pub status: ExecutorStatus,
-}
+    /// What the platform lists of an executor.
+    pub struct ExecutorEntry {
+        /// Identifier; may be used again by a later life.
+        pub id: ExecutorId,
+        /// Life that wrote the entry.
+        pub life: ExecutorLife,
+        /// Where it listens.
+        pub address: SocketAddr,
+        /// Service that it runs tasks of.
+        pub service: ServiceName,
+        /// Its data centre.
+        pub data_centre: DataCentreName,
+        /// What it has.
+        pub capacity: ResourceVector,
+        /// Its kind and rack.
+        pub labels: Vec<Arc<str>>,
+        /// Whether it takes new work.
+        pub status: ExecutorStatus,
+    }
 }
 
 value_types! {
-/// Whether an executor takes new work.
-pub enum ExecutorStatus {
-    /// Takes work.
-    Ready,
-    /// Leaves soon.
-    Draining,
-}
+    /// Whether an executor takes new work.
+    pub enum ExecutorStatus {
+        /// Takes work.
+        Ready,
+        /// Leaves soon.
+        Draining,
+    }
 }
 
 /// Dense number of an executor within one owner.
--- a/crates/magnolia-scheduler/tests/heavy_load.rs
+++ b/crates/magnolia-scheduler/tests/heavy_load.rs
@@ -130,3 +130,22 @@
         assert!(share >= TARGET_SHARE, "urgent {share}: {results:?}");
     }
 );
+
+load_test!(
+    /// Guards gangs against waiting beside idle executors: the tickets of all members have to be valid
+    /// at the same time, so that the calls for them must not be far apart.
+    a_gang_starts_soon_on_an_idle_cell,
+    15,
+    |seed| {
+        for key in seed..seed + 20 {
+            let mut player = LoadPlayer::new(&site_executors(48), site_queues(), 7);
+            let mut gang = step(20, 11_000, 1000, vec![]);
+            gang.gang = true;
+            player.submit(1, key, job(vec![gang]));
+            // The users' bound for work that could run: 3 s; and the run itself.
+            player.advance(Millis::from_secs(4) .saturating_add(Millis::new(300)));
+            let results = player.results();
+            assert_eq!(results[1].on_time, 1, "job {key}: {results:?}");
+        }
+    }
+);
