Drop state that nothing reads

Runs that no job explains are a set and not a map to an unused time; the epoch of the owner's last answer is not kept. No change of behaviour.

--- a/crates/magnolia-node/src/election.rs
+++ b/crates/magnolia-node/src/election.rs
@@ -88,7 +88,6 @@
             let mut news = self.news.lock().unwrap_or_else(PoisonError::into_inner);
             if owns {
                 news.heard_at = now;
-                news.epoch = claim.epoch;
                 news.live.clone_from(&reply.live);
             }
             // Another process at the address, or one that gave ownership up.
--- a/crates/magnolia-node/src/node.rs
+++ b/crates/magnolia-node/src/node.rs
@@ -49,8 +49,6 @@
 /// What the owner last said.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OwnerNews {
-    /// Epoch of the last answer.
-    pub(crate) epoch: Epoch,
     pub(crate) heard_at: Millis,
     pub(crate) refused: bool,
     pub(crate) live: Vec<magnolia_types::DaemonId>,
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -1,6 +1,6 @@
 //! What the owner knows of one executor: its lease, its room, its runs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use magnolia_types::{Millis, ResourceVector};
@@ -146,7 +146,7 @@
     pub(crate) heard_at: Option<Millis>,
     pub(crate) runs: BTreeMap<(TaskRef, RunNumber), ActiveRun>,
     /// Runs listed there that no known job explains; nothing is placed beside them.
-    pub(crate) strangers: BTreeMap<(TaskRef, RunNumber), Option<Millis>>,
+    pub(crate) strangers: BTreeSet<(TaskRef, RunNumber)>,
     pub(crate) used: ResourceVector,
     /// Processors that fillers there would use.
     pub(crate) filler_cpu: u64,
@@ -175,7 +175,7 @@
             settles_at: Millis::new(u64::MAX),
             heard_at: None,
             runs: BTreeMap::new(),
-            strangers: BTreeMap::new(),
+            strangers: BTreeSet::new(),
             used: ResourceVector::default(),
             filler_cpu: 0,
             seen_through: 0,
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -274,7 +274,7 @@
             executor.add_run(row.task, row.run, active);
         } else {
             let executor = self.executors.get_mut(slot);
-            executor.strangers.insert((row.task, row.run), None);
+            executor.strangers.insert((row.task, row.run));
         }
         let id = self.executor_id(slot);
         log::info!(executor:% = id, task:% = row.task, run:% = row.run;
@@ -291,7 +291,7 @@
         now: Millis,
     ) {
         let executor = self.executors.get_mut(slot);
-        executor.strangers.retain(|key, _| listed.contains(key));
+        executor.strangers.retain(|key| listed.contains(key));
         let confirmed = |active: &ActiveRun| active.confirmed_at.is_some_and(|at| at < sent_at);
         let stopped = |active: &ActiveRun| {
             let before = active.stop_sent.is_some_and(|at| at < sent_at);
