Let new work start while a new owner waits for executors

Cause: after a change of owner, steps that an earlier owner may have started wait for executors that do not answer. All of them waited for any executor, also for one that was leaving and could run none of them.

Change: blocked steps are passed over before steps are counted. Only steps that were open when the jobs were read can have been started. What runs on an executor that leaves or is silent is stored with it; only these tasks wait for it.

--- a/crates/magnolia-node/src/owner.rs
+++ b/crates/magnolia-node/src/owner.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use magnolia_scheduler::{
-    CellAction, CellRules, CellScheduler, ExecutorEntry, JobKey, JobRecord, QueueRules,
+    CellAction, CellRules, CellScheduler, ExecutorRecord, JobKey, JobRecord, QueueRules,
     ServiceName, StartAnswer,
 };
 use magnolia_types::{DaemonId, Epoch, Millis};
@@ -170,8 +170,8 @@
         let mut loaded = 0;
         for record in &records {
             if record.key.starts_with(EXECUTOR_PREFIX) {
-                match rmp_serde::from_slice::<ExecutorEntry>(&record.value) {
-                    Ok(entry) => scheduler.load_executor(entry, now),
+                match rmp_serde::from_slice::<ExecutorRecord>(&record.value) {
+                    Ok(record) => scheduler.load_executor(record, now),
                     Err(error) => {
                         log::error!(key = &*record.key, error:% = error; "stored executor not read");
                     }
@@ -408,9 +408,9 @@
 /// Makes the record of an executor that comes into use, or goes out of it.
 pub(crate) fn executor_record(
     id: &magnolia_types::ExecutorId,
-    entry: Option<&ExecutorEntry>,
+    record: Option<&ExecutorRecord>,
 ) -> Option<StreamRecord> {
-    let value = match entry.map(rmp_serde::to_vec) {
+    let value = match record.map(rmp_serde::to_vec) {
         None => Vec::new(),
         Some(Ok(value)) => value,
         Some(Err(error)) => {
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -7,12 +7,12 @@
 
 use crate::admission::{AdmissionDecision, AdmissionLoad, decide_admission};
 use crate::advice_queue::AdviceQueue;
-use crate::executors::{ExecutorTable, Slot};
+use crate::executors::{ExecutorTable, ExecutorUse, Slot};
 use crate::job::JobState;
 use crate::record::JobRecord;
 use crate::step::TaskPhase;
 use crate::{
-    CellAction, CellRules, ExecutorEntry, ExecutorLife, JobKey, JobSpec, JobStatus, QueueName,
+    CellAction, CellRules, ExecutorLife, ExecutorRecord, JobKey, JobSpec, JobStatus, QueueName,
     QueueRules, SchedulerSettings, StepRef, TaskRef,
 };
 
@@ -43,8 +43,8 @@
 pub struct StoreBatch {
     /// Key and record; no record drops the key.
     pub records: Vec<(JobKey, Option<JobRecord>)>,
-    /// Executors that come into use, or go out of it.
-    pub executors: Vec<(ExecutorId, Option<ExecutorEntry>)>,
+    /// Executors whose use changes; no record when one goes out of use.
+    pub executors: Vec<(ExecutorId, Option<ExecutorRecord>)>,
     /// Ends of executors that the batch covers.
     ends: Vec<(Slot, ExecutorLife, u64)>,
     /// Tasks that ended well.
@@ -145,8 +145,8 @@
             JobRecord::Live(live) => {
                 let spec = Arc::clone(&live.spec);
                 let mut job = JobState::new(Arc::clone(&live.rules), spec, live.accepted_unix_ms);
-                job.restore(live, now);
                 job.inherited = true;
+                job.restore(live, now);
                 job.stored = true;
                 self.live.insert(key);
                 job
@@ -301,8 +301,8 @@
         }
         for slot in std::mem::take(&mut self.dirty_executors) {
             let executor = self.executors.get(slot);
-            let entry = executor.in_use.then(|| executor.entry.clone());
-            batch.executors.push((executor.entry.id.clone(), entry));
+            let id = executor.entry.id.clone();
+            batch.executors.push((id, executor.record()));
         }
         batch.done = std::mem::take(&mut self.done_seen);
         batch.ends = self
@@ -316,9 +316,13 @@
 
     /// Applies what the storing of a batch proves; returns the jobs whose end it stored.
     pub fn finish_batch(&mut self, batch: StoreBatch, now: Millis) -> Vec<(JobKey, JobStatus)> {
-        for (id, entry) in batch.executors {
+        for (id, record) in batch.executors {
             if let Some(slot) = self.executors.slot(&id) {
-                self.executors.get_mut(slot).stored_in_use = entry.is_some();
+                self.executors.get_mut(slot).stored_usage = match record {
+                    None => ExecutorUse::Unused,
+                    Some(record) if record.confined_to.is_some() => ExecutorUse::Confined,
+                    Some(_) => ExecutorUse::Open,
+                };
             }
         }
         for (slot, life, through) in batch.ends {
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -6,7 +6,7 @@
 use magnolia_types::{Millis, ResourceVector};
 
 use crate::executor_health::HealthTracker;
-use crate::executors::{ExecutorEntry, ExecutorStatus};
+use crate::executors::{ExecutorEntry, ExecutorRecord, ExecutorStatus, ExecutorUse};
 use crate::{ExecutorLife, RunNumber, TaskRef};
 
 /// How slow the clock of an executor may be, in thousandths; the platform's bound.
@@ -136,10 +136,12 @@
     pub(crate) settled: bool,
     /// Whether an earlier owner may have started tasks there.
     pub(crate) inherited: bool,
-    /// Whether it is in use, which the next owner has to know.
-    pub(crate) in_use: bool,
-    /// Whether the store holds that it is in use.
-    pub(crate) stored_in_use: bool,
+    /// The only tasks that an earlier owner may have left there; any task when there is no list.
+    pub(crate) left_there: Option<BTreeSet<TaskRef>>,
+    /// What it is used for, which the next owner has to know.
+    pub(crate) usage: ExecutorUse,
+    /// What the store holds of its use.
+    pub(crate) stored_usage: ExecutorUse,
     /// From when on nothing of an earlier owner can run there although it was never asked.
     pub(crate) settles_at: Millis,
     /// When it last answered.
@@ -170,8 +172,9 @@
             lease: ExecutorLease::default(),
             settled: false,
             inherited: false,
-            in_use: false,
-            stored_in_use: false,
+            left_there: None,
+            usage: ExecutorUse::Unused,
+            stored_usage: ExecutorUse::Unused,
             settles_at: Millis::new(u64::MAX),
             heard_at: None,
             runs: BTreeMap::new(),
@@ -197,6 +200,22 @@
         self.inherited && !self.settled
     }
 
+    /// Returns what the store has to hold of it; none when it is not in use.
+    pub(crate) fn record(&self) -> Option<ExecutorRecord> {
+        let confined_to = match self.usage {
+            ExecutorUse::Unused => return None,
+            ExecutorUse::Open => None,
+            ExecutorUse::Confined => {
+                let tasks: BTreeSet<TaskRef> = self.runs.keys().map(|(task, _)| *task).collect();
+                Some(tasks.into_iter().collect())
+            }
+        };
+        Some(ExecutorRecord {
+            entry: self.entry.clone(),
+            confined_to,
+        })
+    }
+
     /// Forgets what belongs to an earlier life.
     pub(crate) fn begin_life(&mut self, life: ExecutorLife) {
         self.entry.life = life;
@@ -245,8 +264,8 @@
         let healthy = self.health.state(now) == crate::HealthState::Trusted;
         self.listed
             && self.settled
-            && self.in_use
-            && self.stored_in_use
+            && self.usage == ExecutorUse::Open
+            && self.stored_usage == ExecutorUse::Open
             && healthy
             && self.strangers.is_empty()
             && self.entry.status == ExecutorStatus::Ready
--- a/crates/magnolia-scheduler/src/executors.rs
+++ b/crates/magnolia-scheduler/src/executors.rs
@@ -7,7 +7,7 @@
 use magnolia_types::{DataCentreName, ExecutorId, ResourceVector, value_types, wire_types};
 
 use crate::executor_state::ExecutorState;
-use crate::{ExecutorLife, ServiceName};
+use crate::{ExecutorLife, ServiceName, TaskRef};
 
 wire_types! {
     /// What the platform lists of an executor.
@@ -31,7 +31,27 @@
     }
 }
 
+wire_types! {
+    /// What the store holds of an executor in use, for the next owner.
+    pub struct ExecutorRecord {
+        /// The executor.
+        pub entry: ExecutorEntry,
+        /// The only tasks that may run there; any task may when there is no list.
+        pub confined_to: Option<Vec<TaskRef>>,
+    }
+}
+
 value_types! {
+    /// What an executor is used for.
+    pub(crate) enum ExecutorUse {
+        /// Nothing runs there and nothing starts.
+        Unused,
+        /// Nothing new starts there; what runs is known.
+        Confined,
+        /// Tasks may start there.
+        Open,
+    }
+
     /// Whether an executor takes new work.
     pub enum ExecutorStatus {
         /// Takes work.
--- a/crates/magnolia-scheduler/src/job.rs
+++ b/crates/magnolia-scheduler/src/job.rs
@@ -40,7 +40,7 @@
     pub(crate) occurrences: Vec<OccurrenceState>,
     /// Whether a task has ever started, as far as this owner knows.
     pub(crate) started: bool,
-    /// Whether an earlier owner may have started tasks that this one has not seen.
+    /// Whether an earlier owner accepted it.
     pub(crate) inherited: bool,
     /// Outcome that was decided.
     pub(crate) ending: Option<JobStatus>,
@@ -114,6 +114,8 @@
         let steps = spec.steps.iter().map(|step| {
             let mut state = StepState::new(step.tasks);
             state.open = step.after.is_empty();
+            // An earlier owner may have opened the occurrence without storing anything of it.
+            state.inherited = self.inherited && state.open;
             state.ready_since = now;
             state
         });
@@ -168,6 +170,10 @@
                 self.started |= step.done > 0 || !stored.failed.is_empty();
             }
             open_steps(self.spec.as_deref(), occurrence, now);
+            // Later steps start only after the ends before them are stored, which none are yet.
+            for step in &mut occurrence.steps {
+                step.inherited = step.open;
+            }
         }
     }
 }
--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -35,7 +35,7 @@
     EligibilityAnswer, EndKind, ExecutorReport, RunEnd, RunningTask, StartAnswer,
 };
 pub use executor_state::{ExecutorLease, HoldPlan};
-pub use executors::{ExecutorEntry, ExecutorStatus};
+pub use executors::{ExecutorEntry, ExecutorRecord, ExecutorStatus};
 pub use ids::{ExecutorLife, JobKey, ParseKeyError, RunNumber, StepRef, TaskRef};
 pub use job::JobStatus;
 pub use job_spec::{JobSpec, RecurrenceSpec, SpecError, StepSpec};
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -28,6 +28,15 @@
     pub(crate) expired: Vec<RoomView>,
 }
 
+/// Tasks that wait for executors which have not answered since the change of owner.
+#[derive(Default)]
+struct TakeoverBlock {
+    /// Whether any inherited task may run there.
+    all: bool,
+    /// Tasks that may run there.
+    tasks: BTreeSet<TaskRef>,
+}
+
 impl CellScheduler {
     /// Sets the daemons that can ask for eligibility.
     pub fn set_advisers(&mut self, daemons: &BTreeSet<usize>) {
@@ -49,6 +58,7 @@
     pub fn tick(&mut self, now: Millis, now_unix_ms: u64) {
         self.expire_leases(now);
         self.retire_leaving();
+        self.confine_executors(now);
         self.withdraw_uncertain(now);
         self.resend_stops(now);
         self.open_due_occurrences(now, now_unix_ms);
@@ -150,16 +160,20 @@
     pub fn plan(&mut self, now: Millis) {
         let mut looked = std::collections::BTreeMap::new();
         let mut keys = Vec::new();
+        let block = self.takeover_block();
         for key in &self.ready {
+            // Steps that nothing can start of must not take the turns of those behind them.
+            if block.all && self.is_inherited(key.step) {
+                continue;
+            }
             let count: &mut usize = looked.entry(key.priority).or_default();
             *count += 1;
             if *count <= STEPS_PER_PASS {
                 keys.push(*key);
             }
         }
-        let inherited_blocked = self.executors.iter().any(|(_, e)| e.blocks_inherited());
         for key in keys {
-            self.plan_step(key, inherited_blocked, now);
+            self.plan_step(key, &block, now);
         }
         for order in self.advice.dispatch() {
             if let Some(state) = self.step_state(order.step) {
@@ -169,14 +183,31 @@
         }
     }
 
-    fn plan_step(&mut self, key: ReadyKey, inherited_blocked: bool, now: Millis) {
+    /// Returns which tasks may run unseen on executors that have not answered this owner yet.
+    fn takeover_block(&self) -> TakeoverBlock {
+        let mut block = TakeoverBlock::default();
+        let unseen = self.executors.iter().map(|(_, executor)| executor);
+        for executor in unseen.filter(|executor| executor.blocks_inherited()) {
+            match &executor.left_there {
+                Some(tasks) => block.tasks.extend(tasks),
+                None => block.all = true,
+            }
+        }
+        block
+    }
+
+    fn is_inherited(&self, step: StepRef) -> bool {
+        let job = self.jobs.get(&step.job);
+        let occurrence = job.and_then(|job| job.occurrences.get(step.occurrence as usize));
+        let state = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(step.step)));
+        state.is_some_and(|state| state.inherited)
+    }
+
+    fn plan_step(&mut self, key: ReadyKey, block: &TakeoverBlock, now: Millis) {
         let step = key.step;
         let Some(job) = self.jobs.get(&step.job) else {
             return;
         };
-        if job.inherited && inherited_blocked {
-            return;
-        }
         let Some(job_spec) = job.spec.clone() else {
             return;
         };
@@ -194,7 +225,15 @@
         else {
             return;
         };
-        let startable = startable_tasks(state, now);
+        let mut startable = startable_tasks(state, now);
+        if state.inherited {
+            startable.retain(|index| {
+                !block.tasks.contains(&TaskRef {
+                    step,
+                    index: *index,
+                })
+            });
+        }
         let ready_since = state.ready_since;
         if startable.is_empty() {
             return;
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -6,7 +6,7 @@
 
 use crate::cell::CellScheduler;
 use crate::executor_state::{ActiveRun, ExecutorState, HoldPlan, RunPhase};
-use crate::executors::{ExecutorEntry, ExecutorStatus, Slot};
+use crate::executors::{ExecutorEntry, ExecutorRecord, ExecutorStatus, ExecutorUse, Slot};
 use crate::step::{TaskPhase, Ticket};
 use crate::{CellAction, PaceOrder};
 use crate::{
@@ -49,14 +49,18 @@
     }
 
     /// Takes in an executor that an earlier owner had in use, before anything starts.
-    pub fn load_executor(&mut self, entry: ExecutorEntry, now: Millis) {
+    pub fn load_executor(&mut self, record: ExecutorRecord, now: Millis) {
         let wait = self.settings.takeover_wait();
-        let slot = self.executors.add(entry);
+        let slot = self.executors.add(record.entry);
         let executor = self.executors.get_mut(slot);
         executor.listed = false;
         executor.inherited = true;
-        executor.in_use = true;
-        executor.stored_in_use = true;
+        executor.usage = match &record.confined_to {
+            Some(_) => ExecutorUse::Confined,
+            None => ExecutorUse::Open,
+        };
+        executor.stored_usage = executor.usage;
+        executor.left_there = record.confined_to.map(BTreeSet::from_iter);
         executor.settles_at = now.saturating_add(wait);
     }
 
@@ -75,7 +79,8 @@
     pub(crate) fn retire_leaving(&mut self) {
         let leaving = |executor: &ExecutorState| {
             let leaves = !executor.listed || executor.entry.status == ExecutorStatus::Draining;
-            leaves && executor.in_use && executor.settled && executor.runs.is_empty()
+            let used = executor.usage != ExecutorUse::Unused;
+            leaves && used && executor.settled && executor.runs.is_empty()
         };
         let slots: Vec<Slot> = self
             .executors
@@ -91,8 +96,31 @@
     /// Takes an executor out of use, after nothing can run there any more.
     pub(crate) fn retire_executor(&mut self, slot: Slot) {
         let executor = self.executors.get_mut(slot);
-        if executor.in_use && executor.runs.is_empty() {
-            executor.in_use = false;
+        if executor.usage != ExecutorUse::Unused && executor.runs.is_empty() {
+            executor.usage = ExecutorUse::Unused;
+            self.mark_executor(slot);
+        }
+    }
+
+    /// Stores what runs on executors that leave or are silent, where nothing new starts: the next
+    /// owner then waits for them with these tasks only.
+    pub(crate) fn confine_executors(&mut self, now: Millis) {
+        let closed = |executor: &ExecutorState| {
+            let leaves = executor.entry.status == ExecutorStatus::Draining;
+            let open = executor.usage == ExecutorUse::Open && executor.settled;
+            open && (leaves || !executor.is_heard(now))
+        };
+        let slots: Vec<Slot> = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| closed(executor))
+            .map(|(slot, _)| slot)
+            .collect();
+        for slot in slots {
+            let executor = self.executors.get_mut(slot);
+            executor.usage = ExecutorUse::Confined;
+            log::info!(executor:% = executor.entry.id, runs = executor.runs.len();
+                "nothing new starts on an executor that leaves or is silent");
             self.mark_executor(slot);
         }
     }
@@ -171,8 +199,8 @@
         executor.lease.observe(report.clock, now);
         executor.heard_at = Some(now);
         let ready = executor.entry.status == ExecutorStatus::Ready;
-        if !executor.in_use && executor.listed && ready {
-            executor.in_use = true;
+        if executor.usage != ExecutorUse::Open && executor.listed && ready {
+            executor.usage = ExecutorUse::Open;
             self.mark_executor(slot);
         }
         let executor = self.executors.get_mut(slot);
--- a/crates/magnolia-scheduler/src/step.rs
+++ b/crates/magnolia-scheduler/src/step.rs
@@ -74,6 +74,8 @@
     pub(crate) done: u32,
     /// Whether all earlier steps are done and stored.
     pub(crate) open: bool,
+    /// Whether an earlier owner may have started tasks of it that this one has not seen.
+    pub(crate) inherited: bool,
     pub(crate) advice: StepAdvice,
     /// Starts of the whole gang in this epoch.
     pub(crate) gang_runs: u64,
@@ -92,6 +94,7 @@
             waiting: tasks,
             done: 0,
             open: false,
+            inherited: false,
             advice: StepAdvice::default(),
             gang_runs: 0,
             ready_since: Millis::new(0),
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -6,9 +6,9 @@
 
 use magnolia_scheduler::{
     CellAction, CellRules, CellScheduler, CellVersion, EndKind, ExecutorEntry, ExecutorLife,
-    ExecutorReport, ExecutorStatus, JobKey, JobRecord, JobSpec, JobStatus, LiveRecord, QueueRules,
-    RecurrenceSpec, RunEnd, RunNumber, RunningTask, SchedulerSettings, ServiceName, StartAnswer,
-    StartOrder, StepRef, SubmitOutcome, TaskRef,
+    ExecutorRecord, ExecutorReport, ExecutorStatus, JobKey, JobRecord, JobSpec, JobStatus,
+    LiveRecord, QueueRules, RecurrenceSpec, RunEnd, RunNumber, RunningTask, SchedulerSettings,
+    ServiceName, StartAnswer, StartOrder, StepRef, SubmitOutcome, TaskRef,
 };
 use magnolia_types::{DataCentreName, Epoch, ExecutorId, Millis, ResourceVector};
 use play::{job, queue, step};
@@ -73,6 +73,28 @@
         }
     }
 
+    /// Takes in an executor that an earlier owner had in use.
+    fn load_executor(&mut self, number: usize, confined_to: Option<Vec<TaskRef>>) {
+        let record = ExecutorRecord {
+            entry: entry(number, "r1-1"),
+            confined_to,
+        };
+        self.scheduler.load_executor(record, self.now);
+    }
+
+    /// Takes in a job that an earlier owner accepted.
+    fn load_job(&mut self, key: u64, spec: JobSpec) {
+        let record = JobRecord::Live(LiveRecord {
+            rules: Arc::clone(&self.rules),
+            spec: Arc::new(spec),
+            accepted_unix_ms: START_UNIX_MS,
+            occurrences: Vec::new(),
+        });
+        let rules = Arc::clone(&self.rules);
+        self.scheduler
+            .load(JobKey::new(key), &record, &rules, self.now);
+    }
+
     fn answer_all(&mut self, executors: usize) {
         (0..executors).for_each(|number| self.answer(number, vec![], vec![]));
         self.store();
@@ -279,7 +301,7 @@
     inherited_tasks_wait_for_executors_in_use,
     || {
         let mut bench = RuleBench::new_unanswered(2, 1);
-        bench.scheduler.load_executor(entry(7, "r1-1"), bench.now);
+        bench.load_executor(7, None);
         let record = JobRecord::Live(LiveRecord {
             rules: Arc::clone(&bench.rules),
             spec: Arc::new(job(vec![step(2, 1000, 5000, vec![])])),
@@ -307,6 +329,97 @@
     }
 );
 
+rule_test!(
+    /// Guards new jobs against a change of owner: steps that wait for an executor that does not
+    /// answer must not take the turns of steps that can start.
+    blocked_steps_do_not_hold_up_new_jobs,
+    || {
+        let mut bench = RuleBench::new_unanswered(2, 1);
+        bench.load_executor(7, None);
+        (1..=100).for_each(|key| bench.load_job(key, job(vec![step(1, 1000, 5000, vec![])])));
+        bench.answer_all(1);
+        bench.submit(900, job(vec![step(2, 1000, 5000, vec![])]));
+        bench.store();
+        let starts = bench.starts();
+        assert_eq!(starts.len(), 2, "{starts:?}");
+        assert!(starts.iter().all(|order| order.task.step.job == JobKey::new(900)));
+    }
+);
+
+rule_test!(
+    /// Guards against tasks that wait after a change of owner for an executor on which they can't be,
+    /// and against a start of the one that may be there.
+    only_tasks_left_on_a_silent_executor_wait_for_it,
+    || {
+        let mut bench = RuleBench::new_unanswered(2, 1);
+        bench.load_executor(7, Some(vec![task(1, 0, 0)]));
+        bench.load_job(1, job(vec![step(3, 1000, 5000, vec![])]));
+        bench.answer_all(1);
+        bench.pass(200);
+        let started: Vec<TaskRef> = bench.starts().iter().map(|order| order.task).collect();
+        assert_eq!(started, [task(1, 0, 1), task(1, 0, 2)]);
+        bench.pass(8000);
+        bench.answer(0, vec![], vec![]);
+        let started: Vec<TaskRef> = bench.starts().iter().map(|order| order.task).collect();
+        assert!(started.contains(&task(1, 0, 0)), "its lease is out: {started:?}");
+    }
+);
+
+rule_test!(
+    /// Guards later steps of a job against a wait for executors that can't run them: nothing of a step
+    /// starts before the ends that it depends on are stored.
+    a_step_that_opens_after_a_change_of_owner_waits_for_nobody,
+    || {
+        let mut bench = RuleBench::new_unanswered(2, 1);
+        bench.load_executor(7, None);
+        bench.load_job(1, job(vec![step(1, 1000, 100, vec![]), step(2, 1000, 100, vec![0])]));
+        let done = RunEnd {
+            number: 1,
+            task: task(1, 0, 0),
+            run: RunNumber::new(1),
+            kind: EndKind::Done,
+            saved: None,
+        };
+        bench.answer(0, vec![], vec![done.clone()]);
+        bench.store();
+        bench.answer(0, vec![], vec![]);
+        let started: Vec<u16> = bench.starts().iter().map(|order| order.task.step.step).collect();
+        assert_eq!(started, [1, 1]);
+    }
+);
+
+rule_test!(
+    /// Guards against a next owner that waits for an executor with every task: what runs on one that
+    /// leaves or is silent is stored, and nothing starts there until the store allows it again.
+    what_runs_on_a_closed_executor_is_stored,
+    || {
+        let mut bench = RuleBench::new(1, 1);
+        bench.submit(1, job(vec![step(1, 1000, 60_000, vec![])]));
+        bench.store();
+        let run = bench.starts()[0].run;
+        bench.pass(2500);
+        let batch = bench.scheduler.begin_batch(START_UNIX_MS);
+        let record = batch.executors[0].1.clone().expect("still in use");
+        assert_eq!(record.confined_to, Some(vec![task(1, 0, 0)]));
+        bench.scheduler.finish_batch(batch, bench.now);
+        let listed = RunningTask {
+            task: task(1, 0, 0),
+            run,
+            saved: None,
+            percent: 40,
+            meter: None,
+        };
+        bench.answer(0, vec![listed], vec![]);
+        bench.submit(2, job(vec![step(1, 1000, 60_000, vec![])]));
+        let batch = bench.scheduler.begin_batch(START_UNIX_MS);
+        assert_eq!(bench.starts().len(), 0, "the store still holds the list");
+        let record = batch.executors[0].1.clone().expect("in use again");
+        assert_eq!(record.confined_to, None);
+        bench.scheduler.finish_batch(batch, bench.now);
+        assert_eq!(bench.starts().len(), 1);
+    }
+);
+
 rule_test!(
     /// Guards against an occurrence that runs twice: its end is reported to an owner whose record or
     /// time of day does not have it yet.
