Order waiting jobs by their work too

Cause: within an urgency, jobs started in the order of the ends of their objectives. When more batch work comes than the executors can do, wide jobs then hold up many narrow ones, and nearly all end late.

The order is stored with the job.

--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -9,6 +9,7 @@
 use crate::advice_queue::AdviceQueue;
 use crate::executors::{ExecutorTable, ExecutorUse, Slot};
 use crate::job::JobState;
+use crate::ordering::WorkMean;
 use crate::record::JobRecord;
 use crate::step::TaskPhase;
 use crate::{
@@ -86,6 +87,8 @@
     pub(crate) advice: AdviceQueue,
     /// Share of named executors that was eligible, by queue.
     pub(crate) eligible_share: HashMap<QueueName, f64>,
+    /// Usual work of the jobs of each queue.
+    work_means: HashMap<QueueName, WorkMean>,
     pub(crate) actions: Vec<CellAction>,
     dirty: BTreeSet<JobKey>,
     dirty_executors: BTreeSet<Slot>,
@@ -112,6 +115,7 @@
             ready: BTreeSet::new(),
             advice: AdviceQueue::new(),
             eligible_share: HashMap::new(),
+            work_means: HashMap::new(),
             actions: Vec::new(),
             dirty: BTreeSet::new(),
             dirty_executors: BTreeSet::new(),
@@ -180,6 +184,11 @@
             return SubmitOutcome::Refused { retry_after };
         }
         let mut job = JobState::new(Arc::clone(rules), Arc::clone(spec), now_unix_ms);
+        if !spec.is_lasting() {
+            let mean = self.work_means.entry(rules.name.clone()).or_default();
+            mean.observe(spec.work());
+            job.order_by_work(mean.ratio(spec.work()), self.settings.order_work_share);
+        }
         if spec.recurrence.is_none() {
             job.open_occurrence(now);
         }
--- a/crates/magnolia-scheduler/src/job.rs
+++ b/crates/magnolia-scheduler/src/job.rs
@@ -4,6 +4,7 @@
 
 use magnolia_types::{Millis, value_types};
 
+use crate::ordering::order_time;
 use crate::record::{EndedRecord, JobRecord, LiveRecord, OccurrenceRecord, StepRecord};
 use crate::step::{StepState, TaskPhase};
 use crate::{JobSpec, QueueName, QueueRules};
@@ -88,6 +89,13 @@
         }
     }
 
+    /// Orders the job by its work against that of the usual job of its queue.
+    pub(crate) fn order_by_work(&mut self, work_ratio: f64, work_share: f64) {
+        let Some(spec) = &self.spec else { return };
+        let objective = self.rules.objective(spec.longest_chain());
+        self.order = order_time(self.accepted_unix_ms, objective, work_ratio, work_share);
+    }
+
     pub(crate) fn queue(&self) -> &QueueName {
         &self.rules.name
     }
@@ -154,12 +162,14 @@
             rules: Arc::clone(&self.rules),
             spec: self.spec.clone().unwrap_or_else(unreachable_spec),
             accepted_unix_ms: self.accepted_unix_ms,
+            order_unix_ms: self.order,
             occurrences: self.occurrences.iter().map(occurrence_record).collect(),
         })
     }
 
     /// Restores progress from a record.
     pub(crate) fn restore(&mut self, record: &LiveRecord, now: Millis) {
+        self.order = record.order_unix_ms;
         for stored in &record.occurrences {
             self.open_occurrence(now);
             let Some(occurrence) = self.occurrences.last_mut() else {
--- a/crates/magnolia-scheduler/src/record.rs
+++ b/crates/magnolia-scheduler/src/record.rs
@@ -34,6 +34,8 @@
         pub spec: Arc<JobSpec>,
         /// Unix milliseconds of its acceptance.
         pub accepted_unix_ms: u64,
+        /// Unix milliseconds by which it is ordered among the waiting.
+        pub order_unix_ms: u64,
         /// Progress of each occurrence that has begun.
         pub occurrences: Vec<OccurrenceRecord>,
     }
--- a/crates/magnolia-scheduler/src/settings.rs
+++ b/crates/magnolia-scheduler/src/settings.rs
@@ -17,6 +17,8 @@
     pub hold_wait: Millis,
     /// Share of each executor, in thousandths, that only the most urgent work uses.
     pub urgent_reserve_permille: u64,
+    /// Part of a job's objective that grows with its work where waiting jobs are ordered, 0 to 1.
+    pub order_work_share: f64,
     /// Time without progress after which a run counts as hung: several reporting intervals.
     pub hang_limit: Millis,
     /// Latest execution of an order that got no answer; the platform's bound.
@@ -37,6 +39,7 @@
             stop_grace: Millis::new(200),
             hold_wait: Millis::new(1000),
             urgent_reserve_permille: 30,
+            order_work_share: 0.5,
             hang_limit: Millis::new(1500),
             late_order_limit: Millis::from_secs(12),
             isolation_limit: Millis::from_secs(2),
--- a/crates/magnolia-scheduler/tests/heavy_load.rs
+++ b/crates/magnolia-scheduler/tests/heavy_load.rs
@@ -2,6 +2,7 @@
 
 mod play;
 
+use magnolia_scheduler::SchedulerSettings;
 use magnolia_types::Millis;
 use play::{LoadPlayer, QueueResult, job, queue, step};
 use rand::{RngExt, SeedableRng};
@@ -149,3 +150,44 @@
         }
     }
 );
+
+/// Plays 25 s of batch jobs of very different widths at 1.4 times what the executors can do, ordered
+/// with a share of the objective that grows with the work.
+fn play_overload(seed: u64, order_work_share: f64) -> QueueResult {
+    let mut settings = SchedulerSettings::new(Millis::new(6000));
+    settings.order_work_share = order_work_share;
+    let executors = site_executors(48);
+    let mut player = LoadPlayer::with_settings(&executors, site_queues(), 7, settings);
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    for key in 1..=110 {
+        let tasks = [3, 5, 8, 13, 21, 34][random.random_range(0..6)];
+        let run_ms = random.random_range(2500..5000);
+        let first = step(tasks, 5500, run_ms, vec![]);
+        player.submit(1, key, job(vec![first, step(tasks, 5500, run_ms, vec![0])]));
+        player.advance(Millis::new(220));
+    }
+    player.advance(Millis::from_secs(70));
+    assert!(player.violations.is_empty(), "{:?}", player.violations);
+    player.results()[1]
+}
+
+load_test!(
+    /// Guards against wide batch jobs that hold up many narrow ones when more comes than can be done.
+    more_batch_jobs_are_in_time_when_narrow_ones_go_first,
+    16,
+    |seed| {
+        let play = |share: f64| -> Vec<QueueResult> {
+            (seed..seed + 3).map(|seed| play_overload(seed, share)).collect()
+        };
+        let plain = play(0.0);
+        let by_work = play(SchedulerSettings::new(Millis::new(6000)).order_work_share);
+        let on_time = |results: &[QueueResult]| results.iter().map(|result| result.on_time).sum::<u32>();
+        assert!(
+            on_time(&by_work) * 5 >= on_time(&plain) * 6,
+            "a fifth more in time: {plain:?}, {by_work:?}"
+        );
+        let unserved = |result: &QueueResult| result.sent - result.refused - result.on_time - result.late;
+        let open: u32 = by_work.iter().map(unserved).sum();
+        assert_eq!(open, 0, "the widest are served too: {by_work:?}");
+    }
+);
--- a/crates/magnolia-scheduler/tests/play/mod.rs
+++ b/crates/magnolia-scheduler/tests/play/mod.rs
@@ -141,6 +141,17 @@
 impl LoadPlayer {
     /// Creates a cell with executors of the given speeds and processors in thousandths.
     pub fn new(executors: &[(f64, u64)], queues: Vec<QueueRules>, advisers: usize) -> Self {
+        let settings = SchedulerSettings::new(Millis::new(6000));
+        Self::with_settings(executors, queues, advisers, settings)
+    }
+
+    /// Creates a cell whose scheduler has other bounds and weights.
+    pub fn with_settings(
+        executors: &[(f64, u64)],
+        queues: Vec<QueueRules>,
+        advisers: usize,
+        settings: SchedulerSettings,
+    ) -> Self {
         let queues: Vec<Arc<QueueRules>> = queues.into_iter().map(Arc::new).collect();
         let rules = CellRules {
             version: CellVersion::new(1),
@@ -150,7 +161,6 @@
                 .collect(),
             ..CellRules::default()
         };
-        let settings = SchedulerSettings::new(Millis::new(6000));
         let mut scheduler = CellScheduler::new(settings, Epoch::new(1));
         scheduler.set_rules(Arc::new(rules));
         let mut player = Self {
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -88,6 +88,7 @@
             rules: Arc::clone(&self.rules),
             spec: Arc::new(spec),
             accepted_unix_ms: START_UNIX_MS,
+            order_unix_ms: START_UNIX_MS,
             occurrences: Vec::new(),
         });
         let rules = Arc::clone(&self.rules);
@@ -364,6 +365,7 @@
         assert!(started.contains(&task(1, 0, 0)), "its lease is out: {started:?}");
     }
 );
+            order_unix_ms: START_UNIX_MS,
 
 rule_test!(
     /// Guards later steps of a job against a wait for executors that can't run them: nothing of a step
@@ -471,6 +473,7 @@
         assert_eq!(starts.len(), 6);
         assert!(starts.iter().all(|order| order.run == starts[0].run));
         let lost = &starts[0];
+            order_unix_ms: START_UNIX_MS,
         let end = bench.end(lost.task, lost.run, EndKind::Broken);
         let number = usize::from(lost.executor == id(1));
         let rest: Vec<RunningTask> = starts[1..]
