Start a step when the ends before it are listed

Cause: a step waited until the ends of the steps before it were stored.

Change: a step opens as soon as executors list all good ends before it. Ends are still acknowledged only after they are stored, so that until then the executors list them to any next owner, which also finds what was started and takes it over. A job is still shown as completed only after its end is stored.

--- a/crates/magnolia-node/src/committer.rs
+++ b/crates/magnolia-node/src/committer.rs
@@ -260,7 +260,7 @@
         metrics.add("store_records", records);
         metrics.latency("store_append", now.saturating_sub(started));
     }
-    let ended = session.lock().finish_batch(batch, now);
+    let ended = session.lock().finish_batch(batch);
     for (job, status) in ended {
         metrics.count("jobs_ended");
         log::info!(job:% = job, status:? = status; "job ended");
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -324,7 +324,7 @@
     }
 
     /// Applies what the storing of a batch proves; returns the jobs whose end it stored.
-    pub fn finish_batch(&mut self, batch: StoreBatch, now: Millis) -> Vec<(JobKey, JobStatus)> {
+    pub fn finish_batch(&mut self, batch: StoreBatch) -> Vec<(JobKey, JobStatus)> {
         for (id, record) in batch.executors {
             if let Some(slot) = self.executors.slot(&id) {
                 self.executors.get_mut(slot).stored_usage = match record {
@@ -341,7 +341,7 @@
             }
         }
         for task in batch.done {
-            self.finish_task(task, now);
+            self.finish_task(task);
         }
         let mut ended = Vec::new();
         for (key, record) in batch.records {
--- a/crates/magnolia-scheduler/src/job.rs
+++ b/crates/magnolia-scheduler/src/job.rs
@@ -122,8 +122,8 @@
         let steps = spec.steps.iter().map(|step| {
             let mut state = StepState::new(step.tasks);
             state.open = step.after.is_empty();
-            // An earlier owner may have opened the occurrence without storing anything of it.
-            state.inherited = self.inherited && state.open;
+            // An earlier owner may have started any of them without storing anything of it.
+            state.inherited = self.inherited;
             state.ready_since = now;
             state
         });
@@ -180,10 +180,6 @@
                 self.started |= step.done > 0 || !stored.failed.is_empty();
             }
             open_steps(self.spec.as_deref(), occurrence, now);
-            // Later steps start only after the ends before them are stored, which none are yet.
-            for step in &mut occurrence.steps {
-                step.inherited = step.open;
-            }
         }
     }
 }
@@ -198,7 +194,7 @@
     })
 }
 
-/// Opens the steps whose earlier steps are done; returns those that it opened.
+/// Opens the steps whose earlier steps have ended well, stored or not; returns those that it opened.
 pub(crate) fn open_steps(
     spec: Option<&JobSpec>,
     occurrence: &mut OccurrenceState,
@@ -207,7 +203,7 @@
     let Some(spec) = spec else { return Vec::new() };
     let mut opened = Vec::new();
     for (number, step) in spec.steps.iter().enumerate() {
-        let done = |after: &u16| occurrence.steps[usize::from(*after)].is_done();
+        let done = |after: &u16| occurrence.steps[usize::from(*after)].is_seen_done();
         if !occurrence.steps[number].open && step.after.iter().all(done) {
             let state = &mut occurrence.steps[number];
             state.open = true;
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -249,13 +249,13 @@
         // One good end of a gang stands for all of its members.
         let first = if gang { 0 } else { task.index };
         for index in first..first.saturating_add(count) {
-            self.mark_done(TaskRef { index, ..task });
+            self.mark_done(TaskRef { index, ..task }, now);
         }
         self.executors.get_mut(slot).remove_run(task, run);
         self.update_ready(task.step);
     }
 
-    fn mark_done(&mut self, task: TaskRef) {
+    fn mark_done(&mut self, task: TaskRef, now: Millis) {
         let Some(state) = self.step_state(task.step) else {
             return;
         };
@@ -268,20 +268,35 @@
             TaskPhase::Placed(..) => {}
         }
         entry.phase = TaskPhase::DoneSeen;
+        let last = state.is_seen_done();
         self.done_seen.push(task);
         self.mark_dirty(task.step.job);
+        if last {
+            self.open_dependents(task.step, now);
+        }
     }
 
-    /// Marks a task whose good end is stored, and opens what depended on it.
-    pub(crate) fn finish_task(&mut self, task: TaskRef, now: Millis) {
-        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+    /// Opens the steps that waited for one whose tasks have all ended well. Their ends are stored
+    /// meanwhile: until then the executors list them to any next owner, which finds what was started.
+    fn open_dependents(&mut self, step: StepRef, now: Millis) {
+        let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
         };
         let spec = job.spec.clone();
-        let Some(occurrence) = job.occurrences.get_mut(task.step.occurrence as usize) else {
+        let Some(occurrence) = job.occurrences.get_mut(step.occurrence as usize) else {
             return;
         };
-        let Some(step) = occurrence.steps.get_mut(usize::from(task.step.step)) else {
+        for number in open_steps(spec.as_deref(), occurrence, now) {
+            self.update_ready(StepRef {
+                step: number,
+                ..step
+            });
+        }
+    }
+
+    /// Marks a task whose good end is stored.
+    pub(crate) fn finish_task(&mut self, task: TaskRef) {
+        let Some(step) = self.step_state(task.step) else {
             return;
         };
         let Some(entry) = step.tasks.get_mut(task.index as usize) else {
@@ -292,15 +307,6 @@
         }
         entry.phase = TaskPhase::Done;
         step.done += 1;
-        if !step.is_done() {
-            return;
-        }
-        for number in open_steps(spec.as_deref(), occurrence, now) {
-            self.update_ready(StepRef {
-                step: number,
-                ..task.step
-            });
-        }
     }
 
     fn apply_failure(&mut self, slot: Slot, task: TaskRef, run: RunNumber, now: Millis) {
--- a/crates/magnolia-scheduler/src/step.rs
+++ b/crates/magnolia-scheduler/src/step.rs
@@ -103,10 +103,6 @@
         }
     }
 
-    pub(crate) fn is_done(&self) -> bool {
-        self.done as usize == self.tasks.len()
-    }
-
     /// Tells whether all tasks ended well, stored or not.
     pub(crate) fn is_seen_done(&self) -> bool {
         self.tasks
