Let calls to the store overlap, and repeat a claim at once

Cause 1: the owner had one call to the store under way. On a slow store (0.4 s a call) a submission waited for that call and then for its own.

Change: up to four calls are under way, which is within the five appends whose answers the store repeats. Later calls follow only while none has failed, and a repeat waits until the calls before it have an outcome. A claim is repeated at once where other records came first. A failed call is repeated every 150 ms at most in place of 400 ms.

--- a/crates/magnolia-node/src/committer.rs
+++ b/crates/magnolia-node/src/committer.rs
@@ -1,28 +1,35 @@
-//! Stores what the scheduler decides, one call at a time, and tells who waits for it.
+//! Stores what the scheduler decides, in order, and tells who waits for it.
+//!
+//! Answers days on which the store takes 400 ms a call: a submission that waits for the call under way
+//! and then for its own has lost the objective of an urgent job, so that calls overlap.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesOrdered;
 use magnolia_scheduler::{JobKey, StoreBatch};
 use magnolia_types::{Epoch, Millis};
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::open_calls::OpenCalls;
 use crate::owner::{OwnerSession, executor_record, job_record};
 use crate::ports::{AppendCondition, AppendOutcome, StoreError, StreamName, StreamRecord};
 
 /// Pause before a call to the store is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
-/// Longest pause before a repeat, while the store is away.
-const MAX_REPEAT_PAUSE: Duration = Duration::from_millis(400);
+/// Longest pause before a repeat, while the store is away: callers that were refused come back within
+/// a second or two, and find it usable again by then.
+const MAX_REPEAT_PAUSE: Duration = Duration::from_millis(150);
 /// Shortest time between two calls: gathers submissions and ends, whose objectives are 250 ms.
-const COMMIT_GAP: Duration = Duration::from_millis(8);
-/// Time from which the store counts as away after a call failed: beyond its usual answer of 5 ms and
-/// one repeat, and within the objective of an urgent job.
-const FAILED_LIMIT: Millis = Millis::new(120);
-/// Time from which the store counts as away without an answer: a slow store takes some 400 ms.
-const SILENT_LIMIT: Millis = Millis::new(700);
+const COMMIT_GAP: Duration = Duration::from_millis(13);
+/// Shortest time to the next call while one is under way: with a store that takes 400 ms, as a slow
+/// one does, four calls follow each other evenly.
+const OVERLAP_GAP: Duration = Duration::from_millis(60);
+/// Most calls under way: the store repeats the answers of the last five appends.
+const MAX_OPEN_CALLS: usize = 4;
 /// Most bytes of records in one call, below the platform's bound.
 const MAX_CALL_BYTES: usize = 1 << 20;
 
@@ -40,14 +47,6 @@
     Abandoned,
 }
 
-/// A call to the store without an outcome.
-#[derive(Clone, Copy, Debug)]
-struct OpenCall {
-    since: Millis,
-    /// Whether a try failed.
-    failed: bool,
-}
-
 /// Who waits for the next batch.
 struct StoreWaiter {
     submission: Option<JobKey>,
@@ -57,11 +56,11 @@
 /// Writer of the jobs' stream.
 pub(crate) struct Committer {
     epoch: Epoch,
-    sequence: AtomicU64,
+    /// Sequence of the next call.
+    next_sequence: AtomicU64,
     wanted: Notify,
     waiters: Mutex<Vec<StoreWaiter>>,
-    /// The call to the store that has no outcome yet.
-    open_call: Mutex<Option<OpenCall>>,
+    open_calls: OpenCalls,
     /// Number of batches stored.
     stored: watch::Sender<u64>,
 }
@@ -70,10 +69,10 @@
     pub(crate) fn new(epoch: Epoch) -> Self {
         Self {
             epoch,
-            sequence: AtomicU64::new(0),
+            next_sequence: AtomicU64::new(0),
             wanted: Notify::new(),
             waiters: Mutex::default(),
-            open_call: Mutex::new(None),
+            open_calls: OpenCalls::default(),
             stored: watch::Sender::new(0),
         }
     }
@@ -94,20 +93,7 @@
 
     /// Returns for how long the store has been away, as far as this writer can tell.
     pub(crate) fn away_for(&self, now: Millis) -> Option<Millis> {
-        let call = (*self.lock_call())?;
-        let lasted = now.saturating_sub(call.since);
-        let limit = if call.failed {
-            FAILED_LIMIT
-        } else {
-            SILENT_LIMIT
-        };
-        (lasted >= limit).then_some(lasted)
-    }
-
-    fn lock_call(&self) -> std::sync::MutexGuard<'_, Option<OpenCall>> {
-        self.open_call
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.open_calls.away_for(now)
     }
 
     /// Withdraws the submissions that no call has carried, when the store is away.
@@ -151,33 +137,45 @@
             key: EPOCH_KEY.into(),
             value: self.epoch.to_string().into_bytes(),
         };
-        self.append(session, &[record]).await
+        let sequence = self.take_sequence();
+        self.append(session, sequence, &[record]).await
+    }
+
+    fn take_sequence(&self) -> u64 {
+        self.next_sequence.fetch_add(1, Ordering::SeqCst)
     }
 
-    /// Appends records, repeating the call until it has an outcome; false when fenced.
-    async fn append(&self, session: &OwnerSession, records: &[StreamRecord]) -> bool {
-        let sequence = self.sequence.load(Ordering::SeqCst);
+    /// Appends records, repeating the call until it has an outcome; false when ownership ended.
+    async fn append(
+        &self,
+        session: &OwnerSession,
+        sequence: u64,
+        records: &[StreamRecord],
+    ) -> bool {
         let condition = AppendCondition::Writer {
             epoch: self.epoch,
             sequence,
         };
+        let calls = &self.open_calls;
+        calls.begin(sequence, session.now());
         let mut pause = REPEAT_PAUSE;
-        *self.lock_call() = Some(OpenCall {
-            since: session.now(),
-            failed: false,
-        });
         loop {
+            let first = calls.is_first(sequence);
             let store = &session.node.store;
             match store.append(StreamName::Jobs, records, condition).await {
                 Ok(AppendOutcome::Stored { .. }) => {
-                    *self.lock_call() = None;
-                    self.sequence.store(sequence + 1, Ordering::SeqCst);
+                    calls.end(sequence);
                     return true;
                 }
                 Ok(AppendOutcome::Fenced) => {
                     session.close("the store has fenced the epoch");
                     return false;
                 }
+                // An earlier call has not arrived yet.
+                Ok(AppendOutcome::OutOfSequence { expected }) if !first && expected < sequence => {
+                    calls.first_in_line(sequence).await;
+                    continue;
+                }
                 Ok(outcome) => {
                     log::error!(outcome:? = outcome, sequence = sequence;
                         "the store does not follow the writer's sequence");
@@ -189,44 +187,87 @@
                 }
                 Err(error) => log::debug!(error:% = error; "append has no outcome; repeating"),
             }
-            if let Some(call) = &mut *self.lock_call() {
-                call.failed = true;
-            }
+            calls.note_failure(sequence);
             self.withdraw_unsent(session);
+            calls.first_in_line(sequence).await;
             sleep(pause).await;
             pause = (pause * 2).min(MAX_REPEAT_PAUSE);
         }
     }
 }
 
-/// Stores batch after batch.
+/// A batch on its way to the store.
+struct SentBatch {
+    batch: StoreBatch,
+    waiters: Vec<StoreWaiter>,
+    sent_at: Millis,
+}
+
+/// Stores batch after batch; the next one may follow before the last one is stored.
 pub(crate) async fn run_committer(session: Arc<OwnerSession>) {
     let committer = &session.committer;
+    let mut calls = FuturesOrdered::new();
+    let mut last_sent = Instant::now();
+    let mut due = false;
     loop {
-        committer.wanted.notified().await;
-        let waiters = std::mem::take(&mut *committer.lock_waiters());
-        let unix_ms = session.node.clock.unix_ms();
-        let batch = {
-            let mut scheduler = session.lock();
-            if waiters.is_empty() && !scheduler.has_unstored() {
-                continue;
-            }
-            scheduler.begin_batch(unix_ms)
+        let gap = if calls.is_empty() {
+            COMMIT_GAP
+        } else {
+            OVERLAP_GAP
         };
-        let started = session.now();
-        if !store_records(&session, &batch).await {
-            return;
+        let room = calls.len() < MAX_OPEN_CALLS && !committer.open_calls.has_failed();
+        tokio::select! {
+            biased;
+            stored = calls.next(), if !calls.is_empty() => match stored.flatten() {
+                Some(sent) => finish(&session, sent),
+                None => return,
+            },
+            () = committer.wanted.notified(), if !due => due = true,
+            () = sleep_until(last_sent + gap), if due && room => {
+                due = false;
+                let Some(sent) = take_batch(&session) else {
+                    continue;
+                };
+                let mut parts = split_records(&sent.batch);
+                // Repeats are safe among the last few calls only, so that a large batch goes alone.
+                while parts.len() > 1 {
+                    while let Some(stored) = calls.next().await {
+                        match stored {
+                            Some(sent) => finish(&session, sent),
+                            None => return,
+                        }
+                    }
+                    let part = parts.remove(0);
+                    let sequence = committer.take_sequence();
+                    if !committer.append(&session, sequence, &part).await {
+                        return;
+                    }
+                }
+                let records = parts.pop().unwrap_or_default();
+                calls.push_back(store_batch(Arc::clone(&session), sent, records));
+                last_sent = Instant::now();
+            }
         }
-        finish(&session, batch, started);
-        waiters.into_iter().for_each(|waiter| {
-            // A caller that left does not wait any more.
-            waiter.sender.send(StoreOutcome::Stored).ok();
-        });
-        sleep(COMMIT_GAP).await;
     }
 }
 
-async fn store_records(session: &OwnerSession, batch: &StoreBatch) -> bool {
+/// Takes what waits to be stored, with those that wait for it.
+fn take_batch(session: &OwnerSession) -> Option<SentBatch> {
+    let waiters = std::mem::take(&mut *session.committer.lock_waiters());
+    let unix_ms = session.node.clock.unix_ms();
+    let mut scheduler = session.lock();
+    if waiters.is_empty() && !scheduler.has_unstored() {
+        return None;
+    }
+    Some(SentBatch {
+        batch: scheduler.begin_batch(unix_ms),
+        waiters,
+        sent_at: session.now(),
+    })
+}
+
+/// Makes the records of a batch, in calls that the store takes.
+fn split_records(batch: &StoreBatch) -> Vec<Vec<StreamRecord>> {
     let jobs = batch
         .records
         .iter()
@@ -234,31 +275,50 @@
     let executors = batch
         .executors
         .iter()
-        .filter_map(|(id, entry)| executor_record(id, entry.as_ref()));
-    let mut records = Vec::new();
-    let mut bytes = 0;
+        .filter_map(|(id, record)| executor_record(id, record.as_ref()));
+    let mut parts: Vec<Vec<StreamRecord>> = Vec::new();
+    let mut bytes = MAX_CALL_BYTES;
     for record in executors.chain(jobs) {
-        bytes += record.key.len() + record.value.len();
-        records.push(record);
-        if bytes > MAX_CALL_BYTES {
-            if !session.committer.append(session, &records).await {
-                return false;
-            }
-            records.clear();
+        if bytes >= MAX_CALL_BYTES {
+            parts.push(Vec::new());
             bytes = 0;
         }
+        bytes += record.key.len() + record.value.len();
+        if let Some(part) = parts.last_mut() {
+            part.push(record);
+        }
     }
-    records.is_empty() || session.committer.append(session, &records).await
+    parts
 }
 
-fn finish(session: &Arc<OwnerSession>, batch: StoreBatch, started: Millis) {
-    let now = session.now();
+/// Stores the last call of a batch; `None` when ownership ended.
+fn store_batch(
+    session: Arc<OwnerSession>,
+    sent: SentBatch,
+    records: Vec<StreamRecord>,
+) -> impl Future<Output = Option<SentBatch>> {
+    // The sequence is that of the batches, not of the tasks that send them.
+    let sequence = (!records.is_empty()).then(|| session.committer.take_sequence());
+    async move {
+        if let Some(sequence) = sequence
+            && !session.committer.append(&session, sequence, &records).await
+        {
+            return None;
+        }
+        Some(sent)
+    }
+}
+
+/// Applies what the storing of a batch proves, and tells those that wait.
+fn finish(session: &Arc<OwnerSession>, sent: SentBatch) {
+    let batch = sent.batch;
     let metrics = &session.node.metrics;
     if !batch.records.is_empty() || !batch.executors.is_empty() {
         metrics.count("store_appends");
         let records = u64::try_from(batch.records.len()).unwrap_or(0);
         metrics.add("store_records", records);
-        metrics.latency("store_append", now.saturating_sub(started));
+        let took = session.now().saturating_sub(sent.sent_at);
+        metrics.latency("store_append", took);
     }
     let ended = session.lock().finish_batch(batch);
     for (job, status) in ended {
@@ -266,5 +326,9 @@
         log::info!(job:% = job, status:? = status; "job ended");
     }
     session.committer.stored.send_modify(|count| *count += 1);
+    for waiter in sent.waiters {
+        // A caller that left does not wait any more.
+        waiter.sender.send(StoreOutcome::Stored).ok();
+    }
     session.want_plan();
 }
--- a/crates/magnolia-node/src/election.rs
+++ b/crates/magnolia-node/src/election.rs
@@ -22,6 +22,8 @@
 const PING_LIMIT: Duration = Duration::from_millis(300);
 /// Silence of the owner after which the next in line claims.
 const SILENCE_LIMIT: Millis = Millis::new(600);
+/// Tries of one claim: while all daemons start, each of their entries moves the end of the stream.
+const CLAIM_TRIES: u32 = 20;
 /// Head start of each daemon before the one after it in line.
 const RANK_DELAY: Millis = Millis::new(300);
 
@@ -138,10 +140,22 @@
         silent >= limit
     }
 
-    /// Claims ownership; of two claims at one end of the stream, one is stored.
+    /// Claims ownership, again where other records came first.
     pub(crate) async fn claim(self: &Arc<Self>) {
+        let rival = self.cell.borrow().owner_epoch();
+        for _ in 0..CLAIM_TRIES {
+            let moved = self.claim_once().await;
+            if !moved || self.cell.borrow().owner_epoch() != rival {
+                return;
+            }
+        }
+    }
+
+    /// Claims ownership; of two claims at one end of the stream, one is stored. Returns whether the
+    /// stream had moved on and was read again.
+    async fn claim_once(self: &Arc<Self>) -> bool {
         if self.is_stopping() {
-            return;
+            return false;
         }
         let (claim, next) = {
             let view = self.cell.borrow();
@@ -153,7 +167,7 @@
             Ok(record) => record,
             Err(error) => {
                 log::error!(error:% = error; "claim can't be encoded");
-                return;
+                return false;
             }
         };
         let condition = AppendCondition::EndsAt(next);
@@ -166,12 +180,18 @@
             Ok(AppendOutcome::Stored { end }) if end.get() == next.get() + 1 => {
                 self.apply_cell_page(std::slice::from_ref(&record), end);
                 self.open_session(epoch);
+                false
             }
             // The stream tells what became of it.
-            _ => {
-                if let Err(error) = self.catch_up().await {
-                    log::warn!(error:% = error; "stream of the cell not read after a claim");
-                    sleep(STORE_PAUSE).await;
+            outcome => {
+                let moved = matches!(outcome, Ok(AppendOutcome::Moved { .. }));
+                match self.catch_up().await {
+                    Ok(()) => moved,
+                    Err(error) => {
+                        log::warn!(error:% = error; "stream of the cell not read after a claim");
+                        sleep(STORE_PAUSE).await;
+                        false
+                    }
                 }
             }
         }
--- a/crates/magnolia-node/src/executor_loop.rs
+++ b/crates/magnolia-node/src/executor_loop.rs
@@ -60,7 +60,14 @@
             Ok(true) => {
                 (failures, refusals) = (0, 0);
                 // The next renewal acknowledges the ends, which have to be stored first.
-                if timeout(STORE_WAIT, batches.changed()).await.is_err() {
+                let stored = async {
+                    while session.lock().has_unstored_ends(&id) {
+                        if batches.changed().await.is_err() {
+                            return;
+                        }
+                    }
+                };
+                if timeout(STORE_WAIT, stored).await.is_err() {
                     sleep(UNSTORED_PAUSE).await;
                 }
                 sleep(GATHER_PAUSE).await;
--- a/crates/magnolia-node/src/lib.rs
+++ b/crates/magnolia-node/src/lib.rs
@@ -16,6 +16,7 @@
 mod membership;
 mod metrics;
 mod node;
+mod open_calls;
 mod owner;
 mod peers;
 mod ports;
--- a/crates/magnolia-node/src/membership.rs
+++ b/crates/magnolia-node/src/membership.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Returns the epoch of the last claim.
+    pub(crate) fn owner_epoch(&self) -> Option<Epoch> {
+        self.owner.as_ref().map(|claim| claim.epoch)
+    }
+
     /// Returns the members in the order in which they should own the cell: large instances first.
     pub(crate) fn candidates(&self) -> Vec<&MemberRecord> {
         let epoch = self.owner.as_ref().map_or(0, |claim| claim.epoch.get());
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -291,10 +291,10 @@
             || self
                 .executors
                 .iter()
-                .any(|(_, e)| e.seen_through > e.stored_through)
+                .any(|(_, e)| e.seen_through > e.batched_through)
     }
 
-    /// Takes what has to be stored next; `finish_batch` follows once it is stored.
+    /// Takes what has to be stored next; `finish_batch` follows once it is stored, in the same order.
     pub fn begin_batch(&mut self, now_unix_ms: u64) -> StoreBatch {
         let mut batch = StoreBatch::default();
         for key in std::mem::take(&mut self.dirty) {
@@ -314,12 +314,13 @@
             batch.executors.push((id, executor.record()));
         }
         batch.done = std::mem::take(&mut self.done_seen);
-        batch.ends = self
-            .executors
-            .iter()
-            .filter(|(_, executor)| executor.seen_through > executor.stored_through)
-            .map(|(slot, executor)| (slot, executor.entry.life, executor.seen_through))
-            .collect();
+        for (slot, executor) in self.executors.iter_mut() {
+            if executor.seen_through > executor.batched_through {
+                executor.batched_through = executor.seen_through;
+                let life = executor.entry.life;
+                batch.ends.push((slot, life, executor.seen_through));
+            }
+        }
         batch
     }
 
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -154,6 +154,8 @@
     pub(crate) filler_cpu: u64,
     /// Ends handled up to this number.
     pub(crate) seen_through: u64,
+    /// Ends up to this number are part of a batch.
+    pub(crate) batched_through: u64,
     /// Ends stored up to this number.
     pub(crate) stored_through: u64,
     pub(crate) health: HealthTracker,
@@ -182,6 +184,7 @@
             used: ResourceVector::default(),
             filler_cpu: 0,
             seen_through: 0,
+            batched_through: 0,
             stored_through: 0,
             health: HealthTracker::default(),
             speed: 1.0,
@@ -222,6 +225,7 @@
         self.lease = ExecutorLease::default();
         self.strangers.clear();
         self.seen_through = 0;
+        self.batched_through = 0;
         self.stored_through = 0;
         self.health = HealthTracker::default();
         self.heard_at = None;
