Call the store by another path when the usual time has passed

Cause: a call to the store was cut off after 150 ms, which doubled with each failure. On a store that answers in 400 ms the first calls of each owner failed, the direct path was then avoided for 2 s, and the peers failed in the same way: on the stand-in, submissions were accepted after 1.3 s in the mean. With a silent store the paths were tried one after the other, up to 3.5 s in all, so that its return was noticed late.

Change: a call is made by the first path; the next one joins in when there is no answer within four times the mean time (100 to 450 ms), and at once after a failure. All paths together take 700 ms at most.

--- a/crates/magnolia-node/src/routed_store.rs
+++ b/crates/magnolia-node/src/routed_store.rs
@@ -3,11 +3,15 @@
 //! The store may turn one daemon away while it serves the others. A daemon that can't reach it asks
 //! a peer to make the call, so that neither ownership nor the configuration is lost by that.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use magnolia_types::{LogOffset, Millis};
+use tokio::time::sleep;
 
 use crate::clock::NodeClock;
 use crate::inner::{InnerCall, InnerReply, StoreCall};
@@ -19,14 +23,33 @@
 
 /// Time for which a daemon that could not reach the store uses its peers first.
 const DIRECT_PAUSE: Millis = Millis::new(2000);
-/// Longest call through a peer: the longest call to a slow store, and the way there.
-const RELAY_LIMIT: Duration = Duration::from_millis(800);
+/// Longest call by all paths together: a slow store takes some 400 ms, and a call that was sent before
+/// the store came back is never answered.
+const ROUTE_LIMIT: Duration = Duration::from_millis(700);
+/// Time without an answer, against the mean, after which another path is tried too.
+const USUAL_FACTOR: f64 = 4.0;
+/// Bounds of that time: several answer times of 5 ms on a slow instance, and what leaves the other path
+/// time to answer.
+const MIN_USUAL_TIME: Duration = Duration::from_millis(100);
+const MAX_USUAL_TIME: Duration = Duration::from_millis(450);
+/// Weight of one answer in the mean time: a slow store is known after three.
+const MEAN_WEIGHT: f64 = 0.125;
 /// Peers asked for one call; a peer that can't reach the store itself says so at once.
 const PEERS_ASKED: usize = 4;
 
+/// A way to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StorePath {
+    Direct,
+    /// Through a peer.
+    Relay(SocketAddr),
+}
+
 /// State of the direct path.
 #[derive(Default)]
 struct PathState {
+    /// Mean time of an answer, in milliseconds.
+    mean_ms: f64,
     /// Until when peers are asked first.
     avoid_until: Millis,
     /// When a call last had an outcome, by either path.
@@ -88,10 +111,20 @@
         self.path.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn note_reached(&self, started: Millis) {
+    fn note_reached(&self, by: StorePath, started: Millis, wait: Duration) {
+        let took = self.clock.now().saturating_sub(started).get() as f64;
         let mut path = self.lock_path();
         // The answer proves contact when the call was sent, not when it arrives after a freeze.
         path.reached_at = path.reached_at.max(started);
+        if by != StorePath::Direct {
+            return;
+        }
+        // A call that waited for a record says nothing of the store's speed.
+        if wait.is_zero() {
+            let mean = path.mean_ms;
+            path.mean_ms += (took - mean) * MEAN_WEIGHT;
+        }
+        path.avoid_until = Millis::new(0);
         if !path.reachable {
             path.reachable = true;
             drop(path);
@@ -99,14 +132,14 @@
         }
     }
 
-    fn note_direct_failure(&self, error: &StoreError) {
+    fn note_direct_failure(&self, reason: &str) {
         let now = self.clock.now();
         let mut path = self.lock_path();
         path.avoid_until = now.saturating_add(DIRECT_PAUSE);
         if path.reachable {
             path.reachable = false;
             drop(path);
-            log::warn!(error:% = error; "store not reached directly; asking peers");
+            log::warn!(reason = reason; "store not reached directly; asking peers");
         }
     }
 
@@ -115,57 +148,102 @@
         self.clock.now() < self.lock_path().avoid_until
     }
 
-    /// Makes a call by the direct path, then through peers.
+    /// Returns the paths to try, the most likely to answer first.
+    fn paths(&self) -> VecDeque<StorePath> {
+        let relays = self.relays.lock().unwrap_or_else(PoisonError::into_inner);
+        let relays = relays.iter().take(PEERS_ASKED).copied();
+        let mut paths: VecDeque<StorePath> = relays.map(StorePath::Relay).collect();
+        if self.avoids_direct() {
+            paths.push_back(StorePath::Direct);
+        } else {
+            paths.push_front(StorePath::Direct);
+        }
+        paths
+    }
+
+    /// Makes a call by the first path; the next one joins in when there is no answer in the usual time,
+    /// and at once after a failure. The first answer counts: appends can be repeated safely.
     async fn route(&self, call: StoreCall) -> Result<InnerReply, StoreError> {
         let started = self.clock.now();
+        let wait = call_wait(&call);
         let mut failure = None;
-        let avoided = self.avoids_direct();
-        if !avoided {
-            let reply = run_store_call(&*self.direct, &call).await;
-            match store_error(&reply) {
-                Some(error) if is_path_failure(error) => {
-                    self.note_direct_failure(error);
-                    failure = Some(error.clone());
-                }
-                _ => {
-                    self.note_reached(started);
-                    return Ok(reply);
-                }
+        let mut paths = self.paths();
+        let mut tries = FuturesUnordered::new();
+        let mut direct_open = false;
+        let deadline = sleep(ROUTE_LIMIT + wait);
+        tokio::pin!(deadline);
+        loop {
+            if let Some(path) = paths.pop_front() {
+                direct_open |= path == StorePath::Direct;
+                tries.push(self.try_path(path, &call));
+            } else if tries.is_empty() {
+                break;
             }
-        }
-        let relays = self
-            .relays
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
-        for relay in relays.into_iter().take(PEERS_ASKED) {
-            let message = InnerCall::Store(call.clone());
-            let silence = call_wait(&call);
-            let limit = RELAY_LIMIT + silence;
-            match self
-                .peers
-                .call(relay, &message, limit, silence + RELAY_LIMIT)
-                .await
-            {
-                Ok(reply) => match store_error(&reply) {
-                    Some(error) if is_path_failure(error) => failure = Some(error.clone()),
-                    _ => {
-                        self.lock_path().reached_at = started;
-                        return Ok(reply);
+            tokio::select! {
+                biased;
+                Some((path, result)) = tries.next() => {
+                    direct_open &= path != StorePath::Direct;
+                    match result {
+                        Ok(reply) => {
+                            self.note_reached(path, started, wait);
+                            if direct_open {
+                                self.note_direct_failure("no answer in the usual time");
+                            }
+                            return Ok(reply);
+                        }
+                        Err(error) => {
+                            self.note_path_failure(path, &error);
+                            failure = Some(error);
+                        }
                     }
-                },
-                Err(error) if error.is_not_sent() => {
-                    failure.get_or_insert(StoreError::Unreachable(error.to_string().into()));
                 }
-                Err(error) => failure = Some(StoreError::Lost(error.to_string().into())),
+                () = sleep(wait + self.usual_time()), if !paths.is_empty() => {}
+                () = &mut deadline => break,
             }
-            self.demote_relay(relay);
         }
-        if avoided {
-            // Neither a peer nor, lately, the direct path: look again at once next time.
-            self.lock_path().avoid_until = Millis::new(0);
+        if direct_open {
+            self.note_direct_failure("no answer");
         }
-        Err(failure.unwrap_or_else(|| StoreError::Unreachable("no path to the store".into())))
+        Err(failure.unwrap_or_else(|| StoreError::Lost("no answer by any path".into())))
+    }
+
+    async fn try_path(
+        &self,
+        path: StorePath,
+        call: &StoreCall,
+    ) -> (StorePath, Result<InnerReply, StoreError>) {
+        let reply = match path {
+            StorePath::Direct => Ok(run_store_call(&*self.direct, call).await),
+            StorePath::Relay(relay) => {
+                let limit = ROUTE_LIMIT + call_wait(call);
+                let message = InnerCall::Store(call.clone());
+                self.peers.call(relay, &message, limit, limit).await
+            }
+        };
+        let result = match reply {
+            Ok(reply) => match store_error(&reply) {
+                Some(error) if is_path_failure(error) => Err(error.clone()),
+                _ => Ok(reply),
+            },
+            Err(error) if error.is_not_sent() => {
+                Err(StoreError::Unreachable(error.to_string().into()))
+            }
+            Err(error) => Err(StoreError::Lost(error.to_string().into())),
+        };
+        (path, result)
+    }
+
+    fn note_path_failure(&self, path: StorePath, error: &StoreError) {
+        match path {
+            StorePath::Direct => self.note_direct_failure(&error.to_string()),
+            StorePath::Relay(relay) => self.demote_relay(relay),
+        }
+    }
+
+    /// Returns the time after which a call without an answer is also made by another path.
+    fn usual_time(&self) -> Duration {
+        let mean = self.lock_path().mean_ms;
+        Duration::from_secs_f64(mean * USUAL_FACTOR / 1000.0).clamp(MIN_USUAL_TIME, MAX_USUAL_TIME)
     }
 
     pub(crate) async fn append(
