Notice the return of a silent store at once

Change: an append takes the direct path again each usual time while earlier tries are silent; pauses before a repeat run side by side.

Test, failing before (497 ms against a bound of 450): a_store_that_was_silent_is_used_again_at_once.

--- a/crates/magnolia-node/src/committer.rs
+++ b/crates/magnolia-node/src/committer.rs
@@ -12,7 +12,7 @@
 use magnolia_scheduler::{JobKey, StoreBatch};
 use magnolia_types::{Epoch, Millis};
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
 use crate::open_calls::OpenCalls;
 use crate::owner::{OwnerSession, executor_record, job_record};
@@ -189,8 +189,9 @@
             }
             calls.note_failure(sequence);
             self.withdraw_unsent(session);
+            let resume = Instant::now() + pause;
             calls.first_in_line(sequence).await;
-            sleep(pause).await;
+            sleep_until(resume).await;
             pause = (pause * 2).min(MAX_REPEAT_PAUSE);
         }
     }
--- a/crates/magnolia-node/src/routed_store.rs
+++ b/crates/magnolia-node/src/routed_store.rs
@@ -26,6 +26,8 @@
 /// Longest call by all paths together: a slow store takes some 400 ms, and a call that was sent before
 /// the store came back is never answered.
 const ROUTE_LIMIT: Duration = Duration::from_millis(700);
+/// Further tries of an append by the direct path: as many as fit into the longest call.
+const DIRECT_REPEATS: usize = 5;
 /// Time without an answer, against the mean, after which another path is tried too.
 const USUAL_FACTOR: f64 = 4.0;
 /// Bounds of that time: several answer times of 5 ms on a slow instance, and what leaves the other path
@@ -148,8 +150,9 @@
         self.clock.now() < self.lock_path().avoid_until
     }
 
-    /// Returns the paths to try, the most likely to answer first.
-    fn paths(&self) -> VecDeque<StorePath> {
+    /// Returns the paths to try, the most likely to answer first. An append takes the direct path again
+    /// and again: what was sent while the store was silent is never answered.
+    fn paths(&self, call: &StoreCall) -> VecDeque<StorePath> {
         let relays = self.relays.lock().unwrap_or_else(PoisonError::into_inner);
         let relays = relays.iter().take(PEERS_ASKED).copied();
         let mut paths: VecDeque<StorePath> = relays.map(StorePath::Relay).collect();
@@ -158,6 +161,9 @@
         } else {
             paths.push_front(StorePath::Direct);
         }
+        if matches!(call, StoreCall::Append { .. }) {
+            paths.extend([StorePath::Direct; DIRECT_REPEATS]);
+        }
         paths
     }
 
@@ -167,14 +173,14 @@
         let started = self.clock.now();
         let wait = call_wait(&call);
         let mut failure = None;
-        let mut paths = self.paths();
+        let mut paths = self.paths(&call);
         let mut tries = FuturesUnordered::new();
-        let mut direct_open = false;
+        let mut direct_open = 0;
         let deadline = sleep(ROUTE_LIMIT + wait);
         tokio::pin!(deadline);
         loop {
             if let Some(path) = paths.pop_front() {
-                direct_open |= path == StorePath::Direct;
+                direct_open += usize::from(path == StorePath::Direct);
                 tries.push(self.try_path(path, &call));
             } else if tries.is_empty() {
                 break;
@@ -182,17 +188,21 @@
             tokio::select! {
                 biased;
                 Some((path, result)) = tries.next() => {
-                    direct_open &= path != StorePath::Direct;
+                    direct_open -= usize::from(path == StorePath::Direct);
                     match result {
                         Ok(reply) => {
                             self.note_reached(path, started, wait);
-                            if direct_open {
+                            if direct_open > 0 && path != StorePath::Direct {
                                 self.note_direct_failure("no answer in the usual time");
                             }
                             return Ok(reply);
                         }
                         Err(error) => {
                             self.note_path_failure(path, &error);
+                            if path == StorePath::Direct {
+                                // It answers, or does not connect: another try would not differ.
+                                paths.retain(|path| *path != StorePath::Direct);
+                            }
                             failure = Some(error);
                         }
                     }
@@ -201,7 +211,7 @@
                 () = &mut deadline => break,
             }
         }
-        if direct_open {
+        if direct_open > 0 {
             self.note_direct_failure("no answer");
         }
         Err(failure.unwrap_or_else(|| StoreError::Lost("no answer by any path".into())))
