Let calls to the store overlap only once it is known to be slow

Cause: what a call has carried can't be refused any more.

Change: calls overlap when the last one took 80 ms or more.

--- a/crates/magnolia-node/src/committer.rs
+++ b/crates/magnolia-node/src/committer.rs
@@ -28,6 +28,9 @@
 /// Shortest time to the next call while one is under way: with a store that takes 400 ms, as a slow
 /// one does, four calls follow each other evenly.
 const OVERLAP_GAP: Duration = Duration::from_millis(60);
+/// Time of the last call from which calls overlap. What a call has carried can't be refused any more, so
+/// that nothing follows the first call without an answer while the store was fast.
+const OVERLAP_FROM: Millis = Millis::new(80);
 /// Most calls under way: the store repeats the answers of the last five appends.
 const MAX_OPEN_CALLS: usize = 4;
 /// Most bytes of records in one call, below the platform's bound.
@@ -209,6 +212,7 @@
     let committer = &session.committer;
     let mut calls = FuturesOrdered::new();
     let mut last_sent = Instant::now();
+    let mut last_took = Millis::new(0);
     let mut due = false;
     loop {
         let gap = if calls.is_empty() {
@@ -216,11 +220,12 @@
         } else {
             OVERLAP_GAP
         };
-        let room = calls.len() < MAX_OPEN_CALLS && !committer.open_calls.has_failed();
+        let slow = last_took >= OVERLAP_FROM && !committer.open_calls.has_failed();
+        let room = calls.is_empty() || (slow && calls.len() < MAX_OPEN_CALLS);
         tokio::select! {
             biased;
             stored = calls.next(), if !calls.is_empty() => match stored.flatten() {
-                Some(sent) => finish(&session, sent),
+                Some(sent) => last_took = finish(&session, sent),
                 None => return,
             },
             () = committer.wanted.notified(), if !due => due = true,
@@ -234,7 +239,7 @@
                 while parts.len() > 1 {
                     while let Some(stored) = calls.next().await {
                         match stored {
-                            Some(sent) => finish(&session, sent),
+                            Some(sent) => last_took = finish(&session, sent),
                             None => return,
                         }
                     }
@@ -310,15 +315,15 @@
     }
 }
 
-/// Applies what the storing of a batch proves, and tells those that wait.
-fn finish(session: &Arc<OwnerSession>, sent: SentBatch) {
+/// Applies what the storing of a batch proves, and tells those that wait; returns how long it took.
+fn finish(session: &Arc<OwnerSession>, sent: SentBatch) -> Millis {
+    let took = session.now().saturating_sub(sent.sent_at);
     let batch = sent.batch;
     let metrics = &session.node.metrics;
     if !batch.records.is_empty() || !batch.executors.is_empty() {
         metrics.count("store_appends");
         let records = u64::try_from(batch.records.len()).unwrap_or(0);
         metrics.add("store_records", records);
-        let took = session.now().saturating_sub(sent.sent_at);
         metrics.latency("store_append", took);
     }
     let ended = session.lock().finish_batch(batch);
@@ -332,4 +337,5 @@
         waiter.sender.send(StoreOutcome::Stored).ok();
     }
     session.want_plan();
+    took
 }
