Answer operators on the control address

magnoliactl had nothing to call at magnolia-edge. Any daemon now answers /v1/status (one true sentence), /v1/state (what it believes, with the age of its last contact with the store) and /v1/jobs/KEY/explain (where a job stands and what its tasks wait for, asked of the owner), so that magnoliactl status, state and explain work on both daemons.

--- a/crates/magnolia-node/src/inner.rs
+++ b/crates/magnolia-node/src/inner.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use magnolia_scheduler::{CellRules, CellVersion, EligibilityAnswer, StepRef};
+use magnolia_scheduler::{CellRules, CellVersion, EligibilityAnswer, JobKey, StepRef};
 use magnolia_types::{DaemonId, Epoch, ExecutorId, Incarnation, LogOffset, Millis, wire_types};
 
 use crate::callers::{CallerAnswer, CallerCall};
@@ -25,6 +25,8 @@
         Rules,
         /// Asks the receiver to claim ownership; the sender stops.
         TakeOver(Epoch),
+        /// Asks the owner where a job stands.
+        Explain(JobKey),
     }
 
     /// Sign of life.
@@ -76,6 +78,8 @@
         Tail(Result<TailPage, StoreError>),
         Rules(Arc<RulesCopy>),
         Done,
+        /// Sentences about a job; none when it is not known.
+        Explanation(Option<Vec<String>>),
         /// The message was not understood.
         Malformed,
     }
--- a/crates/magnolia-node/src/lib.rs
+++ b/crates/magnolia-node/src/lib.rs
@@ -24,6 +24,7 @@
 mod rules_feed;
 mod serving;
 mod settings;
+mod state;
 
 pub use callers::{CallerAnswer, CallerCall, CallerRequest};
 pub use clock::NodeClock;
@@ -35,3 +36,4 @@
     OperatorCodec, OrderError, StoreError, StreamName, StreamRecord, StreamStore, TailPage,
 };
 pub use settings::NodeSettings;
+pub use state::{JobExplanation, NodeState, NodeStatus};
--- a/crates/magnolia-node/src/node.rs
+++ b/crates/magnolia-node/src/node.rs
@@ -25,6 +25,7 @@
 };
 use crate::routed_store::{RoutedStore, relay_call};
 use crate::settings::NodeSettings;
+use crate::state::JobExplanation;
 
 /// Longest wait of the follower for a record of the cell's stream.
 const FOLLOW_WAIT: Millis = Millis::new(10_000);
@@ -354,6 +355,11 @@
                 InnerReply::Advice(answer)
             }
             InnerCall::Store(call) => relay_call(&self.store, &call).await,
+            InnerCall::Explain(key) => match self.explain_here(key) {
+                JobExplanation::Known(lines) => InnerReply::Explanation(Some(lines)),
+                JobExplanation::Unknown => InnerReply::Explanation(None),
+                JobExplanation::NoOwner => InnerReply::NotOwner,
+            },
             InnerCall::Rules => InnerReply::Rules(Arc::new(RulesCopy::from(&*self.rules()))),
             InnerCall::TakeOver(epoch) => {
                 let current = self.cell.borrow().owner.clone();
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use magnolia_types::{Epoch, ExecutorId, Millis};
+use serde::{Deserialize, Serialize};
 
 use crate::admission::{AdmissionDecision, AdmissionLoad, decide_admission};
 use crate::advice_queue::AdviceQueue;
@@ -53,7 +54,7 @@
 }
 
 /// Counts for logs, metrics and the state dump.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CellSummary {
     /// Jobs that are not over.
     pub live_jobs: usize,
--- /dev/null
+++ b/crates/magnolia-scheduler/src/explain.rs
@@ -0,0 +1,131 @@
+//! Where a job stands, and what its waiting tasks wait for, in sentences.
+
+use magnolia_types::Millis;
+
+use crate::cell::CellScheduler;
+use crate::executors::Slot;
+use crate::planning::suits;
+use crate::step::{StepState, TaskPhase};
+use crate::{JobKey, StepRef, StepSpec};
+
+impl CellScheduler {
+    /// Explains where a job stands; `None` when it is not known.
+    pub fn explain(&self, key: JobKey, now: Millis, now_unix_ms: u64) -> Option<Vec<String>> {
+        let job = self.jobs.get(&key)?;
+        let queue = job.queue();
+        if let Some((status, at)) = job.ended {
+            let ago = Millis::new(now_unix_ms.saturating_sub(at));
+            let line = format!("job {key} of queue {queue} ended {ago} ago: {status:?}");
+            return Some(vec![line]);
+        }
+        let age = Millis::new(now_unix_ms.saturating_sub(job.accepted_unix_ms));
+        let mut lines = vec![format!(
+            "job {key} of queue {queue}, priority {}, accepted {age} ago: {:?}",
+            job.rules.priority,
+            job.status()
+        )];
+        if !job.stored {
+            lines.push("its acceptance is not stored yet; nothing starts before that".into());
+        }
+        if let Some(ending) = job.ending {
+            lines.push(format!(
+                "it is decided as {ending:?}; the outcome is not stored yet"
+            ));
+        }
+        let Some(spec) = &job.spec else {
+            return Some(lines);
+        };
+        for (occurrence, state) in (0u32..).zip(&job.occurrences) {
+            for ((step, state), spec) in (0u16..).zip(&state.steps).zip(&spec.steps) {
+                let step = StepRef {
+                    job: key,
+                    occurrence,
+                    step,
+                };
+                lines.push(step_line(step, state));
+                if state.open && state.waiting > 0 && job.stored && job.ending.is_none() {
+                    lines.push(self.waiting_line(step, state, spec, now));
+                }
+            }
+        }
+        Some(lines)
+    }
+
+    /// Says what the waiting tasks of a step wait for.
+    fn waiting_line(
+        &self,
+        step: StepRef,
+        state: &StepState,
+        spec: &StepSpec,
+        now: Millis,
+    ) -> String {
+        let Some(job) = self.jobs.get(&step.job) else {
+            return String::new();
+        };
+        let rules = self.rules.queues.get(&job.rules.name);
+        let rules = rules.unwrap_or(&job.rules);
+        let suited: Vec<Slot> = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| executor.takes_work(now) && suits(executor, spec, rules))
+            .map(|(slot, _)| slot)
+            .collect();
+        let roomy = |slot: &&Slot| {
+            let executor = self.executors.get(**slot);
+            self.room(executor, spec, rules, step, executor.free()) > 0
+        };
+        let with_room: Vec<&Slot> = suited.iter().filter(roomy).collect();
+        let eligible = with_room
+            .iter()
+            .filter(|slot| state.advice.tickets.contains_key(slot));
+        let ahead = self
+            .ready
+            .iter()
+            .filter(|key| key.priority == job.rules.priority)
+            .position(|key| key.step == step);
+        let mut parts = vec![
+            format!("executors that suit: {}", suited.len()),
+            format!("with room: {}", with_room.len()),
+        ];
+        if rules.advice.is_some() {
+            parts.push(format!("of these known as eligible: {}", eligible.count()));
+            parts.push(format!(
+                "known as not eligible: {}",
+                state.advice.ineligible.len()
+            ));
+            parts.push(if state.advice.in_flight {
+                "a call for eligibility is under way".into()
+            } else {
+                "no call for eligibility is under way".into()
+            });
+        }
+        if let Some(ahead) = ahead {
+            parts.push(format!("steps of the same priority ahead: {ahead}"));
+        }
+        if self.is_blocked(step) {
+            parts.push("an executor that may run it has not answered this owner yet".into());
+        }
+        format!("  its tasks wait; {}", parts.join("; "))
+    }
+}
+
+fn step_line(step: StepRef, state: &StepState) -> String {
+    let count = |wanted: fn(&TaskPhase) -> bool| {
+        let tasks = state.tasks.iter().map(|task| &task.phase);
+        tasks.filter(|phase| wanted(phase)).count()
+    };
+    let done = count(|phase| matches!(phase, TaskPhase::Done | TaskPhase::DoneSeen));
+    let placed = count(|phase| matches!(phase, TaskPhase::Placed(..)));
+    let waiting = count(|phase| matches!(phase, TaskPhase::Waiting));
+    let failed: usize = state.tasks.iter().map(|task| task.failed.len()).sum();
+    let gate = if state.open {
+        ""
+    } else {
+        "; an earlier step is not done"
+    };
+    format!(
+        "step {step}: {} tasks: {done} done, {placed} running, {waiting} waiting; \
+         {failed} failed runs{gate}",
+        state.tasks.len()
+    )
+}
--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -12,6 +12,7 @@
 mod executor_report;
 mod executor_state;
 mod executors;
+mod explain;
 mod ids;
 mod job;
 mod job_spec;
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -203,6 +203,13 @@
         state.is_some_and(|state| state.inherited)
     }
 
+    /// Tells whether tasks of a step may run unseen on an executor that has not answered this owner.
+    pub(crate) fn is_blocked(&self, step: StepRef) -> bool {
+        let block = self.takeover_block();
+        let left_there = block.tasks.iter().any(|task| task.step == step);
+        self.is_inherited(step) && (block.all || left_there)
+    }
+
     fn plan_step(&mut self, key: ReadyKey, block: &TakeoverBlock, now: Millis) {
         let step = key.step;
         let Some(job) = self.jobs.get(&step.job) else {
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -602,3 +602,32 @@
         assert_eq!(bench.starts().len(), 1);
     }
 );
+
+rule_test!(
+    /// Guards operators against a job that nobody can explain: what it waits for is said in sentences.
+    a_waiting_job_is_explained,
+    || {
+        let mut bench = RuleBench::new(1, 1);
+        let explain = |bench: &RuleBench, key: u64| {
+            let unix_ms = START_UNIX_MS + bench.now.get();
+            bench.scheduler.explain(JobKey::new(key), bench.now, unix_ms)
+        };
+        assert_eq!(explain(&bench, 9), None);
+        // One task leaves no room for another.
+        let both = vec![step(2, CAPACITY * 3 / 4, 60_000, vec![]), step(1, 1000, 100, vec![0])];
+        bench.submit(1, job(both));
+        let unstored = explain(&bench, 1).expect("a known job").join("\n");
+        assert!(unstored.contains("not stored yet"), "{unstored}");
+        bench.store();
+        assert_eq!(bench.starts().len(), 1);
+        let lines = explain(&bench, 1).expect("a known job");
+        assert!(lines[0].contains("Running"), "{lines:?}");
+        assert!(lines[1].contains("2 tasks: 0 done, 1 running, 1 waiting"), "{lines:?}");
+        assert!(lines[2].contains("executors that suit: 1; with room: 0"), "{lines:?}");
+        assert!(lines[3].contains("an earlier step is not done"), "{lines:?}");
+        bench.scheduler.cancel(JobKey::new(1), bench.now);
+        bench.store();
+        let ended = explain(&bench, 1).expect("a known job");
+        assert!(ended[0].contains("Cancelled"), "{ended:?}");
+    }
+);
