Move a run that shows no progress in its first report

Cause: a run counted as hanging after 1.5 s without progress, seen in reports that come once a second. A task of 0.8 s was moved after 2 s and more, beyond its objective.

Change: a run has to show progress after 16% of its estimate (400 ms at least), seen in any report; runs resumed from a checkpoint are left out.

Test, failing before: a_run_that_does_not_begin_is_moved.

--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -12,7 +12,7 @@
 use crate::job::JobState;
 use crate::ordering::WorkMean;
 use crate::record::JobRecord;
-use crate::step::TaskPhase;
+use crate::step::{TaskPhase, TaskState};
 use crate::{
     CellAction, CellRules, ExecutorLife, ExecutorRecord, JobKey, JobSpec, JobStatus, QueueName,
     QueueRules, SchedulerSettings, StepRef, TaskRef,
@@ -443,10 +443,15 @@
 
 impl CellScheduler {
     /// Returns a task that can be looked up.
-    pub(crate) fn task_phase(&self, task: TaskRef) -> Option<TaskPhase> {
+    pub(crate) fn task_at(&self, task: TaskRef) -> Option<&TaskState> {
         let job = self.jobs.get(&task.step.job)?;
         let occurrence = job.occurrences.get(task.step.occurrence as usize)?;
         let step = occurrence.steps.get(usize::from(task.step.step))?;
-        Some(step.tasks.get(task.index as usize)?.phase)
+        step.tasks.get(task.index as usize)
+    }
+
+    /// Returns where a task stands.
+    pub(crate) fn task_phase(&self, task: TaskRef) -> Option<TaskPhase> {
+        Some(self.task_at(task)?.phase)
     }
 }
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -14,6 +14,11 @@
 
 /// Steps of one urgency that a pass looks at: those behind them wait for the same room.
 const STEPS_PER_PASS: usize = 48;
+/// Part of a run's estimate, in percent, after which it has begun: 4% of the work on an executor that
+/// is slow by a quarter and away from its data, with an estimate that is off by half.
+const BEGIN_PERCENT: u64 = 16;
+/// Shortest time in which a run shows progress: several answer times.
+const MIN_BEGIN_LIMIT: Millis = Millis::new(400);
 /// Urgency that may stop less urgent runs to make room.
 pub(crate) const PREEMPTING_PRIORITY: u32 = 0;
 
@@ -123,11 +128,14 @@
         let mut hung = Vec::new();
         for (slot, executor) in self.executors.iter() {
             for ((task, run), active) in &executor.runs {
+                let watched = active.phase == RunPhase::Running && active.pace == 100;
+                let Some(heard_at) = active.confirmed_at.filter(|_| watched) else {
+                    continue;
+                };
                 let still = now.saturating_sub(active.progress_at) > limit;
-                let heard = active
-                    .confirmed_at
-                    .is_some_and(|at| at > active.progress_at);
-                if active.phase == RunPhase::Running && still && heard && active.pace == 100 {
+                let stuck = active.percent == 0
+                    && heard_at.saturating_sub(active.progress_at) >= self.begin_limit(*task);
+                if heard_at > active.progress_at && (still || stuck) {
                     hung.push((slot, *task, *run, active.percent));
                 }
             }
@@ -156,6 +164,21 @@
         }
     }
 
+    /// Returns the time within which a run has to show progress at all: executors report once a second,
+    /// so that a task of that length would otherwise be seen to hang only after its objective.
+    fn begin_limit(&self, task: TaskRef) -> Millis {
+        let limit = self.settings.hang_limit;
+        let Some(spec) = self.step_spec(task.step) else {
+            return limit;
+        };
+        let resumed = self.task_at(task).is_some_and(|task| task.saved.is_some());
+        if resumed {
+            return limit;
+        }
+        let begun = spec.estimate.get() * BEGIN_PERCENT / 100;
+        Millis::new(begun).clamp(MIN_BEGIN_LIMIT, limit)
+    }
+
     /// Starts what can start and asks for eligibility where it is missing.
     pub fn plan(&mut self, now: Millis) {
         let mut looked = std::collections::BTreeMap::new();
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -631,3 +631,34 @@
         assert!(ended[0].contains("Cancelled"), "{ended:?}");
     }
 );
+
+rule_test!(
+    /// Guards callers of short tasks against an executor on which work stands still: a run that shows no
+    /// progress in the first report is moved, one that does is left alone.
+    a_run_that_does_not_begin_is_moved,
+    || {
+        let mut bench = RuleBench::new(1, 2);
+        bench.submit(1, job(vec![step(2, 6000, 800, vec![])]));
+        bench.store();
+        let starts = bench.starts();
+        assert_eq!(starts.len(), 2, "one on each executor");
+        let mut stops = Vec::new();
+        for _ in 0..5 {
+            bench.pass(100);
+            stops.extend(bench.scheduler.take_actions());
+        }
+        assert!(stops.is_empty(), "nothing was reported yet: {stops:?}");
+        for (order, percent) in starts.iter().zip([0, 60]) {
+            let number = (0..2).find(|number| id(*number) == order.executor).expect("known");
+            let mut row = running(order);
+            row.percent = percent;
+            bench.answer(number, vec![row], vec![]);
+        }
+        bench.pass(10);
+        let actions = bench.scheduler.take_actions();
+        let [CellAction::Stop(stop)] = actions.as_slice() else {
+            panic!("one stop: {actions:?}");
+        };
+        assert_eq!((stop.task, stop.run), (starts[0].task, starts[0].run));
+    }
+);
