Give takeover and hung runs files of their own; drop settings nobody reads

No change of behaviour: takeover.rs holds what a new owner knows of executors and waits for, hung_runs.rs what moves a run that stands still. The stop grace and the factor of remote data were passed to the scheduler and never read.

--- /dev/null
+++ b/crates/magnolia-scheduler/src/hung_runs.rs
@@ -0,0 +1,74 @@
+//! Runs that stand still.
+//!
+//! Answers days on which work on some executors stands still or hangs: executors report once a second,
+//! and urgent tasks take no longer than that.
+
+use magnolia_types::Millis;
+
+use crate::TaskRef;
+use crate::cell::CellScheduler;
+use crate::executor_state::RunPhase;
+
+/// Part of a run's estimate, in percent, after which it has begun: 4% of the work on an executor that
+/// is slow by a quarter and away from its data, with an estimate that is off by half.
+const BEGIN_PERCENT: u64 = 16;
+/// Shortest time in which a run shows progress: several answer times.
+const MIN_BEGIN_LIMIT: Millis = Millis::new(400);
+
+impl CellScheduler {
+    pub(crate) fn stop_hung_runs(&mut self, now: Millis) {
+        let limit = self.settings.hang_limit;
+        let mut hung = Vec::new();
+        for (slot, executor) in self.executors.iter() {
+            for ((task, run), active) in &executor.runs {
+                let watched = active.phase == RunPhase::Running && active.pace == 100;
+                let Some(heard_at) = active.confirmed_at.filter(|_| watched) else {
+                    continue;
+                };
+                let still = now.saturating_sub(active.progress_at) > limit;
+                let stuck = active.percent == 0
+                    && heard_at.saturating_sub(active.progress_at) >= self.begin_limit(*task);
+                if heard_at > active.progress_at && (still || stuck) {
+                    hung.push((slot, *task, *run, active.percent));
+                }
+            }
+        }
+        for (slot, task, run, percent) in hung {
+            let Some(spec) = self.step_spec(task.step) else {
+                continue;
+            };
+            // A lasting task at work stays at 100; fillers and gangs wait for others.
+            let at_work = spec.lasting && percent >= 100;
+            if at_work || spec.filler || spec.gang || spec.lasting {
+                continue;
+            }
+            let slow = spec.estimate.get() > limit.get() * 50;
+            if slow {
+                continue;
+            }
+            let id = self.executor_id(slot);
+            log::info!(executor:% = id, task:% = task, run:% = run, percent = percent;
+                "run without progress; moving its task");
+            self.executors.get_mut(slot).health.set_aside(now);
+            if let Some(entry) = self.task_state(task) {
+                entry.avoid = Some(slot);
+            }
+            self.order_stop(slot, task, run, now);
+        }
+    }
+
+    /// Returns the time within which a run has to show progress at all: executors report once a second,
+    /// so that a task of that length would otherwise be seen to hang only after its objective.
+    fn begin_limit(&self, task: TaskRef) -> Millis {
+        let limit = self.settings.hang_limit;
+        let Some(spec) = self.step_spec(task.step) else {
+            return limit;
+        };
+        let resumed = self.task_at(task).is_some_and(|task| task.saved.is_some());
+        if resumed {
+            return limit;
+        }
+        let begun = spec.estimate.get() * BEGIN_PERCENT / 100;
+        Millis::new(begun).clamp(MIN_BEGIN_LIMIT, limit)
+    }
+}
--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 mod executor_state;
 mod executors;
 mod explain;
+mod hung_runs;
 mod ids;
 mod job;
 mod job_spec;
@@ -27,6 +28,7 @@
 mod rules;
 mod settings;
 mod step;
+mod takeover;
 
 pub use actions::{AdviceOrder, CellAction, PaceOrder, StartOrder, StopOrder};
 pub use admission::{AdmissionDecision, AdmissionLoad, decide_admission};
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -5,20 +5,16 @@
 use magnolia_types::{Millis, ResourceVector};
 
 use crate::cell::{CellScheduler, ReadyKey};
-use crate::executor_state::{ExecutorState, RunPhase};
+use crate::executor_state::ExecutorState;
 use crate::executors::Slot;
 use crate::placement::{RoomView, choose_executor};
 use crate::reports::filler_cpu;
 use crate::step::{StepState, TaskPhase};
+use crate::takeover::TakeoverBlock;
 use crate::{CellAction, QueueRules, RunNumber, StartOrder, StepRef, StepSpec, TaskRef};
 
 /// Steps of one urgency that a pass looks at: those behind them wait for the same room.
 const STEPS_PER_PASS: usize = 48;
-/// Part of a run's estimate, in percent, after which it has begun: 4% of the work on an executor that
-/// is slow by a quarter and away from its data, with an estimate that is off by half.
-const BEGIN_PERCENT: u64 = 16;
-/// Shortest time in which a run shows progress: several answer times.
-const MIN_BEGIN_LIMIT: Millis = Millis::new(400);
 /// Urgency that may stop less urgent runs to make room.
 pub(crate) const PREEMPTING_PRIORITY: u32 = 0;
 
@@ -33,15 +29,6 @@
     pub(crate) expired: Vec<RoomView>,
 }
 
-/// Tasks that wait for executors which have not answered since the change of owner.
-#[derive(Default)]
-struct TakeoverBlock {
-    /// Whether any inherited task may run there.
-    all: bool,
-    /// Tasks that may run there.
-    tasks: BTreeSet<TaskRef>,
-}
-
 impl CellScheduler {
     /// Sets the daemons that can ask for eligibility.
     pub fn set_advisers(&mut self, daemons: &BTreeSet<usize>) {
@@ -123,62 +110,6 @@
         }
     }
 
-    fn stop_hung_runs(&mut self, now: Millis) {
-        let limit = self.settings.hang_limit;
-        let mut hung = Vec::new();
-        for (slot, executor) in self.executors.iter() {
-            for ((task, run), active) in &executor.runs {
-                let watched = active.phase == RunPhase::Running && active.pace == 100;
-                let Some(heard_at) = active.confirmed_at.filter(|_| watched) else {
-                    continue;
-                };
-                let still = now.saturating_sub(active.progress_at) > limit;
-                let stuck = active.percent == 0
-                    && heard_at.saturating_sub(active.progress_at) >= self.begin_limit(*task);
-                if heard_at > active.progress_at && (still || stuck) {
-                    hung.push((slot, *task, *run, active.percent));
-                }
-            }
-        }
-        for (slot, task, run, percent) in hung {
-            let Some(spec) = self.step_spec(task.step) else {
-                continue;
-            };
-            // A lasting task at work stays at 100; fillers and gangs wait for others.
-            let at_work = spec.lasting && percent >= 100;
-            if at_work || spec.filler || spec.gang || spec.lasting {
-                continue;
-            }
-            let slow = spec.estimate.get() > limit.get() * 50;
-            if slow {
-                continue;
-            }
-            let id = self.executor_id(slot);
-            log::info!(executor:% = id, task:% = task, run:% = run, percent = percent;
-                "run without progress; moving its task");
-            self.executors.get_mut(slot).health.set_aside(now);
-            if let Some(entry) = self.task_state(task) {
-                entry.avoid = Some(slot);
-            }
-            self.order_stop(slot, task, run, now);
-        }
-    }
-
-    /// Returns the time within which a run has to show progress at all: executors report once a second,
-    /// so that a task of that length would otherwise be seen to hang only after its objective.
-    fn begin_limit(&self, task: TaskRef) -> Millis {
-        let limit = self.settings.hang_limit;
-        let Some(spec) = self.step_spec(task.step) else {
-            return limit;
-        };
-        let resumed = self.task_at(task).is_some_and(|task| task.saved.is_some());
-        if resumed {
-            return limit;
-        }
-        let begun = spec.estimate.get() * BEGIN_PERCENT / 100;
-        Millis::new(begun).clamp(MIN_BEGIN_LIMIT, limit)
-    }
-
     /// Starts what can start and asks for eligibility where it is missing.
     pub fn plan(&mut self, now: Millis) {
         let mut looked = std::collections::BTreeMap::new();
@@ -206,33 +137,6 @@
         }
     }
 
-    /// Returns which tasks may run unseen on executors that have not answered this owner yet.
-    fn takeover_block(&self) -> TakeoverBlock {
-        let mut block = TakeoverBlock::default();
-        let unseen = self.executors.iter().map(|(_, executor)| executor);
-        for executor in unseen.filter(|executor| executor.blocks_inherited()) {
-            match &executor.left_there {
-                Some(tasks) => block.tasks.extend(tasks),
-                None => block.all = true,
-            }
-        }
-        block
-    }
-
-    fn is_inherited(&self, step: StepRef) -> bool {
-        let job = self.jobs.get(&step.job);
-        let occurrence = job.and_then(|job| job.occurrences.get(step.occurrence as usize));
-        let state = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(step.step)));
-        state.is_some_and(|state| state.inherited)
-    }
-
-    /// Tells whether tasks of a step may run unseen on an executor that has not answered this owner.
-    pub(crate) fn is_blocked(&self, step: StepRef) -> bool {
-        let block = self.takeover_block();
-        let left_there = block.tasks.iter().any(|task| task.step == step);
-        self.is_inherited(step) && (block.all || left_there)
-    }
-
     fn plan_step(&mut self, key: ReadyKey, block: &TakeoverBlock, now: Millis) {
         let step = key.step;
         let Some(job) = self.jobs.get(&step.job) else {
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -5,8 +5,8 @@
 use magnolia_types::{ExecutorId, Millis};
 
 use crate::cell::CellScheduler;
-use crate::executor_state::{ActiveRun, ExecutorState, HoldPlan, RunPhase};
-use crate::executors::{ExecutorEntry, ExecutorRecord, ExecutorStatus, ExecutorUse, Slot};
+use crate::executor_state::{ActiveRun, HoldPlan, RunPhase};
+use crate::executors::{ExecutorEntry, ExecutorStatus, ExecutorUse, Slot};
 use crate::step::{TaskPhase, Ticket};
 use crate::{CellAction, PaceOrder};
 use crate::{
@@ -48,83 +48,6 @@
         self.executors.get_mut(slot).entry = entry;
     }
 
-    /// Takes in an executor that an earlier owner had in use, before anything starts.
-    pub fn load_executor(&mut self, record: ExecutorRecord, now: Millis) {
-        let wait = self.settings.takeover_wait();
-        let slot = self.executors.add(record.entry);
-        let executor = self.executors.get_mut(slot);
-        executor.listed = false;
-        executor.inherited = true;
-        executor.usage = match &record.confined_to {
-            Some(_) => ExecutorUse::Confined,
-            None => ExecutorUse::Open,
-        };
-        executor.stored_usage = executor.usage;
-        executor.left_there = record.confined_to.map(BTreeSet::from_iter);
-        executor.settles_at = now.saturating_add(wait);
-    }
-
-    /// Takes the news that the earlier owner gives no orders any more: what it granted runs out one
-    /// lease from now at the latest.
-    pub fn apply_predecessor_ended(&mut self, now: Millis) {
-        let settles_at = now.saturating_add(self.settings.lease_end());
-        let waiting = self.executors.iter_mut().map(|(_, executor)| executor);
-        for executor in waiting.filter(|executor| executor.blocks_inherited()) {
-            executor.settles_at = executor.settles_at.min(settles_at);
-        }
-    }
-
-    /// Takes executors out of use that get nothing new and run nothing, so that the next owner does
-    /// not wait for them.
-    pub(crate) fn retire_leaving(&mut self) {
-        let leaving = |executor: &ExecutorState| {
-            let leaves = !executor.listed || executor.entry.status == ExecutorStatus::Draining;
-            let used = executor.usage != ExecutorUse::Unused;
-            leaves && used && executor.settled && executor.runs.is_empty()
-        };
-        let slots: Vec<Slot> = self
-            .executors
-            .iter()
-            .filter(|(_, executor)| leaving(executor))
-            .map(|(slot, _)| slot)
-            .collect();
-        slots
-            .into_iter()
-            .for_each(|slot| self.retire_executor(slot));
-    }
-
-    /// Takes an executor out of use, after nothing can run there any more.
-    pub(crate) fn retire_executor(&mut self, slot: Slot) {
-        let executor = self.executors.get_mut(slot);
-        if executor.usage != ExecutorUse::Unused && executor.runs.is_empty() {
-            executor.usage = ExecutorUse::Unused;
-            self.mark_executor(slot);
-        }
-    }
-
-    /// Stores what runs on executors that leave or are silent, where nothing new starts: the next
-    /// owner then waits for them with these tasks only.
-    pub(crate) fn confine_executors(&mut self, now: Millis) {
-        let closed = |executor: &ExecutorState| {
-            let leaves = executor.entry.status == ExecutorStatus::Draining;
-            let open = executor.usage == ExecutorUse::Open && executor.settled;
-            open && (leaves || !executor.is_heard(now))
-        };
-        let slots: Vec<Slot> = self
-            .executors
-            .iter()
-            .filter(|(_, executor)| closed(executor))
-            .map(|(slot, _)| slot)
-            .collect();
-        for slot in slots {
-            let executor = self.executors.get_mut(slot);
-            executor.usage = ExecutorUse::Confined;
-            log::info!(executor:% = executor.entry.id, runs = executor.runs.len();
-                "nothing new starts on an executor that leaves or is silent");
-            self.mark_executor(slot);
-        }
-    }
-
     /// Takes the removal of an executor from the platform's list.
     pub fn remove_executor(&mut self, id: &ExecutorId) {
         if let Some(slot) = self.executors.slot(id) {
--- a/crates/magnolia-scheduler/src/settings.rs
+++ b/crates/magnolia-scheduler/src/settings.rs
@@ -11,8 +11,6 @@
     pub lease: Millis,
     /// Time for which an ended job is remembered; from the settings file.
     pub ended_retention: Millis,
-    /// Longest time of a stop; from the settings file.
-    pub stop_grace: Millis,
     /// Longest time of one wait for ends at an executor; the platform's bound.
     pub hold_wait: Millis,
     /// Share of each executor, in thousandths, that only the most urgent work uses.
@@ -31,8 +29,6 @@
     pub late_order_limit: Millis,
     /// Time after which an owner without store and peers stops renewing leases.
     pub isolation_limit: Millis,
-    /// Progress lost where data are on another rack, in thousandths; from the settings file.
-    pub remote_factor_permille: u64,
 }
 
 impl SchedulerSettings {
@@ -42,7 +38,6 @@
             max_lease,
             lease: Millis::new(max_lease.get() * 3 / 5),
             ended_retention: Millis::from_secs(120),
-            stop_grace: Millis::new(200),
             hold_wait: Millis::new(1000),
             urgent_reserve_permille: 30,
             order_work_share: 0.5,
@@ -51,7 +46,6 @@
             hang_limit: Millis::new(1500),
             late_order_limit: Millis::from_secs(12),
             isolation_limit: Millis::from_secs(2),
-            remote_factor_permille: 2000,
         }
     }
 
@@ -62,20 +56,6 @@
         self
     }
 
-    /// Sets the longest time of a stop.
-    #[must_use]
-    pub fn with_stop_grace(mut self, grace: Millis) -> Self {
-        self.stop_grace = grace;
-        self
-    }
-
-    /// Sets how many times as long a task takes away from its data.
-    #[must_use]
-    pub fn with_remote_factor(mut self, factor: f64) -> Self {
-        self.remote_factor_permille = (factor.max(1.0) * 1000.0) as u64;
-        self
-    }
-
     /// Returns the time from the last order of an owner, for which every owner asks the same lease,
     /// to its certain end by a clock that runs up to 2% slow.
     pub fn lease_end(&self) -> Millis {
--- /dev/null
+++ b/crates/magnolia-scheduler/src/takeover.rs
@@ -0,0 +1,128 @@
+//! What a new owner has to know of executors, and what it waits for.
+//!
+//! The store holds which executors are in use. A new owner asks all of them before it starts what an
+//! earlier owner may have started; of executors that get nothing new, the tasks there are stored too.
+
+use std::collections::BTreeSet;
+
+use magnolia_types::Millis;
+
+use crate::cell::CellScheduler;
+use crate::executor_state::ExecutorState;
+use crate::executors::{ExecutorRecord, ExecutorStatus, ExecutorUse, Slot};
+use crate::{StepRef, TaskRef};
+
+/// Tasks that wait for executors which have not answered since the change of owner.
+#[derive(Default)]
+pub(crate) struct TakeoverBlock {
+    /// Whether any inherited task may run there.
+    pub(crate) all: bool,
+    /// Tasks that may run there.
+    pub(crate) tasks: BTreeSet<TaskRef>,
+}
+
+impl CellScheduler {
+    /// Takes in an executor that an earlier owner had in use, before anything starts.
+    pub fn load_executor(&mut self, record: ExecutorRecord, now: Millis) {
+        let wait = self.settings.takeover_wait();
+        let slot = self.executors.add(record.entry);
+        let executor = self.executors.get_mut(slot);
+        executor.listed = false;
+        executor.inherited = true;
+        executor.usage = match &record.confined_to {
+            Some(_) => ExecutorUse::Confined,
+            None => ExecutorUse::Open,
+        };
+        executor.stored_usage = executor.usage;
+        executor.left_there = record.confined_to.map(BTreeSet::from_iter);
+        executor.settles_at = now.saturating_add(wait);
+    }
+
+    /// Takes the news that the earlier owner gives no orders any more: what it granted runs out one
+    /// lease from now at the latest.
+    pub fn apply_predecessor_ended(&mut self, now: Millis) {
+        let settles_at = now.saturating_add(self.settings.lease_end());
+        let waiting = self.executors.iter_mut().map(|(_, executor)| executor);
+        for executor in waiting.filter(|executor| executor.blocks_inherited()) {
+            executor.settles_at = executor.settles_at.min(settles_at);
+        }
+    }
+
+    /// Takes executors out of use that get nothing new and run nothing, so that the next owner does
+    /// not wait for them.
+    pub(crate) fn retire_leaving(&mut self) {
+        let leaving = |executor: &ExecutorState| {
+            let leaves = !executor.listed || executor.entry.status == ExecutorStatus::Draining;
+            let used = executor.usage != ExecutorUse::Unused;
+            leaves && used && executor.settled && executor.runs.is_empty()
+        };
+        let slots: Vec<Slot> = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| leaving(executor))
+            .map(|(slot, _)| slot)
+            .collect();
+        slots
+            .into_iter()
+            .for_each(|slot| self.retire_executor(slot));
+    }
+
+    /// Takes an executor out of use, after nothing can run there any more.
+    pub(crate) fn retire_executor(&mut self, slot: Slot) {
+        let executor = self.executors.get_mut(slot);
+        if executor.usage != ExecutorUse::Unused && executor.runs.is_empty() {
+            executor.usage = ExecutorUse::Unused;
+            self.mark_executor(slot);
+        }
+    }
+
+    /// Stores what runs on executors that leave or are silent, where nothing new starts: the next
+    /// owner then waits for them with these tasks only.
+    pub(crate) fn confine_executors(&mut self, now: Millis) {
+        let closed = |executor: &ExecutorState| {
+            let leaves = executor.entry.status == ExecutorStatus::Draining;
+            let open = executor.usage == ExecutorUse::Open && executor.settled;
+            open && (leaves || !executor.is_heard(now))
+        };
+        let slots: Vec<Slot> = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| closed(executor))
+            .map(|(slot, _)| slot)
+            .collect();
+        for slot in slots {
+            let executor = self.executors.get_mut(slot);
+            executor.usage = ExecutorUse::Confined;
+            log::info!(executor:% = executor.entry.id, runs = executor.runs.len();
+                "nothing new starts on an executor that leaves or is silent");
+            self.mark_executor(slot);
+        }
+    }
+
+    /// Returns which tasks may run unseen on executors that have not answered this owner yet.
+    pub(crate) fn takeover_block(&self) -> TakeoverBlock {
+        let mut block = TakeoverBlock::default();
+        let unseen = self.executors.iter().map(|(_, executor)| executor);
+        for executor in unseen.filter(|executor| executor.blocks_inherited()) {
+            match &executor.left_there {
+                Some(tasks) => block.tasks.extend(tasks),
+                None => block.all = true,
+            }
+        }
+        block
+    }
+
+    pub(crate) fn is_inherited(&self, step: StepRef) -> bool {
+        let job = self.jobs.get(&step.job);
+        let occurrence = job.and_then(|job| job.occurrences.get(step.occurrence as usize));
+        let state = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(step.step)));
+        state.is_some_and(|state| state.inherited)
+    }
+
+    /// Tells whether tasks of a step may run unseen on an executor that has not answered this owner.
+    pub(crate) fn is_blocked(&self, step: StepRef) -> bool {
+        let block = self.takeover_block();
+        let left_there = block.tasks.iter().any(|task| task.step == step);
+        self.is_inherited(step) && (block.all || left_there)
+    }
+}
