--- a/crates/magnolia-node/src/committer.rs
+++ b/crates/magnolia-node/src/committer.rs
@@ -235,21 +235,19 @@
                     continue;
                 };
                 let mut parts = split_records(&sent.batch);
-                // Repeats are safe among the last few calls only, so that a large batch goes alone.
-                while parts.len() > 1 {
+                let records = parts.pop().unwrap_or_default();
+                if !parts.is_empty() {
+                    // Repeats are safe among the last few calls only, so that a large batch goes alone.
                     while let Some(stored) = calls.next().await {
                         match stored {
                             Some(sent) => last_took = finish(&session, sent),
                             None => return,
                         }
                     }
-                    let part = parts.remove(0);
-                    let sequence = committer.take_sequence();
-                    if !committer.append(&session, sequence, &part).await {
+                    if !store_parts(&session, &parts).await {
                         return;
                     }
                 }
-                let records = parts.pop().unwrap_or_default();
                 calls.push_back(store_batch(Arc::clone(&session), sent, records));
                 last_sent = Instant::now();
             }
@@ -297,6 +295,17 @@
     parts
 }
 
+/// Stores calls one after the other; false when ownership ended.
+async fn store_parts(session: &OwnerSession, parts: &[Vec<StreamRecord>]) -> bool {
+    for part in parts {
+        let sequence = session.committer.take_sequence();
+        if !session.committer.append(session, sequence, part).await {
+            return false;
+        }
+    }
+    true
+}
+
 /// Stores the last call of a batch; `None` when ownership ended.
 fn store_batch(
     session: Arc<OwnerSession>,
--- a/crates/magnolia-node/src/routed_store.rs
+++ b/crates/magnolia-node/src/routed_store.rs
@@ -200,7 +200,7 @@
                         Err(error) => {
                             self.note_path_failure(path, &error);
                             if path == StorePath::Direct {
-                                // It answers, or does not connect: another try would not differ.
+                                // It was turned away, or waited as long as a call may: another try would not differ.
                                 paths.retain(|path| *path != StorePath::Direct);
                             }
                             failure = Some(error);
