--- a/crates/magnolia-node/src/owner.rs
+++ b/crates/magnolia-node/src/owner.rs
@@ -150,7 +150,7 @@
         }
         let current = self.node.cell.borrow().owner_epoch() == Some(self.epoch);
         if !current {
-            self.close("a later claim is stored");
+            self.close("a later claim was stored");
         }
         current
     }
