Refuse a job only for the work that comes before it

Cause: admission counted the work of all accepted jobs of the same urgency or a higher one, also of those that a narrow job overtakes by its order.

Change: of jobs that come after the new one, only what runs counts.

Tests, failing before: narrow_jobs_are_not_refused_for_wide_ones_behind_them.

--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -180,16 +180,16 @@
                 SubmitOutcome::Accepted
             };
         }
-        let load = self.admission_load(rules, spec);
-        if let AdmissionDecision::Refuse { retry_after } = decide_admission(&load) {
-            return SubmitOutcome::Refused { retry_after };
-        }
         let mut job = JobState::new(Arc::clone(rules), Arc::clone(spec), now_unix_ms);
         if !spec.is_lasting() {
             let mean = self.work_means.entry(rules.name.clone()).or_default();
             mean.observe(spec.work());
             job.order_by_work(mean.ratio(spec.work()), self.settings.order_work_share);
         }
+        let load = self.admission_load(&job, spec);
+        if let AdmissionDecision::Refuse { retry_after } = decide_admission(&load) {
+            return SubmitOutcome::Refused { retry_after };
+        }
         if spec.recurrence.is_none() {
             job.open_occurrence(now);
         }
@@ -199,10 +199,14 @@
         SubmitOutcome::Accepted
     }
 
-    fn admission_load(&self, rules: &QueueRules, spec: &JobSpec) -> AdmissionLoad {
-        let before = |job: &&JobState| job.rules.priority <= rules.priority;
+    fn admission_load(&self, new: &JobState, spec: &JobSpec) -> AdmissionLoad {
+        let rules = &*new.rules;
+        let place = |job: &JobState| (job.rules.priority, job.order);
         let live = self.live.iter().filter_map(|key| self.jobs.get(key));
-        let backlog_work = live.filter(before).map(open_work).sum();
+        let shares = live.filter(|job| job.rules.priority <= rules.priority);
+        let backlog_work = shares
+            .map(|job| open_work(job, place(job) <= place(new)))
+            .sum();
         let chain = spec.longest_chain();
         AdmissionLoad {
             backlog_work,
@@ -417,8 +421,9 @@
     }
 }
 
-/// Returns the work of a job's tasks that are not done, in core-milliseconds; those that run count half.
-fn open_work(job: &JobState) -> u64 {
+/// Returns the work of a job's tasks that are not done, in core-milliseconds; those that run count half,
+/// and those that wait only when the job comes first.
+fn open_work(job: &JobState, comes_first: bool) -> u64 {
     let Some(spec) = job.spec.as_ref().filter(|spec| !spec.is_lasting()) else {
         return 0;
     };
@@ -428,7 +433,12 @@
         .filter(|(_, spec)| !spec.filler)
         .map(|(step, spec)| {
             let open = u64::from(spec.tasks.saturating_sub(step.done));
-            let halves = open + u64::from(step.waiting);
+            let waiting = u64::from(step.waiting);
+            let halves = if comes_first {
+                open + waiting
+            } else {
+                open.saturating_sub(waiting)
+            };
             spec.work() * halves / u64::from(spec.tasks.max(1)) / 2
         })
         .sum()
--- a/crates/magnolia-scheduler/src/step.rs
+++ b/crates/magnolia-scheduler/src/step.rs
@@ -1,6 +1,6 @@
 //! State of a step and its tasks.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use magnolia_types::Millis;
@@ -59,8 +59,8 @@
 /// What is known of the executors that may run a step; eligibility does not change, tickets end.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepAdvice {
-    pub(crate) tickets: HashMap<Slot, Ticket>,
-    pub(crate) ineligible: HashSet<Slot>,
+    pub(crate) tickets: BTreeMap<Slot, Ticket>,
+    pub(crate) ineligible: BTreeSet<Slot>,
     pub(crate) in_flight: bool,
     pub(crate) not_before: Millis,
 }
--- a/crates/magnolia-scheduler/tests/heavy_load.rs
+++ b/crates/magnolia-scheduler/tests/heavy_load.rs
@@ -255,3 +255,26 @@
         assert!(share >= TARGET_SHARE, "urgent {share}: {often:?}");
     }
 );
+
+load_test!(
+    /// Guards callers of narrow jobs behind a flood of wide ones: jobs that come after them do not keep them
+    /// from being served in time, so that they must not be refused for these.
+    narrow_jobs_are_not_refused_for_wide_ones_behind_them,
+    18,
+    |seed| {
+        let mut player = LoadPlayer::new(&site_executors(48), site_queues(), 7);
+        for key in seed..seed + 60 {
+            let first = step(34, 5500, 5000, vec![]);
+            player.submit(1, key, job(vec![first, step(34, 5500, 5000, vec![0])]));
+        }
+        let flood = player.results()[1];
+        assert!(flood.refused > 0, "no flood: {flood:?}");
+        for key in seed + 100..seed + 110 {
+            player.submit(1, key, job(vec![step(2, 5500, 3000, vec![])]));
+        }
+        player.advance(Millis::from_secs(30));
+        let results = player.results()[1];
+        assert_eq!(results.refused, flood.refused, "narrow jobs refused: {results:?}");
+        assert!(results.on_time + results.late >= 10, "accepted but not served: {results:?}");
+    }
+);
