--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -12,7 +12,7 @@
 use crate::job::JobState;
 use crate::ordering::WorkMean;
 use crate::record::JobRecord;
-use crate::step::{TaskPhase, TaskState};
+use crate::step::{StepState, TaskPhase, TaskState};
 use crate::{
     CellAction, CellRules, ExecutorLife, ExecutorRecord, JobKey, JobSpec, JobStatus, QueueName,
     QueueRules, SchedulerSettings, StepRef, TaskRef,
@@ -453,11 +453,14 @@
 
 impl CellScheduler {
     /// Returns a task that can be looked up.
+    pub(crate) fn step_at(&self, step: StepRef) -> Option<&StepState> {
+        let job = self.jobs.get(&step.job)?;
+        let occurrence = job.occurrences.get(step.occurrence as usize)?;
+        occurrence.steps.get(usize::from(step.step))
+    }
+
     pub(crate) fn task_at(&self, task: TaskRef) -> Option<&TaskState> {
-        let job = self.jobs.get(&task.step.job)?;
-        let occurrence = job.occurrences.get(task.step.occurrence as usize)?;
-        let step = occurrence.steps.get(usize::from(task.step.step))?;
-        step.tasks.get(task.index as usize)
+        self.step_at(task.step)?.tasks.get(task.index as usize)
     }
 
     /// Returns where a task stands.
--- a/crates/magnolia-scheduler/src/eligibility.rs
+++ b/crates/magnolia-scheduler/src/eligibility.rs
@@ -108,12 +108,7 @@
         let Some(spec) = self.step_spec(step) else {
             return Vec::new();
         };
-        let job = self.jobs.get(&step.job);
-        let state = job.and_then(|job| {
-            let occurrence = job.occurrences.get(step.occurrence as usize)?;
-            occurrence.steps.get(usize::from(step.step))
-        });
-        let Some(state) = state else {
+        let Some(state) = self.step_at(step) else {
             return Vec::new();
         };
         let asked = |slot: &Slot| {
--- a/crates/magnolia-scheduler/src/hung_runs.rs
+++ b/crates/magnolia-scheduler/src/hung_runs.rs
@@ -9,13 +9,14 @@
 use crate::cell::CellScheduler;
 use crate::executor_state::RunPhase;
 
-/// Part of a run's estimate, in percent, after which it has begun: 4% of the work on an executor that
-/// is slow by a quarter and away from its data, with an estimate that is off by half.
+/// Part of a run's estimate, in percent, after which it shows progress: reports are in whole percent, and
+/// a slow executor, data on another rack and a rough estimate make a run several times as long.
 const BEGIN_PERCENT: u64 = 16;
 /// Shortest time in which a run shows progress: several answer times.
 const MIN_BEGIN_LIMIT: Millis = Millis::new(400);
 
 impl CellScheduler {
+    /// Stops runs that stand still, so that their tasks start elsewhere.
     pub(crate) fn stop_hung_runs(&mut self, now: Millis) {
         let limit = self.settings.hang_limit;
         let mut hung = Vec::new();
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -51,10 +51,7 @@
             return;
         };
         let key = Self::ready_key(job, step);
-        let state = job
-            .occurrences
-            .get(step.occurrence as usize)
-            .and_then(|occurrence| occurrence.steps.get(usize::from(step.step)));
+        let state = self.step_at(step);
         let can_start = job.stored && job.ending.is_none();
         if can_start && state.is_some_and(|state| state.open && state.waiting > 0) {
             self.ready.insert(key);
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -152,11 +152,7 @@
             .get(&job.rules.name)
             .unwrap_or(&job.rules)
             .clone();
-        let Some(state) = job
-            .occurrences
-            .get(step.occurrence as usize)
-            .and_then(|occurrence| occurrence.steps.get(usize::from(step.step)))
-        else {
+        let Some(state) = self.step_at(step) else {
             return;
         };
         let mut startable = startable_tasks(state, now);
--- a/crates/magnolia-scheduler/src/takeover.rs
+++ b/crates/magnolia-scheduler/src/takeover.rs
@@ -112,11 +112,9 @@
         block
     }
 
+    /// Tells whether an earlier owner may have started tasks of a step.
     pub(crate) fn is_inherited(&self, step: StepRef) -> bool {
-        let job = self.jobs.get(&step.job);
-        let occurrence = job.and_then(|job| job.occurrences.get(step.occurrence as usize));
-        let state = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(step.step)));
-        state.is_some_and(|state| state.inherited)
+        self.step_at(step).is_some_and(|state| state.inherited)
     }
 
     /// Tells whether tasks of a step may run unseen on an executor that has not answered this owner.
