Store the rest of a silent executor's lease

Cause: an executor that has left does not answer, and each new owner waited a whole lease for it.

Change: once an executor is silent, so that nothing renews its lease, the rest of it is stored with its tasks; a next owner waits no longer than that. It is withdrawn from the store before the lease is renewed again. Not stored while a start without an answer may still be carried out.

Tests: a_next_owner_waits_for_the_rest_of_a_lease_only, failing before; a_stored_lease_is_withdrawn_before_it_is_renewed.

--- a/crates/magnolia-node/src/committer.rs
+++ b/crates/magnolia-node/src/committer.rs
@@ -258,15 +258,15 @@
 /// Takes what waits to be stored, with those that wait for it.
 fn take_batch(session: &OwnerSession) -> Option<SentBatch> {
     let waiters = std::mem::take(&mut *session.committer.lock_waiters());
-    let unix_ms = session.node.clock.unix_ms();
+    let (now, unix_ms) = (session.now(), session.node.clock.unix_ms());
     let mut scheduler = session.lock();
     if waiters.is_empty() && !scheduler.has_unstored() {
         return None;
     }
     Some(SentBatch {
-        batch: scheduler.begin_batch(unix_ms),
+        batch: scheduler.begin_batch(now, unix_ms),
         waiters,
-        sent_at: session.now(),
+        sent_at: now,
     })
 }
 
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -300,7 +300,7 @@
     }
 
     /// Takes what has to be stored next; `finish_batch` follows once it is stored, in the same order.
-    pub fn begin_batch(&mut self, now_unix_ms: u64) -> StoreBatch {
+    pub fn begin_batch(&mut self, now: Millis, now_unix_ms: u64) -> StoreBatch {
         let mut batch = StoreBatch::default();
         for key in std::mem::take(&mut self.dirty) {
             let Some(job) = self.jobs.get_mut(&key) else {
@@ -314,9 +314,10 @@
             batch.records.push((key, Some(job.record(now_unix_ms))));
         }
         for slot in std::mem::take(&mut self.dirty_executors) {
-            let executor = self.executors.get(slot);
-            let id = executor.entry.id.clone();
-            batch.executors.push((id, executor.record()));
+            let executor = self.executors.get_mut(slot);
+            let record = executor.record(now);
+            executor.lease_recorded |= record.as_ref().is_some_and(|r| r.lease_left.is_some());
+            batch.executors.push((executor.entry.id.clone(), record));
         }
         batch.done = std::mem::take(&mut self.done_seen);
         for (slot, executor) in self.executors.iter_mut() {
@@ -333,7 +334,11 @@
     pub fn finish_batch(&mut self, batch: StoreBatch) -> Vec<(JobKey, JobStatus)> {
         for (id, record) in batch.executors {
             if let Some(slot) = self.executors.slot(&id) {
-                self.executors.get_mut(slot).stored_usage = match record {
+                let executor = self.executors.get_mut(slot);
+                if record.as_ref().is_none_or(|r| r.lease_left.is_none()) {
+                    executor.lease_recorded = false;
+                }
+                executor.stored_usage = match record {
                     None => ExecutorUse::Unused,
                     Some(record) if record.confined_to.is_some() => ExecutorUse::Confined,
                     Some(_) => ExecutorUse::Open,
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -142,6 +142,8 @@
     pub(crate) usage: ExecutorUse,
     /// What the store holds of its use.
     pub(crate) stored_usage: ExecutorUse,
+    /// Whether the store may hold the rest of its lease, which is not renewed then.
+    pub(crate) lease_recorded: bool,
     /// From when on nothing of an earlier owner can run there although it was never asked.
     pub(crate) settles_at: Millis,
     /// When it last answered.
@@ -177,6 +179,7 @@
             left_there: None,
             usage: ExecutorUse::Unused,
             stored_usage: ExecutorUse::Unused,
+            lease_recorded: false,
             settles_at: Millis::new(u64::MAX),
             heard_at: None,
             runs: BTreeMap::new(),
@@ -204,7 +207,7 @@
     }
 
     /// Returns what the store has to hold of it; none when it is not in use.
-    pub(crate) fn record(&self) -> Option<ExecutorRecord> {
+    pub(crate) fn record(&self, now: Millis) -> Option<ExecutorRecord> {
         let confined_to = match self.usage {
             ExecutorUse::Unused => return None,
             ExecutorUse::Open => None,
@@ -213,12 +216,25 @@
                 Some(tasks.into_iter().collect())
             }
         };
+        let lease_left = if self.is_lease_recordable(now) {
+            self.lease.out_at().map(|out| out.saturating_sub(now))
+        } else {
+            None
+        };
         Some(ExecutorRecord {
             entry: self.entry.clone(),
             confined_to,
+            lease_left,
         })
     }
 
+    /// Tells whether the rest of its lease can be stored: it is silent, so that nothing renews it, and no
+    /// start without an answer may still be carried out.
+    pub(crate) fn is_lease_recordable(&self, now: Millis) -> bool {
+        let confined = self.usage == ExecutorUse::Confined && self.settled;
+        confined && !self.is_heard(now) && !self.runs.values().any(|run| run.uncertain)
+    }
+
     /// Forgets what belongs to an earlier life.
     pub(crate) fn begin_life(&mut self, life: ExecutorLife) {
         self.entry.life = life;
--- a/crates/magnolia-scheduler/src/executors.rs
+++ b/crates/magnolia-scheduler/src/executors.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use magnolia_types::{DataCentreName, ExecutorId, ResourceVector, value_types, wire_types};
+use magnolia_types::{DataCentreName, ExecutorId, Millis, ResourceVector, value_types, wire_types};
 
 use crate::executor_state::ExecutorState;
 use crate::{ExecutorLife, ServiceName, TaskRef};
@@ -38,6 +38,9 @@
         pub entry: ExecutorEntry,
         /// The only tasks that may run there; any task may when there is no list.
         pub confined_to: Option<Vec<TaskRef>>,
+        /// Time for which its lease still lasted when the record was made, where no owner renews it
+        /// before the record is replaced.
+        pub lease_left: Option<Millis>,
     }
 }
 
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -76,7 +76,7 @@
         }
         // A renewal without an answer may have arrived: a silent executor is only asked, so that its
         // lease runs out at a known time.
-        let lease_until = if executor.is_heard(now) {
+        let lease_until = if executor.is_heard(now) && !executor.lease_recorded {
             executor.lease.until_after(lease, now)
         } else {
             None
--- a/crates/magnolia-scheduler/src/takeover.rs
+++ b/crates/magnolia-scheduler/src/takeover.rs
@@ -35,6 +35,8 @@
         };
         executor.stored_usage = executor.usage;
         executor.left_there = record.confined_to.map(BTreeSet::from_iter);
+        executor.lease_recorded = record.lease_left.is_some();
+        let wait = record.lease_left.map_or(wait, |left| left.min(wait));
         executor.settles_at = now.saturating_add(wait);
     }
 
@@ -97,6 +99,20 @@
                 "nothing new starts on an executor that leaves or is silent");
             self.mark_executor(slot);
         }
+        // The rest of the lease is stored once the executor is silent, and withdrawn before the lease is
+        // renewed again.
+        let changed = |executor: &ExecutorState| {
+            let recordable = executor.is_lease_recordable(now) && executor.lease.out_at().is_some();
+            recordable && !executor.lease_recorded
+                || executor.lease_recorded && executor.is_heard(now)
+        };
+        let slots: Vec<Slot> = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| changed(executor))
+            .map(|(slot, _)| slot)
+            .collect();
+        slots.into_iter().for_each(|slot| self.mark_executor(slot));
     }
 
     /// Returns which tasks may run unseen on executors that have not answered this owner yet.
--- a/crates/magnolia-scheduler/tests/play/mod.rs
+++ b/crates/magnolia-scheduler/tests/play/mod.rs
@@ -336,7 +336,7 @@
         }
         if self.batch.is_none() && self.scheduler.has_unstored() {
             let unix_ms = self.unix_ms();
-            let batch = self.scheduler.begin_batch(unix_ms);
+            let batch = self.scheduler.begin_batch(self.now, unix_ms);
             self.batch = Some((self.now.saturating_add(STORE_TIME), batch));
         }
     }
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -75,9 +75,20 @@
 
     /// Takes in an executor that an earlier owner had in use.
     fn load_executor(&mut self, number: usize, confined_to: Option<Vec<TaskRef>>) {
+        self.load_silent_executor(number, confined_to, None);
+    }
+
+    /// Takes in an executor that was silent, with the rest of its lease.
+    fn load_silent_executor(
+        &mut self,
+        number: usize,
+        confined_to: Option<Vec<TaskRef>>,
+        lease_left: Option<Millis>,
+    ) {
         let record = ExecutorRecord {
             entry: entry(number, "r1-1"),
             confined_to,
+            lease_left,
         };
         self.scheduler.load_executor(record, self.now);
     }
@@ -116,7 +127,9 @@
     }
 
     fn store(&mut self) {
-        let batch = self.scheduler.begin_batch(START_UNIX_MS + self.now.get());
+        let batch = self
+            .scheduler
+            .begin_batch(self.now, START_UNIX_MS + self.now.get());
         self.scheduler.finish_batch(batch);
     }
 
@@ -435,7 +448,7 @@
         bench.store();
         let run = bench.starts()[0].run;
         bench.pass(2500);
-        let batch = bench.scheduler.begin_batch(START_UNIX_MS);
+        let batch = bench.scheduler.begin_batch(bench.now, START_UNIX_MS);
         let record = batch.executors[0].1.clone().expect("still in use");
         assert_eq!(record.confined_to, Some(vec![task(1, 0, 0)]));
         bench.scheduler.finish_batch(batch);
@@ -448,7 +461,7 @@
         };
         bench.answer(0, vec![listed], vec![]);
         bench.submit(2, job(vec![step(1, 1000, 60_000, vec![])]));
-        let batch = bench.scheduler.begin_batch(START_UNIX_MS);
+        let batch = bench.scheduler.begin_batch(bench.now, START_UNIX_MS);
         assert_eq!(bench.starts().len(), 0, "the store still holds the list");
         let record = batch.executors[0].1.clone().expect("in use again");
         assert_eq!(record.confined_to, None);
@@ -596,7 +609,7 @@
         bench.store();
         assert!(bench.starts().is_empty());
         bench.submit(2, job(vec![step(1, 1000, 100, vec![])]));
-        let batch = bench.scheduler.begin_batch(START_UNIX_MS);
+        let batch = bench.scheduler.begin_batch(bench.now, START_UNIX_MS);
         assert!(!bench.scheduler.withdraw(JobKey::new(2)));
         bench.scheduler.finish_batch(batch);
         assert_eq!(bench.starts().len(), 1);
@@ -662,3 +675,50 @@
         assert_eq!((stop.task, stop.run), (starts[0].task, starts[0].run));
     }
 );
+
+rule_test!(
+    /// Guards lasting tasks of an executor that has left against changes of owner in series, each of which
+    /// would wait for a whole lease: the rest of it is stored.
+    a_next_owner_waits_for_the_rest_of_a_lease_only,
+    || {
+        let mut bench = RuleBench::new_unanswered(3, 1);
+        bench.load_silent_executor(7, Some(vec![task(1, 0, 0)]), Some(Millis::new(500)));
+        bench.load_job(1, job(vec![step(1, 1000, 5000, vec![])]));
+        bench.answer_all(1);
+        bench.pass(400);
+        assert!(bench.starts().is_empty(), "its lease may last");
+        bench.pass(200);
+        assert_eq!(bench.starts().len(), 1, "its lease is out");
+    }
+);
+
+rule_test!(
+    /// Guards against a next owner that counts on the end of a lease which was renewed: what is stored of
+    /// it is withdrawn first.
+    a_stored_lease_is_withdrawn_before_it_is_renewed,
+    || {
+        let mut bench = RuleBench::new(1, 1);
+        bench.submit(1, job(vec![step(1, 1000, 60_000, vec![])]));
+        bench.store();
+        let order = bench.starts().remove(0);
+        bench.pass(2500);
+        let batch = bench.scheduler.begin_batch(bench.now, START_UNIX_MS);
+        let record = batch.executors[0].1.clone().expect("in use");
+        let left = record.lease_left.expect("silent");
+        // The lease of 3.6 s was granted 2.5 s ago; a clock may be 2% slow.
+        assert!((1100..1250).contains(&left.get()), "{left}");
+        bench.scheduler.finish_batch(batch);
+        bench.answer(0, vec![running(&order)], vec![]);
+        let plan = bench.scheduler.plan_hold(&id(0), bench.now).expect("in use");
+        assert_eq!(plan.lease_until, None, "the store still holds its end");
+        bench.pass(10);
+        let batch = bench.scheduler.begin_batch(bench.now, START_UNIX_MS);
+        let record = batch.executors[0].1.clone().expect("in use");
+        assert_eq!(record.lease_left, None);
+        let plan = bench.scheduler.plan_hold(&id(0), bench.now).expect("in use");
+        assert_eq!(plan.lease_until, None, "not stored yet");
+        bench.scheduler.finish_batch(batch);
+        let plan = bench.scheduler.plan_hold(&id(0), bench.now).expect("in use");
+        assert!(plan.lease_until.is_some(), "renewed again");
+    }
+);
