Keep an executor closed while a list of its tasks is under way

Cause, found by reading: an executor that had become silent counted as open again as soon as it answered, while the record with the list of its tasks was still on its way to the store. Tasks started there in that time were missing from the list, so that a next owner could have started them elsewhere. With calls that overlap, an older record could also have cleared a newer one.

Change: from the moment that a batch carries a record, the least use counts; only the last record that was sent decides once it is stored.

Test, failing before: a_list_under_way_to_the_store_closes_an_executor.

--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -8,7 +8,7 @@
 
 use crate::admission::{AdmissionDecision, AdmissionLoad, decide_admission};
 use crate::advice_queue::AdviceQueue;
-use crate::executors::{ExecutorTable, ExecutorUse, Slot};
+use crate::executors::{ExecutorTable, Slot};
 use crate::job::JobState;
 use crate::ordering::WorkMean;
 use crate::record::JobRecord;
@@ -43,6 +43,8 @@
 /// Records to store in one call, and what their storing proves.
 #[derive(Debug, Default)]
 pub struct StoreBatch {
+    /// Number of the batch, from 1.
+    number: u64,
     /// Key and record; no record drops the key.
     pub records: Vec<(JobKey, Option<JobRecord>)>,
     /// Executors whose use changes; no record when one goes out of use.
@@ -91,6 +93,8 @@
     /// Usual work of the jobs of each queue.
     work_means: HashMap<QueueName, WorkMean>,
     pub(crate) actions: Vec<CellAction>,
+    /// Batches begun.
+    batches: u64,
     dirty: BTreeSet<JobKey>,
     dirty_executors: BTreeSet<Slot>,
     pub(crate) done_seen: Vec<TaskRef>,
@@ -118,6 +122,7 @@
             eligible_share: HashMap::new(),
             work_means: HashMap::new(),
             actions: Vec::new(),
+            batches: 0,
             dirty: BTreeSet::new(),
             dirty_executors: BTreeSet::new(),
             done_seen: Vec::new(),
@@ -301,7 +306,11 @@
 
     /// Takes what has to be stored next; `finish_batch` follows once it is stored, in the same order.
     pub fn begin_batch(&mut self, now: Millis, now_unix_ms: u64) -> StoreBatch {
-        let mut batch = StoreBatch::default();
+        self.batches += 1;
+        let mut batch = StoreBatch {
+            number: self.batches,
+            ..StoreBatch::default()
+        };
         for key in std::mem::take(&mut self.dirty) {
             let Some(job) = self.jobs.get_mut(&key) else {
                 batch.records.push((key, None));
@@ -316,7 +325,7 @@
         for slot in std::mem::take(&mut self.dirty_executors) {
             let executor = self.executors.get_mut(slot);
             let record = executor.record(now);
-            executor.lease_recorded |= record.as_ref().is_some_and(|r| r.lease_left.is_some());
+            executor.note_recorded(batch.number, record.as_ref());
             batch.executors.push((executor.entry.id.clone(), record));
         }
         batch.done = std::mem::take(&mut self.done_seen);
@@ -335,14 +344,7 @@
         for (id, record) in batch.executors {
             if let Some(slot) = self.executors.slot(&id) {
                 let executor = self.executors.get_mut(slot);
-                if record.as_ref().is_none_or(|r| r.lease_left.is_none()) {
-                    executor.lease_recorded = false;
-                }
-                executor.stored_usage = match record {
-                    None => ExecutorUse::Unused,
-                    Some(record) if record.confined_to.is_some() => ExecutorUse::Confined,
-                    Some(_) => ExecutorUse::Open,
-                };
+                executor.note_stored(batch.number, record.as_ref());
             }
         }
         for (slot, life, through) in batch.ends {
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -140,8 +140,10 @@
     pub(crate) left_there: Option<BTreeSet<TaskRef>>,
     /// What it is used for, which the next owner has to know.
     pub(crate) usage: ExecutorUse,
-    /// What the store holds of its use.
+    /// The least use that the store may hold.
     pub(crate) stored_usage: ExecutorUse,
+    /// Number of the last batch that carried a record of it.
+    pub(crate) recorded_in: u64,
     /// Whether the store may hold the rest of its lease, which is not renewed then.
     pub(crate) lease_recorded: bool,
     /// From when on nothing of an earlier owner can run there although it was never asked.
@@ -179,6 +181,7 @@
             left_there: None,
             usage: ExecutorUse::Unused,
             stored_usage: ExecutorUse::Unused,
+            recorded_in: 0,
             lease_recorded: false,
             settles_at: Millis::new(u64::MAX),
             heard_at: None,
@@ -228,6 +231,21 @@
         })
     }
 
+    /// Notes that a batch carries a record: until a later one is stored, the store may hold it.
+    pub(crate) fn note_recorded(&mut self, batch: u64, record: Option<&ExecutorRecord>) {
+        self.recorded_in = batch;
+        self.stored_usage = self.stored_usage.min(ExecutorUse::of(record));
+        self.lease_recorded |= record.is_some_and(|record| record.lease_left.is_some());
+    }
+
+    /// Notes that the record of a batch is stored; that of a later batch may follow.
+    pub(crate) fn note_stored(&mut self, batch: u64, record: Option<&ExecutorRecord>) {
+        if self.recorded_in == batch {
+            self.stored_usage = ExecutorUse::of(record);
+            self.lease_recorded = record.is_some_and(|record| record.lease_left.is_some());
+        }
+    }
+
     /// Tells whether the rest of its lease can be stored: it is silent, so that nothing renews it, and no
     /// start without an answer may still be carried out.
     pub(crate) fn is_lease_recordable(&self, now: Millis) -> bool {
--- a/crates/magnolia-scheduler/src/executors.rs
+++ b/crates/magnolia-scheduler/src/executors.rs
@@ -64,6 +64,17 @@
     }
 }
 
+impl ExecutorUse {
+    /// Returns the use that a record stands for.
+    pub(crate) fn of(record: Option<&ExecutorRecord>) -> Self {
+        match record {
+            None => Self::Unused,
+            Some(record) if record.confined_to.is_some() => Self::Confined,
+            Some(_) => Self::Open,
+        }
+    }
+}
+
 /// Dense number of an executor within one owner.
 pub(crate) type Slot = usize;
 
--- a/crates/magnolia-scheduler/src/takeover.rs
+++ b/crates/magnolia-scheduler/src/takeover.rs
@@ -25,14 +25,12 @@
     /// Takes in an executor that an earlier owner had in use, before anything starts.
     pub fn load_executor(&mut self, record: ExecutorRecord, now: Millis) {
         let wait = self.settings.takeover_wait();
+        let usage = ExecutorUse::of(Some(&record));
         let slot = self.executors.add(record.entry);
         let executor = self.executors.get_mut(slot);
         executor.listed = false;
         executor.inherited = true;
-        executor.usage = match &record.confined_to {
-            Some(_) => ExecutorUse::Confined,
-            None => ExecutorUse::Open,
-        };
+        executor.usage = usage;
         executor.stored_usage = executor.usage;
         executor.left_there = record.confined_to.map(BTreeSet::from_iter);
         executor.lease_recorded = record.lease_left.is_some();
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -722,3 +722,27 @@
         assert!(plan.lease_until.is_some(), "renewed again");
     }
 );
+
+rule_test!(
+    /// Guards against a next owner that takes a list of tasks for whole: while a record with a list may be
+    /// on its way to the store, nothing starts on the executor, also when it answers again.
+    a_list_under_way_to_the_store_closes_an_executor,
+    || {
+        let mut bench = RuleBench::new(1, 1);
+        // One task leaves no room for the other.
+        bench.submit(1, job(vec![step(2, CAPACITY * 3 / 4, 60_000, vec![])]));
+        bench.store();
+        let first = bench.starts().remove(0);
+        bench.pass(2500);
+        let closing = bench.scheduler.begin_batch(bench.now, START_UNIX_MS);
+        assert!(closing.executors[0].1.is_some());
+        let end = bench.end(first.task, first.run, EndKind::Done);
+        bench.answer(0, vec![], vec![end]);
+        assert!(bench.starts().is_empty(), "the list is under way");
+        let opening = bench.scheduler.begin_batch(bench.now, START_UNIX_MS);
+        bench.scheduler.finish_batch(closing);
+        assert!(bench.starts().is_empty(), "the store holds the list");
+        bench.scheduler.finish_batch(opening);
+        assert_eq!(bench.starts().len(), 1);
+    }
+);
