Ask all daemons to take over when none is known to live

Cause: an owner that is told to stop before any sign of life has reached it knows of no live daemon, asks none and keeps ownership until its process ends.

--- a/crates/magnolia-node/src/election.rs
+++ b/crates/magnolia-node/src/election.rs
@@ -199,15 +199,15 @@
 
     /// Asks the next in line to claim, and waits until its claim is known.
     pub(crate) async fn hand_over(&self, session: &OwnerSession) {
-        let candidates: Vec<MemberRecord> = {
+        let mut candidates: Vec<MemberRecord> = {
             let view = self.cell.borrow();
-            let live = session.live_names();
-            let others = view
-                .candidates()
-                .into_iter()
-                .filter(|member| live.contains(&member.name) && member.name != self.settings.name);
+            let others = view.candidates().into_iter();
+            let others = others.filter(|member| member.name != self.settings.name);
             others.cloned().collect()
         };
+        // An owner that has just claimed has heard of no other daemon yet.
+        let live = session.live_names();
+        candidates.sort_by_key(|member| !live.contains(&member.name));
         let call = InnerCall::TakeOver(session.epoch());
         for member in candidates {
             let limit = PING_LIMIT;
