Let a claim take several paths to the store at once

It goes by the direct path and two peers at once now, and the claimant opens its session also when the answer of a path that came second arrives first. The log line of a claim says rank, silence of the owner and time.

--- a/crates/magnolia-node/src/election.rs
+++ b/crates/magnolia-node/src/election.rs
@@ -146,9 +146,14 @@
         for _ in 0..CLAIM_TRIES {
             let moved = self.claim_once().await;
             if !moved || self.cell.borrow().owner_epoch() != rival {
-                return;
+                break;
             }
         }
+        // A claim goes by several paths, and the answer of one that came second may arrive first.
+        let owner = self.cell.borrow().owner.clone();
+        if let Some(claim) = owner.filter(|claim| claim.member.incarnation == self.incarnation) {
+            self.open_session(claim.epoch);
+        }
     }
 
     /// Claims ownership; of two claims at one end of the stream, one is stored. Returns whether the
@@ -171,11 +176,21 @@
             }
         };
         let condition = AppendCondition::EndsAt(next);
+        let asked = self.clock.now();
         let outcome = self
             .store
             .append(StreamName::Cell, std::slice::from_ref(&record), condition)
             .await;
-        log::info!(epoch:% = epoch, at:% = next, outcome:? = outcome; "ownership claimed");
+        let now = self.clock.now();
+        let silent = now.saturating_sub(
+            self.news
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .heard_at,
+        );
+        let took = now.saturating_sub(asked);
+        log::info!(epoch:% = epoch, at:% = next, rank = self.rank(), owner_silent:% = silent, took:% = took,
+            outcome:? = outcome; "ownership claimed");
         match outcome {
             Ok(AppendOutcome::Stored { end }) if end.get() == next.get() + 1 => {
                 self.apply_cell_page(std::slice::from_ref(&record), end);
--- a/crates/magnolia-node/src/routed_store.rs
+++ b/crates/magnolia-node/src/routed_store.rs
@@ -36,6 +36,8 @@
 const MAX_USUAL_TIME: Duration = Duration::from_millis(450);
 /// Weight of one answer in the mean time: a slow store is known after three.
 const MEAN_WEIGHT: f64 = 0.125;
+/// Paths that a claim takes at once: the direct one, and peers of which one may be the lost owner.
+const CLAIM_PATHS: usize = 3;
 /// Peers asked for one call; a peer that can't reach the store itself says so at once.
 const PEERS_ASKED: usize = 4;
 
@@ -156,10 +158,10 @@
         let relays = self.relays.lock().unwrap_or_else(PoisonError::into_inner);
         let relays = relays.iter().take(PEERS_ASKED).copied();
         let mut paths: VecDeque<StorePath> = relays.map(StorePath::Relay).collect();
-        if self.avoids_direct() {
-            paths.push_back(StorePath::Direct);
-        } else {
+        if !self.avoids_direct() || is_claim(call) {
             paths.push_front(StorePath::Direct);
+        } else {
+            paths.push_back(StorePath::Direct);
         }
         if matches!(call, StoreCall::Append { .. }) {
             paths.extend([StorePath::Direct; DIRECT_REPEATS]);
@@ -176,13 +178,17 @@
         let mut paths = self.paths(&call);
         let mut tries = FuturesUnordered::new();
         let mut direct_open = 0;
+        // A claim ends the time without an owner, so that it does not wait for one path after the other.
+        let mut at_once = if is_claim(&call) { CLAIM_PATHS } else { 1 };
         let deadline = sleep(ROUTE_LIMIT + wait);
         tokio::pin!(deadline);
         loop {
-            if let Some(path) = paths.pop_front() {
+            for path in paths.drain(..at_once.min(paths.len())) {
                 direct_open += usize::from(path == StorePath::Direct);
                 tries.push(self.try_path(path, &call));
-            } else if tries.is_empty() {
+            }
+            at_once = 1;
+            if tries.is_empty() {
                 break;
             }
             tokio::select! {
@@ -364,6 +370,14 @@
     )
 }
 
+/// Tells whether a call claims ownership.
+fn is_claim(call: &StoreCall) -> bool {
+    let StoreCall::Append { condition, .. } = call else {
+        return false;
+    };
+    matches!(condition, AppendCondition::EndsAt(_))
+}
+
 /// Returns the time that a call waits on purpose.
 fn call_wait(call: &StoreCall) -> Duration {
     match call {
