Let callers without time to come back wait for a store that is expected back

Callers that return sooner than told made their last try some 0.5 s before they left. Now nobody is told to come back after their time, and those without time for another try wait where the store is expected back first: an outage is expected to last as long again.

--- a/crates/magnolia-node/src/committer.rs
+++ b/crates/magnolia-node/src/committer.rs
@@ -9,7 +9,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
-use magnolia_scheduler::{JobKey, StoreBatch};
+use magnolia_scheduler::{JobKey, OutageDecision, StoreBatch, decide_outage};
 use magnolia_types::{Epoch, Millis};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
@@ -18,11 +18,9 @@
 use crate::owner::{OwnerSession, executor_record, job_record};
 use crate::ports::{AppendCondition, AppendOutcome, StoreError, StreamName, StreamRecord};
 
-/// Pause before a call to the store is repeated.
+/// Pause before a call to the store is repeated: callers whose time ends wait for its return, and one
+/// daemon's repeats are a thirtieth of the writes that the store takes.
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
-/// Longest pause before a repeat, while the store is away: callers that were refused come back within
-/// a second or two, and find it usable again by then.
-const MAX_REPEAT_PAUSE: Duration = Duration::from_millis(150);
 /// Shortest time between two calls: gathers submissions and ends, whose objectives are 250 ms.
 const COMMIT_GAP: Duration = Duration::from_millis(13);
 /// Shortest time to the next call while one is under way: with a store that takes 400 ms, as a slow
@@ -45,17 +43,34 @@
     /// It is stored.
     Stored,
     /// It was never sent and never will be.
-    Withdrawn,
+    Withdrawn {
+        /// For how long the store has been away.
+        away: Millis,
+        /// When to come back.
+        retry_after: Millis,
+    },
     /// Ownership ended; the next owner knows.
     Abandoned,
 }
 
 /// Who waits for the next batch.
 struct StoreWaiter {
-    submission: Option<JobKey>,
+    /// A job that may be withdrawn, with the time until which its caller waits.
+    submission: Option<(JobKey, Millis)>,
     sender: oneshot::Sender<StoreOutcome>,
 }
 
+impl StoreWaiter {
+    /// Returns the submission to refuse while the store is away, and when its caller comes back.
+    fn refusal(&self, away: Millis, now: Millis) -> Option<(JobKey, Millis)> {
+        let (key, deadline) = self.submission?;
+        match decide_outage(away, deadline.saturating_sub(now)) {
+            OutageDecision::Refuse { retry_after } => Some((key, retry_after)),
+            OutageDecision::Wait => None,
+        }
+    }
+}
+
 /// Writer of the jobs' stream.
 pub(crate) struct Committer {
     epoch: Epoch,
@@ -86,8 +101,8 @@
     }
 
     /// Waits until everything decided so far is stored; `submission` names a job that may be
-    /// withdrawn instead.
-    pub(crate) async fn stored(&self, submission: Option<JobKey>) -> StoreOutcome {
+    /// withdrawn instead, and until when its caller waits.
+    pub(crate) async fn stored(&self, submission: Option<(JobKey, Millis)>) -> StoreOutcome {
         let (sender, receiver) = oneshot::channel();
         self.lock_waiters().push(StoreWaiter { submission, sender });
         self.want();
@@ -99,22 +114,23 @@
         self.open_calls.away_for(now)
     }
 
-    /// Withdraws the submissions that no call has carried, when the store is away.
+    /// Withdraws submissions that no call has carried while the store is away, unless their callers
+    /// could not come back in time.
     pub(crate) fn withdraw_unsent(&self, session: &OwnerSession) {
-        if self.away_for(session.now()).is_none() {
+        let now = session.now();
+        let Some(away) = self.away_for(now) else {
             return;
-        }
+        };
         let waiters = std::mem::take(&mut *self.lock_waiters());
         let mut kept = Vec::new();
         for waiter in waiters {
-            let withdrawn = waiter
-                .submission
-                .is_some_and(|key| session.lock().withdraw(key));
-            if withdrawn {
-                // A caller that left does not wait any more.
-                waiter.sender.send(StoreOutcome::Withdrawn).ok();
-            } else {
-                kept.push(waiter);
+            match waiter.refusal(away, now) {
+                Some((key, retry_after)) if session.lock().withdraw(key) => {
+                    let outcome = StoreOutcome::Withdrawn { away, retry_after };
+                    // A caller that left does not wait any more.
+                    waiter.sender.send(outcome).ok();
+                }
+                _ => kept.push(waiter),
             }
         }
         self.lock_waiters().append(&mut kept);
@@ -161,7 +177,6 @@
         };
         let calls = &self.open_calls;
         calls.begin(sequence, session.now());
-        let mut pause = REPEAT_PAUSE;
         loop {
             let first = calls.is_first(sequence);
             let store = &session.node.store;
@@ -192,10 +207,9 @@
             }
             calls.note_failure(sequence);
             self.withdraw_unsent(session);
-            let resume = Instant::now() + pause;
+            let resume = Instant::now() + REPEAT_PAUSE;
             calls.first_in_line(sequence).await;
             sleep_until(resume).await;
-            pause = (pause * 2).min(MAX_REPEAT_PAUSE);
         }
     }
 }
--- a/crates/magnolia-node/src/gateway.rs
+++ b/crates/magnolia-node/src/gateway.rs
@@ -58,7 +58,7 @@
     ) -> Option<CallerAnswer> {
         if let Some(session) = self.session() {
             let limit = left.into();
-            let outcome = tokio::time::timeout(limit, session.serve(request)).await;
+            let outcome = tokio::time::timeout(limit, session.serve(request, left)).await;
             return match outcome {
                 Ok(ServeOutcome::Answered(answer)) => Some(answer),
                 Ok(ServeOutcome::Elsewhere) => None,
--- a/crates/magnolia-node/src/node.rs
+++ b/crates/magnolia-node/src/node.rs
@@ -343,7 +343,7 @@
         match call {
             InnerCall::Ping(ping) => InnerReply::Ping(self.answer_ping(&ping)),
             InnerCall::Caller(call) => match self.session() {
-                Some(session) => match session.serve(&call.request).await {
+                Some(session) => match session.serve(&call.request, call.time_left).await {
                     ServeOutcome::Answered(answer) => InnerReply::Caller(answer),
                     ServeOutcome::Elsewhere => InnerReply::NotOwner,
                     ServeOutcome::Unsettled => InnerReply::Unsettled,
--- a/crates/magnolia-node/src/serving.rs
+++ b/crates/magnolia-node/src/serving.rs
@@ -3,27 +3,29 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use magnolia_scheduler::{JobKey, JobSpec, QueueRules, SubmitOutcome};
+use magnolia_scheduler::{
+    JobKey, JobSpec, OutageDecision, QueueRules, SubmitOutcome, decide_outage,
+};
 use magnolia_types::Millis;
 
 use crate::callers::{CallerAnswer, CallerRequest, ServeOutcome};
 use crate::committer::StoreOutcome;
 use crate::owner::OwnerSession;
 
-/// Bounds of the time after which callers come back while the store is away; the header that carries
-/// it counts whole seconds.
-const MIN_OUTAGE_RETRY: Millis = Millis::new(1000);
-const MAX_OUTAGE_RETRY: Millis = Millis::new(4000);
-
 impl OwnerSession {
-    /// Serves a caller.
-    pub(crate) async fn serve(self: &Arc<Self>, request: &CallerRequest) -> ServeOutcome {
+    /// Serves a caller that waits for `time_left`.
+    pub(crate) async fn serve(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        time_left: Millis,
+    ) -> ServeOutcome {
         if !self.serving.load(Ordering::SeqCst) {
             return ServeOutcome::Elsewhere;
         }
         match request {
             CallerRequest::Submit { key, rules, spec } => {
-                self.serve_submission(*key, rules, spec).await
+                let deadline = self.now().saturating_add(time_left);
+                self.serve_submission(*key, rules, spec, deadline).await
             }
             CallerRequest::Status { key } => self.serve_status(*key).await,
             CallerRequest::Cancel { key } => self.serve_cancel(*key).await,
@@ -39,13 +41,23 @@
         key: JobKey,
         rules: &Arc<QueueRules>,
         spec: &Arc<JobSpec>,
+        deadline: Millis,
     ) -> ServeOutcome {
         self.node.metrics.count("submissions");
         let started = self.now();
         if let Some(away) = self.committer.away_for(started)
             && !self.lock().knows(key)
         {
-            return self.refuse_unstored(key, rules, away);
+            let time_left = deadline.saturating_sub(started);
+            match decide_outage(away, time_left) {
+                OutageDecision::Refuse { retry_after } => {
+                    return self.refuse_unstored(key, rules, away, retry_after);
+                }
+                OutageDecision::Wait => {
+                    log::info!(job:% = key, queue:% = rules.name, away:% = away,
+                        time_left:% = time_left; "submission waits for the store");
+                }
+            }
         }
         let unix_ms = self.node.clock.unix_ms();
         let outcome = self.lock().submit(key, rules, spec, started, unix_ms);
@@ -59,21 +71,28 @@
             }
             SubmitOutcome::Accepted => {}
         }
-        let stored = self.committer.stored(Some(key)).await;
+        let stored = self.committer.stored(Some((key, deadline))).await;
         let took = self.now().saturating_sub(started);
         self.node.metrics.latency("accept", took);
         log::info!(job:% = key, queue:% = rules.name, stored:? = stored, took:% = took;
             "job submitted");
         match stored {
             StoreOutcome::Stored => ServeOutcome::Answered(CallerAnswer::Accepted),
-            StoreOutcome::Withdrawn => self.refuse_unstored(key, rules, took),
+            StoreOutcome::Withdrawn { away, retry_after } => {
+                self.refuse_unstored(key, rules, away, retry_after)
+            }
             StoreOutcome::Abandoned => ServeOutcome::Unsettled,
         }
     }
 
     /// Refuses a submission that can't be stored now and never was sent to the store.
-    fn refuse_unstored(&self, key: JobKey, rules: &QueueRules, away: Millis) -> ServeOutcome {
-        let retry_after = outage_retry(away);
+    fn refuse_unstored(
+        &self,
+        key: JobKey,
+        rules: &QueueRules,
+        away: Millis,
+        retry_after: Millis,
+    ) -> ServeOutcome {
         log::info!(job:% = key, queue:% = rules.name, away:% = away, retry_after:% = retry_after;
             "job refused: the store is away");
         self.node.metrics.count("refusals");
@@ -106,16 +125,12 @@
                 log::info!(job:% = key, stored:? = stored; "job cancelled");
                 match stored {
                     StoreOutcome::Stored => ServeOutcome::Answered(CallerAnswer::Cancelled),
-                    StoreOutcome::Withdrawn | StoreOutcome::Abandoned => ServeOutcome::Unsettled,
+                    StoreOutcome::Withdrawn { .. } | StoreOutcome::Abandoned => {
+                        ServeOutcome::Unsettled
+                    }
                 }
             }
             None => self.confirm_unknown().await,
         }
     }
 }
-
-/// Returns when callers come back while the store is away: an outage of unknown length is expected
-/// to last as long again as it has lasted.
-fn outage_retry(away: Millis) -> Millis {
-    away.clamp(MIN_OUTAGE_RETRY, MAX_OUTAGE_RETRY)
-}
