--- a/crates/magnolia-node/src/lib.rs
+++ b/crates/magnolia-node/src/lib.rs
@@ -26,6 +26,9 @@
 mod settings;
 mod state;
 
+#[cfg(test)]
+mod routed_store_tests;
+
 pub use callers::{CallerAnswer, CallerCall, CallerRequest};
 pub use clock::NodeClock;
 pub use membership::{MemberRecord, OwnerClaim};
--- /dev/null
+++ b/crates/magnolia-node/src/routed_store_tests.rs
@@ -0,0 +1,101 @@
+//! Paths to the store after an outage.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use magnolia_types::{LogOffset, Millis};
+use tokio::net::TcpListener;
+
+use crate::clock::NodeClock;
+use crate::peers::PeerClient;
+use crate::ports::{
+    AppendCondition, AppendOutcome, NewestPage, StoreError, StreamName, StreamRecord, StreamStore,
+    TailPage,
+};
+use crate::routed_store::RoutedStore;
+
+/// A store that is away, or answers at once.
+#[derive(Default)]
+struct FakeStore {
+    away: AtomicBool,
+}
+
+impl FakeStore {
+    fn answer<T: Send + 'static>(&self, good: T) -> BoxFuture<'static, Result<T, StoreError>> {
+        let answer = if self.away.load(Ordering::SeqCst) {
+            Err(StoreError::Busy("away".into()))
+        } else {
+            Ok(good)
+        };
+        async move { answer }.boxed()
+    }
+}
+
+impl StreamStore for FakeStore {
+    fn append<'a>(
+        &'a self,
+        _: StreamName,
+        _: &'a [StreamRecord],
+        _: AppendCondition,
+    ) -> BoxFuture<'a, Result<AppendOutcome, StoreError>> {
+        let end = LogOffset::new(1);
+        self.answer(AppendOutcome::Stored { end })
+    }
+
+    fn read_newest<'a>(
+        &'a self,
+        _: StreamName,
+        _: Option<&'a str>,
+    ) -> BoxFuture<'a, Result<NewestPage, StoreError>> {
+        unreachable!("only appends are made")
+    }
+
+    fn read_tail<'a>(
+        &'a self,
+        _: StreamName,
+        _: LogOffset,
+        _: Millis,
+    ) -> BoxFuture<'a, Result<TailPage, StoreError>> {
+        unreachable!("only appends are made")
+    }
+}
+
+/// Listens and never answers, as an instance without power seems to.
+async fn silent_peer() -> (SocketAddr, TcpListener) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+    (listener.local_addr().expect("an address"), listener)
+}
+
+/// Guards against a claim that tries peers without an answer one after the other, and the direct path
+/// last because it failed during the outage: all that time the cell has no owner.
+#[tokio::test]
+async fn a_claim_after_an_outage_does_not_wait_for_silent_peers() {
+    let direct = Arc::new(FakeStore::default());
+    let shared = Arc::clone(&direct) as Arc<dyn StreamStore>;
+    let store = RoutedStore::new(shared, PeerClient::new(), NodeClock::new());
+    let peers = [
+        silent_peer().await,
+        silent_peer().await,
+        silent_peer().await,
+    ];
+    direct.away.store(true, Ordering::SeqCst);
+    let claim = AppendCondition::EndsAt(LogOffset::new(0));
+    let outcome = store.append(StreamName::Cell, &[], claim).await;
+    assert!(outcome.is_err(), "{outcome:?}");
+    assert!(store.avoids_direct());
+    store.set_relays(peers.iter().map(|(address, _)| *address).collect());
+    direct.away.store(false, Ordering::SeqCst);
+    let asked = Instant::now();
+    let outcome = store.append(StreamName::Cell, &[], claim).await;
+    assert!(
+        matches!(outcome, Ok(AppendOutcome::Stored { .. })),
+        "{outcome:?}"
+    );
+    // The time after which the next path is tried, at the least.
+    let took = asked.elapsed();
+    assert!(took < Duration::from_millis(100), "{took:?}");
+}
