--- a/crates/magnolia-bench/src/command.rs
+++ b/crates/magnolia-bench/src/command.rs
@@ -3,14 +3,14 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
 use crate::{
-    BenchError, BenchReport, BenchScope, decisions, executors, faults, floods, job_floods, memory,
-    packing, waiting,
+    BenchError, BenchReport, BenchScope, decisions, executors, faults, floods, heavy_days,
+    job_floods, memory, packing, waiting,
 };
 
 type BenchFunction = fn(&BenchScope) -> Result<BenchReport, BenchError>;
 
 /// Every benchmark with its name and purpose.
-const BENCHMARKS: [(&str, &str, BenchFunction); 8] = [
+const BENCHMARKS: [(&str, &str, BenchFunction); 9] = [
     (
         "decisions",
         "Time of a placement decision and decisions a second",
@@ -46,6 +46,11 @@
         "Choice of executors and division of their slots",
         executors::run,
     ),
+    (
+        "heavy-days",
+        "What callers of a full cell get, beside simpler decisions and without its limits",
+        heavy_days::run,
+    ),
     (
         "memory",
         "Memory per worker and per waiting task",
--- a/crates/magnolia-bench/src/error.rs
+++ b/crates/magnolia-bench/src/error.rs
@@ -9,6 +9,9 @@
     /// A generated name or document is not valid.
     #[error("generated work is not valid: {0}")]
     Work(String),
+    /// A play broke a rule of the scheduler.
+    #[error("a play broke a rule: {0}")]
+    Violation(String),
     /// Memory of the process cannot be read.
     #[error("memory of the process cannot be read: {0}")]
     Memory(std::io::Error),
--- /dev/null
+++ b/crates/magnolia-bench/src/heavy_days.rs
@@ -0,0 +1,223 @@
+//! Full cells and floods of batch work: what callers get, what simpler decisions would give them, and
+//! what binds.
+
+use magnolia_scheduler::{QueueRules, SchedulerSettings};
+use magnolia_types::Millis;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::load_player::{LoadPlayer, job, queue, step};
+use crate::{BenchError, BenchReport, BenchScope};
+
+/// Longest lease of the played cells, that of the sites.
+const MAX_LEASE: Millis = Millis::new(6000);
+/// Executors and daemons of the played cells: two of the smaller sites together.
+const EXECUTORS: usize = 96;
+const ADVISERS: usize = 14;
+/// Time for which jobs come, in steps of `ARRIVAL_STEP`.
+const ARRIVAL_STEPS: usize = 1000;
+const ARRIVAL_STEP: Millis = Millis::new(20);
+/// Time for which late jobs are waited for.
+const DRAIN_TIME: Millis = Millis::from_secs(60);
+
+/// Returns urgent and batch queues with the cost of eligibility that the sites name.
+pub fn site_queues() -> Vec<QueueRules> {
+    vec![queue("urgent", 0, 21, 300), queue("batch", 2, 370, 5300)]
+}
+
+/// Returns executors of a site: three speeds around the mean, three sizes.
+pub fn site_executors(count: usize) -> Vec<(f64, u64)> {
+    let speeds = [0.8, 1.0, 1.25];
+    let sizes = [32_000, 32_000, 16_000, 64_000];
+    (0..count)
+        .map(|number| (speeds[number % speeds.len()], sizes[number % sizes.len()]))
+        .collect()
+}
+
+/// A cell that is given a load.
+#[derive(Clone, Debug)]
+pub struct HeavySetup {
+    /// Bounds and weights of the scheduler.
+    pub settings: SchedulerSettings,
+    queues: Vec<QueueRules>,
+    advisers: usize,
+    eligible_share: Option<f64>,
+}
+
+impl HeavySetup {
+    /// Creates the cell as it is decided on.
+    pub fn new() -> Self {
+        Self {
+            settings: SchedulerSettings::new(MAX_LEASE),
+            queues: site_queues(),
+            advisers: ADVISERS,
+            eligible_share: None,
+        }
+    }
+
+    /// Changes bounds and weights of the scheduler.
+    #[must_use]
+    pub fn with_settings(mut self, change: impl FnOnce(&mut SchedulerSettings)) -> Self {
+        change(&mut self.settings);
+        self
+    }
+
+    /// Sets the number of daemons that ask for eligibility.
+    #[must_use]
+    pub fn with_advisers(mut self, advisers: usize) -> Self {
+        self.advisers = advisers;
+        self
+    }
+
+    /// Lets calls for eligibility cost next to nothing.
+    #[must_use]
+    pub fn with_free_calls(mut self) -> Self {
+        self.queues = vec![queue("urgent", 0, 1, 1), queue("batch", 2, 1, 1)];
+        self
+    }
+
+    /// Lets every executor run every step.
+    #[must_use]
+    pub fn with_all_eligible(mut self) -> Self {
+        self.eligible_share = Some(1.0);
+        self
+    }
+
+    fn player(&self) -> LoadPlayer {
+        let executors = site_executors(EXECUTORS);
+        let settings = self.settings.clone();
+        let mut player =
+            LoadPlayer::with_settings(&executors, self.queues.clone(), self.advisers, settings);
+        if let Some(share) = self.eligible_share {
+            player.eligible_share = share;
+        }
+        player
+    }
+}
+
+impl Default for HeavySetup {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Plays 20 s of urgent and batch jobs of different sizes at the given rates a second; 20 and 3.4 are
+/// somewhat more than the cell can do.
+pub fn play_full(seed: u64, setup: &HeavySetup, rates: [f64; 2]) -> LoadPlayer {
+    let mut player = setup.player();
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut key = 0;
+    for _ in 0..ARRIVAL_STEPS {
+        for (queue, rate) in rates.into_iter().enumerate() {
+            if random.random::<f64>() >= rate * 0.02 {
+                continue;
+            }
+            key += 1;
+            let spec = if queue == 0 {
+                let tasks = random.random_range(2..16);
+                let run_ms = random.random_range(500..1100);
+                let cpu = random.random_range(2000..9000);
+                job(vec![step(tasks, cpu, run_ms, vec![])])
+            } else {
+                let tasks = [5, 8, 13, 21, 34][random.random_range(0..5)];
+                let run_ms = random.random_range(2500..5000);
+                let cpu = random.random_range(4000..16_000);
+                let first = step(tasks, cpu, run_ms, vec![]);
+                job(vec![first, step(tasks, cpu, run_ms, vec![0])])
+            };
+            player.submit(queue, key, spec);
+        }
+        player.advance(ARRIVAL_STEP);
+    }
+    player.advance(DRAIN_TIME);
+    player
+}
+
+/// Measures the decisions beside simpler ones, and beside cells without one of their limits.
+///
+/// # Errors
+///
+/// Fails when a play breaks capacity or the order of steps.
+pub fn run(scope: &BenchScope) -> Result<BenchReport, BenchError> {
+    let mut report = BenchReport::new("heavy-days");
+    let setups = [
+        ("as decided", HeavySetup::new()),
+        ("one daemon asks", HeavySetup::new().with_advisers(1)),
+        (
+            "order of objectives",
+            HeavySetup::new().with_settings(|settings| settings.order_work_share = 0.0),
+        ),
+        (
+            "asks every 1.8 s",
+            HeavySetup::new().with_settings(|settings| {
+                settings.advice_interval = Millis::new(1800);
+                settings.advice_room_share = 1.0 / 3.0;
+            }),
+        ),
+        ("calls are free", HeavySetup::new().with_free_calls()),
+        ("all are eligible", HeavySetup::new().with_all_eligible()),
+        (
+            "both",
+            HeavySetup::new().with_free_calls().with_all_eligible(),
+        ),
+    ];
+    let loads = [
+        ("full cell", [20.0, 3.4]),
+        ("burst of batch work", [20.0, 6.0]),
+    ];
+    let (loads, setups, slower) = if scope.small {
+        (&loads[..1], &setups[..2], 10.0)
+    } else {
+        (&loads[..], &setups[..], 1.0)
+    };
+    for (load, rates) in loads {
+        let rates = rates.map(|rate| rate / slower);
+        for seed in &scope.seeds {
+            for (policy, setup) in setups {
+                let player = play_full(*seed, setup, rates);
+                if let Some(violation) = player.violations.first() {
+                    return Err(BenchError::Violation(violation.clone()));
+                }
+                add_rows(&mut report, load, policy, &player);
+            }
+        }
+    }
+    Ok(report)
+}
+
+fn add_rows(report: &mut BenchReport, load: &str, policy: &str, player: &LoadPlayer) {
+    for (queue, result) in player.results().into_iter().enumerate() {
+        let name = ["urgent", "batch"][queue];
+        let sent = f64::from(result.sent.max(1));
+        let mut add = |metric: &str, value: f64| {
+            report.add(
+                load,
+                policy,
+                &format!("{name} {metric} %"),
+                value * 100.0 / sent,
+            );
+        };
+        add("in time", f64::from(result.on_time));
+        add("refused", f64::from(result.refused));
+        add("value", player.value_share(queue) * sent);
+        if queue == 1 {
+            add("in time, bound", f64::from(player.most_in_time(queue)));
+        }
+    }
+    let busy = &player.busy_shares;
+    if !busy.is_empty() {
+        let mean = busy.iter().sum::<f64>() / busy.len() as f64;
+        report.add(
+            load,
+            policy,
+            "processors in use while steps wait %",
+            mean * 100.0,
+        );
+    }
+    report.add(
+        load,
+        policy,
+        "calls for eligibility",
+        f64::from(player.advice_calls),
+    );
+}
--- a/crates/magnolia-scheduler/tests/play/mod.rs
+++ b/crates/magnolia-bench/src/load_player.rs
@@ -4,8 +4,6 @@
 //! their speed says; eligibility calls take their time at one of several daemons; storing takes a
 //! few milliseconds. What callers get is counted at the end.
 
-#![allow(dead_code, reason = "each test uses a part of the player")]
-
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -23,6 +21,8 @@
 const STORE_TIME: Millis = Millis::new(10);
 /// Steps between two reports of an executor without ends.
 const REPORT_STEPS: u64 = 100;
+/// Steps that wait from which a cell counts as full.
+const BACKLOG_STEPS: usize = 10;
 /// Unix time at the start.
 const EPOCH_UNIX_MS: u64 = 1_000_000_000_000;
 
@@ -47,6 +47,8 @@
     queue: usize,
     sent_at: Millis,
     objective: Millis,
+    /// Work in core-milliseconds.
+    work: u64,
     ended_at: Option<Millis>,
     refused: bool,
 }
@@ -54,9 +56,13 @@
 /// What callers of a queue got.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct QueueResult {
+    /// Jobs submitted.
     pub sent: u32,
+    /// Jobs done within their objective.
     pub on_time: u32,
+    /// Jobs done later.
     pub late: u32,
+    /// Jobs refused.
     pub refused: u32,
 }
 
@@ -69,6 +75,7 @@
 
 /// Plays a load.
 pub struct LoadPlayer {
+    /// The scheduler under test.
     pub scheduler: CellScheduler,
     now: Millis,
     steps: u64,
@@ -77,7 +84,9 @@
     advisers: BTreeSet<usize>,
     calls: Vec<(Millis, AdviceOrder)>,
     batch: Option<(Millis, StoreBatch)>,
-    eligible_share: f64,
+    /// Share of the executors that may run a step.
+    pub eligible_share: f64,
+    /// Rules of the queues.
     pub queues: Vec<Arc<QueueRules>>,
     /// Breaches of capacity, of dependencies and of single runs.
     pub violations: Vec<String>,
@@ -86,6 +95,8 @@
     pub advice_calls: u32,
     /// Runs that were stopped.
     pub stops: u32,
+    /// Shares of the processors in use at times when jobs of the last queue waited to start.
+    pub busy_shares: Vec<f64>,
 }
 
 /// Returns the rules of a queue.
@@ -178,6 +189,7 @@
             done: BTreeSet::new(),
             advice_calls: 0,
             stops: 0,
+            busy_shares: Vec::new(),
         };
         for (number, (speed, cpu)) in executors.iter().enumerate() {
             player.add_executor(number, *speed, *cpu);
@@ -213,6 +225,7 @@
         let rules = Arc::clone(&self.queues[queue]);
         let key = JobKey::new(key);
         let objective = rules.objective(spec.longest_chain());
+        let work = spec.work();
         let unix_ms = self.unix_ms();
         let spec = Arc::new(spec);
         let outcome = self.scheduler.submit(key, &rules, &spec, self.now, unix_ms);
@@ -223,6 +236,7 @@
                 queue,
                 sent_at: self.now,
                 objective,
+                work,
                 ended_at: None,
                 refused,
             },
@@ -251,6 +265,7 @@
             if self.steps.is_multiple_of(20) {
                 let unix_ms = self.unix_ms();
                 self.scheduler.tick(self.now, unix_ms);
+                self.observe_use();
             }
             self.scheduler.set_advisers(&self.advisers);
             self.scheduler.plan(self.now);
@@ -258,6 +273,65 @@
         }
     }
 
+    fn observe_use(&mut self) {
+        let summary = self.scheduler.summary(self.now);
+        if summary.ready_steps >= BACKLOG_STEPS && summary.total_cpu > 0 {
+            let share = summary.used_cpu as f64 / summary.total_cpu as f64;
+            self.busy_shares.push(share);
+        }
+    }
+
+    /// Returns the value that callers of a queue got, against that of all its jobs in time: three tenths
+    /// of a job's value stand for itself, the rest for its work against the mean, up to four times; a
+    /// late job is worth a fifth. So the users rate their work.
+    pub fn value_share(&self, queue: usize) -> f64 {
+        let mine = || self.jobs.values().filter(|job| job.queue == queue);
+        let total: f64 = mine().map(|job| job.work as f64).sum();
+        let mean = total / mine().count().max(1) as f64;
+        let value = |job: &PlayedJob| 0.3 + 0.7 * (job.work as f64 / mean).min(4.0);
+        let earned = mine().filter_map(|job| {
+            let took = job.ended_at?.saturating_sub(job.sent_at);
+            let share = if took <= job.objective {
+                1.0
+            } else if took.get() <= 3 * job.objective.get() {
+                0.2
+            } else {
+                0.0
+            };
+            Some(value(job) * share)
+        });
+        earned.sum::<f64>() / mine().map(value).sum::<f64>().max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns how many jobs of a queue could be in time at the most: the smallest ones, whose work fits
+    /// between the first submission and the last objective, beside all jobs of the queues before it.
+    pub fn most_in_time(&self, queue: usize) -> u32 {
+        let first = self.jobs.values().map(|job| job.sent_at).min();
+        let mine = || self.jobs.values().filter(|job| job.queue == queue);
+        let last = mine()
+            .map(|job| job.sent_at.saturating_add(job.objective))
+            .max();
+        let (Some(first), Some(last)) = (first, last) else {
+            return 0;
+        };
+        let time = last.saturating_sub(first).get() as f64;
+        let speed: f64 = self
+            .executors
+            .iter()
+            .map(|executor| executor.speed * executor.entry.capacity.cpu_millis.get() as f64)
+            .sum();
+        let before = self.jobs.values().filter(|job| job.queue < queue);
+        let urgent: f64 = before.map(|job| job.work as f64).sum();
+        let mut left = speed * time / 1000.0 - urgent;
+        let mut works: Vec<u64> = mine().map(|job| job.work).collect();
+        works.sort_unstable();
+        let fits = |work: &u64| {
+            left -= *work as f64;
+            left >= 0.0
+        };
+        u32::try_from(works.into_iter().take_while(fits).count()).unwrap_or(u32::MAX)
+    }
+
     fn end_runs(&mut self) {
         let now = self.now;
         for executor in &mut self.executors {
--- a/crates/magnolia-bench/tests/commands.rs
+++ b/crates/magnolia-bench/tests/commands.rs
@@ -12,7 +12,7 @@
             /// Guards against a benchmark that fails on its own generated work.
             #[test]
             fn $name() {
-                let line = format!("{} --small --seeds 1,2 --json", stringify!($name));
+                let line = format!("{} --small --seeds 1,2 --json", stringify!($name).replace('_', "-"));
                 run(&args(&line)).unwrap();
             }
         )*
@@ -20,7 +20,7 @@
 }
 
 command_case!(
-    decisions, packing, waiting, floods, faults, executors, memory
+    decisions, packing, waiting, floods, job_floods, faults, executors, heavy_days, memory
 );
 
 /// Guards against wrong arguments that are taken for a run without results.
--- a/crates/magnolia-scheduler/tests/decisions.rs
+++ b/crates/magnolia-scheduler/tests/decisions.rs
@@ -1,7 +1,10 @@
 //! Single decisions: admission, eligibility calls, pacing, health, leases, numbering.
 
+mod common;
+
 use std::collections::BTreeSet;
 
+use common::test_case;
 use magnolia_scheduler::{
     AdmissionDecision, AdmissionLoad, AdviceQueue, AdviceRequest, ExecutorLease, HealthState,
     HealthTracker, JobKey, PaceDecision, RoomView, RunNumber, StepRef, TaskRef, choose_executor,
@@ -10,17 +13,6 @@
 use magnolia_types::{Epoch, Millis};
 use quickcheck::quickcheck;
 
-macro_rules! decision_test {
-    ($(#[$meta:meta])* $name:ident, $body:expr) => {
-        $(#[$meta])*
-        #[test]
-        fn $name() {
-            let check: fn() = $body;
-            check();
-        }
-    };
-}
-
 fn request(priority: u32, order: u64, expected: u64) -> AdviceRequest {
     let step = StepRef {
         job: JobKey::new(order),
@@ -36,7 +28,7 @@
     }
 }
 
-decision_test!(
+test_case!(
     /// Guards urgent calls against waiting behind long batch calls on every daemon.
     long_calls_leave_daemons_to_short_ones,
     || {
@@ -50,7 +42,7 @@
     }
 );
 
-decision_test!(
+test_case!(
     /// Guards against a single daemon that keeps itself for calls that never come.
     one_daemon_serves_all_calls,
     || {
@@ -65,7 +57,7 @@
     }
 );
 
-decision_test!(
+test_case!(
     /// Guards against a refusal without a time to come back, and one that is out of proportion.
     a_refused_job_learns_when_to_come_back,
     || {
@@ -88,7 +80,7 @@
     }
 );
 
-decision_test!(
+test_case!(
     /// Guards healthy executors against being set aside because of one job that fails anywhere.
     one_failing_job_sets_no_executor_aside,
     || {
@@ -104,7 +96,7 @@
     }
 );
 
-decision_test!(
+test_case!(
     /// Guards lasting tasks against fillers that go on beside a tail above its target.
     fillers_give_way_to_tasks_that_serve,
     || {
@@ -116,7 +108,7 @@
     }
 );
 
-decision_test!(
+test_case!(
     /// Guards against a lease that counts as over while a slow clock still runs it.
     a_lease_ends_late_by_a_slow_clock,
     || {
@@ -132,7 +124,7 @@
     }
 );
 
-decision_test!(
+test_case!(
     /// Guards steps that ask at the same time against naming the same executors.
     steps_name_different_executors,
     || {
@@ -156,7 +148,7 @@
     }
 );
 
-decision_test!(
+test_case!(
     /// Guards urgent tasks against slow executors while fast ones have room.
     urgent_tasks_go_to_fast_executors,
     || {
--- a/crates/magnolia-scheduler/tests/heavy_load.rs
+++ b/crates/magnolia-scheduler/tests/heavy_load.rs
@@ -1,30 +1,15 @@
 //! What callers get under the loads of the two sites, and what simpler decisions would give them.
 
-mod play;
-
+use magnolia_bench::heavy_days::{HeavySetup, play_full, site_executors, site_queues};
+use magnolia_bench::load_player::{LoadPlayer, QueueResult, job, step};
 use magnolia_scheduler::SchedulerSettings;
 use magnolia_types::Millis;
-use play::{LoadPlayer, QueueResult, job, queue, step};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 /// Share of the jobs to be done in time on heavy days: the users' target when grown.
 const TARGET_SHARE: f64 = 0.90;
 
-/// Urgent and batch queues with the cost of eligibility that the sites name.
-fn site_queues() -> Vec<magnolia_scheduler::QueueRules> {
-    vec![queue("urgent", 0, 21, 300), queue("batch", 2, 370, 5300)]
-}
-
-/// Executors of a site: two speeds around the mean, three sizes.
-fn site_executors(count: usize) -> Vec<(f64, u64)> {
-    let speeds = [0.8, 1.0, 1.25];
-    let sizes = [32_000, 32_000, 16_000, 64_000];
-    (0..count)
-        .map(|number| (speeds[number % speeds.len()], sizes[number % sizes.len()]))
-        .collect()
-}
-
 /// Plays 20 s of arrivals at the given rates a second, then as long as a late batch job may take.
 fn play_load(
     executors: usize,
@@ -192,40 +177,6 @@
     }
 );
 
-/// Plays 20 s of urgent and batch jobs of different sizes at somewhat more than a cell of 96 executors
-/// and 14 daemons can do.
-fn play_full(seed: u64, settings: SchedulerSettings) -> Vec<QueueResult> {
-    let executors = site_executors(96);
-    let mut player = LoadPlayer::with_settings(&executors, site_queues(), 14, settings);
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let mut key = 0;
-    for _ in 0..1000 {
-        for (queue, rate) in [20.0, 3.4].into_iter().enumerate() {
-            if random.random::<f64>() >= rate * 0.02 {
-                continue;
-            }
-            key += 1;
-            let spec = if queue == 0 {
-                let tasks = random.random_range(2..16);
-                let run_ms = random.random_range(500..1100);
-                let cpu = random.random_range(2000..9000);
-                job(vec![step(tasks, cpu, run_ms, vec![])])
-            } else {
-                let tasks = [5, 8, 13, 21, 34][random.random_range(0..5)];
-                let run_ms = random.random_range(2500..5000);
-                let cpu = random.random_range(4000..16_000);
-                let first = step(tasks, cpu, run_ms, vec![]);
-                job(vec![first, step(tasks, cpu, run_ms, vec![0])])
-            };
-            player.submit(queue, key, spec);
-        }
-        player.advance(Millis::new(20));
-    }
-    player.advance(Millis::from_secs(60));
-    assert!(player.violations.is_empty(), "{:?}", player.violations);
-    player.results()
-}
-
 load_test!(
     /// Guards batch callers against room that stays empty while steps that could use it wait for their
     /// next call for eligibility, and urgent callers against these calls.
@@ -233,9 +184,11 @@
     17,
     |seed| {
         let play = |settings: &SchedulerSettings| -> Vec<QueueResult> {
-            let played = (seed..seed + 3).map(|seed| play_full(seed, settings.clone()));
-            played.fold(vec![QueueResult::default(); 2], |mut sum, results| {
-                for (sum, result) in sum.iter_mut().zip(results) {
+            let setup = HeavySetup::new().with_settings(|known| known.clone_from(settings));
+            let played = (seed..seed + 3).map(|seed| play_full(seed, &setup, [20.0, 3.4]));
+            played.fold(vec![QueueResult::default(); 2], |mut sum, player| {
+                assert!(player.violations.is_empty(), "{:?}", player.violations);
+                for (sum, result) in sum.iter_mut().zip(player.results()) {
                     sum.sent += result.sent;
                     sum.on_time += result.on_time;
                 }
--- a/crates/magnolia-scheduler/tests/outage.rs
+++ b/crates/magnolia-scheduler/tests/outage.rs
@@ -1,5 +1,8 @@
 //! What callers get from an outage of the store, against refusing all of them.
 
+mod common;
+
+use common::test_case;
 use magnolia_scheduler::{OutageDecision, decide_outage};
 use magnolia_types::Millis;
 
@@ -95,24 +98,13 @@
     (accepted.len(), accepted.iter().sum())
 }
 
-macro_rules! outage_test {
-    ($(#[$meta:meta])* $name:ident, $body:expr) => {
-        $(#[$meta])*
-        #[test]
-        fn $name() {
-            let check: fn() = $body;
-            check();
-        }
-    };
-}
-
 const HABITS: [CallerHabit; 3] = [
     CallerHabit::Obedient,
     CallerHabit::Hasty(35),
     CallerHabit::Hasty(20),
 ];
 
-outage_test!(
+test_case!(
     /// Guards callers against being told to come back after they have left, and those without time for
     /// another try against a refusal shortly before the store is back.
     more_callers_are_accepted_than_by_refusing_all,
@@ -133,7 +125,7 @@
     }
 );
 
-outage_test!(
+test_case!(
     /// Guards callers that can't be served against a wait beyond the time in which they could have come
     /// back, and against an answer after they have left.
     refusals_come_before_the_caller_leaves,
@@ -151,7 +143,7 @@
     }
 );
 
-outage_test!(
+test_case!(
     /// Guards callers with time to spare against being held: they are told at once.
     callers_with_time_are_told_at_once,
     || {
--- /dev/null
+++ b/crates/magnolia-scheduler/tests/rule_bench/mod.rs
@@ -0,0 +1,199 @@
+//! A scheduler whose executors answer when told to.
+
+#![allow(dead_code, reason = "each test uses a part of the bench")]
+
+use std::sync::Arc;
+
+use magnolia_bench::load_player::queue;
+use magnolia_scheduler::{
+    CellAction, CellRules, CellScheduler, CellVersion, EndKind, ExecutorEntry, ExecutorLife,
+    ExecutorRecord, ExecutorReport, ExecutorStatus, JobKey, JobRecord, JobSpec, LiveRecord,
+    QueueRules, RunEnd, RunNumber, RunningTask, SchedulerSettings, ServiceName, StartAnswer,
+    StartOrder, StepRef, SubmitOutcome, TaskRef,
+};
+use magnolia_types::{DataCentreName, Epoch, ExecutorId, Millis, ResourceVector};
+
+/// Unix time of a test's start.
+pub const START_UNIX_MS: u64 = 1_000_000_000_000;
+/// Processors of an executor, in thousandths.
+pub const CAPACITY: u64 = 8000;
+
+/// A scheduler with executors that answer when told to.
+pub struct RuleBench {
+    pub scheduler: CellScheduler,
+    pub rules: Arc<QueueRules>,
+    pub now: Millis,
+    ends: u64,
+}
+
+pub fn id(number: usize) -> ExecutorId {
+    ExecutorId::new(&format!("i-{number}")).expect("valid id")
+}
+
+pub fn entry(number: usize, rack: &str) -> ExecutorEntry {
+    ExecutorEntry {
+        id: id(number),
+        life: ExecutorLife::new(1),
+        address: "127.0.0.1:9000".parse().expect("an address"),
+        service: ServiceName::new("desk").expect("valid name"),
+        data_centre: DataCentreName::new("here").expect("valid name"),
+        capacity: ResourceVector::new(CAPACITY, 16_384, 0),
+        labels: vec!["a".into(), rack.into()],
+        status: ExecutorStatus::Ready,
+    }
+}
+
+impl RuleBench {
+    pub fn new(epoch: u64, executors: usize) -> Self {
+        let mut bench = Self::new_unanswered(epoch, executors);
+        bench.answer_all(executors);
+        bench
+    }
+
+    /// Creates a bench whose executors have not answered yet.
+    pub fn new_unanswered(epoch: u64, executors: usize) -> Self {
+        let rules = Arc::new(queue("batch", 2, 0, 0));
+        let cell = CellRules {
+            version: CellVersion::new(1),
+            queues: [(rules.name.clone(), Arc::clone(&rules))].into(),
+            ..CellRules::default()
+        };
+        let settings = SchedulerSettings::new(Millis::new(6000));
+        let mut scheduler = CellScheduler::new(settings, Epoch::new(epoch));
+        scheduler.set_rules(Arc::new(cell));
+        let now = Millis::new(1000);
+        for number in 0..executors {
+            scheduler.upsert_executor(entry(number, "r1-0"), now);
+        }
+        Self {
+            scheduler,
+            rules,
+            now,
+            ends: 0,
+        }
+    }
+
+    /// Takes in an executor that an earlier owner had in use.
+    pub fn load_executor(&mut self, number: usize, confined_to: Option<Vec<TaskRef>>) {
+        self.load_silent_executor(number, confined_to, None);
+    }
+
+    /// Takes in an executor that was silent, with the rest of its lease.
+    pub fn load_silent_executor(
+        &mut self,
+        number: usize,
+        confined_to: Option<Vec<TaskRef>>,
+        lease_left: Option<Millis>,
+    ) {
+        let record = ExecutorRecord {
+            entry: entry(number, "r1-1"),
+            confined_to,
+            lease_left,
+        };
+        self.scheduler.load_executor(record, self.now);
+    }
+
+    /// Takes in a job that an earlier owner accepted.
+    pub fn load_job(&mut self, key: u64, spec: JobSpec) {
+        let record = JobRecord::Live(LiveRecord {
+            rules: Arc::clone(&self.rules),
+            spec: Arc::new(spec),
+            accepted_unix_ms: START_UNIX_MS,
+            order_unix_ms: START_UNIX_MS,
+            occurrences: Vec::new(),
+        });
+        let rules = Arc::clone(&self.rules);
+        self.scheduler
+            .load(JobKey::new(key), &record, &rules, self.now);
+    }
+
+    pub fn answer_all(&mut self, executors: usize) {
+        (0..executors).for_each(|number| self.answer(number, vec![], vec![]));
+        self.store();
+        (0..executors).for_each(|number| self.answer(number, vec![], vec![]));
+    }
+
+    pub fn answer(&mut self, number: usize, running: Vec<RunningTask>, ends: Vec<RunEnd>) {
+        let plan = self.scheduler.plan_executor_hold(&id(number), self.now);
+        plan.expect("an executor in use");
+        let report = ExecutorReport {
+            life: ExecutorLife::new(1),
+            clock: self.now,
+            running,
+            ends,
+        };
+        self.scheduler
+            .apply_report(&id(number), report, self.now, self.now);
+    }
+
+    pub fn store(&mut self) {
+        let batch = self
+            .scheduler
+            .begin_batch(self.now, START_UNIX_MS + self.now.get());
+        self.scheduler.finish_batch(batch);
+    }
+
+    pub fn submit(&mut self, key: u64, spec: JobSpec) {
+        let spec = Arc::new(spec);
+        let unix_ms = START_UNIX_MS + self.now.get();
+        let key = JobKey::new(key);
+        let outcome = self
+            .scheduler
+            .submit(key, &self.rules, &spec, self.now, unix_ms);
+        assert_eq!(outcome, SubmitOutcome::Accepted);
+    }
+
+    pub fn pass(&mut self, time: u64) {
+        self.now = self.now.saturating_add(Millis::new(time));
+        self.scheduler
+            .tick(self.now, START_UNIX_MS + self.now.get());
+    }
+
+    /// Plans and returns the starts, each answered well.
+    pub fn starts(&mut self) -> Vec<StartOrder> {
+        self.scheduler.plan(self.now);
+        let actions = self.scheduler.take_actions();
+        let starts: Vec<StartOrder> = actions
+            .into_iter()
+            .filter_map(|action| match action {
+                CellAction::Start(order) => Some(order),
+                _ => None,
+            })
+            .collect();
+        for order in &starts {
+            self.scheduler
+                .apply_start(order, StartAnswer::Started, self.now);
+        }
+        starts
+    }
+
+    pub fn end(&mut self, task: TaskRef, run: RunNumber, kind: EndKind) -> RunEnd {
+        self.ends += 1;
+        RunEnd {
+            number: self.ends,
+            task,
+            run,
+            kind,
+            saved: None,
+        }
+    }
+}
+
+pub fn task(key: u64, occurrence: u32, index: u32) -> TaskRef {
+    let step = StepRef {
+        job: JobKey::new(key),
+        occurrence,
+        step: 0,
+    };
+    TaskRef { step, index }
+}
+
+pub fn running(order: &StartOrder) -> RunningTask {
+    RunningTask {
+        task: order.task,
+        run: order.run,
+        saved: None,
+        percent: 10,
+        meter: None,
+    }
+}
