--- a/crates/magnolia-platform/src/error.rs
+++ b/crates/magnolia-backing/src/error.rs
@@ -4,7 +4,7 @@
 
 /// Why a platform call has no result.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum PlatformError {
+pub enum BackingError {
     /// The call failed on the way; the inner error tells whether it can have taken effect.
     #[error(transparent)]
     Transport(#[from] HttpError),
@@ -18,7 +18,7 @@
     },
 }
 
-impl PlatformError {
+impl BackingError {
     const MAX_MESSAGE_CHARS: usize = 200;
 
     /// Makes a refusal from a status and the body of the answer.
--- a/crates/magnolia-platform/src/executor.rs
+++ b/crates/magnolia-backing/src/executor.rs
@@ -6,7 +6,7 @@
 use futures_util::future::BoxFuture;
 use magnolia_types::{ExecutorId, Millis, RequestId, wire_types};
 
-use crate::PlatformError;
+use crate::BackingError;
 
 /// Header with the id of the request, repeated in the answer.
 pub const HEADER_REQUEST_ID: &str = "x-request-id";
@@ -62,7 +62,7 @@
     /// # Errors
     ///
     /// Fails when no answer comes.
-    fn status(&self, executor: SocketAddr) -> BoxFuture<'_, Result<ExecutorStatus, PlatformError>>;
+    fn status(&self, executor: SocketAddr) -> BoxFuture<'_, Result<ExecutorStatus, BackingError>>;
 
     /// Runs one request.
     ///
@@ -74,5 +74,5 @@
         &'a self,
         executor: SocketAddr,
         call: &'a ExecuteCall,
-    ) -> BoxFuture<'a, Result<ExecuteAnswer, PlatformError>>;
+    ) -> BoxFuture<'a, Result<ExecuteAnswer, BackingError>>;
 }
--- a/crates/magnolia-platform/src/http_executor.rs
+++ b/crates/magnolia-backing/src/http_executor.rs
@@ -12,7 +12,7 @@
 
 use crate::executor::{HEADER_DEADLINE_MS, HEADER_NOT_RUN, HEADER_REQUEST_ID};
 use crate::http_log::success;
-use crate::{ExecuteAnswer, ExecuteCall, ExecutorClient, ExecutorStatus, PlatformError};
+use crate::{BackingError, ExecuteAnswer, ExecuteCall, ExecutorClient, ExecutorStatus};
 
 /// Executors over HTTP.
 pub struct HttpExecutorClient {
@@ -30,7 +30,7 @@
 }
 
 impl ExecutorClient for HttpExecutorClient {
-    fn status(&self, executor: SocketAddr) -> BoxFuture<'_, Result<ExecutorStatus, PlatformError>> {
+    fn status(&self, executor: SocketAddr) -> BoxFuture<'_, Result<ExecutorStatus, BackingError>> {
         Box::pin(async move {
             let answer = self
                 .client
@@ -44,7 +44,7 @@
         &'a self,
         executor: SocketAddr,
         call: &'a ExecuteCall,
-    ) -> BoxFuture<'a, Result<ExecuteAnswer, PlatformError>> {
+    ) -> BoxFuture<'a, Result<ExecuteAnswer, BackingError>> {
         Box::pin(async move {
             let request = execute_request(call)?;
             let limit = Duration::from(call.remaining);
@@ -64,7 +64,7 @@
         .map_err(|error| HttpError::NotConnected(error.to_string()))
 }
 
-fn execute_answer(call: &ExecuteCall, answer: &HttpAnswer) -> Result<ExecuteAnswer, PlatformError> {
+fn execute_answer(call: &ExecuteCall, answer: &HttpAnswer) -> Result<ExecuteAnswer, BackingError> {
     let echoed = answer
         .headers
         .get(HEADER_REQUEST_ID)
--- a/crates/magnolia-platform/src/http_instances.rs
+++ b/crates/magnolia-backing/src/http_instances.rs
@@ -7,7 +7,7 @@
 use magnolia_http::HttpClient;
 
 use crate::http_log::success;
-use crate::{InstanceEntry, InstanceList, PlatformError};
+use crate::{BackingError, InstanceEntry, InstanceList};
 
 /// Instance list over HTTP/JSON.
 pub struct HttpInstanceList {
@@ -26,7 +26,7 @@
 }
 
 impl InstanceList for HttpInstanceList {
-    fn list(&self) -> BoxFuture<'_, Result<Vec<InstanceEntry>, PlatformError>> {
+    fn list(&self) -> BoxFuture<'_, Result<Vec<InstanceEntry>, BackingError>> {
         Box::pin(async move {
             let answer = self
                 .client
--- a/crates/magnolia-platform/src/http_log.rs
+++ b/crates/magnolia-backing/src/http_log.rs
@@ -9,7 +9,7 @@
 use magnolia_http::{CallLimits, HttpAnswer, HttpClient};
 use magnolia_types::{LogOffset, Millis, wire_types};
 
-use crate::{LogPage, LogRecord, LogService, PlatformError};
+use crate::{BackingError, LogPage, LogRecord, LogService};
 
 wire_types! {
     /// Body of `POST /v1/streams/{stream}/records`.
@@ -95,11 +95,11 @@
 }
 
 /// Passes a success on and makes a refusal of anything else.
-pub(crate) fn success(answer: HttpAnswer) -> Result<HttpAnswer, PlatformError> {
+pub(crate) fn success(answer: HttpAnswer) -> Result<HttpAnswer, BackingError> {
     if answer.status.is_success() {
         Ok(answer)
     } else {
-        Err(PlatformError::new_refused(
+        Err(BackingError::new_refused(
             answer.status.as_u16(),
             &answer.body,
         ))
@@ -111,7 +111,7 @@
         &'a self,
         stream: &'a str,
         data: Bytes,
-    ) -> BoxFuture<'a, Result<LogOffset, PlatformError>> {
+    ) -> BoxFuture<'a, Result<LogOffset, BackingError>> {
         Box::pin(async move {
             let path = format!("/v1/streams/{stream}/records");
             let body = AppendBody {
@@ -131,7 +131,7 @@
         from: LogOffset,
         wait: Millis,
         max: usize,
-    ) -> BoxFuture<'a, Result<LogPage, PlatformError>> {
+    ) -> BoxFuture<'a, Result<LogPage, BackingError>> {
         Box::pin(async move {
             let (from, wait_ms) = (from.get(), wait.get());
             let path =
--- a/crates/magnolia-platform/src/http_worker.rs
+++ b/crates/magnolia-backing/src/http_worker.rs
@@ -7,7 +7,7 @@
 use magnolia_http::HttpClient;
 
 use crate::http_log::success;
-use crate::{CommandAnswer, CommandBatch, FenceRequest, PlatformError, WorkerClient, WorkerReport};
+use crate::{BackingError, CommandAnswer, CommandBatch, FenceRequest, WorkerClient, WorkerReport};
 
 /// Workers over HTTP/JSON.
 pub struct HttpWorkerClient {
@@ -32,7 +32,7 @@
         worker: SocketAddr,
         path: &str,
         body: &T,
-    ) -> Result<CommandAnswer, PlatformError> {
+    ) -> Result<CommandAnswer, BackingError> {
         let answer = self
             .client
             .post_json(worker, path, body, self.call_timeout)
@@ -46,7 +46,7 @@
         &'a self,
         worker: SocketAddr,
         partition: &'a str,
-    ) -> BoxFuture<'a, Result<WorkerReport, PlatformError>> {
+    ) -> BoxFuture<'a, Result<WorkerReport, BackingError>> {
         Box::pin(async move {
             let path = format!("/v1/status?partition={partition}");
             let answer = self.client.get(worker, &path, self.call_timeout).await?;
@@ -58,7 +58,7 @@
         &'a self,
         worker: SocketAddr,
         request: &'a FenceRequest,
-    ) -> BoxFuture<'a, Result<CommandAnswer, PlatformError>> {
+    ) -> BoxFuture<'a, Result<CommandAnswer, BackingError>> {
         Box::pin(self.post(worker, "/v1/fence", request))
     }
 
@@ -66,7 +66,7 @@
         &'a self,
         worker: SocketAddr,
         batch: &'a CommandBatch,
-    ) -> BoxFuture<'a, Result<CommandAnswer, PlatformError>> {
+    ) -> BoxFuture<'a, Result<CommandAnswer, BackingError>> {
         Box::pin(self.post(worker, "/v1/commands", batch))
     }
 }
--- a/crates/magnolia-platform/src/instances.rs
+++ b/crates/magnolia-backing/src/instances.rs
@@ -6,7 +6,7 @@
 use futures_util::future::BoxFuture;
 use magnolia_types::{DataCentreName, value_types, wire_types};
 
-use crate::PlatformError;
+use crate::BackingError;
 
 value_types! {
     /// What an instance is for.
@@ -53,5 +53,5 @@
     /// # Errors
     ///
     /// Fails when the list is away.
-    fn list(&self) -> BoxFuture<'_, Result<Vec<InstanceEntry>, PlatformError>>;
+    fn list(&self) -> BoxFuture<'_, Result<Vec<InstanceEntry>, BackingError>>;
 }
--- a/crates/magnolia-platform/src/lib.rs
+++ b/crates/magnolia-backing/src/lib.rs
@@ -1,7 +1,7 @@
-//! Clients of the platform's log service, instance list, workers and executors.
+//! Clients of the backing services of `magnoliad`: log, instance list, workers and executors.
 //!
 //! Each outside system is one trait with one HTTP/JSON implementation; the wire types are those
-//! of the platform's published interface.
+//! of their published interfaces.
 
 mod error;
 mod executor;
@@ -13,7 +13,7 @@
 mod log_service;
 mod worker;
 
-pub use error::PlatformError;
+pub use error::BackingError;
 pub use executor::{
     ExecuteAnswer, ExecuteCall, ExecutorClient, ExecutorStatus, HEADER_DEADLINE_MS, HEADER_NOT_RUN,
     HEADER_REQUEST_ID,
--- a/crates/magnolia-platform/src/log_service.rs
+++ b/crates/magnolia-backing/src/log_service.rs
@@ -4,7 +4,7 @@
 use futures_util::future::BoxFuture;
 use magnolia_types::{LogOffset, Millis};
 
-use crate::PlatformError;
+use crate::BackingError;
 
 /// One record of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -37,7 +37,7 @@
         &'a self,
         stream: &'a str,
         data: Bytes,
-    ) -> BoxFuture<'a, Result<LogOffset, PlatformError>>;
+    ) -> BoxFuture<'a, Result<LogOffset, BackingError>>;
 
     /// Reads up to `max` records from `from`, waiting up to `wait` for the first one.
     ///
@@ -52,5 +52,5 @@
         from: LogOffset,
         wait: Millis,
         max: usize,
-    ) -> BoxFuture<'a, Result<LogPage, PlatformError>>;
+    ) -> BoxFuture<'a, Result<LogPage, BackingError>>;
 }
--- a/crates/magnolia-platform/src/worker.rs
+++ b/crates/magnolia-backing/src/worker.rs
@@ -9,7 +9,7 @@
     wire_types,
 };
 
-use crate::PlatformError;
+use crate::BackingError;
 
 value_types! {
     /// How an attempt ended.
@@ -193,7 +193,7 @@
         &'a self,
         worker: SocketAddr,
         partition: &'a str,
-    ) -> BoxFuture<'a, Result<WorkerReport, PlatformError>>;
+    ) -> BoxFuture<'a, Result<WorkerReport, BackingError>>;
 
     /// Raises the epoch that the worker demands; the answer holds a full report.
     ///
@@ -204,7 +204,7 @@
         &'a self,
         worker: SocketAddr,
         request: &'a FenceRequest,
-    ) -> BoxFuture<'a, Result<CommandAnswer, PlatformError>>;
+    ) -> BoxFuture<'a, Result<CommandAnswer, BackingError>>;
 
     /// Sends a batch of commands.
     ///
@@ -215,5 +215,5 @@
         &'a self,
         worker: SocketAddr,
         batch: &'a CommandBatch,
-    ) -> BoxFuture<'a, Result<CommandAnswer, PlatformError>>;
+    ) -> BoxFuture<'a, Result<CommandAnswer, BackingError>>;
 }
--- a/crates/magnolia-daemon/src/config_feed/reader.rs
+++ b/crates/magnolia-daemon/src/config_feed/reader.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
+use magnolia_backing::LogPage;
 use magnolia_config::{ConfigRecord, ConfigReplay};
-use magnolia_platform::LogPage;
 use magnolia_protocol::{decode, encode};
 use magnolia_types::{Millis, rendezvous_order};
 
--- a/crates/magnolia-daemon/src/context.rs
+++ b/crates/magnolia-daemon/src/context.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use magnolia_config::{CellConfig, ConfigDocument};
-use magnolia_http::{HttpClient, PoolSettings, WriteGuard};
-use magnolia_platform::{
+use magnolia_backing::{
     ExecutorClient, HttpExecutorClient, HttpInstanceList, HttpLogService, HttpWorkerClient,
     InstanceList, LogService, WorkerClient,
 };
+use magnolia_config::{CellConfig, ConfigDocument};
+use magnolia_http::{HttpClient, PoolSettings, WriteGuard};
 use magnolia_types::Incarnation;
 use tokio::sync::watch;
 
--- a/crates/magnolia-daemon/src/membership.rs
+++ b/crates/magnolia-daemon/src/membership.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use magnolia_platform::{InstanceEntry, InstanceKind, InstanceState};
+use magnolia_backing::{InstanceEntry, InstanceKind, InstanceState};
 use magnolia_state::SuspicionTracker;
 use magnolia_types::{DaemonId, DataCentreName, Incarnation, Millis, stable_hash};
 use tokio::sync::{Notify, watch};
--- a/crates/magnolia-daemon/src/ownership/claim_book.rs
+++ b/crates/magnolia-daemon/src/ownership/claim_book.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use magnolia_platform::LogPage;
+use magnolia_backing::LogPage;
 use magnolia_protocol::{SupersededClaim, decode};
 use magnolia_state::{ClaimChange, ClaimRecord, ClaimTable, ClaimVerdict};
 use magnolia_types::{DaemonId, Epoch, Incarnation, LogOffset, Millis, UnitId};
--- a/crates/magnolia-daemon/src/ownership/claim_reader.rs
+++ b/crates/magnolia-daemon/src/ownership/claim_reader.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use magnolia_platform::PlatformError;
+use magnolia_backing::BackingError;
 use magnolia_protocol::{PeerReply, PeerRequest};
 use magnolia_types::Millis;
 
@@ -56,7 +56,7 @@
 /// # Errors
 ///
 /// Fails when the log is away.
-pub async fn read_to_end(context: &DaemonContext) -> Result<(), PlatformError> {
+pub async fn read_to_end(context: &DaemonContext) -> Result<(), BackingError> {
     loop {
         let asked = context.clock.now();
         read_page(context, Millis::new(0)).await?;
@@ -67,7 +67,7 @@
     }
 }
 
-async fn read_page(context: &DaemonContext, wait: Millis) -> Result<(), PlatformError> {
+async fn read_page(context: &DaemonContext, wait: Millis) -> Result<(), BackingError> {
     let next = context.claims.next();
     let result = context
         .log
--- a/crates/magnolia-daemon/src/partition/events.rs
+++ b/crates/magnolia-daemon/src/partition/events.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use magnolia_platform::{CommandAnswer, PlatformError};
+use magnolia_backing::{BackingError, CommandAnswer};
 use magnolia_protocol::{Handover, JobOperation, JobReply, QuickOutcome};
 use magnolia_state::JobTable;
 use magnolia_types::{
@@ -52,7 +52,7 @@
     /// Acknowledged ends of the message.
     pub acknowledged: Vec<AttemptId>,
     /// The answer.
-    pub answer: Result<CommandAnswer, PlatformError>,
+    pub answer: Result<CommandAnswer, BackingError>,
 }
 
 /// Something that happened.
--- a/crates/magnolia-daemon/src/partition/exchange.rs
+++ b/crates/magnolia-daemon/src/partition/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use magnolia_platform::{
+use magnolia_backing::{
     AttemptEnd, AttemptReport, AttemptState, CommandAnswer, CommandBatch, FenceRequest,
     RefusedStart, StartRefusal,
 };
--- a/crates/magnolia-daemon/src/partition/fencing.rs
+++ b/crates/magnolia-daemon/src/partition/fencing.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use magnolia_platform::{AttemptReport, AttemptState, WorkerReport};
+use magnolia_backing::{AttemptReport, AttemptState, WorkerReport};
 use magnolia_policy::AttemptRecord;
 use magnolia_state::{AttemptResult, FoundAttempt, JournalEntry, TakeoverTracker, with_drift};
 use magnolia_types::{AttemptId, Epoch, JobId, Millis, TaskRef, WorkerId};
--- a/crates/magnolia-daemon/src/partition/inventory.rs
+++ b/crates/magnolia-daemon/src/partition/inventory.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use magnolia_backing::InstanceKind;
 use magnolia_config::ConfigDocument;
-use magnolia_platform::InstanceKind;
 use magnolia_types::WorkerId;
 
 use super::owner::{OwnerPhase, PartitionOwner};
--- a/crates/magnolia-daemon/src/partition/owner.rs
+++ b/crates/magnolia-daemon/src/partition/owner.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use magnolia_platform::{StartCommand, WorkerReport};
+use magnolia_backing::{StartCommand, WorkerReport};
 use magnolia_policy::{PlacementEngine, new_engine};
 use magnolia_protocol::{Handover, JobReply};
 use magnolia_state::{ClaimRecord, JobTable, LeaseBook, TakeoverTracker};
--- a/crates/magnolia-daemon/src/partition/placing.rs
+++ b/crates/magnolia-daemon/src/partition/placing.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use magnolia_platform::StartCommand;
+use magnolia_backing::StartCommand;
 use magnolia_policy::{
     AttemptRecord, PlacementDecision, PreemptionMeans, TaskEnd, WorkerCondition,
 };
--- a/crates/magnolia-daemon/src/partition/worker_link.rs
+++ b/crates/magnolia-daemon/src/partition/worker_link.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use magnolia_platform::{StartCommand, StopCommand, ThrottleCommand};
+use magnolia_backing::{StartCommand, StopCommand, ThrottleCommand};
 use magnolia_policy::{WorkerCondition, WorkerView};
 use magnolia_types::{AttemptId, Incarnation, Millis, RackName, ResourceVector, WorkerId};
 
--- a/crates/magnolia-daemon/src/quick/executor_slots.rs
+++ b/crates/magnolia-daemon/src/quick/executor_slots.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use magnolia_platform::ExecutorStatus;
+use magnolia_backing::ExecutorStatus;
 use magnolia_types::{ExecutorId, Millis};
 
 /// How a request on a slot ended.
--- a/crates/magnolia-daemon/src/quick/executor_slots_tests.rs
+++ b/crates/magnolia-daemon/src/quick/executor_slots_tests.rs
@@ -1,6 +1,6 @@
 //! The owner's count of slots against a model of an executor.
 
-use magnolia_platform::ExecutorStatus;
+use magnolia_backing::ExecutorStatus;
 use magnolia_types::{ExecutorId, Millis};
 use quickcheck::quickcheck;
 
--- a/crates/magnolia-daemon/src/quick/group_runner.rs
+++ b/crates/magnolia-daemon/src/quick/group_runner.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use magnolia_platform::{ExecuteAnswer, ExecuteCall, ExecutorClient, PlatformError};
+use magnolia_backing::{BackingError, ExecuteAnswer, ExecuteCall, ExecutorClient};
 use magnolia_policy::{AdmissionEntry, AdmissionTicket};
 use magnolia_protocol::{QuickForward, QuickOutcome};
 use magnolia_state::RequestState;
@@ -213,10 +213,10 @@
     }
 }
 
-fn not_sent_end(error: &PlatformError) -> SlotEnd {
+fn not_sent_end(error: &BackingError) -> SlotEnd {
     match error {
-        PlatformError::Transport(_) => SlotEnd::NotSent,
-        PlatformError::Refused { .. } => SlotEnd::Refused,
+        BackingError::Transport(_) => SlotEnd::NotSent,
+        BackingError::Refused { .. } => SlotEnd::Refused,
     }
 }
 
--- a/crates/magnolia-daemon/src/quick/group_state.rs
+++ b/crates/magnolia-daemon/src/quick/group_state.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 
+use magnolia_backing::InstanceKind;
 use magnolia_config::{ConfigDocument, ExecutorBlockSection};
-use magnolia_platform::InstanceKind;
 use magnolia_policy::{
     AdmissionEntry, AdmissionPolicy, AdmissionTicket, BackendView, RoutingChooser, new_admission,
     new_chooser,
--- a/crates/magnolia-daemon/tests/cell/fleet.rs
+++ b/crates/magnolia-daemon/tests/cell/fleet.rs
@@ -6,11 +6,11 @@
 use std::time::Instant;
 
 use futures_util::future::BoxFuture;
+use magnolia_backing::{
+    BackingError, CommandAnswer, CommandBatch, FenceRequest, WorkerClient, WorkerReport,
+};
 use magnolia_http::HttpError;
 use magnolia_lab::standin::{WorkerAction, WorkerModel};
-use magnolia_platform::{
-    CommandAnswer, CommandBatch, FenceRequest, PlatformError, WorkerClient, WorkerReport,
-};
 use magnolia_types::{AttemptId, Epoch, Incarnation, Millis, ResourceVector, TaskRef, WorkerId};
 
 use super::gate::PauseGate;
@@ -142,7 +142,7 @@
         &self,
         address: SocketAddr,
         call: impl FnOnce(&mut WorkerModel, Millis) -> T,
-    ) -> Result<T, PlatformError> {
+    ) -> Result<T, BackingError> {
         let now = self.now();
         self.with(|state| {
             state.calls += 1;
@@ -205,7 +205,7 @@
 
 impl GatedFleet {
     /// Passes the gate; fails when the worker is cut off from this daemon.
-    async fn enter(&self, worker: SocketAddr) -> Result<(), PlatformError> {
+    async fn enter(&self, worker: SocketAddr) -> Result<(), BackingError> {
         self.gate.pass().await;
         let cut = self.cut.lock().unwrap_or_else(PoisonError::into_inner);
         if cut.contains(&worker) {
@@ -220,7 +220,7 @@
         &'a self,
         worker: SocketAddr,
         partition: &'a str,
-    ) -> BoxFuture<'a, Result<WorkerReport, PlatformError>> {
+    ) -> BoxFuture<'a, Result<WorkerReport, BackingError>> {
         Box::pin(async move {
             self.enter(worker).await?;
             self.fleet
@@ -232,7 +232,7 @@
         &'a self,
         worker: SocketAddr,
         request: &'a FenceRequest,
-    ) -> BoxFuture<'a, Result<CommandAnswer, PlatformError>> {
+    ) -> BoxFuture<'a, Result<CommandAnswer, BackingError>> {
         Box::pin(async move {
             self.enter(worker).await?;
             let answer = self
@@ -247,7 +247,7 @@
         &'a self,
         worker: SocketAddr,
         batch: &'a CommandBatch,
-    ) -> BoxFuture<'a, Result<CommandAnswer, PlatformError>> {
+    ) -> BoxFuture<'a, Result<CommandAnswer, BackingError>> {
         Box::pin(async move {
             self.enter(worker).await?;
             let answer = self
--- a/crates/magnolia-daemon/tests/cell/log.rs
+++ b/crates/magnolia-daemon/tests/cell/log.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
+use magnolia_backing::{BackingError, LogPage, LogRecord, LogService};
 use magnolia_http::HttpError;
-use magnolia_platform::{LogPage, LogRecord, LogService, PlatformError};
 use magnolia_types::{LogOffset, Millis};
 
 use super::gate::PauseGate;
@@ -66,10 +66,10 @@
         run(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    fn append_now(&self, stream: &str, data: Bytes) -> Result<LogOffset, PlatformError> {
+    fn append_now(&self, stream: &str, data: Bytes) -> Result<LogOffset, BackingError> {
         self.with(|state| {
             if state.is_away {
-                return Err(PlatformError::new_refused(503, b"away"));
+                return Err(BackingError::new_refused(503, b"away"));
             }
             state.appends += 1;
             let is_chosen = state
@@ -90,15 +90,10 @@
         })
     }
 
-    fn read_now(
-        &self,
-        stream: &str,
-        from: LogOffset,
-        max: usize,
-    ) -> Result<LogPage, PlatformError> {
+    fn read_now(&self, stream: &str, from: LogOffset, max: usize) -> Result<LogPage, BackingError> {
         self.with(|state| {
             if state.is_away {
-                return Err(PlatformError::new_refused(503, b"away"));
+                return Err(BackingError::new_refused(503, b"away"));
             }
             let first = state.first.get(stream).copied().unwrap_or(0);
             let records = state
@@ -139,7 +134,7 @@
         &'a self,
         stream: &'a str,
         data: Bytes,
-    ) -> BoxFuture<'a, Result<LogOffset, PlatformError>> {
+    ) -> BoxFuture<'a, Result<LogOffset, BackingError>> {
         Box::pin(async move {
             self.gate.pass().await;
             self.log_gate.pass().await;
@@ -157,7 +152,7 @@
         from: LogOffset,
         _wait: Millis,
         max: usize,
-    ) -> BoxFuture<'a, Result<LogPage, PlatformError>> {
+    ) -> BoxFuture<'a, Result<LogPage, BackingError>> {
         Box::pin(async move {
             self.gate.pass().await;
             self.log_gate.pass().await;
--- a/crates/magnolia-daemon/tests/support/executor.rs
+++ b/crates/magnolia-daemon/tests/support/executor.rs
@@ -8,10 +8,10 @@
 use futures_util::future::BoxFuture;
 use http::HeaderValue;
 use http_body_util::Full;
+use magnolia_backing::{ExecutorStatus, HEADER_NOT_RUN, HEADER_REQUEST_ID};
 use magnolia_http::{
     HttpHandler, HttpRequest, HttpResponse, error_response, json_response, read_body,
 };
-use magnolia_platform::{ExecutorStatus, HEADER_NOT_RUN, HEADER_REQUEST_ID};
 use magnolia_types::{ExecutorId, ResultCode};
 
 use super::platform;
--- a/crates/magnolia-daemon/tests/support/mod.rs
+++ b/crates/magnolia-daemon/tests/support/mod.rs
@@ -14,13 +14,13 @@
 use std::time::Duration;
 
 use base64::prelude::{BASE64_STANDARD, Engine};
+use magnolia_backing::{InstanceEntry, InstanceKind, InstanceState};
 use magnolia_config::{
     CellConfig, CellSection, ClassSection, ConfigDocument, CustomerSection, DataCentreSection,
     ExecutorBlockSection, ExecutorSection, RulesSection,
 };
 use magnolia_daemon::{DaemonSettings, ExitStatus, run_daemon};
 use magnolia_http::{HttpAnswer, HttpClient, HttpError, PoolSettings};
-use magnolia_platform::{InstanceEntry, InstanceKind, InstanceState};
 use magnolia_protocol::decode;
 use magnolia_state::ClaimChange;
 use magnolia_types::{CustomerName, DataCentreName, ExecutorId, Millis, WorkClass};
--- a/crates/magnolia-daemon/tests/support/platform.rs
+++ b/crates/magnolia-daemon/tests/support/platform.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use magnolia_backing::{AppendAnswer, AppendBody, InstanceEntry, ReadAnswer, RecordBody};
 use magnolia_http::{
     HttpHandler, HttpRequest, HttpResponse, error_response, json_response, read_body, serve,
 };
-use magnolia_platform::{AppendAnswer, AppendBody, InstanceEntry, ReadAnswer, RecordBody};
 use magnolia_types::{LogOffset, ResultCode};
 use tokio::net::TcpListener;
 
--- a/crates/magnolia-lab/src/cell/builder.rs
+++ b/crates/magnolia-lab/src/cell/builder.rs
@@ -259,7 +259,7 @@
             data_centre,
             callers: address(ports::CALLERS, self.plan.callers),
             inner: address(ports::INNER, self.plan.inner),
-            state: magnolia_platform::InstanceState::Live,
+            state: magnolia_backing::InstanceState::Live,
             args,
             process: None,
         })
--- a/crates/magnolia-lab/src/standin/executor_server.rs
+++ b/crates/magnolia-lab/src/standin/executor_server.rs
@@ -7,9 +7,9 @@
 use futures_util::future::{BoxFuture, try_join_all};
 use http::HeaderValue;
 use http_body_util::Full;
+use magnolia_backing::{ExecutorStatus, HEADER_NOT_RUN, HEADER_REQUEST_ID};
 use magnolia_config::ConfigDocument;
 use magnolia_http::{HttpResponse, error_response, json_response};
-use magnolia_platform::{ExecutorStatus, HEADER_NOT_RUN, HEADER_REQUEST_ID};
 use magnolia_types::{ExecutorId, ResultCode, wire_types};
 
 use super::{
--- a/crates/magnolia-lab/src/standin/instance_server.rs
+++ b/crates/magnolia-lab/src/standin/instance_server.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::BoxFuture;
+use magnolia_backing::InstanceEntry;
 use magnolia_http::{error_response, json_response};
-use magnolia_platform::InstanceEntry;
 use magnolia_types::{ResultCode, wire_types};
 
 use super::{
--- a/crates/magnolia-lab/src/standin/log_server.rs
+++ b/crates/magnolia-lab/src/standin/log_server.rs
@@ -7,8 +7,8 @@
 
 use base64::prelude::{BASE64_STANDARD, Engine};
 use futures_util::future::BoxFuture;
+use magnolia_backing::{AppendAnswer, AppendBody, ReadAnswer, RecordBody};
 use magnolia_http::{HttpResponse, error_response, json_response};
-use magnolia_platform::{AppendAnswer, AppendBody, ReadAnswer, RecordBody};
 use magnolia_types::{LogOffset, ResultCode, value_types, wire_types};
 use tokio::sync::Notify;
 use tokio::time::Instant;
--- a/crates/magnolia-lab/src/standin/worker_model.rs
+++ b/crates/magnolia-lab/src/standin/worker_model.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use magnolia_platform::{
+use magnolia_backing::{
     AttemptEnd, AttemptReport, AttemptState, CommandAnswer, CommandBatch, FenceRequest,
     RefusedStart, StartCommand, StartRefusal, WorkerReport,
 };
--- a/crates/magnolia-lab/src/standin/worker_model_tests.rs
+++ b/crates/magnolia-lab/src/standin/worker_model_tests.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use magnolia_platform::{
+use magnolia_backing::{
     AttemptEnd, AttemptState, CommandAnswer, CommandBatch, FenceRequest, StartCommand,
     StartRefusal, StopCommand, ThrottleCommand,
 };
--- a/crates/magnolia-lab/src/standin/worker_server.rs
+++ b/crates/magnolia-lab/src/standin/worker_server.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use futures_util::future::{BoxFuture, try_join_all};
+use magnolia_backing::CommandBatch;
 use magnolia_config::ConfigDocument;
 use magnolia_http::{HttpResponse, error_response, json_response};
-use magnolia_platform::CommandBatch;
 use magnolia_types::{Incarnation, Millis, ResourceVector, ResultCode, WorkerId, wire_types};
 
 use super::worker_model::{CheckpointStore, WorkerAction};
--- a/crates/magnolia-lab/tests/standins.rs
+++ b/crates/magnolia-lab/tests/standins.rs
@@ -5,14 +5,14 @@
 
 use http::{Method, Request};
 use http_body_util::Full;
+use magnolia_backing::{
+    ExecuteAnswer, ExecuteCall, ExecutorClient, HttpExecutorClient, HttpLogService, LogService,
+};
 use magnolia_http::{HttpClient, HttpError, PoolSettings};
 use magnolia_lab::cell::CellLayout;
 use magnolia_lab::history::HistoryWriter;
 use magnolia_lab::proxy::{ProxyFaults, TcpProxy};
 use magnolia_lab::standin::{StandinOptions, run_executors, run_log};
-use magnolia_platform::{
-    ExecuteAnswer, ExecuteCall, ExecutorClient, HttpExecutorClient, HttpLogService, LogService,
-};
 use magnolia_types::{LogOffset, Millis, RequestId};
 use serde_json::{Value, json};
 
