--- a/crates/magnolia-node/src/state.rs
+++ b/crates/magnolia-node/src/state.rs
@@ -1,6 +1,6 @@
 //! What a daemon tells operators.
 
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use magnolia_scheduler::{CellSummary, CellVersion, JobKey};
@@ -9,6 +9,8 @@
 use crate::inner::{InnerCall, InnerReply};
 use crate::node::CellNode;
 
+/// Silence after which the owner counts as not heard of: two signs of life of a daemon far down the line.
+const OWNER_SILENCE: Millis = Millis::new(1400);
 /// Longest wait for the owner's explanation.
 const EXPLAIN_LIMIT: Duration = Duration::from_secs(2);
 
@@ -77,6 +79,12 @@
         }
     }
 
+    /// Tells whether the owner was in touch lately; its claim counts as a sign of life.
+    fn hears_owner(&self, owns: bool) -> bool {
+        let news = self.news.lock().unwrap_or_else(PoisonError::into_inner);
+        owns || self.clock.now().saturating_sub(news.heard_at) < OWNER_SILENCE
+    }
+
     /// Tells whether the cell takes work on.
     pub fn status(&self) -> NodeStatus {
         let state = self.state();
@@ -84,7 +92,7 @@
             (_, false) if self.is_stopping() => format!("{} is stopping", state.daemon),
             (_, false) => format!("{} has no configuration yet", state.daemon),
             (None, true) => "no daemon owns the cell yet".to_owned(),
-            (Some(owner), true) if !state.live.contains(owner) => {
+            (Some(owner), true) if !self.hears_owner(state.owns) => {
                 format!("{owner} owns the cell, but has not been heard of lately")
             }
             (Some(owner), true) => format!(
@@ -92,7 +100,7 @@
                 state.version, state.store_age
             ),
         };
-        let owner_live = state.owner.is_some_and(|owner| state.live.contains(&owner));
+        let owner_live = state.owner.is_some() && self.hears_owner(state.owns);
         NodeStatus {
             serving: state.ready && owner_live,
             answer,
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -320,6 +320,40 @@
             step.advice.tickets.remove(&slot);
         }
         self.release(slot, order.task, order.run, now);
+        self.stop_gang(order.task.step, order.run, now);
+    }
+
+    /// Stops the members of a gang's run after one could not be started: they would wait for it, and hold
+    /// their room until the executors give up.
+    fn stop_gang(&mut self, step: StepRef, run: RunNumber, now: Millis) {
+        if !self.step_spec(step).is_some_and(|spec| spec.gang) {
+            return;
+        }
+        let Some(state) = self.step_at(step) else {
+            return;
+        };
+        let members: Vec<(Slot, u32)> = (0u32..)
+            .zip(&state.tasks)
+            .filter_map(|(index, task)| match task.phase {
+                TaskPhase::Placed(slot, placed) if placed == run => Some((slot, index)),
+                _ => None,
+            })
+            .filter(|(slot, index)| {
+                let task = TaskRef {
+                    step,
+                    index: *index,
+                };
+                let active = self.executors.get(*slot).runs.get(&(task, run));
+                active.is_some_and(|active| active.phase != RunPhase::Stopping)
+            })
+            .collect();
+        if !members.is_empty() {
+            log::info!(step:% = step, run:% = run, members = members.len();
+                "stopping a gang of which a member could not be started");
+        }
+        for (slot, index) in members {
+            self.order_stop(slot, TaskRef { step, index }, run, now);
+        }
     }
 
     /// Withdraws starts without an answer by stops, after which they can take no effect.
@@ -334,6 +368,7 @@
         }
         for (slot, task, run) in stops {
             self.order_stop(slot, task, run, now);
+            self.stop_gang(task.step, run, now);
         }
     }
 
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -3,10 +3,14 @@
 mod common;
 mod rule_bench;
 
+use std::collections::BTreeSet;
+
 use common::test_case;
 use magnolia_bench::load_player::{job, step};
-use magnolia_scheduler::{CellAction, EndKind, JobKey, JobStatus, RunningTask, StartAnswer};
-use rule_bench::{CAPACITY, RuleBench, START_UNIX_MS, id, running};
+use magnolia_scheduler::{
+    CellAction, EndKind, JobKey, JobStatus, RunningTask, StartAnswer, TaskRef,
+};
+use rule_bench::{CAPACITY, RuleBench, START_UNIX_MS, id, running, task};
 
 test_case!(
     /// Guards against a task that starts before its job is stored, or before all tasks that its step
@@ -154,6 +158,45 @@
     }
 );
 
+test_case!(
+    /// Guards gangs against members that wait for one that could not be started, until their executors
+    /// give them up.
+    members_of_a_gang_are_stopped_when_one_is_not_started,
+    || {
+        for answer in [StartAnswer::NoRoom, StartAnswer::Unhealthy, StartAnswer::Unknown] {
+            let mut bench = RuleBench::new(1, 2);
+            let mut gang = step(6, 2000, 1000, vec![]);
+            gang.gang = true;
+            bench.submit(1, job(vec![gang]));
+            bench.store();
+            bench.scheduler.plan(bench.now);
+            let orders = bench.scheduler.take_actions();
+            let mut lost = None;
+            for action in orders {
+                let CellAction::Start(order) = action else {
+                    panic!("unexpected {action:?}");
+                };
+                let taken = if lost.is_none() { answer } else { StartAnswer::Started };
+                bench.scheduler.apply_start(&order, taken, bench.now);
+                lost.get_or_insert(order.task);
+            }
+            bench.pass(10);
+            let stopped: BTreeSet<TaskRef> = bench
+                .scheduler
+                .take_actions()
+                .into_iter()
+                .filter_map(|action| match action {
+                    CellAction::Stop(order) => Some(order.task),
+                    _ => None,
+                })
+                .collect();
+            let others = (0..6).map(|index| task(1, 0, index));
+            let others = others.filter(|task| Some(*task) != lost);
+            assert!(others.into_iter().all(|task| stopped.contains(&task)), "{answer:?}: {stopped:?}");
+        }
+    }
+);
+
 test_case!(
     /// Guards against more tasks of a step on one executor than it allows, and a missing label.
     limits_of_a_step_hold,
