Keep a job while any try of its caller waits for the store

Found by reading the diff: of two tries of one caller that wait for the store, the one with less time left was refused and the job withdrawn; the other was told that it was accepted as the store came back, with nothing stored. The latest end of a caller's time decides for all of its tries now; a try that leaves before gets no verdict.

--- a/crates/magnolia-node/src/committer.rs
+++ b/crates/magnolia-node/src/committer.rs
@@ -3,6 +3,7 @@
 //! Answers days on which the store takes 400 ms a call: a submission that waits for the call under way
 //! and then for its own has lost the objective of an urgent job, so that calls overlap.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -60,17 +61,6 @@
     sender: oneshot::Sender<StoreOutcome>,
 }
 
-impl StoreWaiter {
-    /// Returns the submission to refuse while the store is away, and when its caller comes back.
-    fn refusal(&self, away: Millis, now: Millis) -> Option<(JobKey, Millis)> {
-        let (key, deadline) = self.submission?;
-        match decide_outage(away, deadline.saturating_sub(now)) {
-            OutageDecision::Refuse { retry_after } => Some((key, retry_after)),
-            OutageDecision::Wait => None,
-        }
-    }
-}
-
 /// Writer of the jobs' stream.
 pub(crate) struct Committer {
     epoch: Epoch,
@@ -122,9 +112,22 @@
             return;
         };
         let waiters = std::mem::take(&mut *self.lock_waiters());
+        // A job that several tries of its caller wait for stays until the last of them is refused.
+        let mut latest: BTreeMap<JobKey, Millis> = BTreeMap::new();
+        for (key, deadline) in waiters.iter().filter_map(|waiter| waiter.submission) {
+            let known = latest.entry(key).or_insert(deadline);
+            *known = deadline.max(*known);
+        }
         let mut kept = Vec::new();
         for waiter in waiters {
-            match waiter.refusal(away, now) {
+            let refusal = waiter.submission.and_then(|(key, _)| {
+                let time_left = latest.get(&key)?.saturating_sub(now);
+                match decide_outage(away, time_left) {
+                    OutageDecision::Refuse { retry_after } => Some((key, retry_after)),
+                    OutageDecision::Wait => None,
+                }
+            });
+            match refusal {
                 Some((key, retry_after)) if session.lock().withdraw(key) => {
                     let outcome = StoreOutcome::Withdrawn { away, retry_after };
                     // A caller that left does not wait any more.
