Move tasks of lost runs only after ownership is confirmed

Pings that had arrived before the pause, and any answer of the store, counted as fresh signs of life, and the clock did not count the time for which the machine was suspended.

Change: ownership_proof.rs keeps the time of the newest evidence, counted from the start of a call: a fenced append, a read of the claims, or the owner's own clock returned in a ping. Tasks of lost runs stay placed until the claim is confirmed by a call sent after the loss. The ownership model has leases and a ninth rule.

--- a/crates/magnolia-bench/src/load_simulation.rs
+++ b/crates/magnolia-bench/src/load_simulation.rs
@@ -286,6 +286,7 @@
             if self.time_steps.is_multiple_of(20) {
                 let unix_ms = self.unix_ms();
                 self.scheduler.tick(self.now, unix_ms);
+                self.scheduler.confirm_ownership(self.now, self.now);
                 self.sample_usage();
             }
             self.scheduler
--- a/crates/magnolia-node/src/committer.rs
+++ b/crates/magnolia-node/src/committer.rs
@@ -189,13 +189,17 @@
             sequence,
         };
         let appends = &self.pending_appends;
-        appends.begin(sequence, session.now());
+        let first_sent_at = session.now();
+        appends.begin(sequence, first_sent_at);
         loop {
             let first = appends.is_first(sequence);
             let store = &session.node.store;
             match store.append(StreamName::Jobs, records, condition).await {
                 Ok(AppendOutcome::Stored { .. }) => {
                     appends.end(sequence);
+                    // The store answers a repeat as it answered the first call, also after it has
+                    // fenced the epoch.
+                    session.record_confirmation(first_sent_at);
                     return true;
                 }
                 Ok(AppendOutcome::Fenced) => {
--- a/crates/magnolia-node/src/election.rs
+++ b/crates/magnolia-node/src/election.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
-use magnolia_types::Millis;
+use magnolia_types::{Epoch, Incarnation, Millis};
 use tokio::time::sleep;
 
 use crate::membership::{CellView, EarlierClaim, MemberRecord, OwnerClaim, claim_record};
@@ -59,12 +59,7 @@
             self.open_session(claim.epoch);
             return PING_INTERVAL;
         }
-        let message = PeerRequest::Ping(PingRequest {
-            name: self.settings.name.clone(),
-            incarnation: self.incarnation,
-            epoch: claim.epoch,
-            stopping: self.is_stopping(),
-        });
+        let message = self.ping_request(claim.epoch, claim.member.incarnation);
         let address = claim.member.address;
         let reply = self
             .peers
@@ -91,6 +86,22 @@
         }
     }
 
+    /// Returns a ping for the owner of an epoch, which returns the clock that it last sent.
+    fn ping_request(&self, epoch: Epoch, owner: Incarnation) -> PeerRequest {
+        let contact = self
+            .owner_contact
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let echo = contact.clock.filter(|(sender, _)| *sender == owner);
+        PeerRequest::Ping(PingRequest {
+            name: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            epoch,
+            stopping: self.is_stopping(),
+            echo: echo.map_or(Millis::new(0), |(_, clock)| clock),
+        })
+    }
+
     /// Records what the owner answered, and fetches its configuration if that is newer.
     pub(crate) async fn apply_ping_reply(self: &Arc<Self>, claim: &OwnerClaim, reply: PingReply) {
         let now = self.clock.now();
@@ -103,6 +114,7 @@
             if owns {
                 contact.last_heard_at = now;
                 contact.live.clone_from(&reply.live);
+                contact.clock = Some((reply.incarnation, reply.clock));
             }
             // Another process listens at the address, or the process there gave ownership up. Just
             // after a new claim was read, its owner may still have to open the session.
@@ -271,12 +283,7 @@
         if member.name == self.settings.name {
             return member.incarnation != self.incarnation;
         }
-        let message = PeerRequest::Ping(PingRequest {
-            name: self.settings.name.clone(),
-            incarnation: self.incarnation,
-            epoch: claim.epoch,
-            stopping: self.is_stopping(),
-        });
+        let message = self.ping_request(claim.epoch, member.incarnation);
         let reply = self
             .peers
             .call(member.address, &message, PING_TIMEOUT, Duration::ZERO);
--- a/crates/magnolia-node/src/lib.rs
+++ b/crates/magnolia-node/src/lib.rs
@@ -21,6 +21,7 @@
 mod metrics;
 mod node;
 mod owner;
+mod ownership_proof;
 mod peer_messages;
 mod peers;
 mod pending_appends;
@@ -31,6 +32,8 @@
 mod settings;
 mod state;
 
+#[cfg(test)]
+mod ownership_proof_tests;
 #[cfg(test)]
 mod routed_store_tests;
 
--- a/crates/magnolia-node/src/owner.rs
+++ b/crates/magnolia-node/src/owner.rs
@@ -17,6 +17,7 @@
 use crate::committer::Committer;
 use crate::eligibility::EligibilityDaemons;
 use crate::node::CellNode;
+use crate::ownership_proof::OwnershipProof;
 use crate::peer_messages::PingRequest;
 use crate::ports::{OrderError, StoreError, StreamName, StreamRecord};
 
@@ -51,6 +52,8 @@
     closed: watch::Sender<bool>,
     /// Time of the last ping from each daemon, and whether that daemon is stopping.
     last_pings: Mutex<BTreeMap<DaemonId, (Millis, bool)>>,
+    /// Evidence that the claim is in force.
+    pub(crate) proof: Mutex<OwnershipProof>,
     /// Executors with a running lease renewal loop.
     pub(crate) renewal_loops: Mutex<BTreeSet<magnolia_types::ExecutorId>>,
 }
@@ -59,6 +62,7 @@
     /// Opens a session and starts its background tasks.
     pub(crate) fn open(node: Arc<CellNode>, epoch: Epoch) -> Arc<Self> {
         let settings = (*node.settings.scheduler).clone();
+        let proof = OwnershipProof::new(node.clock.now(), settings.isolation_limit);
         let scheduler = CellScheduler::new(settings, epoch);
         let session = Arc::new(Self {
             node,
@@ -70,6 +74,7 @@
             serving: AtomicBool::new(false),
             closed: watch::Sender::new(false),
             last_pings: Mutex::default(),
+            proof: Mutex::new(proof),
             renewal_loops: Mutex::default(),
         });
         session.spawn(Arc::clone(&session).start());
@@ -136,6 +141,7 @@
         if !self.confirm_claim().await {
             return;
         }
+        self.spawn(Arc::clone(&self).confirm_periodically());
         self.apply_rules(self.node.rules());
         crate::inventory::load_inventory(&self).await;
         let took = self.now().saturating_sub(started);
@@ -153,12 +159,18 @@
     /// owner whose process was paused before the read may have read jobs that a later owner has
     /// accepted and started.
     async fn confirm_claim(&self) -> bool {
-        while let Err(error) = self.node.catch_up().await {
-            log::warn!(error:% = error; "reading the claims failed; retrying");
+        let sent_at = loop {
+            let sent_at = self.now();
+            match self.node.catch_up().await {
+                Ok(()) => break sent_at,
+                Err(error) => log::warn!(error:% = error; "reading the claims failed; retrying"),
+            }
             sleep(OPEN_RETRY_DELAY).await;
-        }
+        };
         let current = self.node.cell.borrow().owner_epoch() == Some(self.epoch);
-        if !current {
+        if current {
+            self.record_confirmation(sent_at);
+        } else {
             self.close("a later claim was stored");
         }
         current
@@ -237,9 +249,17 @@
 
     async fn tick_loop(self: Arc<Self>) {
         let mut last_forget_at = self.now();
+        let mut was_isolated = false;
         loop {
             sleep(TICK_INTERVAL).await;
             let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
+            self.lock_proof().check_pause(now);
+            let isolated = self.is_isolated();
+            if isolated != was_isolated {
+                was_isolated = isolated;
+                log::warn!(isolated = isolated, epoch:% = self.epoch;
+                    "evidence of ownership changed; an isolated owner sends no starts and renewals");
+            }
             {
                 let mut scheduler = self.lock();
                 scheduler.tick(now, unix_ms);
@@ -279,8 +299,11 @@
         let now = self.now();
         self.refresh_eligibility_daemons(now);
         let (actions, superseded) = {
+            let isolated = self.is_isolated();
             let mut scheduler = self.lock();
-            scheduler.plan(now);
+            if !isolated {
+                scheduler.plan(now);
+            }
             (scheduler.take_actions(), scheduler.is_superseded())
         };
         if superseded {
@@ -383,6 +406,8 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         last_pings.insert(ping.name.clone(), (now, ping.stopping));
+        drop(last_pings);
+        self.record_ping_evidence(ping);
     }
 
     /// Returns the daemons that pinged recently and are not stopping, and this daemon.
@@ -402,26 +427,6 @@
         names.push(self.node.settings.name.clone());
         names
     }
-
-    /// Tells whether this daemon has had contact with neither the store nor a peer for longer than
-    /// the isolation limit. Another daemon may own the cell by then, so leases are not renewed. A
-    /// daemon that is the only registered one is never isolated.
-    pub(crate) fn is_isolated(&self) -> bool {
-        let now = self.now();
-        let limit = self.node.settings.scheduler.isolation_limit;
-        let store_timed_out = now.saturating_sub(self.node.store.last_success_at()) > limit;
-        let is_only_member = self.node.cell.borrow().members.len() <= 1;
-        let last_pings = self
-            .last_pings
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let last_ping_at = last_pings
-            .values()
-            .map(|(at, _)| *at)
-            .max()
-            .unwrap_or_default();
-        store_timed_out && !is_only_member && now.saturating_sub(last_ping_at) > limit
-    }
 }
 
 /// Returns the queue rules of a stored job. Of the rules of an ended job only the queue's name is
--- /dev/null
+++ b/crates/magnolia-node/src/ownership_proof.rs
@@ -0,0 +1,129 @@
+//! Evidence that the claim of an owner is still in force. An owner sends orders only while it has
+//! recent evidence.
+//!
+//! Evidence counts from the time at which a call was sent. An answer may be read long after it has
+//! arrived if the process was paused, and says nothing about the time in between.
+
+use std::sync::{Arc, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use magnolia_types::Millis;
+use tokio::time::sleep;
+
+use crate::owner::OwnerSession;
+use crate::peer_messages::PingRequest;
+
+/// Age of the last confirmation by the store from which the owner asks for another one. Appends
+/// confirm ownership as well, so that a busy owner rarely has to ask.
+const CONFIRMATION_INTERVAL: Millis = Millis::new(500);
+/// Interval at which the owner checks whether it has to ask.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Times for which it is known that no later owner had acted.
+#[derive(Clone, Debug)]
+pub(crate) struct OwnershipProof {
+    /// Start of the latest call by which the store confirmed the claim.
+    confirmed_at: Millis,
+    /// Latest time of the owner's clock that a peer returned in a ping that named no later claim.
+    echoed_at: Millis,
+    /// Last check for a pause of the process.
+    checked_at: Millis,
+    /// Last check that came late because the process was paused.
+    resumed_at: Option<Millis>,
+    /// Longest age of the evidence.
+    limit: Millis,
+}
+
+impl OwnershipProof {
+    /// Creates the proof of an owner whose claim is confirmed at `now`; evidence counts for
+    /// `limit`.
+    pub(crate) fn new(now: Millis, limit: Millis) -> Self {
+        Self {
+            confirmed_at: now,
+            echoed_at: now,
+            checked_at: now,
+            resumed_at: None,
+            limit,
+        }
+    }
+
+    /// Records that a call to the store that was sent at `sent_at` confirmed the claim.
+    pub(crate) fn confirm(&mut self, sent_at: Millis) {
+        self.confirmed_at = self.confirmed_at.max(sent_at);
+    }
+
+    /// Records that a peer knew of no later claim after it had read `stamp`, a time of the owner's
+    /// clock. Pings are the only evidence while the store is unavailable for all daemons.
+    pub(crate) fn record_echo(&mut self, stamp: Millis) {
+        self.echoed_at = self.echoed_at.max(stamp);
+    }
+
+    /// Detects that the process was paused since the last check.
+    pub(crate) fn check_pause(&mut self, now: Millis) {
+        if now.saturating_sub(self.checked_at) > self.limit {
+            self.resumed_at = Some(now);
+        }
+        self.checked_at = now;
+    }
+
+    /// Returns the start of the latest call by which the store confirmed the claim.
+    pub(crate) fn confirmed_at(&self) -> Millis {
+        self.confirmed_at
+    }
+
+    /// Tells whether orders may be sent. The only registered daemon needs no recent evidence unless
+    /// it was paused: another daemon may have registered and claimed ownership meanwhile.
+    pub(crate) fn allows_orders(&self, now: Millis, only_member: bool) -> bool {
+        let newest = self.confirmed_at.max(self.echoed_at);
+        let paused = now.saturating_sub(self.checked_at) > self.limit
+            || self.resumed_at.is_some_and(|at| at >= self.confirmed_at);
+        now.saturating_sub(newest) <= self.limit || (only_member && !paused)
+    }
+}
+
+impl OwnerSession {
+    pub(crate) fn lock_proof(&self) -> MutexGuard<'_, OwnershipProof> {
+        self.proof.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells whether this daemon has no recent evidence that it still owns the cell. Another daemon
+    /// may own it by then, so no task is started and no lease renewed.
+    pub(crate) fn is_isolated(&self) -> bool {
+        let only_member = self.node.cell.borrow().members.len() <= 1;
+        !self.lock_proof().allows_orders(self.now(), only_member)
+    }
+
+    /// Records that the store confirmed the claim by a call that was sent at `sent_at`.
+    pub(crate) fn record_confirmation(&self, sent_at: Millis) {
+        self.lock_proof().confirm(sent_at);
+        let mut scheduler = self.lock();
+        if scheduler.unconfirmed_loss().is_some() {
+            scheduler.confirm_ownership(sent_at, self.now());
+            drop(scheduler);
+            self.request_plan();
+        }
+    }
+
+    /// Takes the evidence from a ping of a peer.
+    pub(crate) fn record_ping_evidence(&self, ping: &PingRequest) {
+        if ping.epoch == self.epoch() {
+            self.lock_proof().record_echo(ping.echo);
+        }
+    }
+
+    /// Asks the store for a confirmation when the last one is old, or when tasks wait for one.
+    pub(crate) async fn confirm_periodically(self: Arc<Self>) {
+        loop {
+            sleep(CHECK_INTERVAL).await;
+            let confirmed_at = self.lock_proof().confirmed_at();
+            let is_old = self.now().saturating_sub(confirmed_at) > CONFIRMATION_INTERVAL;
+            if !is_old && self.lock().unconfirmed_loss().is_none() {
+                continue;
+            }
+            let sent_at = self.now();
+            if self.node.confirms_epoch(self.epoch()).await {
+                self.record_confirmation(sent_at);
+            }
+        }
+    }
+}
--- a/crates/magnolia-node/tests/ownership_model.rs
+++ b/crates/magnolia-node/tests/ownership_model.rs
@@ -3,9 +3,11 @@
 //! `docs/platform.md` and once without each of them.
 //!
 //! The cell has two daemons, two executors and one job of one task. Calls to the store and orders
-//! to executors arrive at any later time or never, and daemons crash at any moment. Leases and
-//! unreachable executors are not part of the model; `crates/magnolia-scheduler/tests/rules.rs`
-//! covers them.
+//! to executors arrive at any later time or never, and daemons crash at any moment. Any daemon may
+//! be paused between two events. An owner counts the lease that it granted as expired at any time;
+//! the lease has then expired at the executor too, unless another owner renewed it. Waits that are
+//! measured in time, for executors that never answer a new owner, are not part of the model;
+//! `crates/magnolia-scheduler/tests/takeover.rs` covers them.
 
 use std::collections::{BTreeSet, HashSet, VecDeque};
 
@@ -36,6 +38,8 @@
     store_before_accept: bool,
     /// An end is acknowledged to the executor only after it is stored.
     store_before_ack: bool,
+    /// A task whose executor is lost moves only after the owner has confirmed its claim.
+    confirm_before_move: bool,
 }
 
 const ALL_RULES: OwnershipRules = OwnershipRules {
@@ -47,6 +51,7 @@
     withdraw_before_move: true,
     store_before_accept: true,
     store_before_ack: true,
+    confirm_before_move: true,
 };
 
 /// State of a daemon.
@@ -72,6 +77,8 @@
     end_stored: bool,
     /// Executor and run number of the task.
     placed: Option<(usize, u8)>,
+    /// Whether the owner counts the placed run as lost.
+    lost: bool,
     /// Number of starts that the owner has ordered.
     starts: u8,
 }
@@ -93,6 +100,8 @@
     highest: u8,
     /// Whether the executor reports a successful end.
     ended: bool,
+    /// Epoch of the owner that last granted or renewed the lease.
+    leased_by: u8,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -246,6 +255,19 @@
             && !own.end_seen
         {
             self.withdraw(daemon, executor, run, epoch, rules, next);
+            self.lose_run(daemon, executor, epoch, next);
+        }
+        if own.lost && !own.end_seen {
+            self.step(next, |state| {
+                let superseded = state.last_epoch > epoch;
+                let own = &mut state.daemons[daemon];
+                if rules.confirm_before_move && superseded {
+                    *own = ModelDaemon::default();
+                } else {
+                    own.placed = None;
+                    own.lost = false;
+                }
+            });
         }
     }
 
@@ -265,8 +287,11 @@
                 return;
             }
             listed.epoch = listed.epoch.max(epoch);
+            listed.leased_by = epoch;
             let own = &mut state.daemons[daemon];
             own.asked[executor] = true;
+            // A run that was counted as lost is reported again.
+            own.lost &= own.placed != listed.running.map(|run| (executor, run));
             if let Some(run) = listed.running
                 && own.placed.is_none()
             {
@@ -316,7 +341,7 @@
         next: &mut Vec<Self>,
     ) {
         let listed = &self.executors[executor];
-        if listed.running == Some(run) || listed.ended {
+        if listed.running == Some(run) || listed.ended || self.daemons[daemon].lost {
             return;
         }
         if !rules.withdraw_before_move {
@@ -331,6 +356,23 @@
         }
     }
 
+    /// Lets the lease expire that the owner granted to the executor of the task. A start that has no
+    /// answer may still arrive, so that its lease is not counted as expired.
+    fn lose_run(&self, daemon: usize, executor: usize, epoch: u8, next: &mut Vec<Self>) {
+        let pending = self.orders.iter().any(|order| order.0 == executor);
+        if self.daemons[daemon].lost || pending {
+            return;
+        }
+        self.step(next, |state| {
+            state.daemons[daemon].lost = true;
+            let expired = &mut state.executors[executor];
+            if expired.leased_by <= epoch {
+                expired.running = None;
+                expired.ended = false;
+            }
+        });
+    }
+
     /// Crashes a daemon; it restarts without state.
     fn crash(&self, daemon: usize, next: &mut Vec<Self>) {
         if self.daemons[daemon] != ModelDaemon::default() {
@@ -382,6 +424,7 @@
                 target.epoch = target.epoch.max(epoch);
                 target.highest = run;
                 target.running = Some(run);
+                target.leased_by = target.leased_by.max(epoch);
                 if state.end_acknowledged {
                     state.violation = Some("a start after an acknowledged good end");
                 }
@@ -500,3 +543,10 @@
     store_before_ack,
     "a start after an acknowledged good end"
 );
+test_without_rule!(
+    /// Guards against an owner that was paused, counts a lease as expired that a later owner has
+    /// renewed, and starts a task again that runs or has succeeded under the later owner.
+    moving_without_a_confirmation_runs_a_task_twice,
+    confirm_before_move,
+    "two runs of one task"
+);
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -10,6 +10,7 @@
 use crate::eligibility_queue::EligibilityQueue;
 use crate::executors::{ExecutorIndex, ExecutorTable};
 use crate::job::JobState;
+use crate::lost_runs::LostRun;
 use crate::ordering::WorkMean;
 use crate::record::JobRecord;
 use crate::step::{StepState, TaskPhase, TaskState};
@@ -109,6 +110,8 @@
     pub(crate) superseded: bool,
     /// Time of the last preemption on each executor.
     pub(crate) preempted: BTreeMap<ExecutorIndex, Millis>,
+    /// Lost runs whose tasks wait until ownership is confirmed.
+    pub(crate) lost_runs: Vec<LostRun>,
 }
 
 impl CellScheduler {
@@ -135,6 +138,7 @@
             done_unbatched: Vec::new(),
             superseded: false,
             preempted: BTreeMap::new(),
+            lost_runs: Vec::new(),
         }
     }
 
--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -31,6 +31,7 @@
 mod job;
 mod job_spec;
 mod lifecycle;
+mod lost_runs;
 mod ordering;
 mod outage;
 mod pacing;
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -201,9 +201,36 @@
         task: TaskRef,
         run: RunNumber,
         now: Millis,
+    ) {
+        self.remove_run(executor_index, task, run);
+        self.return_task(executor_index, task, run, now);
+    }
+
+    /// Releases the resources of a run and keeps its checkpoint.
+    pub(crate) fn remove_run(
+        &mut self,
+        executor_index: ExecutorIndex,
+        task: TaskRef,
+        run: RunNumber,
     ) {
         let removed = self.executors.get_mut(executor_index).remove_run(task, run);
         let checkpoint = removed.and_then(|active| active.checkpoint);
+        if let Some(entry) = self.task_state_mut(task)
+            && checkpoint.is_some()
+            && entry.phase == TaskPhase::Placed(executor_index, run)
+        {
+            entry.checkpoint = checkpoint;
+        }
+    }
+
+    /// Returns the task of a run to the waiting ones, unless it has another run or is done.
+    pub(crate) fn return_task(
+        &mut self,
+        executor_index: ExecutorIndex,
+        task: TaskRef,
+        run: RunNumber,
+        now: Millis,
+    ) {
         let Some(state) = self.step_state_mut(task.step) else {
             return;
         };
@@ -214,9 +241,6 @@
             return;
         }
         entry.phase = TaskPhase::Waiting;
-        if checkpoint.is_some() {
-            entry.checkpoint = checkpoint;
-        }
         state.waiting += 1;
         state.ready_since = now;
         self.update_ready(task.step);
--- /dev/null
+++ b/crates/magnolia-scheduler/src/lost_runs.rs
@@ -0,0 +1,71 @@
+//! Runs of lost executors. Their tasks start again only after ownership has been confirmed.
+//!
+//! An owner counts runs as lost when the lease that it granted has expired, or when the executor's
+//! process has ended or restarted. A later owner may have renewed that lease and stored the ends of
+//! the runs before, for example while this owner was paused. If the claim is still the newest one
+//! after the loss, no later owner has had a part in these runs.
+
+use magnolia_types::Millis;
+
+use crate::cell::CellScheduler;
+use crate::executors::ExecutorIndex;
+use crate::{RunNumber, TaskRef};
+
+/// A lost run whose task still counts as placed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LostRun {
+    executor_index: ExecutorIndex,
+    task: TaskRef,
+    run: RunNumber,
+    lost_at: Millis,
+}
+
+impl CellScheduler {
+    /// Releases the resources of all runs of an executor, which are lost. Their tasks wait for
+    /// [`confirm_ownership`](Self::confirm_ownership).
+    pub(crate) fn lose_all_runs(&mut self, executor_index: ExecutorIndex, now: Millis) {
+        let executor = self.executors.get_mut(executor_index);
+        let runs: Vec<_> = executor.runs.keys().copied().collect();
+        for (task, run) in runs {
+            self.remove_run(executor_index, task, run);
+            self.lost_runs.push(LostRun {
+                executor_index,
+                task,
+                run,
+                lost_at: now,
+            });
+        }
+    }
+
+    /// Returns the time of the latest loss of runs whose tasks wait for a confirmation.
+    pub fn unconfirmed_loss(&self) -> Option<Millis> {
+        self.lost_runs.iter().map(|lost| lost.lost_at).max()
+    }
+
+    /// Records that ownership was confirmed by a call to the store that was sent at `sent_at`. The
+    /// tasks of runs that were lost before may start again.
+    pub fn confirm_ownership(&mut self, sent_at: Millis, now: Millis) {
+        let confirmed = |lost: &mut LostRun| lost.lost_at < sent_at;
+        let returned: Vec<LostRun> = self.lost_runs.extract_if(.., confirmed).collect();
+        for lost in returned {
+            self.return_task(lost.executor_index, lost.task, lost.run, now);
+        }
+    }
+
+    /// Returns the task of a run that was counted as lost and is reported again, so that the run
+    /// can be taken over.
+    pub(crate) fn revoke_loss(
+        &mut self,
+        executor_index: ExecutorIndex,
+        task: TaskRef,
+        run: RunNumber,
+        now: Millis,
+    ) {
+        let reported = |lost: &mut LostRun| {
+            (lost.executor_index, lost.task, lost.run) == (executor_index, task, run)
+        };
+        if self.lost_runs.extract_if(.., reported).count() > 0 {
+            self.return_task(executor_index, task, run, now);
+        }
+    }
+}
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -88,7 +88,7 @@
         for executor_index in lost {
             let id = self.executor_id(executor_index);
             log::info!(executor:% = id; "lease of an unresponsive executor expired; its runs are lost");
-            self.release_all_runs(executor_index, now);
+            self.lose_all_runs(executor_index, now);
             retired.push(executor_index);
         }
         retired
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -212,6 +212,7 @@
     /// Takes over a reported run that this owner does not know. The run is stopped if its task is
     /// not waiting or the outcome of its job is decided.
     fn adopt_run(&mut self, executor_index: ExecutorIndex, reported: RunningTask, now: Millis) {
+        self.revoke_loss(executor_index, reported.task, reported.run, now);
         let alive = self
             .jobs
             .get(&reported.task.step.job)
@@ -281,23 +282,14 @@
         }
     }
 
-    /// Releases all runs of an executor that has restarted, and resets its state.
+    /// Gives up all runs of an executor that has restarted, and resets its state.
     fn replace_life(&mut self, executor_index: ExecutorIndex, life: ExecutorLife, now: Millis) {
         let id = self.executor_id(executor_index);
         log::info!(executor:% = id, life:% = life; "executor restarted; its runs are lost");
-        self.release_all_runs(executor_index, now);
+        self.lose_all_runs(executor_index, now);
         self.executors.get_mut(executor_index).begin_life(life);
     }
 
-    /// Releases all runs of an executor.
-    pub(crate) fn release_all_runs(&mut self, executor_index: ExecutorIndex, now: Millis) {
-        let executor = self.executors.get_mut(executor_index);
-        let runs: Vec<_> = executor.runs.keys().copied().collect();
-        for (task, run) in runs {
-            self.release_run(executor_index, task, run, now);
-        }
-    }
-
     /// Applies the answer to a start order.
     pub fn apply_start(&mut self, order: &StartOrder, answer: StartAnswer, now: Millis) {
         let Some(executor_index) = self.executors.index_of(&order.executor) else {
@@ -433,7 +425,7 @@
         executor.settled = true;
         if !executor.runs.is_empty() {
             log::info!(executor:% = id; "executor process is gone; its runs are lost");
-            self.release_all_runs(executor_index, now);
+            self.lose_all_runs(executor_index, now);
         }
         self.retire_executor(executor_index);
     }
--- a/crates/magnolia-scheduler/tests/harness/mod.rs
+++ b/crates/magnolia-scheduler/tests/harness/mod.rs
@@ -145,13 +145,26 @@
         assert_eq!(outcome, SubmitOutcome::Accepted);
     }
 
-    /// Advances the clock by `ms` milliseconds and runs the time-driven work of the scheduler.
+    /// Advances the clock by `ms` milliseconds, runs the time-driven work of the scheduler and
+    /// confirms ownership.
     pub fn advance(&mut self, ms: u64) {
+        self.advance_unconfirmed(ms);
+        self.confirm_ownership();
+    }
+
+    /// Advances the clock by `ms` milliseconds and runs the time-driven work of the scheduler.
+    pub fn advance_unconfirmed(&mut self, ms: u64) {
         self.now = self.now.saturating_add(Millis::new(ms));
         self.scheduler
             .tick(self.now, START_UNIX_MS + self.now.get());
     }
 
+    /// Confirms ownership by a call that is sent in the next millisecond.
+    pub fn confirm_ownership(&mut self) {
+        let sent_at = self.now.saturating_add(Millis::new(1));
+        self.scheduler.confirm_ownership(sent_at, self.now);
+    }
+
     /// Plans, confirms all start orders and returns them.
     pub fn start_tasks(&mut self) -> Vec<StartOrder> {
         self.scheduler.plan(self.now);
--- /dev/null
+++ b/crates/magnolia-scheduler/tests/lost_runs.rs
@@ -0,0 +1,108 @@
+//! Tests of runs on lost executors: their tasks start again only after ownership is confirmed.
+
+mod common;
+mod harness;
+
+use common::test_case;
+use harness::{SchedulerHarness, id, running};
+use magnolia_bench::load_simulation::{job, step};
+use magnolia_scheduler::{EndKind, ExecutorLife, ExecutorReport, JobKey, JobStatus, StartOrder};
+
+/// Starts one long task on one of two executors; returns its order and the number of its executor.
+fn start_task(harness: &mut SchedulerHarness) -> (StartOrder, usize) {
+    harness.submit(1, job(vec![step(1, 1000, 9000, vec![])]));
+    harness.store_batch();
+    let order = harness.start_tasks().remove(0);
+    let executor = usize::from(order.executor == id(1));
+    (order, executor)
+}
+
+/// Lets the lease of an executor expire that does not answer, while the other one does.
+fn expire_lease(harness: &mut SchedulerHarness, lost: usize) {
+    for _ in 0..40 {
+        harness.advance_unconfirmed(200);
+        harness.report(1 - lost, vec![], vec![]);
+        if harness.scheduler.unconfirmed_loss().is_some() {
+            return;
+        }
+    }
+    panic!("the run is never counted as lost");
+}
+
+/// Checks that the lost task of `order` starts again only after ownership was confirmed.
+fn check_confirmation(harness: &mut SchedulerHarness, order: &StartOrder) {
+    assert_eq!(harness.scheduler.unconfirmed_loss(), Some(harness.now));
+    // A call that was sent before the loss proves nothing.
+    harness
+        .scheduler
+        .confirm_ownership(harness.now, harness.now);
+    assert!(
+        harness.start_tasks().is_empty(),
+        "a later owner may have stored the end of the run"
+    );
+    harness.confirm_ownership();
+    assert_eq!(harness.scheduler.unconfirmed_loss(), None);
+    let again = harness.start_tasks();
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].task, order.task);
+    assert!(again[0].run > order.run);
+}
+
+test_case!(
+    /// Guards against an owner that was paused and moves a task whose lease a later owner renewed.
+    a_task_moves_after_its_lease_only_if_ownership_is_confirmed,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let (order, lost) = start_task(&mut harness);
+        expire_lease(&mut harness, lost);
+        check_confirmation(&mut harness, &order);
+    }
+);
+
+test_case!(
+    /// Guards against the same when the executor's process has ended.
+    a_task_of_an_ended_process_moves_only_if_ownership_is_confirmed,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let (order, lost) = start_task(&mut harness);
+        harness.scheduler.apply_gone(&id(lost), harness.now);
+        check_confirmation(&mut harness, &order);
+    }
+);
+
+test_case!(
+    /// Guards against the same when the executor has restarted.
+    a_task_of_a_restarted_executor_moves_only_if_ownership_is_confirmed,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let (order, lost) = start_task(&mut harness);
+        let report = ExecutorReport {
+            life: ExecutorLife::new(2),
+            clock: harness.now,
+            running: vec![],
+            ends: vec![],
+        };
+        harness
+            .scheduler
+            .apply_report(&id(lost), report, harness.now, harness.now);
+        check_confirmation(&mut harness, &order);
+    }
+);
+
+test_case!(
+    /// Guards against a second run beside one that was counted as lost and is reported again.
+    a_lost_run_that_is_reported_again_is_taken_over,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let (order, lost) = start_task(&mut harness);
+        harness.scheduler.apply_gone(&id(lost), harness.now);
+        harness.report(lost, vec![running(&order)], vec![]);
+        assert_eq!(harness.scheduler.take_actions(), vec![], "nothing is stopped");
+        harness.advance(200);
+        assert!(harness.start_tasks().is_empty(), "the task still runs");
+        let end = harness.run_end(order.task, order.run, EndKind::Done);
+        harness.report(lost, vec![], vec![end]);
+        harness.store_batch();
+        assert_eq!(harness.scheduler.status(JobKey::new(1)), Some(JobStatus::Completed));
+    }
+);
