--- a/crates/magnolia-daemon/tests/graceful_stop.rs
+++ b/crates/magnolia-daemon/tests/graceful_stop.rs
@@ -109,6 +109,28 @@
     }
 }
 
+/// Guards against a stopping daemon that knows no other one when its stop begins and then keeps its
+/// groups until it ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_starts_during_the_grace_period_takes_over() {
+    let mut cell = TestCell::start_on(FakeLog::default(), 1, &[1, 1], 600_000).await;
+    let _stopping = cell.stop(0);
+    let address = cell.daemons[0].caller_address;
+    wait_for("failed readiness check", async || {
+        let answer = cell.client.get(address, "/readyz", TIMEOUT).await;
+        answer.is_ok_and(|answer| answer.status == 503)
+    })
+    .await;
+    // The stop looks for a successor and finds none.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    cell.start_daemon("d1");
+    wait_for("new owners of both groups", async || {
+        cell.owner(0).await == Some(1) && cell.owner(1).await == Some(1)
+    })
+    .await;
+    cell.wait_until_answered(0, "x").await;
+}
+
 /// Shows that the callers of these tests detect a daemon that ends without draining.
 #[tokio::test(flavor = "multi_thread")]
 async fn sudden_end_interrupts_requests() {
