Keep the daemon alive through damaged input and panics of single tasks

Cause: sizes from callers were multiplied without a bound, a stored job was loaded without the checks that a submitted one passes, a report could open four billion occurrences, and a lease was worked out from any clock that an executor names. Each of these panics where overflow is checked and is wrong where it is not; the panic of one task left an owner that no longer plans or renews, and a daemon that no longer follows claims or configuration.

Change: sums saturate, records are checked when they are read, occurrences are bounded. An owner whose task panics gives ownership up and the next one reads the state from the store; the daemon's own tasks are started again.

--- a/crates/magnolia-node/src/lib.rs
+++ b/crates/magnolia-node/src/lib.rs
@@ -16,6 +16,7 @@
 mod eligibility;
 mod executor_loop;
 mod gateway;
+mod guarded_tasks;
 mod inventory;
 mod membership;
 mod metrics;
@@ -32,6 +33,10 @@
 mod settings;
 mod state;
 
+#[cfg(test)]
+mod message_tests;
+#[cfg(test)]
+mod owner_tests;
 #[cfg(test)]
 mod ownership_proof_tests;
 #[cfg(test)]
--- a/crates/magnolia-node/src/node.rs
+++ b/crates/magnolia-node/src/node.rs
@@ -15,6 +15,7 @@
 
 use crate::callers::ServeOutcome;
 use crate::clock::NodeClock;
+use crate::guarded_tasks::spawn_restarting;
 use crate::membership::{CellView, MemberRecord, OwnerClaim, member_record};
 use crate::metrics::NodeMetrics;
 use crate::owner::OwnerSession;
@@ -118,9 +119,14 @@
             std::future::pending(),
             Duration::ZERO,
         ));
-        tokio::spawn(Arc::clone(self).follow_cell());
-        tokio::spawn(Arc::clone(self).watch_owner());
-        tokio::spawn(crate::rules_feed::follow_rules(Arc::clone(self)));
+        let node = Arc::clone(self);
+        spawn_restarting("follow_cell", move || Arc::clone(&node).follow_cell());
+        let node = Arc::clone(self);
+        spawn_restarting("watch_owner", move || Arc::clone(&node).watch_owner());
+        let node = Arc::clone(self);
+        spawn_restarting("follow_rules", move || {
+            crate::rules_feed::follow_rules(Arc::clone(&node))
+        });
     }
 
     /// Returns the newest configuration that this daemon knows.
--- a/crates/magnolia-node/src/owner.rs
+++ b/crates/magnolia-node/src/owner.rs
@@ -16,6 +16,7 @@
 
 use crate::committer::Committer;
 use crate::eligibility::EligibilityDaemons;
+use crate::guarded_tasks::has_panicked;
 use crate::node::CellNode;
 use crate::ownership_proof::OwnershipProof;
 use crate::peer_messages::PingRequest;
@@ -81,13 +82,20 @@
         session
     }
 
-    /// Spawns a future that is dropped when the session closes.
+    /// Spawns a future that is dropped when the session closes. A panic of the future closes the
+    /// session: what it was there for would not be done any more. The next owner reads the state
+    /// from the store.
     pub(crate) fn spawn(self: &Arc<Self>, future: impl Future<Output = ()> + Send + 'static) {
-        let mut closed = self.closed.subscribe();
+        let session = Arc::clone(self);
         tokio::spawn(async move {
+            let mut closed = session.closed.subscribe();
             tokio::select! {
                 _ = closed.wait_for(|closed| *closed) => {}
-                () = future => {}
+                panicked = has_panicked(future) => {
+                    if panicked {
+                        session.close("one of its tasks panicked");
+                    }
+                }
             }
         });
     }
--- /dev/null
+++ b/crates/magnolia-node/src/owner_tests.rs
@@ -0,0 +1,162 @@
+//! Tests of the session of an owner on a platform that is unavailable.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use magnolia_scheduler::{
+    CellRules, ExecutorEntry, ExecutorReport, PaceOrder, RenewalPlan, SchedulerSettings,
+    StartAnswer, StartOrder, StopOrder,
+};
+use magnolia_types::{DaemonId, DataCentreName, Epoch, LogOffset, Millis};
+
+use crate::guarded_tasks::spawn_restarting;
+use crate::metrics::NodeMetrics;
+use crate::node::{CellNode, NodePorts};
+use crate::owner::OwnerSession;
+use crate::ports::{
+    AppendCondition, AppendOutcome, DocumentDecoder, ExecutorPort, NewestPage, OrderError,
+    StoreError, StreamName, StreamRecord, StreamStore, TailPage,
+};
+use crate::settings::NodeSettings;
+
+/// A platform on which every call fails.
+struct AbsentPlatform;
+
+fn busy<T: Send + 'static>() -> BoxFuture<'static, Result<T, StoreError>> {
+    async { Err(StoreError::Busy("away".into())) }.boxed()
+}
+
+fn no_process<T: Send + 'static>() -> BoxFuture<'static, Result<T, OrderError>> {
+    async { Err(OrderError::NoProcess) }.boxed()
+}
+
+impl StreamStore for AbsentPlatform {
+    fn append<'a>(
+        &'a self,
+        _: StreamName,
+        _: &'a [StreamRecord],
+        _: AppendCondition,
+    ) -> BoxFuture<'a, Result<AppendOutcome, StoreError>> {
+        busy()
+    }
+
+    fn read_newest<'a>(
+        &'a self,
+        _: StreamName,
+        _: Option<&'a str>,
+    ) -> BoxFuture<'a, Result<NewestPage, StoreError>> {
+        busy()
+    }
+
+    fn read_tail<'a>(
+        &'a self,
+        _: StreamName,
+        _: LogOffset,
+        _: Millis,
+    ) -> BoxFuture<'a, Result<TailPage, StoreError>> {
+        busy()
+    }
+}
+
+impl ExecutorPort for AbsentPlatform {
+    fn renew_lease<'a>(
+        &'a self,
+        _: &'a ExecutorEntry,
+        _: Epoch,
+        _: &'a RenewalPlan,
+    ) -> BoxFuture<'a, Result<ExecutorReport, OrderError>> {
+        no_process()
+    }
+
+    fn start<'a>(
+        &'a self,
+        _: SocketAddr,
+        _: Epoch,
+        _: &'a StartOrder,
+    ) -> BoxFuture<'a, StartAnswer> {
+        async { StartAnswer::NotSent }.boxed()
+    }
+
+    fn stop<'a>(
+        &'a self,
+        _: SocketAddr,
+        _: Epoch,
+        _: &'a StopOrder,
+    ) -> BoxFuture<'a, Result<(), OrderError>> {
+        no_process()
+    }
+
+    fn pace<'a>(
+        &'a self,
+        _: SocketAddr,
+        _: Epoch,
+        _: &'a PaceOrder,
+    ) -> BoxFuture<'a, Result<(), OrderError>> {
+        no_process()
+    }
+}
+
+impl DocumentDecoder for AbsentPlatform {
+    fn rules(&self, _: &StreamRecord) -> Option<CellRules> {
+        None
+    }
+
+    fn executor(&self, _: &StreamRecord) -> Option<ExecutorEntry> {
+        None
+    }
+}
+
+/// Creates a daemon on the absent platform.
+fn node() -> Arc<CellNode> {
+    let settings = NodeSettings {
+        name: DaemonId::new("edge-1").expect("valid name"),
+        data_centre: DataCentreName::new("here").expect("valid name"),
+        inner_address: "127.0.0.1:1".parse().expect("an address"),
+        weight: 250,
+        scheduler: Arc::new(SchedulerSettings::new(Millis::new(6000))),
+        stop_limit: Duration::from_secs(6),
+        drain_delay: Duration::from_secs(2),
+    };
+    let ports = NodePorts {
+        store: Arc::new(AbsentPlatform),
+        executors: Arc::new(AbsentPlatform),
+        eligibility: None,
+        decoder: Arc::new(AbsentPlatform),
+    };
+    CellNode::new(settings, ports, Arc::new(NodeMetrics::default()))
+}
+
+/// Guards against an owner that keeps its claim after one of its tasks panicked: the cell would have
+/// an owner that renews no leases or plans no starts.
+#[tokio::test]
+async fn an_owner_gives_up_when_one_of_its_tasks_panics() {
+    let session = OwnerSession::open(node(), Epoch::new(3));
+    session.spawn(async {});
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(!session.is_closed(), "a task that ends is no failure");
+    session.spawn(async { panic!("an unexpected error") });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(session.is_closed());
+}
+
+/// Guards against a daemon that no longer follows the claims or the configuration after a panic.
+#[tokio::test]
+async fn a_task_of_the_daemon_is_started_again_after_a_panic() {
+    static STARTS: AtomicU32 = AtomicU32::new(0);
+    spawn_restarting("test", || async {
+        assert!(
+            STARTS.fetch_add(1, Ordering::SeqCst) > 0,
+            "the first start fails"
+        );
+    });
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    assert_eq!(
+        STARTS.load(Ordering::SeqCst),
+        2,
+        "a task that ends is not started again"
+    );
+}
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -223,7 +223,7 @@
         let competing = live.filter(|job| job.rules.priority <= rules.priority);
         let backlog_work = competing
             .map(|job| open_work(job, position(job) <= position(new)))
-            .sum();
+            .fold(0, u64::saturating_add);
         let critical_path = spec.critical_path();
         AdmissionLoad {
             backlog_work,
@@ -246,7 +246,8 @@
             .sum();
         let lasting = |job: &&JobState| job.spec.as_ref().is_some_and(|spec| spec.is_lasting());
         let live = self.live.iter().filter_map(|key| self.jobs.get(key));
-        let reserved: u64 = live.filter(lasting).map(reserved_cpu).sum();
+        let reserved = live.filter(lasting).map(reserved_cpu);
+        let reserved = reserved.fold(0, u64::saturating_add);
         total.saturating_sub(reserved)
     }
 
@@ -466,16 +467,19 @@
             } else {
                 open.saturating_sub(waiting)
             };
-            spec.work() * halves / u64::from(spec.tasks.max(1)) / 2
+            spec.work().saturating_mul(halves) / u64::from(spec.tasks.max(1)) / 2
         })
-        .sum()
+        .fold(0, u64::saturating_add)
 }
 
 /// Returns the processors that the tasks of a job reserve or will reserve, in thousandths.
 fn reserved_cpu(job: &JobState) -> u64 {
     let spec = job.spec.iter().flat_map(|spec| &spec.steps);
-    spec.map(|step| step.reserved().cpu_millis.get() * u64::from(step.tasks))
-        .sum()
+    spec.map(|step| {
+        let cpu_millis = step.reserved().cpu_millis.get();
+        cpu_millis.saturating_mul(u64::from(step.tasks))
+    })
+    .fold(0, u64::saturating_add)
 }
 
 impl CellScheduler {
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -51,7 +51,7 @@
     pub fn expires_at(&self) -> Option<Millis> {
         let (clock, at) = self.reading?;
         let left = self.until.saturating_sub(clock).get();
-        let stretched = left * 1000 / (1000 - CLOCK_SLOWNESS_PERMILLE) + 1;
+        let stretched = left.saturating_mul(1000) / (1000 - CLOCK_SLOWNESS_PERMILLE) + 1;
         Some(at.saturating_add(Millis::new(stretched)))
     }
 }
--- a/crates/magnolia-scheduler/src/job_spec.rs
+++ b/crates/magnolia-scheduler/src/job_spec.rs
@@ -139,14 +139,16 @@
 
     /// Returns the estimated work of all steps, in core-milliseconds.
     pub fn work(&self) -> u64 {
-        self.steps.iter().map(StepSpec::work).sum()
+        let works = self.steps.iter().map(StepSpec::work);
+        works.fold(0, u64::saturating_add)
     }
 }
 
 impl StepSpec {
     /// Returns the estimated work of all tasks, in core-milliseconds.
     pub fn work(&self) -> u64 {
-        let each = self.need.cpu_millis.get() * self.estimate.get() / 1000;
+        let cpu_millis = self.need.cpu_millis.get();
+        let each = cpu_millis.saturating_mul(self.estimate.get()) / 1000;
         each.saturating_mul(u64::from(self.tasks))
     }
 
--- a/crates/magnolia-scheduler/src/record.rs
+++ b/crates/magnolia-scheduler/src/record.rs
@@ -4,7 +4,7 @@
 
 use magnolia_types::wire_types;
 
-use crate::{JobSpec, JobStatus, QueueName, QueueRules};
+use crate::{JobSpec, JobStatus, QueueName, QueueRules, SpecError};
 
 /// Error of encoding or decoding a job record.
 #[derive(Debug, thiserror::Error)]
@@ -12,6 +12,9 @@
     /// The bytes are not a record of this format.
     #[error("unreadable job record: {0}")]
     Decode(#[from] rmp_serde::decode::Error),
+    /// The record holds a job that no caller can submit.
+    #[error("invalid job in a record: {0}")]
+    InvalidSpec(#[from] SpecError),
     /// The record can't be written.
     #[error("job record can't be encoded: {0}")]
     Encode(#[from] rmp_serde::encode::Error),
@@ -103,8 +106,12 @@
     ///
     /// # Errors
     ///
-    /// Fails when the bytes are not a record of this format.
+    /// Fails when the bytes are not a record of this format, or its job is invalid.
     pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
-        Ok(rmp_serde::from_slice(bytes)?)
+        let record = rmp_serde::from_slice(bytes)?;
+        if let Self::Live(live) = &record {
+            live.spec.check()?;
+        }
+        Ok(record)
     }
 }
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -16,6 +16,9 @@
 
 /// Weight of one answer in the moving mean of the share of eligible executors.
 const ELIGIBLE_SHARE_WEIGHT: f64 = 0.1;
+/// Most occurrences of a job that a report opens at once. An owner opens one in each pass over its
+/// timed work, and the records of jobs are stored within a few passes.
+const MAX_EARLY_OCCURRENCES: usize = 1000;
 /// Shortest time between two changes of the CPU share of fillers: a reported tail latency covers
 /// half a second.
 const PACE_INTERVAL: Millis = Millis::new(400);
@@ -182,6 +185,11 @@
         if known || job.ending.is_some() {
             return;
         }
+        if wanted - job.occurrences.len() > MAX_EARLY_OCCURRENCES {
+            log::warn!(task:% = task, open = job.occurrences.len();
+                "ignored the report of an occurrence that no owner can have started");
+            return;
+        }
         while job.occurrences.len() <= wanted {
             job.open_occurrence(now);
         }
