Admit jobs by the load of their own service only

Cause: admission took the lasting jobs and the waiting work of all services from the processors of the job's own service, so that a service was refused work because another one with executors of its own was full.

Change: both sums count the jobs of the service. An unused set in the processing of reports is removed.

Measured: work_of_another_service_refuses_no_job fails without the change (refused with 10 s) and passes with it.

--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -16,7 +16,7 @@
 use crate::step::{StepState, TaskPhase, TaskState};
 use crate::{
     CellAction, CellRules, ExecutorLife, ExecutorRecord, JobKey, JobSpec, JobStatus, QueueName,
-    QueueRules, SchedulerSettings, StepRef, TaskRef,
+    QueueRules, SchedulerSettings, ServiceName, StepRef, TaskRef,
 };
 
 /// Sort key of a step in the ready set, which holds the steps that can start tasks.
@@ -219,8 +219,9 @@
     fn admission_load(&self, new: &JobState, spec: &JobSpec) -> AdmissionLoad {
         let rules = &*new.rules;
         let position = |job: &JobState| (job.rules.priority, job.order_unix_ms);
-        let live = self.live.iter().filter_map(|key| self.jobs.get(key));
-        let competing = live.filter(|job| job.rules.priority <= rules.priority);
+        let competing = self
+            .live_jobs_of(&rules.service)
+            .filter(|job| job.rules.priority <= rules.priority);
         let backlog_work = competing
             .map(|job| open_work(job, position(job) <= position(new)))
             .fold(0, u64::saturating_add);
@@ -234,8 +235,14 @@
         }
     }
 
-    /// Returns the processors of the queue's service, less those that all long-running jobs of the
-    /// cell reserve, in thousandths.
+    /// Returns the jobs of a service whose end is not stored.
+    fn live_jobs_of(&self, service: &ServiceName) -> impl Iterator<Item = &JobState> {
+        let live = self.live.iter().filter_map(|key| self.jobs.get(key));
+        live.filter(move |job| job.rules.service == *service)
+    }
+
+    /// Returns the processors of the queue's service, less those that its long-running jobs
+    /// reserve, in thousandths.
     fn shared_capacity(&self, rules: &QueueRules) -> u64 {
         let executors = self
             .executors
@@ -245,8 +252,8 @@
             .map(|(_, executor)| executor.entry.capacity.cpu_millis.get())
             .sum();
         let lasting = |job: &&JobState| job.spec.as_ref().is_some_and(|spec| spec.is_lasting());
-        let live = self.live.iter().filter_map(|key| self.jobs.get(key));
-        let reserved = live.filter(lasting).map(reserved_cpu);
+        let reserved = self.live_jobs_of(&rules.service).filter(lasting);
+        let reserved = reserved.map(reserved_cpu);
         let reserved = reserved.fold(0, u64::saturating_add);
         total.saturating_sub(reserved)
     }
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -149,9 +149,7 @@
             self.apply_running(executor_index, reported, now);
         }
         let seen = self.executors.get(executor_index).seen_through;
-        let mut ended = BTreeSet::new();
         for end in report.ends {
-            ended.insert((end.task, end.run));
             if end.number <= seen {
                 continue;
             }
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -4,12 +4,14 @@
 mod harness;
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use common::test_case;
-use harness::{CAPACITY, START_UNIX_MS, SchedulerHarness, id, running, task};
+use harness::{CAPACITY, START_UNIX_MS, SchedulerHarness, entry, id, running, task};
 use magnolia_bench::load_simulation::{job, step};
 use magnolia_scheduler::{
-    CellAction, EndKind, JobKey, JobStatus, RunningTask, StartAnswer, TaskRef,
+    CellAction, EndKind, JobKey, JobStatus, RunningTask, ServiceName, StartAnswer, SubmitOutcome,
+    TaskRef,
 };
 
 test_case!(
@@ -339,3 +341,32 @@
         assert_eq!((stop.task, stop.run), (starts[0].task, starts[0].run));
     }
 );
+
+test_case!(
+    /// Guards against jobs that are refused because another service, with executors of its own, is
+    /// full of lasting tasks and waiting work.
+    work_of_another_service_refuses_no_job,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let mut other = (*harness.rules).clone();
+        other.service = ServiceName::new("other").expect("valid name");
+        let other = Arc::new(other);
+        for number in 2..200 {
+            let mut entry = entry(number, "r1-0");
+            entry.service = other.service.clone();
+            harness.scheduler.upsert_executor(entry, harness.now);
+        }
+        let mut lasting = step(100, CAPACITY, 100, vec![]);
+        lasting.lasting = true;
+        let jobs = [job(vec![lasting]), job(vec![step(40, CAPACITY, 9000, vec![])])];
+        let unix_ms = START_UNIX_MS + harness.now.get();
+        for (key, spec) in (10..).zip(jobs) {
+            let (key, spec) = (JobKey::new(key), Arc::new(spec));
+            let outcome = harness.scheduler.submit(key, &other, &spec, harness.now, unix_ms);
+            assert_eq!(outcome, SubmitOutcome::Accepted);
+        }
+        // The second job waits for the work of the smaller one before it.
+        harness.submit(1, job(vec![step(4, 1000, 100, vec![])]));
+        harness.submit(2, job(vec![step(8, CAPACITY, 100, vec![])]));
+    }
+);
