Say of a cancelled job that parts of it may have run

Cause: magnoliad answered code 403 with "has not run", also for jobs of which tasks had started, so that a caller could submit the work again.

Change: the code says "unknown". The capacity plan compares memory in MiB with a limit in MiB. A test shows that an executor that has left gets no tasks from the next owner; it fails when stored executors count as listed.

--- a/crates/magnolia-cli/src/work_args.rs
+++ b/crates/magnolia-cli/src/work_args.rs
@@ -42,7 +42,13 @@
         .arg(number("memory-mib", "Memory of each task in MiB").required(true))
         .arg(number("accelerators", "Accelerators of each task").default_value("0"))
         .arg(number("run-ms", "Declared run time of each task, if known"))
-        .arg(number("max-attempts", "How often a task may fail").default_value("3"))
+        .arg(
+            number(
+                "max-attempts",
+                "Failed runs of a task after which the job fails",
+            )
+            .default_value("3"),
+        )
         .arg(flag("wait", "Wait until the job ends").action(ArgAction::SetTrue))
 }
 
--- a/crates/magnolia-lab/src/capacity/target.rs
+++ b/crates/magnolia-lab/src/capacity/target.rs
@@ -5,6 +5,9 @@
 
 use super::{FittedLine, SeriesKind};
 
+/// Fitted memory is in MiB, the users' limit is in MB.
+const MB_PER_MIB: f64 = 1.048_576;
+
 /// Load of the whole system at the target size.
 #[derive(Clone, Copy, Debug)]
 pub struct TargetSize {
@@ -99,14 +102,13 @@
         let budget = DaemonBudget::new();
         TargetPlan {
             cpu: ResourcePlan::new(&self.cpu, target, budget.cpu_percent),
-            memory: ResourcePlan::new(&self.memory, target, budget.memory_mb),
+            memory: ResourcePlan::new(&self.memory, target, budget.memory_mb / MB_PER_MIB),
             traffic: ResourcePlan::new(&self.traffic, target, budget.traffic_kb),
         }
     }
 }
 
-/// Usage of one resource at the target size, and its limit. Fitted memory is in MiB, its limit in
-/// MB.
+/// Usage of one resource at the target size, and its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResourcePlan {
     /// Usage of a daemon that owns nothing, at the target rate of configuration changes.
@@ -147,7 +149,7 @@
 pub struct TargetPlan {
     /// Processor usage in percent of one core.
     pub cpu: ResourcePlan,
-    /// Memory; the usage is in MiB and the limit in MB.
+    /// Memory in MiB.
     pub memory: ResourcePlan,
     /// Traffic in KB per second.
     pub traffic: ResourcePlan,
@@ -157,7 +159,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let rows = [
             ("cpu %", &self.cpu),
-            ("MB", &self.memory),
+            ("MiB", &self.memory),
             ("KB/s", &self.traffic),
         ];
         for (name, plan) in rows {
--- a/crates/magnolia-scheduler/tests/takeover.rs
+++ b/crates/magnolia-scheduler/tests/takeover.rs
@@ -267,3 +267,22 @@
         assert_eq!(harness.start_tasks().len(), 1);
     }
 );
+
+test_case!(
+    /// Guards against a new owner that starts tasks on an executor that the store names as in use,
+    /// but that has left the platform's list since, although its process still answers.
+    an_executor_that_has_left_gets_no_tasks_from_the_next_owner,
+    || {
+        let mut harness = SchedulerHarness::new_without_reports(2, 1);
+        harness.load_executor(7, None);
+        harness.report_from_all(1);
+        harness.report(7, vec![], vec![]);
+        harness.submit(1, job(vec![step(20, 1000, 100, vec![])]));
+        harness.store_batch();
+        let renewal = harness.scheduler.plan_executor_renewal(&id(7), harness.now);
+        assert_eq!(renewal, None, "nothing runs there");
+        let started = harness.start_tasks();
+        assert!(!started.is_empty());
+        assert!(started.iter().all(|order| order.executor == id(0)));
+    }
+);
--- a/crates/magnolia-types/src/result_code.rs
+++ b/crates/magnolia-types/src/result_code.rs
@@ -110,8 +110,8 @@
     OutcomeUnknown = 401, 504, Unknown;
     /// The executor or the task reported a failure of the work itself.
     WorkFailed = 402, 502, Yes;
-    /// The work was cancelled before it ran.
-    Cancelled = 403, 409, No;
+    /// The work was cancelled; parts of it may have run.
+    Cancelled = 403, 409, Unknown;
     /// The publication is based on an older version of a section.
     ConfigConflict = 500, 409, No;
     /// The configuration is invalid.
--- a/crates/magnolia-types/tests/result_codes.rs
+++ b/crates/magnolia-types/tests/result_codes.rs
@@ -46,3 +46,10 @@
         assert_eq!(ResultCode::from_number(code.number()), Some(*code));
     }
 }
+
+/// Guards against callers who are told that a cancelled job has not run although some of its tasks
+/// had started, and who submit it again.
+#[test]
+fn a_cancelled_job_is_not_said_to_be_unrun() {
+    assert_eq!(ResultCode::Cancelled.ran(), Ran::Unknown);
+}
