--- a/crates/magnolia-lab/tests/capacity_plan.rs
+++ b/crates/magnolia-lab/tests/capacity_plan.rs
@@ -35,6 +35,10 @@
     assert_eq!(plan.cpu.daemons(), Some(54));
     assert_eq!(plan.memory.daemons(), Some(1));
     // The limit is 64 MB, which are fewer MiB.
-    assert!((plan.memory.limit - 61.035).abs() < 0.001, "{}", plan.memory.limit);
+    assert!(
+        (plan.memory.limit - 61.035).abs() < 0.001,
+        "{}",
+        plan.memory.limit
+    );
     assert_eq!(plan.traffic.daemons(), None);
 }
