--- a/crates/magnolia-node/src/election.rs
+++ b/crates/magnolia-node/src/election.rs
@@ -86,7 +86,8 @@
         }
     }
 
-    /// Returns a ping for the owner of an epoch, which returns the clock that it last sent.
+    /// Returns a ping for the owner of an epoch. It carries the clock in the last reply of that owner,
+    /// which shows the owner that the ping was sent after the reply.
     fn ping_request(&self, epoch: Epoch, owner: Incarnation) -> PeerRequest {
         let contact = self
             .owner_contact
