--- /dev/null
+++ b/review/standin/cases.rs
@@ -0,0 +1,85 @@
+//! The cases.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crate::cell::{Cell, Children};
+use crate::record::Record;
+
+/// Result of a case.
+pub enum Verdict {
+    Held,
+    Broken(String),
+    NotRun(String),
+}
+
+/// Runs a case by its name.
+pub fn run(
+    case: &str,
+    edge: &Path,
+    record: &Arc<Record>,
+    children: &Children,
+    trouble: bool,
+) -> Verdict {
+    let start = |executors, cpu| Cell::start(edge, record, children, executors, cpu);
+    let cell = match case {
+        "many-ends" => start(2, 32_000),
+        "lasting-done" => start(2, 32_000),
+        "long-record" => start(2, 32_000),
+        _ => return Verdict::NotRun(format!("no case named {case}")),
+    };
+    let Some(cell) = cell else {
+        return Verdict::NotRun("the daemons did not start".to_owned());
+    };
+    match case {
+        "many-ends" => many_ends(&cell, trouble),
+        "lasting-done" => lasting_done(&cell, trouble),
+        _ => long_record(&cell, trouble),
+    }
+}
+
+fn seconds(count: f64) {
+    thread::sleep(Duration::from_secs_f64(count));
+}
+
+/// Jobs with many short tasks run while the store is down.
+fn many_ends(cell: &Cell, trouble: bool) -> Verdict {
+    const JOBS: u64 = 40;
+    let body = "{\"spec\":\"400\",\"phases\":[{\"count\":150,\"cpu\":250,\"mem_mb\":64,\"est_runtime_ms\":400}]}";
+    let ids: Vec<String> = (1..=JOBS).map(|n| format!("5c0e7a21d94b{n:04x}")).collect();
+    for id in &ids {
+        if !cell.submit(id, body) {
+            return Verdict::NotRun(format!("job {id} was not accepted"));
+        }
+    }
+    if trouble {
+        cell.store.set_down(true);
+        seconds(4.5);
+        cell.store.set_down(false);
+    } else {
+        seconds(4.5);
+    }
+    for _ in 0..40 {
+        seconds(1.0);
+        if ids.iter().all(|id| cell.state(id) == "completed") {
+            break;
+        }
+    }
+    seconds(3.0);
+    let breaches = cell.record.breaches_of_twice();
+    breaches.iter().for_each(|breach| cell.record.line(breach));
+    match breaches.first() {
+        Some(first) => Verdict::Broken(format!("{} times, the first: {first}", breaches.len())),
+        None => Verdict::Held,
+    }
+}
+
+fn lasting_done(_cell: &Cell, _trouble: bool) -> Verdict {
+    Verdict::NotRun("not written".to_owned())
+}
+
+fn long_record(_cell: &Cell, _trouble: bool) -> Verdict {
+    Verdict::NotRun("not written".to_owned())
+}
