--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -76,8 +76,50 @@
     }
 }
 
-fn lasting_done(_cell: &Cell, _trouble: bool) -> Verdict {
-    Verdict::NotRun("not written".to_owned())
+/// A task that lasts ends `done`.
+fn lasting_done(cell: &Cell, trouble: bool) -> Verdict {
+    const ID: &str = "5c0e7a21d94b36f8";
+    const TASKS: usize = 4;
+    let body = "{\"spec\":\"watch\",\"phases\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256,\
+                \"est_runtime_ms\":500,\"long_running\":true}]}";
+    if !cell.submit(ID, body) {
+        return Verdict::NotRun("the job was not accepted".to_owned());
+    }
+    let running = || -> Vec<String> {
+        let lists = cell.executors.iter().map(|executor| executor.running());
+        lists.flatten().collect()
+    };
+    seconds(5.0);
+    if running().len() != TASKS {
+        return Verdict::NotRun(format!("{} tasks run", running().len()));
+    }
+    if trouble {
+        let task = format!("{ID}.0.0.1");
+        for executor in &cell.executors {
+            executor.end_task(&task, "done");
+        }
+        cell.record.line(format!("{task} ends of its own accord, done"));
+    }
+    // 6 s after the last run of the task, and then 3 s with nothing running; twice as long to be
+    // safe.
+    let mut away = 0.0;
+    for _ in 0..200 {
+        seconds(0.1);
+        if running().len() == TASKS {
+            away = 0.0;
+        } else {
+            away += 0.1;
+        }
+    }
+    let state = cell.state(ID);
+    cell.record.line(format!("{:?} run; the job is shown as {state}", running()));
+    if away > 9.0 {
+        let missing = TASKS - running().len();
+        return Verdict::Broken(format!(
+            "LOST: {missing} tasks that last have not run for {away:.1} s; the job is shown as {state}"
+        ));
+    }
+    Verdict::Held
 }
 
 fn long_record(_cell: &Cell, _trouble: bool) -> Verdict {
