--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -28,6 +28,7 @@
         "many-ends" => start(2, 32_000),
         "lasting-done" => start(2, 32_000),
         "long-record" => start(2, 32_000),
+        "hopeless-jobs" => start(4, 32_000),
         _ => return Verdict::NotRun(format!("no case named {case}")),
     };
     let Some(cell) = cell else {
@@ -36,7 +37,8 @@
     match case {
         "many-ends" => many_ends(&cell, trouble),
         "lasting-done" => lasting_done(&cell, trouble),
-        _ => long_record(&cell, trouble),
+        "long-record" => long_record(&cell, trouble),
+        _ => hopeless_jobs(&cell, trouble),
     }
 }
 
@@ -172,3 +174,50 @@
     }
     Verdict::Held
 }
+
+/// Some jobs need a label that no executor has.
+fn hopeless_jobs(cell: &Cell, trouble: bool) -> Verdict {
+    const SPELLS: u64 = 9;
+    const JOBS: u64 = 90;
+    const HOPELESS: u64 = 6;
+    let body = |label: &str| {
+        format!(
+            "{{\"spec\":\"200\",\"phases\":[{{\"count\":2,\"cpu\":500,\"mem_mb\":64,\
+             \"est_runtime_ms\":200{label}}}]}}"
+        )
+    };
+    let (plain, hopeless) = (body(""), body(",\"required_label\":\"c\""));
+    let mut ids = Vec::new();
+    for spell in 0..SPELLS {
+        let started = cell.record.now_ms();
+        for number in 0..JOBS {
+            let id = format!("5c0e7a21{spell:04x}{number:04x}");
+            let bad = trouble && number % (JOBS / HOPELESS) == 0;
+            if !cell.submit(&id, if bad { &hopeless } else { &plain }) {
+                return Verdict::NotRun(format!("job {id} was not accepted"));
+            }
+            if !bad {
+                ids.push(id);
+            }
+            let due = started + (number + 1) * 3800 / JOBS;
+            thread::sleep(Duration::from_millis(due.saturating_sub(cell.record.now_ms())));
+        }
+        seconds(0.5);
+    }
+    // `finish_s` after the end of the traffic, and then 3 s with nothing running.
+    seconds(14.0);
+    let waiting = |id: &&String| cell.state(id) == "queued";
+    let before: Vec<String> = ids.iter().filter(waiting).cloned().collect();
+    seconds(3.0);
+    let after = before.iter().filter(|id| cell.state(id) == "queued").count();
+    let starts = cell.record.runs().len();
+    cell.record.line(format!("{starts} starts; {after} of {} sound jobs wait", ids.len()));
+    if after > 0 {
+        return Verdict::Broken(format!(
+            "LOST: {after} of {} jobs that can be done have nothing running for 3 s, 14 s after the \
+             end of the traffic, while the executors are idle",
+            ids.len()
+        ));
+    }
+    Verdict::Held
+}
