--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::cell::{Cell, Children};
+use crate::executor::Executor;
 use crate::record::Record;
 
 /// Result of a case.
@@ -29,6 +30,7 @@
         "lasting-done" => start(2, 32_000),
         "long-record" => start(2, 32_000),
         "hopeless-jobs" => start(4, 32_000),
+        "foreign-entry" => start(2, 32_000),
         _ => return Verdict::NotRun(format!("no case named {case}")),
     };
     let Some(cell) = cell else {
@@ -38,7 +40,8 @@
         "many-ends" => many_ends(&cell, trouble),
         "lasting-done" => lasting_done(&cell, trouble),
         "long-record" => long_record(&cell, trouble),
-        _ => hopeless_jobs(&cell, trouble),
+        "hopeless-jobs" => hopeless_jobs(&cell, trouble),
+        _ => foreign_entry(&cell, trouble),
     }
 }
 
@@ -221,3 +224,50 @@
     }
     Verdict::Held
 }
+
+/// The list of executors gets an entry of another writer, which lacks fields.
+fn foreign_entry(cell: &Cell, trouble: bool) -> Verdict {
+    let ids: Vec<String> = (1..=10).map(|n| format!("5c0e7a21d94c{n:04x}")).collect();
+    let step = |after: &str| {
+        format!("{{\"count\":2,\"cpu\":500,\"mem_mb\":64,\"est_runtime_ms\":2000{after}}}")
+    };
+    let body = format!(
+        "{{\"spec\":\"2000\",\"phases\":[{},{},{}]}}",
+        step(""),
+        step(",\"after\":[0]"),
+        step(",\"after\":[1]")
+    );
+    for id in &ids {
+        if !cell.submit(id, &body) {
+            return Verdict::NotRun(format!("job {id} was not accepted"));
+        }
+    }
+    let fence = 1000;
+    let _foreign = trouble.then(|| Executor::start_foreign(fence, &cell.store, &cell.record));
+    if trouble {
+        cell.record.line(format!("an entry without slots and cold_left_ms; fence {fence}"));
+    }
+    // Each job works for 6 s; `finish_s` after that they are asked for, and 3 s later again. All have
+    // steps whose turn has come until they are completed.
+    seconds(6.0 + 14.0);
+    let runs = || cell.record.runs().len();
+    let idle = || cell.executors.iter().all(|executor| executor.running().is_empty());
+    let (before, was_idle) = (runs(), idle());
+    let first: Vec<String> = ids.iter().map(|id| cell.state(id)).collect();
+    seconds(3.0);
+    let stalled = was_idle && idle() && runs() == before;
+    let second: Vec<String> = ids.iter().map(|id| cell.state(id)).collect();
+    let unfinished = |(before, after): &(&String, &String)| {
+        *before != "completed" && *after != "completed"
+    };
+    let waiting = first.iter().zip(&second).filter(unfinished).count();
+    cell.record.line(format!("{before} starts; nothing runs: {stalled}"));
+    if waiting > 0 && stalled {
+        return Verdict::Broken(format!(
+            "LOST: {waiting} of {} accepted jobs are unfinished with nothing running; asked for, \
+             they give {second:?}",
+            ids.len()
+        ));
+    }
+    Verdict::Held
+}
--- a/review/standin/executor.rs
+++ b/review/standin/executor.rs
@@ -52,6 +52,8 @@
 pub struct Executor {
     pub id: String,
     cpu: u64,
+    /// Whether its entry in the store comes from another writer, and lacks fields.
+    foreign: bool,
     zero: Instant,
     born: u64,
     state: Mutex<State>,
@@ -62,13 +64,33 @@
 impl Executor {
     /// Starts an executor with `cpu` thousandths of a core, which registers itself in the store.
     pub fn start(number: usize, cpu: u64, store: &Arc<Store>, record: &Arc<Record>) -> Arc<Self> {
+        Self::start_with_fence(number, cpu, 0, store, record)
+    }
+
+    /// Starts an executor of another deployment, which has seen a fencing token. Its entry in the
+    /// store comes from another writer and lacks fields.
+    pub fn start_foreign(fence: u64, store: &Arc<Store>, record: &Arc<Record>) -> Arc<Self> {
+        Self::start_with_fence(9999, 32_000, fence, store, record)
+    }
+
+    fn start_with_fence(
+        number: usize,
+        cpu: u64,
+        fence: u64,
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+    ) -> Arc<Self> {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
         let executor = Arc::new(Self {
             id: format!("i-{number:04}"),
             cpu,
+            foreign: fence > 0,
             zero: Instant::now(),
             born: born.as_millis() as u64,
-            state: Mutex::default(),
+            state: Mutex::new(State {
+                fence,
+                ..State::default()
+            }),
             ended: Condvar::new(),
             record: Arc::clone(record),
         });
@@ -122,6 +144,13 @@
                 ("capacity", capacity),
                 ("labels", Json::List(vec!["a".into(), "r1-0".into()])),
             ]);
+            let entry = match entry {
+                Json::Table(mut fields) if self.foreign => {
+                    fields.retain(|(name, _)| name != "slots" && name != "cold_left_ms");
+                    Json::Table(fields)
+                }
+                entry => entry,
+            };
             if !store.is_down() {
                 store.put("keyed.servers", &self.id, &entry.to_string());
             }
