--- a/review/3/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,4 @@
 standin=target/review/standin
 edge=target/release/magnolia-edge
 [ -x "$standin" ] && [ -x "$edge" ] || { echo "build first: deploy file and review/build.sh"; exit 2; }
-exec "$standin" lasting-done review/3/record.txt "$edge"
+exec "$standin" hopeless-jobs review/1/record.txt "$edge"
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -228,15 +228,16 @@
 /// The list of executors gets an entry of another writer, which lacks fields.
 fn foreign_entry(cell: &Cell, trouble: bool) -> Verdict {
     let ids: Vec<String> = (1..=10).map(|n| format!("5c0e7a21d94c{n:04x}")).collect();
-    let step = |after: &str| {
-        format!("{{\"count\":2,\"cpu\":500,\"mem_mb\":64,\"est_runtime_ms\":2000{after}}}")
-    };
-    let body = format!(
-        "{{\"spec\":\"2000\",\"phases\":[{},{},{}]}}",
-        step(""),
-        step(",\"after\":[0]"),
-        step(",\"after\":[1]")
-    );
+    // Ten steps of 600 ms, one after the other.
+    let steps = (0..10).map(|number| {
+        let after = match number {
+            0 => String::new(),
+            later => format!(",\"after\":[{}]", later - 1),
+        };
+        format!("{{\"count\":2,\"cpu\":500,\"mem_mb\":64,\"est_runtime_ms\":600{after}}}")
+    });
+    let steps = steps.collect::<Vec<_>>().join(",");
+    let body = format!("{{\"spec\":\"600\",\"phases\":[{steps}]}}");
     for id in &ids {
         if !cell.submit(id, &body) {
             return Verdict::NotRun(format!("job {id} was not accepted"));
