--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -103,7 +103,8 @@
         for executor in &cell.executors {
             executor.end_task(&task, "done");
         }
-        cell.record.line(format!("{task} ends of its own accord, done"));
+        cell.record
+            .line(format!("{task} ends of its own accord, done"));
     }
     // 6 s after the last run of the task, and then 3 s with nothing running; twice as long to be
     // safe.
@@ -117,7 +118,8 @@
         }
     }
     let state = cell.state(ID);
-    cell.record.line(format!("{:?} run; the job is shown as {state}", running()));
+    cell.record
+        .line(format!("{:?} run; the job is shown as {state}", running()));
     if away > 9.0 {
         let missing = TASKS - running().len();
         return Verdict::Broken(format!(
@@ -148,7 +150,8 @@
         let steps = vec!["{\"count\":1,\"cpu\":500}"; STEPS].join(",");
         let large = format!("{{\"spec\":\"500\",\"phases\":[{steps}]}}");
         let accepted = cell.submit(LARGE, &large);
-        cell.record.line(format!("the large job was accepted: {accepted}"));
+        cell.record
+            .line(format!("the large job was accepted: {accepted}"));
     } else {
         seconds(20.0);
     }
@@ -166,8 +169,13 @@
         }
         unanswered += usize::from(!acked);
     }
-    let done = ids[..SMALL_JOBS].iter().filter(|id| cell.state(id) == "completed").count();
-    cell.record.line(format!("{done} of {SMALL_JOBS} jobs whose tasks have ended are completed"));
+    let done = ids[..SMALL_JOBS]
+        .iter()
+        .filter(|id| cell.state(id) == "completed")
+        .count();
+    cell.record.line(format!(
+        "{done} of {SMALL_JOBS} jobs whose tasks have ended are completed"
+    ));
     if unanswered * 10 > cancels.len() {
         return Verdict::Broken(format!(
             "Acks: {unanswered} of {} cancellations of accepted jobs have no 2xx or 410 after 4 s; \
@@ -203,7 +211,9 @@
                 ids.push(id);
             }
             let due = started + (number + 1) * 3800 / JOBS;
-            thread::sleep(Duration::from_millis(due.saturating_sub(cell.record.now_ms())));
+            thread::sleep(Duration::from_millis(
+                due.saturating_sub(cell.record.now_ms()),
+            ));
         }
         seconds(0.5);
     }
@@ -212,9 +222,15 @@
     let waiting = |id: &&String| cell.state(id) == "queued";
     let before: Vec<String> = ids.iter().filter(waiting).cloned().collect();
     seconds(3.0);
-    let after = before.iter().filter(|id| cell.state(id) == "queued").count();
+    let after = before
+        .iter()
+        .filter(|id| cell.state(id) == "queued")
+        .count();
     let starts = cell.record.runs().len();
-    cell.record.line(format!("{starts} starts; {after} of {} sound jobs wait", ids.len()));
+    cell.record.line(format!(
+        "{starts} starts; {after} of {} sound jobs wait",
+        ids.len()
+    ));
     if after > 0 {
         return Verdict::Broken(format!(
             "LOST: {after} of {} jobs that can be done have nothing running for 3 s, 14 s after the \
@@ -246,23 +262,29 @@
     let fence = 1000;
     let _foreign = trouble.then(|| Executor::start_foreign(fence, &cell.store, &cell.record));
     if trouble {
-        cell.record.line(format!("an entry without slots and cold_left_ms; fence {fence}"));
+        cell.record.line(format!(
+            "an entry without slots and cold_left_ms; fence {fence}"
+        ));
     }
     // Each job works for 6 s; `finish_s` after that they are asked for, and 3 s later again. All have
     // steps whose turn has come until they are completed.
     seconds(6.0 + 14.0);
     let runs = || cell.record.runs().len();
-    let idle = || cell.executors.iter().all(|executor| executor.running().is_empty());
+    let idle = || {
+        cell.executors
+            .iter()
+            .all(|executor| executor.running().is_empty())
+    };
     let (before, was_idle) = (runs(), idle());
     let first: Vec<String> = ids.iter().map(|id| cell.state(id)).collect();
     seconds(3.0);
     let stalled = was_idle && idle() && runs() == before;
     let second: Vec<String> = ids.iter().map(|id| cell.state(id)).collect();
-    let unfinished = |(before, after): &(&String, &String)| {
-        *before != "completed" && *after != "completed"
-    };
+    let unfinished =
+        |(before, after): &(&String, &String)| *before != "completed" && *after != "completed";
     let waiting = first.iter().zip(&second).filter(unfinished).count();
-    cell.record.line(format!("{before} starts; nothing runs: {stalled}"));
+    cell.record
+        .line(format!("{before} starts; nothing runs: {stalled}"));
     if waiting > 0 && stalled {
         return Verdict::Broken(format!(
             "LOST: {waiting} of {} accepted jobs are unfinished with nothing running; asked for, \
--- a/review/standin/cell.rs
+++ b/review/standin/cell.rs
@@ -93,7 +93,8 @@
             .stderr(Stdio::from(log))
             .spawn()
             .ok()?;
-        self.record.line(format!("started {name}, process {}", child.id()));
+        self.record
+            .line(format!("started {name}, process {}", child.id()));
         lock(&self.children).push(child);
         self.fronts.push(front);
         self.controls.push(control);
@@ -118,7 +119,13 @@
     }
 
     /// Sends a request of a client, and records it and the answer.
-    pub fn request(&self, front: usize, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
+    pub fn request(
+        &self,
+        front: usize,
+        method: &str,
+        id: &str,
+        body: &str,
+    ) -> Option<(u16, String)> {
         let path = format!("{PREFIX}{id}");
         let address = self.fronts[front % self.fronts.len()];
         let sent = self.record.now_ms();
@@ -128,7 +135,9 @@
             None => "no answer".to_owned(),
         };
         let size = body.len();
-        self.record.line(format!("{method} {id} ({size} bytes) sent at {sent}: {text}"));
+        self.record.line(format!(
+            "{method} {id} ({size} bytes) sent at {sent}: {text}"
+        ));
         answer
     }
 
--- a/review/standin/executor.rs
+++ b/review/standin/executor.rs
@@ -80,7 +80,9 @@
         store: &Arc<Store>,
         record: &Arc<Record>,
     ) -> Arc<Self> {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("after 1970");
         let executor = Arc::new(Self {
             id: format!("i-{number:04}"),
             cpu,
@@ -166,7 +168,9 @@
             .running
             .iter()
             .filter_map(|(task, active)| {
-                let done = active.work.is_some_and(|work| active.started.elapsed() >= work);
+                let done = active
+                    .work
+                    .is_some_and(|work| active.started.elapsed() >= work);
                 let how = if lapsed { "lapsed" } else { "done" };
                 (lapsed || done).then(|| (task.clone(), how))
             })
@@ -207,7 +211,10 @@
     }
 
     fn answer(&self, request: &Request) -> Option<Response> {
-        if request.header("x-target-instance").is_some_and(|id| id != self.id) {
+        if request
+            .header("x-target-instance")
+            .is_some_and(|id| id != self.id)
+        {
             return Some((421, self.body(None)));
         }
         let text = String::from_utf8_lossy(&request.body);
@@ -237,7 +244,11 @@
         if order.number("until_ms") <= self.clock() {
             return (409, self.body(Some("late")));
         }
-        if state.running.get(&task).is_some_and(|active| active.run == run) {
+        if state
+            .running
+            .get(&task)
+            .is_some_and(|active| active.run == run)
+        {
             return (200, self.body(None));
         }
         self.extend_lease(&mut state, order.number("until_ms"));
@@ -267,7 +278,11 @@
         state.fence = order.number("fencing_token");
         let closed = state.closed.entry(task.clone()).or_default();
         *closed = (*closed).max(run);
-        if state.running.get(&task).is_some_and(|active| active.run <= run) {
+        if state
+            .running
+            .get(&task)
+            .is_some_and(|active| active.run <= run)
+        {
             self.end_run(&mut state, &task, "stopped");
         }
         (200, self.body(None))
@@ -283,7 +298,11 @@
             self.extend_lease(&mut state, order.number("until_ms"));
         }
         let acked = order.number("acked_through");
-        for end in state.ends.iter().filter(|end| end.number <= acked && !end.lapsed) {
+        for end in state
+            .ends
+            .iter()
+            .filter(|end| end.number <= acked && !end.lapsed)
+        {
             self.record.noted(end.index);
         }
         state.ends.retain(|end| end.number > acked);
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -17,8 +17,14 @@
 impl Request {
     /// Returns a parameter of the query.
     pub fn parameter(&self, name: &str) -> Option<&str> {
-        let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
+        let pairs = self
+            .query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='));
+        pairs
+            .into_iter()
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value)
     }
 
     /// Returns a numeric parameter of the query.
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -119,7 +119,9 @@
             }
         }
         lines.sort_by_key(|(at, _)| *at);
-        let lines = lines.iter().map(|(at, text)| format!("{at:>7} ms  {text}\n"));
+        let lines = lines
+            .iter()
+            .map(|(at, text)| format!("{at:>7} ms  {text}\n"));
         lines.collect()
     }
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -60,7 +60,11 @@
     /// While the store is down, every call is answered with 503 and nothing is done.
     pub fn set_down(&self, down: bool) {
         *lock(&self.down) = down;
-        let text = if down { "store down: 503 to every call" } else { "store back" };
+        let text = if down {
+            "store down: 503 to every call"
+        } else {
+            "store back"
+        };
         self.record.line(text);
     }
 
@@ -72,7 +76,9 @@
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let mut topics = lock(&self.topics);
         let topic = topics.entry(topic.to_owned()).or_default();
-        topic.records.push((key.to_owned(), value.as_bytes().to_vec()));
+        topic
+            .records
+            .push((key.to_owned(), value.as_bytes().to_vec()));
         self.changed.notify_all();
     }
 
