Wait for the lease of an executor that refuses connections

Cause: the renewal loop took two refused connections in a row for the end of the executor's process and gave up its runs while their lease was in force; a new owner counted such an executor as settled and started the tasks that an earlier owner had left there.

Change: a failed renewal makes an executor unresponsive and nothing more; its runs are lost when their lease has expired or a later life answers. The lease bounds every run whatever the path does. The test of apply_gone, which is gone, is replaced by one that asks for the whole lease.

--- a/crates/magnolia-http/src/error.rs
+++ b/crates/magnolia-http/src/error.rs
@@ -3,7 +3,8 @@
 /// Why a call returned no answer.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum HttpError {
-    /// The peer refused the connection because no process listens on the port.
+    /// The connection was refused: no process listens on the port, or a device on the path rejects
+    /// connections to a process that runs.
     #[error("connection refused")]
     Refused,
     /// The request was not sent: it could not be built, no connection was available in time, or
--- a/crates/magnolia-node/src/executor_loop.rs
+++ b/crates/magnolia-node/src/executor_loop.rs
@@ -18,9 +18,6 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay between renewals while reported ends are not stored.
 const UNSTORED_DELAY: Duration = Duration::from_millis(300);
-/// Consecutive refused connections after which the executor's process counts as gone. A single one
-/// may be due to a listener that is being replaced.
-const REFUSALS_UNTIL_GONE: u32 = 2;
 /// Delay after a failed renewal, times the number of consecutive failures.
 const FAILURE_DELAY: Duration = Duration::from_millis(100);
 /// Longest delay after failed renewals.
@@ -48,7 +45,6 @@
 /// Renews the lease of an executor until the scheduler no longer uses it.
 async fn renew_executor(session: Arc<OwnerSession>, id: ExecutorId) {
     let mut failures = 0u32;
-    let mut refusals = 0u32;
     let mut stored_batches = session.committer.stored_batches();
     loop {
         if session.is_isolated() {
@@ -61,7 +57,7 @@
         };
         match renew_once(&session, &entry, &plan).await {
             Ok(true) => {
-                (failures, refusals) = (0, 0);
+                failures = 0;
                 // The next renewal acknowledges the ends, so they have to be stored first.
                 let stored = async {
                     while session.lock().has_unstored_ends(&id) {
@@ -75,10 +71,10 @@
                 }
                 sleep(COLLECT_DELAY).await;
             }
-            Ok(false) => (failures, refusals) = (0, 0),
+            Ok(false) => failures = 0,
             Err(error) => {
                 failures += 1;
-                handle_failure(&session, &entry, &error, failures, &mut refusals);
+                handle_failure(&session, &entry, &error, failures);
                 let delay = FAILURE_DELAY * failures.min(6);
                 sleep(delay.min(MAX_FAILURE_DELAY)).await;
             }
@@ -123,37 +119,26 @@
     Ok(unstored)
 }
 
-/// Tells the scheduler what a failed renewal says about the executor.
+/// Tells the scheduler what a failed renewal says about the executor. No failure shows that the
+/// executor's process has ended: a firewall can refuse connections to a process that runs on, so its
+/// runs are lost only when their lease expires or a later life of the executor answers.
 fn handle_failure(
     session: &Arc<OwnerSession>,
     entry: &ExecutorEntry,
     error: &OrderError,
     failures: u32,
-    refusals: &mut u32,
 ) {
     if *error == OrderError::Fenced {
         session.lock().apply_fenced();
         session.close("an executor knows a later epoch");
         return;
     }
-    if *error == OrderError::NoProcess {
-        *refusals += 1;
-    } else {
-        *refusals = 0;
-    }
-    if *refusals >= REFUSALS_UNTIL_GONE {
-        session.lock().apply_gone(&entry.id, session.now());
-        session.request_plan();
-    }
     if failures <= 2 {
         log::info!(executor:% = entry.id, error:% = error; "lease renewal failed");
     }
     // If the answer to a renewal was lost or a refusal, the executor counts as unreachable only
     // after the next renewal fails as well.
-    let unreachable = matches!(
-        error,
-        OrderError::NoProcess | OrderError::NotSent(_) | OrderError::OtherExecutor
-    );
+    let unreachable = matches!(error, OrderError::NotSent(_) | OrderError::OtherExecutor);
     if unreachable || failures > 1 {
         session.lock().apply_unreachable(&entry.id);
     }
--- a/crates/magnolia-node/src/owner_tests.rs
+++ b/crates/magnolia-node/src/owner_tests.rs
@@ -30,8 +30,8 @@
     async { Err(StoreError::Busy("away".into())) }.boxed()
 }
 
-fn no_process<T: Send + 'static>() -> BoxFuture<'static, Result<T, OrderError>> {
-    async { Err(OrderError::NoProcess) }.boxed()
+fn unreachable<T: Send + 'static>() -> BoxFuture<'static, Result<T, OrderError>> {
+    async { Err(OrderError::NotSent("connection refused".into())) }.boxed()
 }
 
 impl StreamStore for AbsentPlatform {
@@ -69,7 +69,7 @@
         _: Epoch,
         _: &'a RenewalPlan,
     ) -> BoxFuture<'a, Result<ExecutorReport, OrderError>> {
-        no_process()
+        unreachable()
     }
 
     fn start<'a>(
@@ -87,7 +87,7 @@
         _: Epoch,
         _: &'a StopOrder,
     ) -> BoxFuture<'a, Result<(), OrderError>> {
-        no_process()
+        unreachable()
     }
 
     fn pace<'a>(
@@ -96,7 +96,7 @@
         _: Epoch,
         _: &'a PaceOrder,
     ) -> BoxFuture<'a, Result<(), OrderError>> {
-        no_process()
+        unreachable()
     }
 }
 
--- a/crates/magnolia-node/src/ports.rs
+++ b/crates/magnolia-node/src/ports.rs
@@ -145,9 +145,6 @@
     /// Another executor answers at the address.
     #[error("another executor answers at the address")]
     OtherExecutor,
-    /// No process listens at the address.
-    #[error("no process listens at the address")]
-    NoProcess,
     /// The order did not reach the executor.
     #[error("order not sent: {0}")]
     NotSent(Arc<str>),
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -142,8 +142,7 @@
     pub(crate) listed: bool,
     pub(crate) lease: ExecutorLease,
     /// Whether nothing of an earlier owner can start there any more: the executor has answered in
-    /// this epoch, after which it rejects older orders, or its process is gone, or `settles_at` has
-    /// passed.
+    /// this epoch, after which it rejects older orders, or `settles_at` has passed.
     pub(crate) settled: bool,
     /// Whether an earlier owner had it in use and may have started tasks there.
     pub(crate) inherited: bool,
--- a/crates/magnolia-scheduler/src/lost_runs.rs
+++ b/crates/magnolia-scheduler/src/lost_runs.rs
@@ -1,7 +1,7 @@
 //! Runs of lost executors. Their tasks start again only after ownership has been confirmed.
 //!
-//! An owner counts runs as lost when the lease that it granted has expired, or when the executor's
-//! process has ended or restarted. A later owner may have renewed that lease and stored the ends of
+//! An owner counts runs as lost when the lease that it granted has expired, or when a later life of
+//! the executor has answered. A later owner may have renewed that lease and stored the ends of
 //! the runs before, for example while this owner was paused. If the claim is still the newest one
 //! after the loss, no later owner has had a part in these runs.
 
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -420,22 +420,6 @@
         self.superseded = true;
     }
 
-    /// Records that no process listens at an executor's address any more, so that nothing runs
-    /// there.
-    pub fn apply_gone(&mut self, id: &ExecutorId, now: Millis) {
-        let Some(executor_index) = self.executors.index_of(id) else {
-            return;
-        };
-        let executor = self.executors.get_mut(executor_index);
-        executor.last_answer_at = None;
-        executor.settled = true;
-        if !executor.runs.is_empty() {
-            log::info!(executor:% = id; "executor process is gone; its runs are lost");
-            self.lose_all_runs(executor_index, now);
-        }
-        self.retire_executor(executor_index);
-    }
-
     /// Records that an executor can't be reached, or that another one answers at its address.
     pub fn apply_unreachable(&mut self, id: &ExecutorId) {
         if let Some(executor_index) = self.executors.index_of(id) {
--- a/crates/magnolia-scheduler/tests/lost_runs.rs
+++ b/crates/magnolia-scheduler/tests/lost_runs.rs
@@ -60,12 +60,22 @@
 );
 
 test_case!(
-    /// Guards against the same when the executor's process has ended.
-    a_task_of_an_ended_process_moves_only_if_ownership_is_confirmed,
+    /// Guards against a second run of a task whose executor can't be reached: until the lease has
+    /// expired, the run goes on.
+    a_task_of_an_unreachable_executor_moves_only_after_its_lease,
     || {
         let mut harness = SchedulerHarness::new(1, 2);
         let (order, lost) = start_task(&mut harness);
-        harness.scheduler.apply_gone(&id(lost), harness.now);
+        let lease_end = order.lease_until;
+        while harness.now < lease_end {
+            harness.scheduler.apply_unreachable(&id(lost));
+            harness.advance(200);
+            harness.report(1 - lost, vec![], vec![]);
+            if harness.now <= lease_end {
+                assert!(harness.start_tasks().is_empty(), "at {}", harness.now);
+            }
+        }
+        expire_lease(&mut harness, lost);
         check_confirmation(&mut harness, &order);
     }
 );
@@ -95,7 +105,7 @@
     || {
         let mut harness = SchedulerHarness::new(1, 2);
         let (order, lost) = start_task(&mut harness);
-        harness.scheduler.apply_gone(&id(lost), harness.now);
+        expire_lease(&mut harness, lost);
         harness.report(lost, vec![running(&order)], vec![]);
         assert_eq!(harness.scheduler.take_actions(), vec![], "nothing is stopped");
         harness.advance(200);
