Plan the steps behind those that no executor can run

Callers saw accepted jobs that stayed queued for good while all executors were idle (LOST).

Cause: a planning pass considers the first 48 ready steps of each priority. Steps that no executor can run stay at the head of the order, so that 48 of them use up every pass. Admission counted their work as backlog, and the reservations of hopeless long-running tasks as used.

Change: a step counts against the limit only if one of its tasks can start now and the executors that accept work would have room for it if nothing else ran there.

--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -14,6 +14,7 @@
 use crate::ordering::WorkMean;
 use crate::record::JobRecord;
 use crate::step::{StepState, TaskPhase, TaskState};
+use crate::step_selection::UnplaceableSteps;
 use crate::{
     CellAction, CellRules, ExecutorLife, ExecutorRecord, JobKey, JobSpec, JobStatus, QueueName,
     QueueRules, SchedulerSettings, ServiceName, StepRef, TaskRef,
@@ -92,6 +93,8 @@
     pub(crate) executors: ExecutorTable,
     /// Steps that can start tasks, in the order in which they are planned.
     pub(crate) ready: BTreeSet<ReadyKey>,
+    /// Ready steps that no executor could run even if it were idle.
+    pub(crate) unplaceable: UnplaceableSteps,
     pub(crate) eligibility_queue: EligibilityQueue,
     /// Moving mean of the share of named executors that were eligible, by queue.
     pub(crate) eligible_share: HashMap<QueueName, f64>,
@@ -128,6 +131,7 @@
             live: BTreeSet::new(),
             executors: ExecutorTable::default(),
             ready: BTreeSet::new(),
+            unplaceable: UnplaceableSteps::default(),
             eligibility_queue: EligibilityQueue::new(),
             eligible_share: HashMap::new(),
             work_means: HashMap::new(),
@@ -156,6 +160,7 @@
     pub fn set_rules(&mut self, rules: Arc<CellRules>) {
         if rules.version >= self.rules.version {
             self.rules = rules;
+            self.unplaceable.clear();
         }
     }
 
@@ -221,9 +226,12 @@
         let position = |job: &JobState| (job.rules.priority, job.order_unix_ms);
         let competing = self
             .live_jobs_of(&rules.service)
-            .filter(|job| job.rules.priority <= rules.priority);
+            .filter(|(_, job)| job.rules.priority <= rules.priority);
         let backlog_work = competing
-            .map(|job| open_work(job, position(job) <= position(new)))
+            .map(|(key, job)| {
+                let comes_first = position(job) <= position(new);
+                open_work(key, job, comes_first, &self.unplaceable)
+            })
             .fold(0, u64::saturating_add);
         let critical_path = spec.critical_path();
         AdmissionLoad {
@@ -236,9 +244,10 @@
     }
 
     /// Returns the jobs of a service whose end is not stored.
-    fn live_jobs_of(&self, service: &ServiceName) -> impl Iterator<Item = &JobState> {
-        let live = self.live.iter().filter_map(|key| self.jobs.get(key));
-        live.filter(move |job| job.rules.service == *service)
+    fn live_jobs_of(&self, service: &ServiceName) -> impl Iterator<Item = (JobKey, &JobState)> {
+        let live = self.live.iter();
+        live.filter_map(|key| Some((*key, self.jobs.get(key)?)))
+            .filter(move |(_, job)| job.rules.service == *service)
     }
 
     /// Returns the processors of the queue's service, less those that its long-running jobs
@@ -251,9 +260,11 @@
         let total: u64 = executors
             .map(|(_, executor)| executor.entry.capacity.cpu_millis.get())
             .sum();
-        let lasting = |job: &&JobState| job.spec.as_ref().is_some_and(|spec| spec.is_lasting());
-        let reserved = self.live_jobs_of(&rules.service).filter(lasting);
-        let reserved = reserved.map(reserved_cpu);
+        let lasting = |job: &JobState| job.spec.as_ref().is_some_and(|spec| spec.is_lasting());
+        let reserved = self
+            .live_jobs_of(&rules.service)
+            .filter(|(_, job)| lasting(job))
+            .map(|(key, job)| reserved_cpu(key, job, &self.unplaceable));
         let reserved = reserved.fold(0, u64::saturating_add);
         total.saturating_sub(reserved)
     }
@@ -457,19 +468,29 @@
 }
 
 /// Returns the remaining work of a job, in core-milliseconds. Tasks that run count half; tasks that
-/// wait count only with `comes_first`. Long-running jobs and filler steps don't count.
-fn open_work(job: &JobState, comes_first: bool) -> u64 {
+/// wait count only with `comes_first`, and not in steps that can't proceed. Long-running jobs and
+/// filler steps don't count.
+fn open_work(
+    key: JobKey,
+    job: &JobState,
+    comes_first: bool,
+    unplaceable: &UnplaceableSteps,
+) -> u64 {
     let Some(spec) = job.spec.as_ref().filter(|spec| !spec.is_lasting()) else {
         return 0;
     };
-    let occurrences = job.occurrences.iter();
-    let of_steps = occurrences.flat_map(|occurrence| occurrence.steps.iter().zip(&spec.steps));
+    let occurrences = (0u32..).zip(&job.occurrences);
+    let of_steps = occurrences.flat_map(|(number, occurrence)| {
+        let stuck = unplaceable.stuck_steps(key, number, job);
+        let steps = occurrence.steps.iter().zip(&spec.steps);
+        steps.zip(stuck)
+    });
     of_steps
-        .filter(|(_, spec)| !spec.filler)
-        .map(|(step, spec)| {
+        .filter(|((_, spec), _)| !spec.filler)
+        .map(|((step, spec), stuck)| {
             let open = u64::from(spec.tasks.saturating_sub(step.done));
             let waiting = u64::from(step.waiting);
-            let halves = if comes_first {
+            let halves = if comes_first && !stuck {
                 open + waiting
             } else {
                 open.saturating_sub(waiting)
@@ -479,14 +500,19 @@
         .fold(0, u64::saturating_add)
 }
 
-/// Returns the processors that the tasks of a job reserve or will reserve, in thousandths.
-fn reserved_cpu(job: &JobState) -> u64 {
-    let spec = job.spec.iter().flat_map(|spec| &spec.steps);
-    spec.map(|step| {
-        let cpu_millis = step.reserved().cpu_millis.get();
-        cpu_millis.saturating_mul(u64::from(step.tasks))
-    })
-    .fold(0, u64::saturating_add)
+/// Returns the processors that the tasks of a long-running job reserve or will reserve, in
+/// thousandths. Steps that can't proceed reserve nothing.
+fn reserved_cpu(key: JobKey, job: &JobState, unplaceable: &UnplaceableSteps) -> u64 {
+    let steps = job.spec.iter().flat_map(|spec| &spec.steps);
+    let stuck = unplaceable.stuck_steps(key, 0, job);
+    steps
+        .zip(stuck)
+        .filter(|(_, stuck)| !stuck)
+        .map(|(step, _)| {
+            let cpu_millis = step.reserved().cpu_millis.get();
+            cpu_millis.saturating_mul(u64::from(step.tasks))
+        })
+        .fold(0, u64::saturating_add)
 }
 
 impl CellScheduler {
--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -43,6 +43,7 @@
 mod rules;
 mod settings;
 mod step;
+mod step_selection;
 mod takeover;
 
 pub use actions::{CellAction, EligibilityOrder, PaceOrder, StartOrder, StopOrder};
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -47,6 +47,7 @@
 
     /// Adds a step to the ready set or removes it, depending on whether it can start tasks.
     pub(crate) fn update_ready(&mut self, step: StepRef) {
+        self.unplaceable.remove(step);
         let Some(job) = self.jobs.get(&step.job) else {
             return;
         };
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -9,13 +9,10 @@
 use crate::executors::ExecutorIndex;
 use crate::placement::{Candidate, choose_executor};
 use crate::reports::filler_cpu;
-use crate::step::{StepState, TaskPhase};
+use crate::step::{StepState, TaskPhase, TaskState};
 use crate::takeover::TakeoverBlock;
 use crate::{CellAction, QueueRules, RunNumber, StartOrder, StepRef, StepSpec, TaskRef};
 
-/// Most steps of one priority that a planning pass considers. Steps behind them wait for the same
-/// capacity.
-const STEPS_PER_PASS: usize = 48;
 /// Priority of urgent steps, which may preempt runs of lower priority; 0 is the highest.
 pub(crate) const PREEMPTING_PRIORITY: u32 = 0;
 
@@ -115,22 +112,8 @@
 
     /// Starts the tasks that can start and queues eligibility requests for the others.
     pub fn plan(&mut self, now: Millis) {
-        let mut considered = std::collections::BTreeMap::new();
-        let mut keys = Vec::new();
         let block = self.takeover_block();
-        for key in &self.ready {
-            // Steps of which no task can start don't count against `STEPS_PER_PASS`, so that they
-            // don't hold up the steps behind them.
-            if block.all && self.is_inherited(key.step) {
-                continue;
-            }
-            let count: &mut usize = considered.entry(key.priority).or_default();
-            *count += 1;
-            if *count <= STEPS_PER_PASS {
-                keys.push(*key);
-            }
-        }
-        for key in keys {
+        for key in self.steps_to_plan(&block, now) {
             self.plan_step(key, &block, now);
         }
         for order in self.eligibility_queue.dispatch() {
@@ -422,11 +405,16 @@
 fn startable_tasks(state: &StepState, now: Millis) -> Vec<u32> {
     (0u32..)
         .zip(&state.tasks)
-        .filter(|(_, task)| task.phase == TaskPhase::Waiting && now >= task.not_before)
+        .filter(|(_, task)| is_startable(task, now))
         .map(|(index, _)| index)
         .collect()
 }
 
+/// Tells whether a task waits and is not delayed after a failed run.
+pub(crate) fn is_startable(task: &TaskState, now: Millis) -> bool {
+    task.phase == TaskPhase::Waiting && now >= task.not_before
+}
+
 /// Returns the executors on which waiting tasks of the step last failed or hung.
 fn avoided_executors(state: &StepState) -> BTreeSet<ExecutorIndex> {
     let waiting = state
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -50,7 +50,12 @@
         if entry.life > known.entry.life {
             self.replace_life(executor_index, entry.life, now);
         }
-        self.executors.get_mut(executor_index).entry = entry;
+        let known = &mut self.executors.get_mut(executor_index).entry;
+        let same_use = known.service == entry.service && known.labels == entry.labels;
+        if !same_use || known.capacity != entry.capacity {
+            self.unplaceable.clear();
+        }
+        *known = entry;
     }
 
     /// Records that an executor is no longer in the platform's list.
@@ -463,6 +468,7 @@
             *share += (seen - *share) * ELIGIBLE_SHARE_WEIGHT;
         }
         let valid = answer.map_or(Millis::new(0), |answer| answer.valid);
+        self.unplaceable.remove(step);
         let Some(state) = self.step_state_mut(step) else {
             return;
         };
--- /dev/null
+++ b/crates/magnolia-scheduler/src/step_selection.rs
@@ -0,0 +1,131 @@
+//! Selection of the steps that a planning pass considers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use magnolia_types::Millis;
+
+use crate::cell::{CellScheduler, ReadyKey};
+use crate::executors::ExecutorIndex;
+use crate::job::JobState;
+use crate::planning::{is_startable, is_suitable};
+use crate::takeover::TakeoverBlock;
+use crate::{JobKey, StepRef};
+
+/// Most steps of one priority that a planning pass considers. Steps behind them wait for the same
+/// capacity.
+const STEPS_PER_PASS: usize = 48;
+
+/// Ready steps that no executor could run even if it were idle, as of the last planning pass: none
+/// has their label, is large enough, is eligible, or accepts work at all.
+#[derive(Debug, Default)]
+pub(crate) struct UnplaceableSteps {
+    steps: BTreeSet<StepRef>,
+    /// Executors that accepted work when the steps were found.
+    accepting: Vec<ExecutorIndex>,
+}
+
+impl UnplaceableSteps {
+    /// Forgets what was found about a step whose tasks or eligibility have changed.
+    pub(crate) fn remove(&mut self, step: StepRef) {
+        self.steps.remove(&step);
+    }
+
+    /// Forgets all steps after a change of executors or rules.
+    pub(crate) fn clear(&mut self) {
+        self.steps.clear();
+    }
+
+    /// Returns, for each step of an occurrence of a job, whether it can't proceed: it is unplaceable
+    /// or depends on such a step. While no executor accepts work, nothing is known about steps.
+    pub(crate) fn stuck_steps(&self, key: JobKey, occurrence: u32, job: &JobState) -> Vec<bool> {
+        let steps = job.spec.as_ref().map_or(&[][..], |spec| &spec.steps);
+        if self.steps.is_empty() || self.accepting.is_empty() {
+            return vec![false; steps.len()];
+        }
+        let mut stuck: Vec<bool> = Vec::with_capacity(steps.len());
+        for (number, spec) in (0u16..).zip(steps) {
+            let step = StepRef {
+                job: key,
+                occurrence,
+                step: number,
+            };
+            let unplaceable = self.steps.contains(&step);
+            let waits_for = |after: &u16| stuck.get(usize::from(*after)).is_some_and(|s| *s);
+            stuck.push(unplaceable || spec.after.iter().any(waits_for));
+        }
+        stuck
+    }
+}
+
+impl CellScheduler {
+    /// Returns the steps to plan, in order. Steps of which no task can start, whatever capacity
+    /// becomes free, don't count against [`STEPS_PER_PASS`]: there may be any number of them, for any
+    /// time, and the steps behind them must not wait for them.
+    pub(crate) fn steps_to_plan(&mut self, block: &TakeoverBlock, now: Millis) -> Vec<ReadyKey> {
+        let accepting: Vec<ExecutorIndex> = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| executor.accepts_work(now))
+            .map(|(executor_index, _)| executor_index)
+            .collect();
+        if accepting != self.unplaceable.accepting {
+            self.unplaceable.clear();
+            self.unplaceable.accepting = accepting;
+        }
+        let mut considered: BTreeMap<u32, usize> = BTreeMap::new();
+        let mut keys = Vec::new();
+        let mut found = Vec::new();
+        for key in &self.ready {
+            let count = considered.entry(key.priority).or_default();
+            let blocked = block.all && self.is_inherited(key.step);
+            if blocked || *count >= STEPS_PER_PASS || self.unplaceable.steps.contains(&key.step) {
+                continue;
+            }
+            if !self.has_startable_task(key.step, now) {
+                continue;
+            }
+            if self.fits_idle_executors(key.step) {
+                *count += 1;
+                keys.push(*key);
+            } else {
+                found.push(key.step);
+            }
+        }
+        self.unplaceable.steps.extend(found);
+        keys
+    }
+
+    fn has_startable_task(&self, step: StepRef, now: Millis) -> bool {
+        self.step_state(step)
+            .is_some_and(|state| state.tasks.iter().any(|task| is_startable(task, now)))
+    }
+
+    /// Tells whether the executors that accept work could start a task of the step, or the whole gang,
+    /// if nothing else ran there.
+    fn fits_idle_executors(&self, step: StepRef) -> bool {
+        let (Some(job), Some(state)) = (self.jobs.get(&step.job), self.step_state(step)) else {
+            return false;
+        };
+        let Some(spec) = self.step_spec(step) else {
+            return false;
+        };
+        let rules = self.rules.queues.get(&job.rules.name);
+        let rules = rules.unwrap_or(&job.rules);
+        let wanted = if spec.gang { state.tasks.len() } else { 1 };
+        let mut fitting = 0usize;
+        for executor_index in &self.unplaceable.accepting {
+            let executor = self.executors.get(*executor_index);
+            let ineligible = state.eligibility.ineligible.contains(executor_index);
+            if ineligible || !is_suitable(executor, spec, rules) {
+                continue;
+            }
+            let capacity = executor.entry.capacity;
+            let here = self.fitting_tasks(executor, spec, rules, step, capacity);
+            fitting = fitting.saturating_add(usize::try_from(here).unwrap_or(usize::MAX));
+            if fitting >= wanted {
+                return true;
+            }
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/magnolia-scheduler/tests/step_selection.rs
@@ -0,0 +1,125 @@
+//! Tests of the steps that a planning pass considers: those that can't start hold up no others.
+
+mod common;
+mod harness;
+
+use std::sync::Arc;
+
+use common::test_case;
+use harness::{CAPACITY, SchedulerHarness, entry, id};
+use magnolia_bench::load_simulation::{job, queue, step};
+use magnolia_scheduler::{JobKey, JobSpec, ServiceName, StepSpec};
+use magnolia_types::Millis;
+
+/// Jobs that can't start, more than a planning pass considers.
+const HOPELESS_JOBS: u64 = 200;
+/// Key of the job that can start.
+const SOUND_JOB: u64 = 900;
+
+/// Returns a job of one step of one short task, changed by `change`.
+fn changed_job(change: impl FnOnce(&mut StepSpec)) -> JobSpec {
+    let mut step = step(1, 1000, 20, vec![]);
+    change(&mut step);
+    job(vec![step])
+}
+
+/// Submits jobs that can't start, stores them and plans after each.
+fn submit_hopeless(harness: &mut SchedulerHarness, hopeless: &JobSpec) {
+    for key in 1..=HOPELESS_JOBS {
+        harness.submit(key, hopeless.clone());
+        harness.store_batch();
+        assert!(harness.start_tasks().is_empty());
+    }
+}
+
+/// Checks that a job behind the hopeless ones starts.
+fn check_sound_job_starts(harness: &mut SchedulerHarness) {
+    harness.submit(SOUND_JOB, changed_job(|_| ()));
+    harness.store_batch();
+    let starts = harness.start_tasks();
+    assert_eq!(starts.len(), 1, "{starts:?}");
+    assert_eq!(starts[0].task.step.job, JobKey::new(SOUND_JOB));
+}
+
+/// Defines a test in which jobs whose step is changed by `$change` hold up no later job.
+macro_rules! hopeless_case {
+    ($(#[$meta:meta])* $name:ident, $change:expr) => {
+        test_case!(
+            $(#[$meta])*
+            $name,
+            || {
+                let mut harness = SchedulerHarness::new(1, 2);
+                submit_hopeless(&mut harness, &changed_job($change));
+                check_sound_job_starts(&mut harness);
+            }
+        );
+    };
+}
+
+hopeless_case!(
+    /// Guards against jobs that need a label of no executor and keep all later ones from starting.
+    steps_with_an_unknown_label_hold_up_no_others,
+    |step: &mut StepSpec| step.label = Some("no-such-label".into())
+);
+
+hopeless_case!(
+    /// Guards against the same for tasks larger than any executor.
+    steps_too_large_for_any_executor_hold_up_no_others,
+    |step: &mut StepSpec| step.need.cpu_millis = magnolia_types::CpuMillis::new(CAPACITY + 1)
+);
+
+hopeless_case!(
+    /// Guards against the same for gangs larger than all executors together.
+    gangs_too_large_for_all_executors_hold_up_no_others,
+    |step: &mut StepSpec| {
+        step.gang = true;
+        step.tasks = 100;
+    }
+);
+
+test_case!(
+    /// Guards against a service without executors that holds up the queues of another service.
+    steps_of_a_service_without_executors_hold_up_no_others,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let sound = Arc::clone(&harness.rules);
+        let mut rules = queue("away", 2, 0, 0);
+        rules.service = ServiceName::new("away").expect("valid name");
+        harness.rules = Arc::new(rules);
+        submit_hopeless(&mut harness, &changed_job(|_| ()));
+        harness.rules = sound;
+        check_sound_job_starts(&mut harness);
+    }
+);
+
+test_case!(
+    /// Guards against a step that stays out of the planning pass when an executor for it appears.
+    steps_start_once_a_suitable_executor_is_listed,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        harness.submit(1, changed_job(|step| step.label = Some("gpu".into())));
+        harness.store_batch();
+        assert!(harness.start_tasks().is_empty());
+        harness.scheduler.upsert_executor(entry(2, "gpu"), harness.now);
+        harness.report_from_all(3);
+        let starts = harness.start_tasks();
+        assert_eq!(starts.len(), 1, "{starts:?}");
+        assert_eq!(starts[0].executor, id(2));
+    }
+);
+
+test_case!(
+    /// Guards against hopeless work that counts as backlog, so that all later jobs are refused.
+    hopeless_work_refuses_no_later_job,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let wide = |label: Option<Arc<str>>| changed_job(|step| {
+            step.tasks = 4;
+            step.estimate = Millis::new(5000);
+            step.label = label;
+        });
+        // The harness fails if a submission is refused.
+        submit_hopeless(&mut harness, &wide(Some("no-such-label".into())));
+        harness.submit(SOUND_JOB, wide(None));
+    }
+);
