Ask for eligibility while every possible executor has room

Jobs of a queue that needs eligibility could stay queued on an idle cell.

Cause: a request is sent only if the mean share of eligible executors promises enough starts, and only answers change that mean. Some 30 steps that are eligible nowhere lower it so far that no step of the queue asks again.

Change: a step asks in any case while every executor that may be eligible has free capacity for it.

--- a/crates/magnolia-scheduler/src/eligibility.rs
+++ b/crates/magnolia-scheduler/src/eligibility.rs
@@ -87,10 +87,13 @@
             .map(|candidate| candidate.fitting_tasks.min(wanted))
             .sum();
         let expected_tasks = f64::from(known_capacity) + f64::from(of_unknown) * share;
-        let needed_tasks = if gang {
-            f64::from(wanted)
-        } else if urgent {
+        // If every executor that may be eligible has free capacity, waiting makes no later request
+        // more useful, however few of the queue's steps were eligible before.
+        let all_free = candidates.full == 0;
+        let needed_tasks = if urgent || all_free {
             0.0
+        } else if gang {
+            f64::from(wanted)
         } else {
             (f64::from(wanted) * self.settings.eligibility_fit_share).max(MIN_EXPECTED_TASKS)
         };
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -25,6 +25,8 @@
     pub(crate) unknown: Vec<Candidate>,
     /// Eligible, but the ticket has expired or belongs to an earlier life of the executor.
     pub(crate) expired: Vec<Candidate>,
+    /// Number of executors that may be eligible but have no free capacity for the step.
+    pub(crate) full: usize,
 }
 
 impl CellScheduler {
@@ -205,6 +207,7 @@
             }
             let fitting = self.fitting_tasks(executor, spec, rules, step, executor.free());
             if fitting == 0 {
+                candidates.full += 1;
                 continue;
             }
             let candidate = new_candidate(
--- a/crates/magnolia-scheduler/tests/step_selection.rs
+++ b/crates/magnolia-scheduler/tests/step_selection.rs
@@ -8,7 +8,9 @@
 use common::test_case;
 use harness::{CAPACITY, SchedulerHarness, entry, id};
 use magnolia_bench::load_simulation::{job, queue, step};
-use magnolia_scheduler::{JobKey, JobSpec, ServiceName, StepSpec};
+use magnolia_scheduler::{
+    CellAction, CellRules, CellVersion, EligibilityAnswer, JobKey, JobSpec, ServiceName, StepSpec,
+};
 use magnolia_types::Millis;
 
 /// Jobs that can't start, more than a planning pass considers.
@@ -123,3 +125,44 @@
         harness.submit(SOUND_JOB, wide(None));
     }
 );
+
+test_case!(
+    /// Guards against a queue that asks for no eligibility any more once many of its steps were
+    /// eligible nowhere, and against these steps holding up the others.
+    steps_that_no_executor_may_run_hold_up_no_others,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let rules = Arc::new(queue("batch", 2, 5, 100));
+        let cell = CellRules {
+            version: CellVersion::new(2),
+            queues: [(rules.name.clone(), Arc::clone(&rules))].into(),
+            ..CellRules::default()
+        };
+        harness.scheduler.set_rules(Arc::new(cell));
+        harness.rules = rules;
+        harness.scheduler.set_eligibility_daemons(&(0..400).collect());
+        (1..=HOPELESS_JOBS).for_each(|key| harness.submit(key, changed_job(|_| ())));
+        harness.store_batch();
+        harness.submit(SOUND_JOB, changed_job(|_| ()));
+        harness.store_batch();
+        let mut asked = false;
+        for _ in 0..10 {
+            harness.scheduler.plan(harness.now);
+            for action in harness.scheduler.take_actions() {
+                let CellAction::RequestEligibility(order) = action else { continue };
+                asked |= order.step.job == JobKey::new(SOUND_JOB);
+                let answer = EligibilityAnswer { eligible: vec![], valid: Millis::new(2500) };
+                harness.scheduler.release_eligibility_daemon(order.daemon, true);
+                harness.scheduler.apply_eligibility(
+                    order.step,
+                    &order.executors,
+                    Some(&answer),
+                    harness.now,
+                );
+            }
+            harness.advance(200);
+            (0..2).for_each(|number| harness.report(number, vec![], vec![]));
+        }
+        assert!(asked, "the last job is never looked at");
+    }
+);
