Conclude nothing from a run's absence while a list of ends is cut off

Callers saw tasks run again that had succeeded, with the first end acknowledged later (TWICE).

Cause: an executor lists 500 ends at a time, and while the store is away none is acknowledged. A run that ended beyond them was neither running nor listed, and counted as vanished. A new owner started the inherited tasks that the first answer did not name.

Change: a report says whether its ends are complete. If not, missing runs are kept, none counts as hung, inherited tasks wait for the executor, and it is neither confined nor taken out of use. After the lease the tasks start again.

--- a/crates/magnolia-bench/src/load_simulation.rs
+++ b/crates/magnolia-bench/src/load_simulation.rs
@@ -565,6 +565,7 @@
             clock: now,
             running: running.collect(),
             ends: self.ends.clone(),
+            ends_complete: true,
         }
     }
 }
--- a/crates/magnolia-scheduler/src/executor_report.rs
+++ b/crates/magnolia-scheduler/src/executor_report.rs
@@ -66,6 +66,9 @@
     pub running: Vec<RunningTask>,
     /// Ends that are not acknowledged.
     pub ends: Vec<RunEnd>,
+    /// Whether all ends that are not acknowledged are listed. An executor limits the length of the
+    /// list; a run that is neither running nor listed may then have ended.
+    pub ends_complete: bool,
 }
 
 /// Answer to a start order.
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -165,6 +165,9 @@
     /// Runs reported there that belong to no known step, so that their resources can't be reserved;
     /// nothing starts there until they have ended.
     pub(crate) unknown_runs: BTreeSet<(TaskRef, RunNumber)>,
+    /// Whether runs may have ended there that no report has listed, because the list of ends was
+    /// cut off.
+    pub(crate) may_have_unlisted_ends: bool,
     /// Sum of the resources reserved by `runs`.
     pub(crate) used: ResourceVector,
     /// Processors that the filler tasks in `runs` would use, in thousandths.
@@ -201,6 +204,7 @@
             last_answer_at: None,
             runs: BTreeMap::new(),
             unknown_runs: BTreeSet::new(),
+            may_have_unlisted_ends: false,
             used: ResourceVector::default(),
             filler_cpu: 0,
             seen_through: 0,
@@ -218,10 +222,16 @@
         self.listed || !self.runs.is_empty() || self.blocks_inherited()
     }
 
-    /// Tells whether tasks of an earlier owner may run there that this owner does not know of, so
-    /// that inherited tasks have to wait.
+    /// Tells whether tasks of an earlier owner may run or have ended there that this owner does not
+    /// know of, so that inherited tasks have to wait.
     pub(crate) fn blocks_inherited(&self) -> bool {
-        self.inherited && !self.settled
+        self.inherited && (!self.settled || self.may_have_unlisted_ends)
+    }
+
+    /// Tells whether it is unresponsive and every lease that was granted to it has expired.
+    pub(crate) fn is_lapsed(&self, now: Millis) -> bool {
+        let expired = self.lease.expires_at().is_none_or(|at| now > at);
+        self.settled && !self.is_responsive(now) && expired
     }
 
     /// Returns the record to store; none if it is not in use.
@@ -230,7 +240,11 @@
             ExecutorUse::Unused => return None,
             ExecutorUse::Open => None,
             ExecutorUse::Confined => {
-                let tasks: BTreeSet<TaskRef> = self.runs.keys().map(|(task, _)| *task).collect();
+                let mut tasks: BTreeSet<TaskRef> =
+                    self.runs.keys().map(|(task, _)| *task).collect();
+                if self.blocks_inherited() {
+                    tasks.extend(self.inherited_tasks.iter().flatten());
+                }
                 Some(tasks.into_iter().collect())
             }
         };
@@ -273,6 +287,7 @@
         self.entry.life = life;
         self.lease = ExecutorLease::default();
         self.unknown_runs.clear();
+        self.may_have_unlisted_ends = false;
         self.seen_through = 0;
         self.batched_through = 0;
         self.stored_through = 0;
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -69,9 +69,12 @@
                 executor.last_answer_at = None;
                 retired.push(executor_index);
             }
-            let unresponsive = !executor.is_responsive(now);
-            let expired = executor.lease.expires_at().is_none_or(|at| now > at);
-            if !unresponsive || !expired || executor.runs.is_empty() || !executor.settled {
+            if !executor.is_lapsed(now) {
+                continue;
+            }
+            // The runs whose ends were not acknowledged before the lease expired start again.
+            executor.may_have_unlisted_ends = false;
+            if executor.runs.is_empty() {
                 continue;
             }
             // A start without an answer may still be executed until `late_order_limit` has passed.
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -171,7 +171,15 @@
                 now,
             );
         }
-        self.release_missing_runs(executor_index, &listed, sent_at, now);
+        let executor = self.executors.get_mut(executor_index);
+        if executor.may_have_unlisted_ends == report.ends_complete {
+            executor.may_have_unlisted_ends = !report.ends_complete;
+            log::info!(executor:% = id, complete = report.ends_complete;
+                "the executor's list of ended runs changed to or from its longest");
+        }
+        if report.ends_complete {
+            self.release_missing_runs(executor_index, &listed, sent_at, now);
+        }
         self.pace_fillers(executor_index, now);
     }
 
@@ -265,9 +273,9 @@
         self.order_stop(executor_index, reported.task, reported.run, now);
     }
 
-    /// Releases the runs that a report does not list, if the executor confirmed them, or was sent a
-    /// stop order that it has confirmed, before the renewal was sent at `sent_at`. The report may
-    /// be too old to list other runs.
+    /// Releases the runs that a report with all ends does not list, if the executor confirmed them,
+    /// or was sent a stop order that it has confirmed, before the renewal was sent at `sent_at`. The
+    /// report may be too old to list other runs.
     fn release_missing_runs(
         &mut self,
         executor_index: ExecutorIndex,
--- a/crates/magnolia-scheduler/src/takeover.rs
+++ b/crates/magnolia-scheduler/src/takeover.rs
@@ -70,10 +70,11 @@
             .for_each(|executor_index| self.retire_executor(executor_index));
     }
 
-    /// Takes an executor out of use if it has no runs.
+    /// Takes an executor out of use if it has no runs, and none whose end may be unlisted.
     pub(crate) fn retire_executor(&mut self, executor_index: ExecutorIndex) {
         let executor = self.executors.get_mut(executor_index);
-        if executor.usage != ExecutorUse::Unused && executor.runs.is_empty() {
+        let empty = executor.runs.is_empty() && !executor.may_have_unlisted_ends;
+        if executor.usage != ExecutorUse::Unused && empty {
             executor.usage = ExecutorUse::Unused;
             self.mark_executor_dirty(executor_index);
         }
@@ -85,7 +86,9 @@
         let to_confine = |executor: &ExecutorState| {
             let leaves = executor.entry.status == ExecutorStatus::Draining;
             let open = executor.usage == ExecutorUse::Open && executor.settled;
-            open && (leaves || !executor.is_responsive(now))
+            // The tasks of unlisted ends can't be stored.
+            let known = !executor.may_have_unlisted_ends;
+            open && known && (leaves || !executor.is_responsive(now))
         };
         let indexes: Vec<ExecutorIndex> = self
             .executors
--- a/crates/magnolia-scheduler/tests/harness/mod.rs
+++ b/crates/magnolia-scheduler/tests/harness/mod.rs
@@ -116,6 +116,17 @@
 
     /// Lets an executor answer a lease renewal with these runs and ends.
     pub fn report(&mut self, number: usize, running: Vec<RunningTask>, ends: Vec<RunEnd>) {
+        self.report_ends(number, running, ends, true);
+    }
+
+    /// As [`report`](Self::report); `ends_complete` tells whether all ends are listed.
+    pub fn report_ends(
+        &mut self,
+        number: usize,
+        running: Vec<RunningTask>,
+        ends: Vec<RunEnd>,
+        ends_complete: bool,
+    ) {
         let plan = self.scheduler.plan_executor_renewal(&id(number), self.now);
         plan.expect("an executor in use");
         let report = ExecutorReport {
@@ -123,6 +134,7 @@
             clock: self.now,
             running,
             ends,
+            ends_complete,
         };
         self.scheduler
             .apply_report(&id(number), report, self.now, self.now);
--- a/crates/magnolia-scheduler/tests/lost_runs.rs
+++ b/crates/magnolia-scheduler/tests/lost_runs.rs
@@ -91,6 +91,7 @@
             clock: harness.now,
             running: vec![],
             ends: vec![],
+            ends_complete: true,
         };
         harness
             .scheduler
--- a/crates/magnolia-scheduler/tests/malformed_input.rs
+++ b/crates/magnolia-scheduler/tests/malformed_input.rs
@@ -196,6 +196,7 @@
             clock: Millis::new(u64::MAX),
             running: running.collect(),
             ends: ends.collect(),
+            ends_complete: true,
         };
         let now = harness.now;
         harness.scheduler.apply_report(&id(0), report, now, now);
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -10,8 +10,8 @@
 use harness::{CAPACITY, START_UNIX_MS, SchedulerHarness, entry, id, running, task};
 use magnolia_bench::load_simulation::{job, step};
 use magnolia_scheduler::{
-    CellAction, EndKind, JobKey, JobStatus, RunningTask, ServiceName, StartAnswer, SubmitOutcome,
-    TaskRef,
+    CellAction, EndKind, JobKey, JobStatus, RunEnd, RunningTask, ServiceName, StartAnswer,
+    SubmitOutcome, TaskRef,
 };
 
 test_case!(
@@ -370,3 +370,54 @@
         harness.submit(2, job(vec![step(8, CAPACITY, 100, vec![])]));
     }
 );
+
+test_case!(
+    /// Guards against a run that is started again because it has ended beyond the end of the list of
+    /// ends, which an executor limits while nothing is acknowledged.
+    a_run_missing_in_a_cut_list_of_ends_is_not_started_again,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        harness.submit(1, job(vec![step(2, 1000, 500, vec![])]));
+        harness.store_batch();
+        let starts = harness.start_tasks();
+        harness.advance(100);
+        harness.report(0, starts.iter().map(running).collect(), vec![]);
+        harness.advance(100);
+        let ends: Vec<RunEnd> = starts
+            .iter()
+            .map(|order| harness.run_end(order.task, order.run, EndKind::Done))
+            .collect();
+        // Both have ended, but the list has room for the first end only.
+        harness.report_ends(0, vec![], vec![ends[0].clone()], false);
+        harness.advance(200);
+        assert!(harness.start_tasks().is_empty(), "the second one has ended too");
+        harness.store_batch();
+        harness.report(0, vec![], vec![ends[1].clone()]);
+        harness.store_batch();
+        assert_eq!(harness.scheduler.status(JobKey::new(1)), Some(JobStatus::Completed));
+    }
+);
+
+test_case!(
+    /// Guards against runs of such an executor that are lost for good once it is gone.
+    a_run_missing_in_a_cut_list_starts_again_after_the_lease,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        harness.submit(1, job(vec![step(1, 1000, 500, vec![])]));
+        harness.store_batch();
+        let order = harness.start_tasks().remove(0);
+        let lost = usize::from(order.executor == id(1));
+        harness.advance(100);
+        harness.report(lost, vec![running(&order)], vec![]);
+        harness.advance(100);
+        harness.report_ends(lost, vec![], vec![], false);
+        let again = (0..40).find_map(|_| {
+            harness.advance(200);
+            harness.report(1 - lost, vec![], vec![]);
+            harness.start_tasks().pop()
+        });
+        let again = again.expect("the task starts again");
+        assert_eq!(again.executor, id(1 - lost));
+        assert!(harness.now > order.lease_until, "at {}", harness.now);
+    }
+);
--- a/crates/magnolia-scheduler/tests/takeover.rs
+++ b/crates/magnolia-scheduler/tests/takeover.rs
@@ -286,3 +286,34 @@
         assert!(started.iter().all(|order| order.executor == id(0)));
     }
 );
+
+test_case!(
+    /// Guards against a new owner that starts a task again whose end an executor has not listed yet,
+    /// because it lists a limited number of ends at a time.
+    inherited_tasks_wait_for_all_ends_of_an_executor,
+    || {
+        let mut harness = SchedulerHarness::new_without_reports(2, 1);
+        harness.load_executor(7, None);
+        harness.load_job(1, job(vec![step(2, 1000, 500, vec![])]));
+        harness.report_from_all(1);
+        let end = |number: u64| RunEnd {
+            number,
+            task: task(1, 0, u32::try_from(number - 1).expect("a small number")),
+            run: RunNumber::new(1),
+            kind: EndKind::Done,
+            checkpoint: None,
+        };
+        harness.report_ends(7, vec![], vec![end(1)], false);
+        for _ in 0..40 {
+            harness.advance(200);
+            harness.report(0, vec![], vec![]);
+            harness.report_ends(7, vec![], vec![end(1)], false);
+            assert!(harness.start_tasks().is_empty(), "at {}", harness.now);
+        }
+        harness.store_batch();
+        harness.report(7, vec![], vec![end(2)]);
+        harness.store_batch();
+        assert!(harness.start_tasks().is_empty(), "both are done");
+        assert_eq!(harness.scheduler.status(JobKey::new(1)), Some(JobStatus::Completed));
+    }
+);
