Start a long-running task again after any end

Callers saw a long-running task that ended with success stay away for good, and its job shown as completed (LOST).

Cause: apply_done marked the task as done without a look at whether it is long-running.

Change: such a task goes back to the waiting ones after the delay that follows a failure. Records of earlier versions that call it done are ignored.

--- a/crates/magnolia-scheduler/src/job.rs
+++ b/crates/magnolia-scheduler/src/job.rs
@@ -175,8 +175,10 @@
             let Some(occurrence) = self.occurrences.last_mut() else {
                 return;
             };
-            for (step, stored) in occurrence.steps.iter_mut().zip(&stored.steps) {
-                restore_step(step, stored);
+            let specs = self.spec.iter().flat_map(|spec| &spec.steps);
+            let steps = occurrence.steps.iter_mut().zip(&stored.steps);
+            for ((step, stored), spec) in steps.zip(specs) {
+                restore_step(step, stored, spec.lasting);
                 self.started |= step.done > 0 || !stored.failed.is_empty();
             }
             open_steps(self.spec.as_deref(), occurrence, now);
@@ -237,9 +239,11 @@
     record
 }
 
-fn restore_step(step: &mut StepState, record: &StepRecord) {
+/// Restores the tasks of a step. A long-running task is never done; earlier versions recorded it as
+/// done after a run that ended by itself.
+fn restore_step(step: &mut StepState, record: &StepRecord, lasting: bool) {
     for (index, task) in (0u32..).zip(&mut step.tasks) {
-        if record.is_done(index) {
+        if record.is_done(index) && !lasting {
             task.phase = TaskPhase::Done;
             step.done += 1;
             step.waiting -= 1;
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -13,7 +13,8 @@
     CellAction, EndKind, JobKey, JobStatus, RunNumber, StepRef, StepSpec, StopOrder, TaskRef,
 };
 
-/// Delay before a task starts again after a failed run, for each failure so far.
+/// Delay before a task starts again after a failed run, for each failure so far, and before a
+/// long-running task does after any end.
 const RETRY_PAUSE: Millis = Millis::new(100);
 /// Longest such delay; long-running tasks have to be back within seconds.
 const MAX_RETRY_PAUSE: Millis = Millis::new(1000);
@@ -285,6 +286,10 @@
             .get_mut(executor_index)
             .health
             .record_success();
+        if self.step_spec(task.step).is_some_and(|spec| spec.lasting) {
+            self.restart_lasting(executor_index, task, run, now);
+            return;
+        }
         self.update_speed(executor_index, task, run, now);
         let gang = self.step_spec(task.step).is_some_and(|spec| spec.gang);
         let count = match self.step_state_mut(task.step) {
@@ -300,6 +305,24 @@
         self.update_ready(task.step);
     }
 
+    /// Returns a long-running task whose run ended by itself to the waiting ones. Such a task runs
+    /// until its job is cancelled, however its runs end.
+    fn restart_lasting(
+        &mut self,
+        executor_index: ExecutorIndex,
+        task: TaskRef,
+        run: RunNumber,
+        now: Millis,
+    ) {
+        let id = self.executor_id(executor_index);
+        log::info!(task:% = task, run:% = run, executor:% = id;
+            "long-running task ended by itself; it starts again");
+        self.release_run(executor_index, task, run, now);
+        if let Some(entry) = self.task_state_mut(task) {
+            entry.not_before = now.saturating_add(RETRY_PAUSE);
+        }
+    }
+
     fn mark_done(&mut self, task: TaskRef, now: Millis) {
         let Some(state) = self.step_state_mut(task.step) else {
             return;
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -10,7 +10,7 @@
 use harness::{CAPACITY, START_UNIX_MS, SchedulerHarness, entry, id, running, task};
 use magnolia_bench::load_simulation::{job, step};
 use magnolia_scheduler::{
-    CellAction, EndKind, JobKey, JobStatus, RunEnd, RunningTask, ServiceName, StartAnswer,
+    CellAction, EndKind, JobKey, JobSpec, JobStatus, RunEnd, RunningTask, ServiceName, StartAnswer,
     SubmitOutcome, TaskRef,
 };
 
@@ -421,3 +421,34 @@
         assert!(harness.now > order.lease_until, "at {}", harness.now);
     }
 );
+
+/// Returns a long-running job of `tasks` tasks.
+fn lasting_job(tasks: u32) -> JobSpec {
+    let mut lasting = step(tasks, 1000, 500, vec![]);
+    lasting.lasting = true;
+    job(vec![lasting])
+}
+
+test_case!(
+    /// Guards against a long-running task that stays away after its program has ended with success,
+    /// and against a job that counts as completed though nobody has cancelled it.
+    a_long_running_task_that_ends_with_success_starts_again,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        harness.submit(1, lasting_job(2));
+        harness.store_batch();
+        for _ in 0..5 {
+            harness.advance(200);
+            harness.report(0, vec![], vec![]);
+            let starts = harness.start_tasks();
+            assert_eq!(starts.len(), 2);
+            let ends = starts
+                .iter()
+                .map(|order| harness.run_end(order.task, order.run, EndKind::Done))
+                .collect();
+            harness.report(0, vec![], ends);
+            harness.store_batch();
+            assert_eq!(harness.scheduler.status(JobKey::new(1)), Some(JobStatus::Running));
+        }
+    }
+);
--- a/crates/magnolia-scheduler/tests/takeover.rs
+++ b/crates/magnolia-scheduler/tests/takeover.rs
@@ -9,8 +9,8 @@
 use harness::{CAPACITY, START_UNIX_MS, SchedulerHarness, id, running, task};
 use magnolia_bench::load_simulation::{job, step};
 use magnolia_scheduler::{
-    EndKind, JobKey, JobRecord, JobStatus, LiveRecord, RecurrenceSpec, RunEnd, RunNumber,
-    RunningTask, TaskRef,
+    EndKind, JobKey, JobRecord, JobStatus, LiveRecord, OccurrenceRecord, RecurrenceSpec, RunEnd,
+    RunNumber, RunningTask, StepRecord, TaskRef,
 };
 use magnolia_types::Millis;
 
@@ -317,3 +317,37 @@
         assert_eq!(harness.scheduler.status(JobKey::new(1)), Some(JobStatus::Completed));
     }
 );
+
+test_case!(
+    /// Guards against long-running tasks that stay away after a change of owner: the record of an
+    /// earlier version says that they are done, and an executor lists a successful end.
+    long_running_tasks_start_again_under_a_new_owner,
+    || {
+        let mut harness = SchedulerHarness::new_without_reports(2, 1);
+        let mut lasting = step(2, 1000, 500, vec![]);
+        lasting.lasting = true;
+        let mut done = StepRecord::default();
+        done.set_done(0);
+        let record = JobRecord::Live(LiveRecord {
+            rules: Arc::clone(&harness.rules),
+            spec: Arc::new(job(vec![lasting])),
+            accepted_unix_ms: START_UNIX_MS,
+            order_unix_ms: START_UNIX_MS,
+            occurrences: vec![OccurrenceRecord { steps: vec![done] }],
+        });
+        let rules = Arc::clone(&harness.rules);
+        harness.scheduler.load(JobKey::new(1), &record, &rules, harness.now);
+        let end = RunEnd {
+            number: 1,
+            task: task(1, 0, 1),
+            run: RunNumber::new(1),
+            kind: EndKind::Done,
+            checkpoint: None,
+        };
+        harness.report(0, vec![], vec![end]);
+        harness.store_batch();
+        harness.advance(200);
+        harness.report(0, vec![], vec![]);
+        assert_eq!(harness.start_tasks().len(), 2);
+    }
+);
