Acknowledge ends only to an executor that lists some

A task that has succeeded on a restarted executor could run again (TWICE).

Cause: each renewal carried the number up to which ends are stored. A renewal that reaches an executor after a restart makes it drop the ends of its new life up to that number before any report has listed them.

Evidence: nothing_is_acknowledged_where_no_end_is_listed failed before.

Change: the number is sent only in answer to a report that listed ends, so that the window is the time of storing them.

--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -203,6 +203,8 @@
     pub(crate) batched_through: u64,
     /// Number up to which ends are stored.
     pub(crate) stored_through: u64,
+    /// Whether the last report listed ends, so that there are some to acknowledge.
+    pub(crate) lists_ends: bool,
     pub(crate) health: HealthTracker,
     /// Measured speed relative to the other executors; 1.0 is average.
     pub(crate) speed: f64,
@@ -235,6 +237,7 @@
             seen_through: 0,
             batched_through: 0,
             stored_through: 0,
+            lists_ends: false,
             health: HealthTracker::default(),
             speed: 1.0,
             paced_at: Millis::new(0),
@@ -321,6 +324,7 @@
         self.seen_through = 0;
         self.batched_through = 0;
         self.stored_through = 0;
+        self.lists_ends = false;
         self.health = HealthTracker::default();
         self.last_answer_at = None;
     }
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -103,9 +103,16 @@
         } else {
             Millis::new(0)
         };
+        // The executor may have restarted since its last answer, and would drop the ends of its new
+        // life up to this number. Therefore it is sent only where ends have to be acknowledged.
+        let ends_stored = if executor.lists_ends {
+            executor.stored_through
+        } else {
+            0
+        };
         Some(RenewalPlan {
             life: executor.entry.life,
-            ends_stored: executor.stored_through,
+            ends_stored,
             lease_until,
             wait,
         })
@@ -153,7 +160,9 @@
             self.open_occurrences_through(reported.task, now);
             self.apply_running(executor_index, reported, now);
         }
-        let seen = self.executors.get(executor_index).seen_through;
+        let executor = self.executors.get_mut(executor_index);
+        executor.lists_ends = !report.ends.is_empty();
+        let seen = executor.seen_through;
         for end in report.ends {
             if end.number <= seen {
                 continue;
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -68,6 +68,24 @@
     }
 );
 
+test_case!(
+    /// Guards against an acknowledgement that a restarted executor takes for its own ends, which it
+    /// would drop before any report has listed them.
+    nothing_is_acknowledged_where_no_end_is_listed,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        harness.submit(1, job(vec![step(1, 1000, 100, vec![])]));
+        harness.store_batch();
+        let order = harness.start_tasks().remove(0);
+        let end = harness.run_end(order.task, order.run, EndKind::Done);
+        harness.report(0, vec![], vec![end]);
+        harness.store_batch();
+        harness.report(0, vec![], vec![]);
+        let plan = harness.scheduler.plan_executor_renewal(&id(0), harness.now);
+        assert_eq!(plan.expect("in use").1.ends_stored, 0);
+    }
+);
+
 test_case!(
     /// Guards against a lease that never expires because unanswered renewals extend it.
     an_unresponsive_executor_loses_its_runs_at_the_end_of_its_lease,
