Leave out inventory entries that name no executor

Callers were answered 503 for good once another writer had left entries with odd keys among those of the executors.

Entries with capacities near the limit of 64 bits, without fields that every executor writes, or with addresses that can't be connected to were taken for executors, and the sums over executors overflowed.

--- a/crates/magnolia-node/src/inventory.rs
+++ b/crates/magnolia-node/src/inventory.rs
@@ -84,7 +84,7 @@
     Ok(page.next)
 }
 
-/// Adds and updates executors, and records when an entry was deleted.
+/// Adds and updates executors, and records when an entry was deleted or became invalid.
 fn apply_records(
     session: &Arc<OwnerSession>,
     records: &[StreamRecord],
@@ -102,9 +102,20 @@
             }
             continue;
         }
-        if let Some(entry) = session.node.ports.decoder.executor(record) {
-            removals.remove(&entry.id);
-            scheduler.upsert_executor(entry, now);
+        match session.node.ports.decoder.executor(record) {
+            Ok(entry) => {
+                removals.remove(&entry.id);
+                scheduler.upsert_executor(entry, now);
+            }
+            // The executor of this id writes its entry again; if it does not, it is gone.
+            Err(error) => {
+                session.node.metrics.count("invalid_inventory_entries");
+                log::warn!(key = &*record.key, error:% = error;
+                    "an inventory entry names no executor");
+                if let Ok(id) = ExecutorId::new(&record.key) {
+                    removals.entry(id).or_insert(now);
+                }
+            }
         }
     }
 }
--- a/crates/magnolia-node/src/lib.rs
+++ b/crates/magnolia-node/src/lib.rs
@@ -48,7 +48,7 @@
 pub use metrics::NodeMetrics;
 pub use node::{CellNode, NodePorts};
 pub use ports::{
-    AppendCondition, AppendOutcome, DocumentDecoder, EligibilityError, EligibilityPort,
+    AppendCondition, AppendOutcome, DocumentDecoder, EligibilityError, EligibilityPort, EntryError,
     ExecutorPort, NewestPage, OrderError, StoreError, StreamName, StreamRecord, StreamStore,
     TailPage,
 };
--- a/crates/magnolia-node/src/owner_tests.rs
+++ b/crates/magnolia-node/src/owner_tests.rs
@@ -19,8 +19,8 @@
 use crate::node::{CellNode, NodePorts};
 use crate::owner::OwnerSession;
 use crate::ports::{
-    AppendCondition, AppendOutcome, DocumentDecoder, ExecutorPort, NewestPage, OrderError,
-    StoreError, StreamName, StreamRecord, StreamStore, TailPage,
+    AppendCondition, AppendOutcome, DocumentDecoder, EntryError, ExecutorPort, NewestPage,
+    OrderError, StoreError, StreamName, StreamRecord, StreamStore, TailPage,
 };
 use crate::settings::NodeSettings;
 
@@ -106,8 +106,8 @@
         None
     }
 
-    fn executor(&self, _: &StreamRecord) -> Option<ExecutorEntry> {
-        None
+    fn executor(&self, _: &StreamRecord) -> Result<ExecutorEntry, EntryError> {
+        Err(EntryError::new(&"away"))
     }
 }
 
--- a/crates/magnolia-node/src/ports.rs
+++ b/crates/magnolia-node/src/ports.rs
@@ -220,6 +220,22 @@
     /// Decodes the configuration; `None` if the record holds something else or can't be decoded.
     fn rules(&self, record: &StreamRecord) -> Option<CellRules>;
 
-    /// Decodes the entry of an executor; `None` if the record is no valid entry.
-    fn executor(&self, record: &StreamRecord) -> Option<ExecutorEntry>;
+    /// Decodes the entry of an executor.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the record is no valid entry, so that it names no executor.
+    fn executor(&self, record: &StreamRecord) -> Result<ExecutorEntry, EntryError>;
+}
+
+/// Reason why a record of the inventory is no valid entry of an executor.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct EntryError(Arc<str>);
+
+impl EntryError {
+    /// Creates the error with its reason.
+    pub fn new(reason: &dyn std::fmt::Display) -> Self {
+        Self(reason.to_string().into())
+    }
 }
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -259,7 +259,7 @@
             .filter(|(_, executor)| executor.listed && executor.entry.service == rules.service);
         let total: u64 = executors
             .map(|(_, executor)| executor.entry.capacity.cpu_millis.get())
-            .sum();
+            .fold(0, u64::saturating_add);
         let lasting = |job: &JobState| job.spec.as_ref().is_some_and(|spec| spec.is_lasting());
         let reserved = self
             .live_jobs_of(&rules.service)
@@ -451,9 +451,11 @@
         };
         for (_, executor) in self.executors.iter() {
             summary.active_runs += executor.runs.len();
-            summary.used_cpu += executor.used.cpu_millis.get();
+            let used = executor.used.cpu_millis.get();
+            summary.used_cpu = summary.used_cpu.saturating_add(used);
             if executor.listed {
-                summary.total_cpu += executor.entry.capacity.cpu_millis.get();
+                let total = executor.entry.capacity.cpu_millis.get();
+                summary.total_cpu = summary.total_cpu.saturating_add(total);
             }
             summary.usable_executors += usize::from(executor.accepts_work(now));
             summary.unsettled_executors += usize::from(executor.blocks_inherited());
