Keep the record of every job within the limit of the store

Cause: no check kept a job's record within the limit of the store, at its submission or later. The store called the append malformed and the owner repeated it for ever, with everything else behind it.

Checkpoints without room are left out of the record; a job whose failed runs alone have no room ends as failed. Executor records list 8,000 tasks at most. The stand-in's store refuses records over its limit.

--- a/crates/magnolia-node/src/node.rs
+++ b/crates/magnolia-node/src/node.rs
@@ -7,7 +7,7 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use magnolia_http::{HttpHandler, HttpRequest, HttpResponse, read_body, serve};
-use magnolia_scheduler::CellRules;
+use magnolia_scheduler::{CellRules, JobSpec, QueueRules, RecordError, check_record_size};
 use magnolia_types::{Epoch, Incarnation, LogOffset, Millis};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
@@ -373,6 +373,20 @@
         }
     }
 
+    /// Checks that the record of a submitted job can be stored as long as the job is live.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the record may exceed the limit of the store.
+    pub fn check_record_size(
+        &self,
+        rules: &Arc<QueueRules>,
+        spec: &Arc<JobSpec>,
+    ) -> Result<(), RecordError> {
+        let limit = self.settings.scheduler.max_record_bytes;
+        check_record_size(spec, rules, limit)
+    }
+
     /// Answers a request from another daemon.
     async fn answer_peer(self: &Arc<Self>, message: PeerRequest) -> PeerReply {
         match message {
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -347,7 +347,11 @@
             number: self.batches,
             ..StoreBatch::default()
         };
+        let limit = self.settings.max_record_bytes;
         for key in std::mem::take(&mut self.dirty_jobs) {
+            if self.jobs.get(&key).is_some_and(|job| job.outgrows(limit)) {
+                self.end_outgrown(key, now);
+            }
             let Some(job) = self.jobs.get_mut(&key) else {
                 batch.records.push((key, None));
                 continue;
@@ -356,7 +360,9 @@
                 job.ending = Some(JobStatus::Completed);
             }
             job.sent = true;
-            batch.records.push((key, Some(job.record(now_unix_ms))));
+            batch
+                .records
+                .push((key, Some(job.record(limit, now_unix_ms))));
         }
         for executor_index in std::mem::take(&mut self.dirty_executors) {
             let executor = self.executors.get_mut(executor_index);
@@ -377,6 +383,16 @@
         batch
     }
 
+    /// Ends a live job with so many failed runs that they can't be stored.
+    fn end_outgrown(&mut self, key: JobKey, now: Millis) {
+        if self.jobs.get(&key).is_some_and(|job| job.ending.is_none()) {
+            log::warn!(job:% = key, limit = self.settings.max_record_bytes;
+                "job ended as failed: its failed runs no longer fit into its record");
+            self.end_job(key, JobStatus::Failed, now);
+            self.dirty_jobs.remove(&key);
+        }
+    }
+
     /// Applies the state changes that a stored batch makes durable; returns the jobs whose end it
     /// stored.
     pub fn finish_batch(&mut self, batch: StoreBatch) -> Vec<(JobKey, JobStatus)> {
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -273,7 +273,8 @@
                 if self.blocks_inherited() {
                     tasks.extend(self.inherited_tasks.iter().flatten());
                 }
-                Some(tasks.into_iter().collect())
+                // The next owner then waits for the executor with all inherited tasks.
+                (tasks.len() <= Self::MAX_LISTED_TASKS).then(|| tasks.into_iter().collect())
             }
         };
         let lease_left = if self.is_lease_recordable(now) {
@@ -382,6 +383,9 @@
         self.last_answer_at.is_some_and(recent)
     }
 
+    /// Most tasks in the record of an executor: some 25 bytes each, in a record of at most 256 KiB.
+    const MAX_LISTED_TASKS: usize = 8000;
+
     /// Time without an answer after which it counts as unresponsive and nothing new starts there;
     /// covers the longest wait of one renewal and one lost answer.
     const RESPONSE_TIMEOUT: Millis = Millis::new(1800);
--- a/crates/magnolia-scheduler/src/job.rs
+++ b/crates/magnolia-scheduler/src/job.rs
@@ -6,6 +6,7 @@
 
 use crate::ordering::order_time;
 use crate::record::{EndedRecord, JobRecord, LiveRecord, OccurrenceRecord, StepRecord};
+use crate::record_size::{CHECKPOINT_BYTES, FAILED_RUN_BYTES, progress_bytes};
 use crate::step::{StepState, TaskPhase};
 use crate::{JobSpec, QueueName, QueueRules};
 
@@ -149,8 +150,27 @@
             && self.occurrences.iter().all(all)
     }
 
-    /// Returns the record of the present state.
-    pub(crate) fn record(&self, now_unix_ms: u64) -> JobRecord {
+    /// Tells whether the failed runs leave no room in a record of at most `limit` bytes.
+    pub(crate) fn outgrows(&self, limit: u64) -> bool {
+        self.failed_bytes() > progress_bytes(limit)
+    }
+
+    /// Returns the longest encoding of all failed runs.
+    fn failed_bytes(&self) -> u64 {
+        let steps = self
+            .occurrences
+            .iter()
+            .flat_map(|occurrence| &occurrence.steps);
+        let runs = steps
+            .flat_map(|step| &step.tasks)
+            .map(|task| task.failed.len());
+        let runs = u64::try_from(runs.sum::<usize>()).unwrap_or(u64::MAX);
+        runs.saturating_mul(FAILED_RUN_BYTES)
+    }
+
+    /// Returns the record of the present state, of at most `limit` bytes unless the job
+    /// [`outgrows`](Self::outgrows) it. Checkpoints for which there is no room are left out.
+    pub(crate) fn record(&self, limit: u64, now_unix_ms: u64) -> JobRecord {
         if let Some(status) = self.ending {
             return JobRecord::Ended(EndedRecord {
                 queue: self.queue().clone(),
@@ -163,10 +183,19 @@
             spec: self.spec.clone().unwrap_or_else(missing_spec),
             accepted_unix_ms: self.accepted_unix_ms,
             order_unix_ms: self.order_unix_ms,
-            occurrences: self.occurrences.iter().map(occurrence_record).collect(),
+            occurrences: self.occurrence_records(limit),
         })
     }
 
+    fn occurrence_records(&self, limit: u64) -> Vec<OccurrenceRecord> {
+        let mut room = progress_bytes(limit).saturating_sub(self.failed_bytes());
+        let mut record = |step: &StepState| step_record(step, &mut room);
+        let occurrences = self.occurrences.iter().map(|occurrence| OccurrenceRecord {
+            steps: occurrence.steps.iter().map(&mut record).collect(),
+        });
+        occurrences.collect()
+    }
+
     /// Restores progress from a record.
     pub(crate) fn restore(&mut self, record: &LiveRecord, now: Millis) {
         self.order_unix_ms = record.order_unix_ms;
@@ -218,12 +247,8 @@
     opened
 }
 
-fn occurrence_record(occurrence: &OccurrenceState) -> OccurrenceRecord {
-    let steps = occurrence.steps.iter().map(step_record).collect();
-    OccurrenceRecord { steps }
-}
-
-fn step_record(step: &StepState) -> StepRecord {
+/// Returns the record of a step, with the checkpoints for which there is `room` in bytes.
+fn step_record(step: &StepState, room: &mut u64) -> StepRecord {
     let mut record = StepRecord::default();
     for (index, task) in (0u32..).zip(&step.tasks) {
         if matches!(task.phase, TaskPhase::Done | TaskPhase::DoneUnstored) {
@@ -233,6 +258,11 @@
         let failed = task.failed.iter().map(|run| (index, *run));
         record.failed.extend(failed);
         if let Some(checkpoint) = &task.checkpoint {
+            let length = u64::try_from(checkpoint.len()).unwrap_or(u64::MAX);
+            let Some(left) = room.checked_sub(length.saturating_add(CHECKPOINT_BYTES)) else {
+                continue;
+            };
+            *room = left;
             record.saved.push((index, Arc::clone(checkpoint)));
         }
     }
--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -39,6 +39,7 @@
 mod planning;
 mod preemption;
 mod record;
+mod record_size;
 mod reports;
 mod rules;
 mod settings;
@@ -64,6 +65,7 @@
 pub use pacing::{PaceDecision, decide_pace};
 pub use placement::{Candidate, choose_executor, choose_executors_to_ask};
 pub use record::{EndedRecord, JobRecord, LiveRecord, OccurrenceRecord, RecordError, StepRecord};
+pub use record_size::check_record_size;
 pub use rules::{
     CellRules, CellVersion, EligibilityCost, QueueName, QueueRules, ServiceName, ServiceRules,
 };
--- a/crates/magnolia-scheduler/src/record.rs
+++ b/crates/magnolia-scheduler/src/record.rs
@@ -15,6 +15,15 @@
     /// The record holds a job that no caller can submit.
     #[error("invalid job in a record: {0}")]
     InvalidSpec(#[from] SpecError),
+    /// The record of a submitted job may exceed the limit of the store.
+    #[error("the record of the job may need {needed} bytes, {} above the limit of {limit}",
+        needed - limit)]
+    TooLarge {
+        /// Longest possible record in bytes.
+        needed: u64,
+        /// Longest record that can be stored, in bytes.
+        limit: u64,
+    },
     /// The record can't be written.
     #[error("job record can't be encoded: {0}")]
     Encode(#[from] rmp_serde::encode::Error),
--- a/crates/magnolia-scheduler/src/settings.rs
+++ b/crates/magnolia-scheduler/src/settings.rs
@@ -31,6 +31,8 @@
     pub hang_limit: Millis,
     /// Longest time after which an unanswered order may still be executed; a limit of the platform.
     pub late_order_limit: Millis,
+    /// Longest record that the store accepts, in bytes; from the settings file.
+    pub max_record_bytes: u64,
     /// Time after which an owner that reaches neither store nor peers stops renewing leases.
     pub isolation_limit: Millis,
 }
@@ -49,6 +51,7 @@
             eligibility_fit_share: 0.2,
             hang_limit: Millis::new(1500),
             late_order_limit: Millis::from_secs(12),
+            max_record_bytes: 262_144,
             isolation_limit: Millis::from_secs(2),
         }
     }
@@ -60,6 +63,13 @@
         self
     }
 
+    /// Sets the longest record that the store accepts, in bytes.
+    #[must_use]
+    pub fn with_max_record_bytes(mut self, bytes: u64) -> Self {
+        self.max_record_bytes = bytes;
+        self
+    }
+
     /// Returns the time from the last order of an earlier owner until every lease that it granted
     /// has certainly expired, on executor clocks that are up to 2% slow. Every owner asks for the
     /// same lease length.
--- a/crates/magnolia-scheduler/tests/harness/mod.rs
+++ b/crates/magnolia-scheduler/tests/harness/mod.rs
@@ -147,6 +147,24 @@
         self.scheduler.finish_batch(batch);
     }
 
+    /// Stores a batch, of which no record may be longer than `limit` bytes with its key.
+    pub fn store_batch_checked(&mut self, limit: u64) {
+        let batch = self
+            .scheduler
+            .begin_batch(self.now, START_UNIX_MS + self.now.get());
+        for (key, record) in &batch.records {
+            let record = record
+                .as_ref()
+                .map(|record| record.encode().expect("encodable"));
+            let length = 1 + key.to_string().len() + record.map_or(0, |bytes| bytes.len());
+            assert!(
+                length as u64 <= limit,
+                "job {key}: a record of {length} bytes"
+            );
+        }
+        self.scheduler.finish_batch(batch);
+    }
+
     pub fn submit(&mut self, key: u64, spec: JobSpec) {
         let spec = Arc::new(spec);
         let unix_ms = START_UNIX_MS + self.now.get();
