Ask the store before an executor's epoch ends an owner

Cause: an owner took the rejection of its epoch by any executor for the proof of a later owner and ended; the next owner met the same executor, some five times a second.

Change: a rejection makes the executor unresponsive and lets the owner ask the store. A later claim ends the owner; without one the executor is set aside until it restarts, and counted for operators. Meanwhile the evidence of peers does not count, so that the time in which two owners can act does not grow.

--- a/crates/magnolia-bench/src/load_simulation.rs
+++ b/crates/magnolia-bench/src/load_simulation.rs
@@ -463,7 +463,7 @@
                     self.stops += 1;
                     let executor = self.executor(&order.executor);
                     executor.end(order.task, order.run, EndKind::Stopped);
-                    self.scheduler.apply_stop(&order, true, false);
+                    self.scheduler.apply_stop(&order, true);
                 }
                 // Changes of the CPU share have no effect in the simulation.
                 CellAction::Pace(_) => {}
--- a/crates/magnolia-node/src/executor_loop.rs
+++ b/crates/magnolia-node/src/executor_loop.rs
@@ -22,6 +22,8 @@
 const FAILURE_DELAY: Duration = Duration::from_millis(100);
 /// Longest delay after failed renewals.
 const MAX_FAILURE_DELAY: Duration = Duration::from_millis(600);
+/// Delay after an executor rejected the epoch: only a restart lets it accept the epoch again.
+const FENCED_DELAY: Duration = Duration::from_secs(2);
 /// Interval at which an isolated owner checks whether it is still isolated.
 const ISOLATED_DELAY: Duration = Duration::from_millis(200);
 
@@ -75,8 +77,12 @@
             Err(error) => {
                 failures += 1;
                 handle_failure(&session, &entry, &error, failures);
-                let delay = FAILURE_DELAY * failures.min(6);
-                sleep(delay.min(MAX_FAILURE_DELAY)).await;
+                let delay = if error == OrderError::Fenced {
+                    FENCED_DELAY
+                } else {
+                    (FAILURE_DELAY * failures.min(6)).min(MAX_FAILURE_DELAY)
+                };
+                sleep(delay).await;
             }
         }
     }
@@ -129,8 +135,8 @@
     failures: u32,
 ) {
     if *error == OrderError::Fenced {
-        session.lock().apply_fenced();
-        session.close("an executor knows a later epoch");
+        session.node.metrics.count("fenced_renewals");
+        session.lock().apply_fence(&entry.id, session.now());
         return;
     }
     if failures <= 2 {
--- a/crates/magnolia-node/src/owner.rs
+++ b/crates/magnolia-node/src/owner.rs
@@ -306,18 +306,14 @@
     pub(crate) fn plan_now(self: &Arc<Self>) {
         let now = self.now();
         self.refresh_eligibility_daemons(now);
-        let (actions, superseded) = {
+        let actions = {
             let isolated = self.is_isolated();
             let mut scheduler = self.lock();
             if !isolated {
                 scheduler.plan(now);
             }
-            (scheduler.take_actions(), scheduler.is_superseded())
+            scheduler.take_actions()
         };
-        if superseded {
-            self.close("an executor knows a later epoch");
-            return;
-        }
         for action in actions {
             self.dispatch(action);
         }
@@ -386,7 +382,11 @@
             log::info!(task:% = order.task, run:% = order.run, executor:% = order.executor,
                 error:% = error; "stop not confirmed");
         }
-        self.lock().apply_stop(&order, result.is_ok(), fenced);
+        let mut scheduler = self.lock();
+        if fenced {
+            scheduler.apply_fence(&order.executor, self.now());
+        }
+        scheduler.apply_stop(&order, result.is_ok());
     }
 
     async fn send_pace(self: Arc<Self>, order: magnolia_scheduler::PaceOrder) {
--- a/crates/magnolia-node/src/ownership_proof.rs
+++ b/crates/magnolia-node/src/ownership_proof.rs
@@ -72,8 +72,12 @@
     }
 
     /// Tells whether orders may be sent. The only registered daemon needs no recent evidence unless
-    /// it was paused: another daemon may have registered and claimed ownership meanwhile.
-    pub(crate) fn allows_orders(&self, now: Millis, only_member: bool) -> bool {
+    /// it was paused: another daemon may have registered and claimed ownership meanwhile. Only the
+    /// store counts while the evidence is `contradicted` by an executor that knows a higher epoch.
+    pub(crate) fn allows_orders(&self, now: Millis, only_member: bool, contradicted: bool) -> bool {
+        if contradicted {
+            return now.saturating_sub(self.confirmed_at) <= self.limit;
+        }
         let newest = self.confirmed_at.max(self.echoed_at);
         let paused = now.saturating_sub(self.checked_at) > self.limit
             || self.resumed_at.is_some_and(|at| at >= self.confirmed_at);
@@ -90,14 +94,17 @@
     /// may own it by then, so no task is started and no lease renewed.
     pub(crate) fn is_isolated(&self) -> bool {
         let only_member = self.node.cell.borrow().members.len() <= 1;
-        !self.lock_proof().allows_orders(self.now(), only_member)
+        let contradicted = self.lock().has_unexplained_fence();
+        !self
+            .lock_proof()
+            .allows_orders(self.now(), only_member, contradicted)
     }
 
     /// Records that the store confirmed the claim by a call that was sent at `sent_at`.
     pub(crate) fn record_confirmation(&self, sent_at: Millis) {
         self.lock_proof().confirm(sent_at);
         let mut scheduler = self.lock();
-        if scheduler.unconfirmed_loss().is_some() {
+        if scheduler.awaits_confirmation() {
             scheduler.confirm_ownership(sent_at, self.now());
             drop(scheduler);
             self.request_plan();
@@ -117,7 +124,7 @@
             sleep(CHECK_INTERVAL).await;
             let confirmed_at = self.lock_proof().confirmed_at();
             let is_old = self.now().saturating_sub(confirmed_at) > CONFIRMATION_INTERVAL;
-            if !is_old && self.lock().unconfirmed_loss().is_none() {
+            if !is_old && !self.lock().awaits_confirmation() {
                 continue;
             }
             let sent_at = self.now();
--- a/crates/magnolia-node/src/ownership_proof_tests.rs
+++ b/crates/magnolia-node/src/ownership_proof_tests.rs
@@ -26,8 +26,8 @@
     /// Guards against orders on evidence that is older than the next owner assumes.
     evidence_expires,
     |proof| {
-        assert!(proof.allows_orders(at(3000), false));
-        assert!(!proof.allows_orders(at(3001), false));
+        assert!(proof.allows_orders(at(3000), false, false));
+        assert!(!proof.allows_orders(at(3001), false, false));
     }
 );
 
@@ -37,8 +37,8 @@
     pings_count_while_the_store_is_unavailable,
     |mut proof| {
         proof.record_echo(at(2900));
-        assert!(proof.allows_orders(at(4900), false));
-        assert!(!proof.allows_orders(at(4901), false));
+        assert!(proof.allows_orders(at(4900), false, false));
+        assert!(!proof.allows_orders(at(4901), false, false));
     }
 );
 
@@ -50,9 +50,9 @@
         proof.record_echo(at(1050));
         proof.confirm(at(1080));
         proof.check_pause(at(5000));
-        assert!(!proof.allows_orders(at(5000), false));
+        assert!(!proof.allows_orders(at(5000), false, false));
         proof.confirm(at(5001));
-        assert!(proof.allows_orders(at(5002), false));
+        assert!(proof.allows_orders(at(5002), false, false));
     }
 );
 
@@ -62,7 +62,7 @@
     |mut proof| {
         for ms in (1000..9000).step_by(100) {
             proof.check_pause(at(ms));
-            assert!(proof.allows_orders(at(ms), true));
+            assert!(proof.allows_orders(at(ms), true, false));
         }
     }
 );
@@ -71,11 +71,24 @@
     /// Guards against a daemon that was paused while another one registered and claimed ownership.
     the_only_member_needs_evidence_after_a_pause,
     |mut proof| {
-        assert!(!proof.allows_orders(at(9000), true), "before the next check");
+        assert!(!proof.allows_orders(at(9000), true, false), "before the next check");
         proof.check_pause(at(9000));
-        assert!(!proof.allows_orders(at(9100), true));
+        assert!(!proof.allows_orders(at(9100), true, false));
         proof.check_pause(at(9200));
         proof.confirm(at(9001));
-        assert!(proof.allows_orders(at(9200), true));
+        assert!(proof.allows_orders(at(9200), true, false));
     }
 );
+
+/// Guards against an owner that goes on by the evidence of its peers while an executor knows a later
+/// owner that neither the owner nor its peers know of.
+#[test]
+fn only_the_store_counts_against_a_higher_epoch() {
+    let mut proof = OwnershipProof::new(at(1000), LIMIT);
+    proof.record_echo(at(3500));
+    assert!(proof.allows_orders(at(4000), false, false));
+    assert!(!proof.allows_orders(at(4000), false, true));
+    assert!(!proof.allows_orders(at(4000), true, true));
+    proof.confirm(at(3900));
+    assert!(proof.allows_orders(at(4000), false, true));
+}
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -8,6 +8,7 @@
 
 use crate::admission::{AdmissionDecision, AdmissionLoad, decide_admission};
 use crate::eligibility_queue::EligibilityQueue;
+use crate::executor_state::FenceState;
 use crate::executors::{ExecutorIndex, ExecutorTable};
 use crate::job::JobState;
 use crate::lost_runs::LostRun;
@@ -76,6 +77,9 @@
     /// Executors on which an earlier owner may still have runs: they have not answered in this
     /// epoch and the time after which its leases have expired has not passed.
     pub unsettled_executors: usize,
+    /// Executors that are set aside because they know a higher epoch than any claim.
+    #[serde(default)]
+    pub foreign_executors: usize,
     /// Processors reserved, in thousandths.
     pub used_cpu: u64,
     /// Processors of all listed executors, in thousandths.
@@ -109,8 +113,6 @@
     dirty_executors: BTreeSet<ExecutorIndex>,
     /// Succeeded tasks that are in no batch yet.
     pub(crate) done_unbatched: Vec<TaskRef>,
-    /// Whether an executor has rejected the epoch because it knows a higher one.
-    pub(crate) superseded: bool,
     /// Time of the last preemption on each executor.
     pub(crate) preempted: BTreeMap<ExecutorIndex, Millis>,
     /// Lost runs whose tasks wait until ownership is confirmed.
@@ -140,7 +142,6 @@
             dirty_jobs: BTreeSet::new(),
             dirty_executors: BTreeSet::new(),
             done_unbatched: Vec::new(),
-            superseded: false,
             preempted: BTreeMap::new(),
             lost_runs: Vec::new(),
         }
@@ -151,11 +152,6 @@
         self.epoch
     }
 
-    /// Tells whether an executor has rejected the epoch because it knows a higher one.
-    pub fn is_superseded(&self) -> bool {
-        self.superseded
-    }
-
     /// Applies a version of the configuration unless a newer one is in force.
     pub fn set_rules(&mut self, rules: Arc<CellRules>) {
         if rules.version >= self.rules.version {
@@ -475,6 +471,7 @@
             }
             summary.usable_executors += usize::from(executor.accepts_work(now));
             summary.unsettled_executors += usize::from(executor.blocks_inherited());
+            summary.foreign_executors += usize::from(executor.fence == FenceState::Foreign);
         }
         summary
     }
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -89,6 +89,17 @@
     pub wait: Millis,
 }
 
+/// Whether an executor rejects the epoch of this owner because it knows a higher one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FenceState {
+    /// It does not, as far as is known.
+    Accepted,
+    /// It rejected an order at this time. A later owner may have claimed the cell.
+    Rejected(Millis),
+    /// It does, and no later claim existed afterwards: the higher epoch is not of this cell.
+    Foreign,
+}
+
 /// Phase of a run on an executor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -173,6 +184,8 @@
     pub(crate) inherited: bool,
     /// The tasks that an earlier owner may have left there; any inherited task if there is no list.
     pub(crate) inherited_tasks: Option<BTreeSet<TaskRef>>,
+    /// Whether it rejects the epoch of this owner.
+    pub(crate) fence: FenceState,
     /// Present use, which is stored for the next owner.
     pub(crate) usage: ExecutorUse,
     /// The most restrictive use that the store may hold.
@@ -223,6 +236,7 @@
             settled: false,
             inherited: false,
             inherited_tasks: None,
+            fence: FenceState::Accepted,
             usage: ExecutorUse::Unused,
             stored_usage: ExecutorUse::Unused,
             last_batch: 0,
@@ -321,6 +335,7 @@
             active.may_be_of_earlier_life = true;
         }
         self.unknown_runs.clear();
+        self.fence = FenceState::Accepted;
         self.may_have_unlisted_ends = false;
         self.seen_through = 0;
         self.batched_through = 0;
--- a/crates/magnolia-scheduler/src/lost_runs.rs
+++ b/crates/magnolia-scheduler/src/lost_runs.rs
@@ -59,14 +59,21 @@
         });
     }
 
+    /// Tells whether something waits for a confirmation of ownership.
+    pub fn awaits_confirmation(&self) -> bool {
+        self.unconfirmed_loss().is_some() || self.has_unexplained_fence()
+    }
+
     /// Returns the time of the latest loss of runs whose tasks wait for a confirmation.
     pub fn unconfirmed_loss(&self) -> Option<Millis> {
         self.lost_runs.iter().map(|lost| lost.lost_at).max()
     }
 
     /// Records that ownership was confirmed by a call to the store that was sent at `sent_at`. The
-    /// tasks of runs that were lost before may start again.
+    /// tasks of runs that were lost before may start again, and executors that knew a higher epoch
+    /// before obey another cell.
     pub fn confirm_ownership(&mut self, sent_at: Millis, now: Millis) {
+        self.set_foreign_aside(sent_at);
         let confirmed = |lost: &mut LostRun| lost.lost_at < sent_at;
         let returned: Vec<LostRun> = self.lost_runs.extract_if(.., confirmed).collect();
         for lost in returned {
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -5,7 +5,9 @@
 use magnolia_types::{ExecutorId, Millis};
 
 use crate::cell::CellScheduler;
-use crate::executor_state::{ActiveRun, RenewalPlan, RunPhase, stretch_lease};
+use crate::executor_state::{
+    ActiveRun, ExecutorState, FenceState, RenewalPlan, RunPhase, stretch_lease,
+};
 use crate::executors::{ExecutorEntry, ExecutorIndex, ExecutorStatus, ExecutorUse};
 use crate::step::{TaskPhase, Ticket};
 use crate::{CellAction, PaceOrder};
@@ -138,6 +140,7 @@
         }
         let lease = self.settings.lease;
         let executor = self.executors.get_mut(executor_index);
+        executor.fence = FenceState::Accepted;
         executor.lease.observe(report.clock, now);
         executor.last_answer_at = Some(now);
         let ready = executor.entry.status == ExecutorStatus::Ready;
@@ -351,7 +354,11 @@
                     active.phase = RunPhase::Running;
                 }
             }
-            StartAnswer::Fenced => self.superseded = true,
+            // The order had no effect. The task waits until ownership is confirmed.
+            StartAnswer::Fenced => {
+                self.apply_fence(&order.executor, now);
+                self.lose_run(executor_index, order.task, order.run, now);
+            }
             StartAnswer::Unknown => active.uncertain = true,
             // An earlier copy of the order may have been executed; the next report shows whether.
             StartAnswer::Old if active.uncertain => active.confirmed_at = Some(now),
@@ -439,10 +446,8 @@
     }
 
     /// Applies the answer to a stop order: after a confirmed stop, no copy of the start can take
-    /// effect. `fenced` tells whether the executor rejected the order because it knows a higher
-    /// epoch.
-    pub fn apply_stop(&mut self, order: &StopOrder, confirmed: bool, fenced: bool) {
-        self.superseded |= fenced;
+    /// effect.
+    pub fn apply_stop(&mut self, order: &StopOrder, confirmed: bool) {
         let Some(executor_index) = self.executors.index_of(&order.executor) else {
             return;
         };
@@ -452,9 +457,42 @@
         }
     }
 
-    /// Records that an executor rejected a lease renewal because it knows a higher epoch.
-    pub fn apply_fenced(&mut self) {
-        self.superseded = true;
+    /// Records that an executor rejected an order because it knows a higher epoch. Either a later
+    /// owner has claimed the cell, or the executor obeys another cell; the next confirmation of
+    /// ownership shows which.
+    pub fn apply_fence(&mut self, id: &ExecutorId, now: Millis) {
+        let Some(executor_index) = self.executors.index_of(id) else {
+            return;
+        };
+        let executor = self.executors.get_mut(executor_index);
+        executor.last_answer_at = None;
+        if executor.fence == FenceState::Accepted {
+            log::warn!(executor:% = id, epoch:% = self.epoch; "executor knows a higher epoch");
+            executor.fence = FenceState::Rejected(now);
+        }
+    }
+
+    /// Tells whether an executor knows a higher epoch and ownership was not confirmed since.
+    pub fn has_unexplained_fence(&self) -> bool {
+        let unexplained =
+            |executor: &ExecutorState| matches!(executor.fence, FenceState::Rejected(_));
+        self.executors
+            .iter()
+            .any(|(_, executor)| unexplained(executor))
+    }
+
+    /// Sets the executors aside that rejected the epoch before `sent_at`, when a call was sent that
+    /// found no later claim.
+    pub(crate) fn set_foreign_aside(&mut self, sent_at: Millis) {
+        for (_, executor) in self.executors.iter_mut() {
+            if let FenceState::Rejected(at) = executor.fence
+                && at < sent_at
+            {
+                log::error!(executor:% = executor.entry.id, address:% = executor.entry.address;
+                    "executor knows a higher epoch than any claim of this cell; it is set aside");
+                executor.fence = FenceState::Foreign;
+            }
+        }
     }
 
     /// Records that an executor can't be reached, or that another one answers at its address.
--- a/crates/magnolia-scheduler/tests/lost_runs.rs
+++ b/crates/magnolia-scheduler/tests/lost_runs.rs
@@ -169,7 +169,7 @@
         assert!(harness.start_tasks().is_empty(), "the start may still be carried out");
         assert_eq!(stops.len(), 1);
         assert_eq!(stops[0].life, ExecutorLife::new(2));
-        harness.scheduler.apply_stop(&stops[0], true, false);
+        harness.scheduler.apply_stop(&stops[0], true);
         harness.advance(100);
         report_second_life(&mut harness, 0, vec![]);
         harness.confirm_ownership();
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -138,7 +138,7 @@
         let Some(CellAction::Stop(stop)) = stops.into_iter().next_back() else {
             panic!("no stop was ordered for the start");
         };
-        harness.scheduler.apply_stop(&stop, true, false);
+        harness.scheduler.apply_stop(&stop, true);
         harness.advance(50);
         harness.report(0, vec![], vec![]);
         let again = harness.start_tasks();
