Saturate the sums on values of callers, executors and settings

Cause: first_progress_limit multiplied a caller's estimate before it divided. The lint arithmetic_side_effects showed more of the kind, among them a u32 sum of the tasks that fit, which a task without needs overflows on two executors.

Evidence: steps_at_the_end_of_every_range_are_planned failed before.

Change: these sums saturate, and the lint is an error in the modules of the scheduler that work with such values.

--- a/crates/magnolia-bench/src/lib.rs
+++ b/crates/magnolia-bench/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod load_simulation;
 mod memory;
 mod packing;
+mod property_test;
 mod replay;
 mod report;
 mod waiting;
@@ -20,6 +21,7 @@
 
 pub use command::{command, run};
 pub use error::BenchError;
+pub use property_test::property_test;
 pub use report::{BenchReport, BenchRow};
 
 /// Seeds and size of a benchmark run.
--- a/crates/magnolia-node/src/message_tests.rs
+++ b/crates/magnolia-node/src/message_tests.rs
@@ -1,8 +1,8 @@
 //! Property tests of the messages between daemons and of the stored claims: damaged ones are
 //! rejected and never panic.
 
+use magnolia_bench::property_test;
 use magnolia_types::{DaemonId, Epoch, Incarnation, Millis};
-use quickcheck::QuickCheck;
 
 use crate::membership::{CellView, MemberRecord, OwnerClaim, claim_record, member_record};
 use crate::peer_messages::{PeerReply, PeerRequest, PingReply, PingRequest, StoreCall};
@@ -67,9 +67,7 @@
         let _ = rmp_serde::from_slice::<PeerReply>(&damage(bytes, &changes));
         true
     }
-    QuickCheck::new()
-        .tests(INPUTS)
-        .quickcheck(property as fn(Vec<(u16, u8)>) -> bool);
+    property_test(INPUTS).quickcheck(property as fn(Vec<(u16, u8)>) -> bool);
 }
 
 /// Guards the stream of claims: a damaged record leaves the known owner in place, and the next
@@ -91,7 +89,5 @@
         let next = OwnerClaim::new(member(), view.owner.as_ref(), u64::MAX);
         view.owner.is_none_or(|owner| next.epoch > owner.epoch)
     }
-    QuickCheck::new()
-        .tests(INPUTS)
-        .quickcheck(property as fn(Vec<(u16, u8)>) -> bool);
+    property_test(INPUTS).quickcheck(property as fn(Vec<(u16, u8)>) -> bool);
 }
--- a/crates/magnolia-scheduler/src/admission.rs
+++ b/crates/magnolia-scheduler/src/admission.rs
@@ -3,6 +3,11 @@
 //! Under overload, a job that is expected to end too late to be of use to its caller is refused at
 //! once, with the time after which the backlog should have drained.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    reason = "the values come from outside"
+)]
+
 use magnolia_types::Millis;
 
 /// Load that a new job has to wait for, and its own objective.
@@ -46,15 +51,16 @@
 
 /// Accepts a job if its expected completion time is within the limit set by its objective.
 pub fn decide_admission(load: &AdmissionLoad) -> AdmissionDecision {
-    let capacity = (load.capacity_millis * USABLE_PERCENT / 100).max(1);
-    let drain = load.backlog_work.saturating_mul(1000) / capacity;
+    let capacity = (load.capacity_millis.saturating_mul(USABLE_PERCENT) / 100).max(1);
+    let drain = load.backlog_work.saturating_mul(1000).checked_div(capacity);
+    let drain = drain.unwrap_or(u64::MAX);
     let wait = drain.saturating_add(load.eligibility_backlog.get());
     let expected = wait.saturating_add(load.critical_path.get());
     let limit = load.objective.get().saturating_mul(MAX_COMPLETION_PERCENT) / 100;
     if expected <= limit {
         return AdmissionDecision::Accept;
     }
-    let excess = Millis::new(expected - limit);
+    let excess = Millis::new(expected.saturating_sub(limit));
     let retry_after = excess.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
     AdmissionDecision::Refuse { retry_after }
 }
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -432,7 +432,8 @@
 
     /// Removes ended jobs whose retention has passed.
     pub fn forget_ended(&mut self, now_unix_ms: u64) {
-        let retention = self.settings.ended_retention.get() + Self::FORGET_MARGIN_MS;
+        let retention = self.settings.ended_retention.get();
+        let retention = retention.saturating_add(Self::FORGET_MARGIN_MS);
         let old = |job: &JobState| {
             let since = job.ended.map(|(_, at)| now_unix_ms.saturating_sub(at));
             since.is_some_and(|since| since > retention)
--- a/crates/magnolia-scheduler/src/eligibility.rs
+++ b/crates/magnolia-scheduler/src/eligibility.rs
@@ -1,5 +1,10 @@
 //! Eligibility requests: which steps need them and which executors they name.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    reason = "the values come from outside"
+)]
+
 use magnolia_types::Millis;
 
 use crate::cell::{CellScheduler, ReadyKey};
@@ -54,7 +59,7 @@
             .usable
             .iter()
             .map(|candidate| candidate.fitting_tasks)
-            .sum();
+            .fold(0, u32::saturating_add);
         let salt = step.job.get();
         // A share of 1: these executors are known to be eligible and only need a new ticket.
         let mut named = choose_executors_to_ask(
@@ -68,11 +73,11 @@
             .expired
             .iter()
             .map(|candidate| candidate.fitting_tasks)
-            .sum();
-        let known_capacity = of_expired + if gang { of_usable } else { 0 };
+            .fold(0, u32::saturating_add);
+        let known_capacity = of_expired.saturating_add(if gang { of_usable } else { 0 });
         let missing = wanted.saturating_sub(known_capacity);
         if missing > 0 {
-            let limit = MAX_EXECUTORS_PER_REQUEST - named.len();
+            let limit = MAX_EXECUTORS_PER_REQUEST.saturating_sub(named.len());
             named.extend(choose_executors_to_ask(
                 &mut candidates.unknown,
                 missing,
@@ -85,7 +90,7 @@
             .unknown
             .iter()
             .map(|candidate| candidate.fitting_tasks.min(wanted))
-            .sum();
+            .fold(0, u32::saturating_add);
         let expected_tasks = f64::from(known_capacity) + f64::from(of_unknown) * share;
         // If every executor that may be eligible has free capacity, waiting makes no later request
         // more useful, however few of the queue's steps were eligible before.
--- a/crates/magnolia-scheduler/src/eligibility_queue.rs
+++ b/crates/magnolia-scheduler/src/eligibility_queue.rs
@@ -5,6 +5,11 @@
 //! a batch step would miss its objective before it starts. Therefore some daemons are reserved for
 //! short requests.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    reason = "the values come from outside"
+)]
+
 use std::collections::BTreeSet;
 
 use magnolia_types::{ExecutorId, Millis};
@@ -77,9 +82,11 @@
             .waiting
             .iter()
             .filter(|request| request.priority <= priority);
-        let total: u64 = ahead.map(|request| request.expected_duration.get()).sum();
-        let daemons = (self.idle.len() + self.busy.len()).max(1);
-        Millis::new(total / u64::try_from(daemons).unwrap_or(1))
+        let total = ahead
+            .map(|request| request.expected_duration.get())
+            .fold(0, u64::saturating_add);
+        let daemons = u64::try_from(self.daemons()).unwrap_or(u64::MAX).max(1);
+        Millis::new(total.checked_div(daemons).unwrap_or(total))
     }
 
     /// Marks the request of a daemon as finished; `usable` tells whether the daemon can send
@@ -125,9 +132,14 @@
         orders
     }
 
+    /// Returns the number of daemons that can send requests.
+    fn daemons(&self) -> usize {
+        self.idle.len().saturating_add(self.busy.len())
+    }
+
     /// Returns the number of daemons that are reserved for short requests.
     fn reserved_for_short_requests(&self) -> usize {
-        let daemons = self.idle.len() + self.busy.len();
+        let daemons = self.daemons();
         if daemons < 2 {
             return 0;
         }
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -1,5 +1,10 @@
 //! The owner's view of one executor: its lease, capacity and runs.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    reason = "the values come from outside"
+)]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -366,7 +371,7 @@
 
     pub(crate) fn add_run(&mut self, task: TaskRef, run: RunNumber, active: ActiveRun) {
         self.used = self.used.saturating_add(&active.reserved);
-        self.filler_cpu += active.filler_cpu;
+        self.filler_cpu = self.filler_cpu.saturating_add(active.filler_cpu);
         self.runs.insert((task, run), active);
     }
 
--- a/crates/magnolia-scheduler/src/hung_runs.rs
+++ b/crates/magnolia-scheduler/src/hung_runs.rs
@@ -4,6 +4,11 @@
 //! urgent tasks take no longer than that; a run without progress in its first report can therefore
 //! count as hung already.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    reason = "the values come from outside"
+)]
+
 use magnolia_types::Millis;
 
 use crate::TaskRef;
@@ -14,6 +19,9 @@
 /// reported in whole percent, and a slow executor, data on another rack and a rough estimate can
 /// make a run several times as long.
 const FIRST_PROGRESS_PERCENT: u64 = 16;
+/// Estimated run time, as a multiple of the time without progress after which a run counts as hung,
+/// from which runs are not watched: whole percents of a longer run take longer than that time.
+const MAX_ESTIMATE_FACTOR: u64 = 50;
 /// Shortest time after which a run must show progress; several round trips.
 const MIN_FIRST_PROGRESS_LIMIT: Millis = Millis::new(400);
 
@@ -52,8 +60,7 @@
             if working || spec.filler || spec.gang || spec.lasting {
                 continue;
             }
-            // Progress is in whole percent; that of such long runs changes too seldom.
-            let too_long = spec.estimate.get() > limit.get() * 50;
+            let too_long = spec.estimate.get() > limit.get().saturating_mul(MAX_ESTIMATE_FACTOR);
             if too_long {
                 continue;
             }
@@ -82,7 +89,7 @@
         if resumed {
             return limit;
         }
-        let first_progress = spec.estimate.get() * FIRST_PROGRESS_PERCENT / 100;
+        let first_progress = spec.estimate.get().saturating_mul(FIRST_PROGRESS_PERCENT) / 100;
         Millis::new(first_progress).clamp(MIN_FIRST_PROGRESS_LIMIT, limit)
     }
 }
--- a/crates/magnolia-scheduler/src/job_spec.rs
+++ b/crates/magnolia-scheduler/src/job_spec.rs
@@ -1,5 +1,10 @@
 //! Specification of a job: steps of tasks, with dependencies between the steps.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    reason = "the values come from outside"
+)]
+
 use std::sync::Arc;
 
 use magnolia_types::{Millis, ResourceVector, wire_types};
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -410,7 +410,7 @@
         entry.avoid = Some(executor_index);
         entry.failed.insert(run.get());
         let failures = entry.failed.len() as u64;
-        let pause = Millis::new(RETRY_PAUSE.get() * failures).min(MAX_RETRY_PAUSE);
+        let pause = Millis::new(RETRY_PAUSE.get().saturating_mul(failures)).min(MAX_RETRY_PAUSE);
         entry.not_before = now.saturating_add(pause);
         if lasting {
             entry.failed.clear();
--- a/crates/magnolia-scheduler/src/ordering.rs
+++ b/crates/magnolia-scheduler/src/ordering.rs
@@ -4,6 +4,11 @@
 //! alone lets large jobs delay many small ones, and nearly all end late. Therefore a job is ordered
 //! later the more work it has compared with the mean job of its queue.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    reason = "the values come from outside"
+)]
+
 use magnolia_types::Millis;
 
 /// Highest ratio of a job's work to the mean that delays it further; bounds the wait of the largest
--- a/crates/magnolia-scheduler/src/outage.rs
+++ b/crates/magnolia-scheduler/src/outage.rs
@@ -5,6 +5,11 @@
 //! without enough time for a retry waits if the store is expected to be back before it leaves, and
 //! is refused at once otherwise.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    reason = "the values come from outside"
+)]
+
 use magnolia_types::Millis;
 
 /// Decision on a submission that can't be stored now.
@@ -38,7 +43,7 @@
     if !can_retry && outage <= time_left && time_left > REFUSAL_TIME {
         return OutageDecision::Wait;
     }
-    let latest = time_left.saturating_sub(ACCEPT_TIME).get() / 1000 * 1000;
+    let latest = (time_left.saturating_sub(ACCEPT_TIME).get() / 1000).saturating_mul(1000);
     let retry_after = outage
         .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
         .min(Millis::new(latest))
--- a/crates/magnolia-scheduler/src/pacing.rs
+++ b/crates/magnolia-scheduler/src/pacing.rs
@@ -1,5 +1,10 @@
 //! CPU share of filler tasks beside tasks with a latency target.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    reason = "the values come from outside"
+)]
+
 /// Decision on the CPU share of the fillers of an executor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PaceDecision {
--- a/crates/magnolia-scheduler/src/placement.rs
+++ b/crates/magnolia-scheduler/src/placement.rs
@@ -1,5 +1,10 @@
 //! Choice of the executor for a task and of the executors to name in an eligibility request.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    reason = "the values come from outside"
+)]
+
 use crate::executors::ExecutorIndex;
 
 /// An executor that tasks of a step may go to, as seen by the choice.
@@ -29,9 +34,12 @@
     let key = |candidate: &Candidate| {
         let order = if spread {
             // Speed in steps of 5% comes before spare processors: it decides how long a run takes.
-            (candidate.speed * 20.0).round() as i64 * 1_000_000 + candidate.spare_cpu
+            let speed = (candidate.speed * 20.0).round() as i64;
+            speed
+                .saturating_mul(1_000_000)
+                .saturating_add(candidate.spare_cpu)
         } else {
-            -candidate.spare_cpu
+            candidate.spare_cpu.saturating_neg()
         };
         (!candidate.avoided, candidate.near_data, order)
     };
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -169,7 +169,7 @@
         } else {
             self.place_tasks(step, spec, &rules, &startable, &mut candidates, now)
         };
-        let left = startable.len() - placed;
+        let left = startable.len().saturating_sub(placed);
         if placed > 0 {
             let waited = now.saturating_sub(ready_since);
             log::info!(step:% = step, placed = placed, left = left, waited:% = waited;
@@ -250,7 +250,7 @@
         let mut free = free;
         if rules.priority > PREEMPTING_PRIORITY && !spec.filler {
             let capacity = executor.entry.capacity.cpu_millis.get();
-            let reserve = capacity * self.settings.urgent_reserve_permille / 1000;
+            let reserve = capacity.saturating_mul(self.settings.urgent_reserve_permille) / 1000;
             let reserve = magnolia_types::CpuMillis::new(reserve);
             free.cpu_millis = free.cpu_millis.saturating_sub(reserve);
         }
@@ -457,7 +457,11 @@
     Candidate {
         executor_index,
         fitting_tasks,
-        spare_cpu: if spec.filler { free - fillers } else { free },
+        spare_cpu: if spec.filler {
+            free.saturating_sub(fillers)
+        } else {
+            free
+        },
         speed: executor.speed,
         near_data,
         avoided,
@@ -466,8 +470,9 @@
 
 /// Subtracts the resources of one task from a candidate.
 fn reserve_task(candidate: &mut Candidate, spec: &StepSpec) {
-    candidate.fitting_tasks -= 1;
-    candidate.spare_cpu -= i64::try_from(spec.need.cpu_millis.get()).unwrap_or(i64::MAX);
+    let cpu = i64::try_from(spec.need.cpu_millis.get()).unwrap_or(i64::MAX);
+    candidate.fitting_tasks = candidate.fitting_tasks.saturating_sub(1);
+    candidate.spare_cpu = candidate.spare_cpu.saturating_sub(cpu);
 }
 
 /// Returns how many times `need` fits into `free`.
--- a/crates/magnolia-scheduler/src/preemption.rs
+++ b/crates/magnolia-scheduler/src/preemption.rs
@@ -1,5 +1,10 @@
 //! Preemption: stops runs of lower priority to free capacity for urgent tasks.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    reason = "the values come from outside"
+)]
+
 use magnolia_types::{Millis, ResourceVector};
 
 use crate::cell::CellScheduler;
@@ -26,7 +31,7 @@
             candidates
                 .iter()
                 .map(|candidate| candidate.fitting_tasks.min(wanted))
-                .sum::<u32>()
+                .fold(0, u32::saturating_add)
         };
         let expected =
             f64::from(fitting(&candidates.unknown)) * self.expected_eligible_share(rules);
--- a/crates/magnolia-scheduler/src/record_size.rs
+++ b/crates/magnolia-scheduler/src/record_size.rs
@@ -6,6 +6,11 @@
 //! their tasks start from the beginning after a change of owner. A job whose failed runs find no
 //! room ends as failed.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    reason = "the values come from outside"
+)]
+
 use std::sync::Arc;
 
 use crate::record::{JobRecord, LiveRecord, RecordError};
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -1,5 +1,10 @@
 //! Processing of executor reports, of answers to orders and of the platform's list of executors.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    reason = "the values come from outside"
+)]
+
 use std::collections::BTreeSet;
 
 use magnolia_types::{ExecutorId, Millis};
@@ -208,7 +213,7 @@
         if known || job.ending.is_some() {
             return;
         }
-        if wanted - job.occurrences.len() > MAX_EARLY_OCCURRENCES {
+        if wanted.saturating_sub(job.occurrences.len()) > MAX_EARLY_OCCURRENCES {
             log::warn!(task:% = task, open = job.occurrences.len();
                 "ignored the report of an occurrence that no owner can have started");
             return;
@@ -572,7 +577,8 @@
                 .step_spec(task.step)
                 .and_then(|spec| spec.latency_target);
             if let (Some(target), Some(tail)) = (target, active.meter) {
-                worst = worst.max(tail * 100 / target.get().max(1));
+                let percent = tail.saturating_mul(100).checked_div(target.get());
+                worst = worst.max(percent.unwrap_or(u64::MAX));
             }
         }
         let (id, life) = (executor.entry.id.clone(), executor.entry.life);
--- a/crates/magnolia-scheduler/src/rules.rs
+++ b/crates/magnolia-scheduler/src/rules.rs
@@ -1,5 +1,10 @@
 //! Configuration that the operator publishes: queues and services.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    reason = "the values come from outside"
+)]
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
--- a/crates/magnolia-scheduler/src/settings.rs
+++ b/crates/magnolia-scheduler/src/settings.rs
@@ -1,5 +1,10 @@
 //! Settings of the scheduler.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    reason = "the values come from outside"
+)]
+
 use magnolia_types::Millis;
 
 /// Limits, intervals and weights of the scheduler. Those that depend on the deployment come from
@@ -42,7 +47,7 @@
     pub fn new(max_lease: Millis) -> Self {
         Self {
             max_lease,
-            lease: Millis::new(max_lease.get() * 3 / 5),
+            lease: Millis::new(max_lease.get().saturating_mul(3) / 5),
             ended_retention: Millis::from_secs(120),
             renewal_wait: Millis::new(1000),
             urgent_reserve_permille: 30,
@@ -74,7 +79,7 @@
     /// has certainly expired, on executor clocks that are up to 2% slow. Every owner asks for the
     /// same lease length.
     pub fn lease_end(&self) -> Millis {
-        let stretched = self.lease.get() * 102 / 100;
+        let stretched = self.lease.get().saturating_mul(102) / 100;
         Millis::new(stretched).saturating_add(Self::MAX_ORDER_DELAY)
     }
 
--- a/crates/magnolia-scheduler/tests/decisions.rs
+++ b/crates/magnolia-scheduler/tests/decisions.rs
@@ -5,13 +5,16 @@
 use std::collections::BTreeSet;
 
 use common::test_case;
+use magnolia_bench::property_test;
 use magnolia_scheduler::{
     AdmissionDecision, AdmissionLoad, Candidate, EligibilityQueue, ExecutorLease, HealthState,
     HealthTracker, JobKey, PaceDecision, QueuedEligibilityRequest, RunNumber, StepRef, TaskRef,
     choose_executor, choose_executors_to_ask, decide_admission, decide_pace,
 };
 use magnolia_types::{Epoch, Millis};
-use quickcheck::quickcheck;
+
+/// Number of inputs of each property.
+const INPUTS: u64 = 100;
 
 fn request(priority: u32, order: u64, expected_ms: u64) -> QueuedEligibilityRequest {
     let step = StepRef {
@@ -170,28 +173,44 @@
     }
 );
 
-quickcheck! {
+test_case!(
     /// Guards against a run number that does not increase with the epoch: executors refuse it.
-    fn runs_of_a_later_epoch_are_higher(epoch: u16, first: u16, second: u16) -> bool {
-        let epoch = u64::from(epoch) + 1;
-        let before = RunNumber::new_in(Epoch::new(epoch), u64::from(first) + 1);
-        let after = RunNumber::new_in(Epoch::new(epoch + 1), u64::from(second) + 1);
-        before < after && before.get() >= 1
+    runs_of_a_later_epoch_are_higher,
+    || {
+        fn property(epoch: u16, first: u16, second: u16) -> bool {
+            let epoch = u64::from(epoch) + 1;
+            let before = RunNumber::new_in(Epoch::new(epoch), u64::from(first) + 1);
+            let after = RunNumber::new_in(Epoch::new(epoch + 1), u64::from(second) + 1);
+            before < after && before.get() >= 1
+        }
+        property_test(INPUTS).quickcheck(property as fn(u16, u16, u16) -> bool);
     }
+);
 
+test_case!(
     /// Guards against a task reference that is parsed differently than it was written; executors
     /// report runs by it.
-    fn task_names_are_read_as_written(job: u64, occurrence: u32, step: u16, index: u32) -> bool {
-        let step = StepRef { job: JobKey::new(job), occurrence, step };
-        let task = TaskRef { step, index };
-        task.to_string().parse() == Ok(task)
+    task_names_are_read_as_written,
+    || {
+        fn property(job: u64, occurrence: u32, step: u16, index: u32) -> bool {
+            let step = StepRef { job: JobKey::new(job), occurrence, step };
+            let task = TaskRef { step, index };
+            task.to_string().parse() == Ok(task)
+        }
+        property_test(INPUTS).quickcheck(property as fn(u64, u32, u16, u32) -> bool);
     }
+);
 
+test_case!(
     /// Guards against text that parses as a task reference although it is not one.
-    fn other_text_names_no_task(text: String) -> bool {
-        match text.parse::<TaskRef>() {
-            Ok(task) => task.to_string() == text,
-            Err(_) => true,
+    other_text_names_no_task,
+    || {
+        fn property(text: String) -> bool {
+            match text.parse::<TaskRef>() {
+                Ok(task) => task.to_string() == text,
+                Err(_) => true,
+            }
         }
+        property_test(INPUTS).quickcheck(property as fn(String) -> bool);
     }
-}
+);
--- a/crates/magnolia-scheduler/tests/harness/mod.rs
+++ b/crates/magnolia-scheduler/tests/harness/mod.rs
@@ -73,6 +73,19 @@
         }
     }
 
+    /// Makes tasks of the queue need the eligibility service, which any number of daemons can ask.
+    pub fn require_eligibility(&mut self) {
+        let rules = Arc::new(queue("batch", 2, 5, 100));
+        let cell = CellRules {
+            version: CellVersion::new(2),
+            queues: [(rules.name.clone(), Arc::clone(&rules))].into(),
+            ..CellRules::default()
+        };
+        self.scheduler.set_rules(Arc::new(cell));
+        self.rules = rules;
+        self.scheduler.set_eligibility_daemons(&(0..400).collect());
+    }
+
     /// Loads an executor that an earlier owner had in use.
     pub fn load_executor(&mut self, number: usize, confined_to: Option<Vec<TaskRef>>) {
         self.load_executor_with_lease(number, confined_to, None);
--- a/crates/magnolia-scheduler/tests/malformed_input.rs
+++ b/crates/magnolia-scheduler/tests/malformed_input.rs
@@ -7,13 +7,14 @@
 
 use harness::{CAPACITY, START_UNIX_MS, SchedulerHarness, id, task};
 use magnolia_bench::load_simulation::{job, step};
+use magnolia_bench::property_test;
 use magnolia_scheduler::{
     EndKind, ExecutorLife, ExecutorReport, JobKey, JobRecord, JobSpec, LiveRecord,
     OccurrenceRecord, RecurrenceSpec, RunEnd, RunNumber, RunningTask, StepRecord, StepSpec,
     TaskRef,
 };
 use magnolia_types::{Millis, ResourceVector};
-use quickcheck::{Arbitrary, Gen, QuickCheck};
+use quickcheck::{Arbitrary, Gen};
 
 /// Number of inputs of each property.
 const INPUTS: u64 = 3000;
@@ -96,9 +97,57 @@
         work(&mut harness);
         true
     }
-    QuickCheck::new()
-        .tests(INPUTS)
-        .quickcheck(property as fn(AnyJob, AnyJob) -> bool);
+    property_test(INPUTS).quickcheck(property as fn(AnyJob, AnyJob) -> bool);
+}
+
+/// Guards against sizes at the end of their range that once overflowed in planning, in eligibility
+/// requests or in the detection of hung runs.
+#[test]
+fn steps_at_the_end_of_every_range_are_planned() {
+    let needs = [
+        (0, 0),
+        (0, u64::MAX),
+        (u64::MAX, 0),
+        (u64::MAX, u64::MAX),
+        (1, 1),
+    ];
+    for ((cpu, memory), (filler, lasting), advice) in needs
+        .into_iter()
+        .flat_map(|need| {
+            [
+                (need, (true, false)),
+                (need, (false, true)),
+                (need, (false, false)),
+            ]
+        })
+        .flat_map(|(need, kind)| [(need, kind, false), (need, kind, true)])
+    {
+        let mut harness = SchedulerHarness::new(1, 2);
+        if advice {
+            harness.require_eligibility();
+        }
+        let extreme = StepSpec {
+            need: ResourceVector::new(cpu, memory, 0),
+            estimate: Millis::new(u64::MAX),
+            filler,
+            lasting,
+            ..step(9, CAPACITY, 100, vec![])
+        };
+        let (rules, spec) = (Arc::clone(&harness.rules), Arc::new(job(vec![extreme])));
+        let (now, unix_ms) = (harness.now, START_UNIX_MS + harness.now.get());
+        harness
+            .scheduler
+            .submit(JobKey::new(1), &rules, &spec, now, unix_ms);
+        harness.store_batch();
+        harness.report(1, vec![], vec![]);
+        let started = harness.start_tasks();
+        harness.advance(100);
+        for number in 0..2 {
+            let here = started.iter().filter(|order| order.executor == id(number));
+            harness.report(number, here.map(harness::running).collect(), vec![]);
+        }
+        work(&mut harness);
+    }
 }
 
 /// Guards against a damaged record of a job that no owner survives.
@@ -129,8 +178,7 @@
         }
         true
     }
-    QuickCheck::new()
-        .tests(INPUTS)
+    property_test(INPUTS)
         .quickcheck(property as fn(AnyJob, Vec<(u32, u64)>, Vec<(u16, u8)>) -> bool);
 }
 
@@ -203,7 +251,5 @@
         work(&mut harness);
         true
     }
-    QuickCheck::new()
-        .tests(INPUTS)
-        .quickcheck(property as fn(Vec<AnyRun>, Vec<AnyRun>) -> bool);
+    property_test(INPUTS).quickcheck(property as fn(Vec<AnyRun>, Vec<AnyRun>) -> bool);
 }
--- a/crates/magnolia-scheduler/tests/record_size.rs
+++ b/crates/magnolia-scheduler/tests/record_size.rs
@@ -8,12 +8,12 @@
 use common::test_case;
 use harness::{SchedulerHarness, running};
 use magnolia_bench::load_simulation::{job, step};
+use magnolia_bench::property_test;
 use magnolia_scheduler::{
     EndKind, JobKey, JobSpec, JobStatus, RecordError, RecurrenceSpec, RunEnd, RunNumber, StepRef,
     TaskRef, check_record_size,
 };
 use magnolia_types::{Epoch, Millis};
-use quickcheck::QuickCheck;
 
 /// Longest record, in bytes.
 const LIMIT: u64 = 262_144;
@@ -145,8 +145,7 @@
             check_records(&spec, &checkpoint, u64::from(rounds % 3));
             true
         }
-        QuickCheck::new()
-            .tests(INPUTS)
+        property_test(INPUTS)
             .quickcheck(property as fn(Vec<(u16, u8)>, u16, u8, u8) -> bool);
     }
 );
--- a/crates/magnolia-scheduler/tests/step_selection.rs
+++ b/crates/magnolia-scheduler/tests/step_selection.rs
@@ -8,9 +8,7 @@
 use common::test_case;
 use harness::{CAPACITY, SchedulerHarness, entry, id};
 use magnolia_bench::load_simulation::{job, queue, step};
-use magnolia_scheduler::{
-    CellAction, CellRules, CellVersion, EligibilityAnswer, JobKey, JobSpec, ServiceName, StepSpec,
-};
+use magnolia_scheduler::{CellAction, EligibilityAnswer, JobKey, JobSpec, ServiceName, StepSpec};
 use magnolia_types::Millis;
 
 /// Jobs that can't start, more than a planning pass considers.
@@ -132,15 +130,7 @@
     steps_that_no_executor_may_run_hold_up_no_others,
     || {
         let mut harness = SchedulerHarness::new(1, 2);
-        let rules = Arc::new(queue("batch", 2, 5, 100));
-        let cell = CellRules {
-            version: CellVersion::new(2),
-            queues: [(rules.name.clone(), Arc::clone(&rules))].into(),
-            ..CellRules::default()
-        };
-        harness.scheduler.set_rules(Arc::new(cell));
-        harness.rules = rules;
-        harness.scheduler.set_eligibility_daemons(&(0..400).collect());
+        harness.require_eligibility();
         (1..=HOPELESS_JOBS).for_each(|key| harness.submit(key, changed_job(|_| ())));
         harness.store_batch();
         harness.submit(SOUND_JOB, changed_job(|_| ()));
