Let the test of extreme steps reach the sums that overflowed

Change: the jobs are loaded as an earlier owner's, tickets of all executors expire, and runs make no progress.

--- a/crates/magnolia-scheduler/tests/harness/mod.rs
+++ b/crates/magnolia-scheduler/tests/harness/mod.rs
@@ -6,10 +6,10 @@
 
 use magnolia_bench::load_simulation::queue;
 use magnolia_scheduler::{
-    CellAction, CellRules, CellScheduler, CellVersion, EndKind, ExecutorEntry, ExecutorLife,
-    ExecutorRecord, ExecutorReport, ExecutorStatus, JobKey, JobRecord, JobSpec, LiveRecord,
-    QueueRules, RunEnd, RunNumber, RunningTask, SchedulerSettings, ServiceName, StartAnswer,
-    StartOrder, StepRef, StopOrder, SubmitOutcome, TaskRef,
+    CellAction, CellRules, CellScheduler, CellVersion, EligibilityAnswer, EndKind, ExecutorEntry,
+    ExecutorLife, ExecutorRecord, ExecutorReport, ExecutorStatus, JobKey, JobRecord, JobSpec,
+    LiveRecord, QueueRules, RunEnd, RunNumber, RunningTask, SchedulerSettings, ServiceName,
+    StartAnswer, StartOrder, StepRef, StopOrder, SubmitOutcome, TaskRef,
 };
 use magnolia_types::{DataCentreName, Epoch, ExecutorId, Millis, ResourceVector};
 
@@ -226,6 +226,30 @@
         starts
     }
 
+    /// As [`start_tasks`](Self::start_tasks), after all requests for eligibility were answered with
+    /// tickets of every executor that are valid for `valid`.
+    pub fn start_tasks_as_eligible(&mut self, valid: Millis) -> Vec<StartOrder> {
+        self.scheduler.plan(self.now);
+        for action in self.scheduler.take_actions() {
+            let CellAction::RequestEligibility(order) = action else {
+                continue;
+            };
+            let tickets = order
+                .executors
+                .iter()
+                .map(|id| (id.clone(), "ticket".into()));
+            let answer = EligibilityAnswer {
+                eligible: tickets.collect(),
+                valid,
+            };
+            self.scheduler
+                .release_eligibility_daemon(order.daemon, true);
+            self.scheduler
+                .apply_eligibility(order.step, &order.executors, Some(&answer), self.now);
+        }
+        self.start_tasks()
+    }
+
     /// Returns the stop orders among the actions decided so far.
     pub fn stops(&mut self) -> Vec<StopOrder> {
         let actions = self.scheduler.take_actions().into_iter();
--- a/crates/magnolia-scheduler/tests/malformed_input.rs
+++ b/crates/magnolia-scheduler/tests/malformed_input.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use harness::{CAPACITY, START_UNIX_MS, SchedulerHarness, id, task};
+use harness::{CAPACITY, START_UNIX_MS, SchedulerHarness, id, running, task};
 use magnolia_bench::load_simulation::{job, step};
 use magnolia_bench::property_test;
 use magnolia_scheduler::{
@@ -122,7 +122,7 @@
         })
         .flat_map(|(need, kind)| [(need, kind, false), (need, kind, true)])
     {
-        let mut harness = SchedulerHarness::new(1, 2);
+        let mut harness = SchedulerHarness::new_without_reports(1, 2);
         if advice {
             harness.require_eligibility();
         }
@@ -133,20 +133,25 @@
             lasting,
             ..step(9, CAPACITY, 100, vec![])
         };
-        let (rules, spec) = (Arc::clone(&harness.rules), Arc::new(job(vec![extreme])));
-        let (now, unix_ms) = (harness.now, START_UNIX_MS + harness.now.get());
-        harness
-            .scheduler
-            .submit(JobKey::new(1), &rules, &spec, now, unix_ms);
-        harness.store_batch();
-        harness.report(1, vec![], vec![]);
-        let started = harness.start_tasks();
+        // Admission would refuse such an estimate; an earlier owner may have accepted it.
+        harness.load_job(1, job(vec![extreme]));
+        harness.report_from_all(2);
+        let mut started = harness.start_tasks_as_eligible(Millis::new(3000));
         harness.advance(100);
-        for number in 0..2 {
-            let here = started.iter().filter(|order| order.executor == id(number));
-            harness.report(number, here.map(harness::running).collect(), vec![]);
+        started.append(&mut harness.start_tasks_as_eligible(Millis::new(0)));
+        // No run makes progress, and all tickets expire.
+        for _ in 0..4 {
+            for number in 0..2 {
+                let here = started.iter().filter(|order| order.executor == id(number));
+                let here = here.map(|order| RunningTask {
+                    percent: 0,
+                    ..running(order)
+                });
+                harness.report(number, here.collect(), vec![]);
+            }
+            harness.advance(700);
+            let _more = harness.start_tasks_as_eligible(Millis::new(0));
         }
-        work(&mut harness);
     }
 }
 
