--- a/crates/magnolia-scheduler/tests/harness/mod.rs
+++ b/crates/magnolia-scheduler/tests/harness/mod.rs
@@ -6,10 +6,10 @@
 
 use magnolia_bench::load_simulation::queue;
 use magnolia_scheduler::{
-    CellAction, CellRules, CellScheduler, CellVersion, EligibilityAnswer, EndKind, ExecutorEntry,
-    ExecutorLife, ExecutorRecord, ExecutorReport, ExecutorStatus, JobKey, JobRecord, JobSpec,
-    LiveRecord, QueueRules, RunEnd, RunNumber, RunningTask, SchedulerSettings, ServiceName,
-    StartAnswer, StartOrder, StepRef, StopOrder, SubmitOutcome, TaskRef,
+    CellAction, CellRules, CellScheduler, CellVersion, EligibilityAnswer, EligibilityOrder,
+    EndKind, ExecutorEntry, ExecutorLife, ExecutorRecord, ExecutorReport, ExecutorStatus, JobKey,
+    JobRecord, JobSpec, LiveRecord, QueueRules, RunEnd, RunNumber, RunningTask, SchedulerSettings,
+    ServiceName, StartAnswer, StartOrder, StepRef, StopOrder, SubmitOutcome, TaskRef,
 };
 use magnolia_types::{DataCentreName, Epoch, ExecutorId, Millis, ResourceVector};
 
@@ -210,30 +210,13 @@
 
     /// Plans, confirms all start orders and returns them.
     pub fn start_tasks(&mut self) -> Vec<StartOrder> {
-        self.scheduler.plan(self.now);
-        let actions = self.scheduler.take_actions();
-        let starts: Vec<StartOrder> = actions
-            .into_iter()
-            .filter_map(|action| match action {
-                CellAction::Start(order) => Some(order),
-                _ => None,
-            })
-            .collect();
-        for order in &starts {
-            self.scheduler
-                .apply_start(order, StartAnswer::Started, self.now);
-        }
-        starts
+        self.plan_and_answer(|_, _| ())
     }
 
     /// As [`start_tasks`](Self::start_tasks), after all requests for eligibility were answered with
     /// tickets of every executor that are valid for `valid`.
     pub fn start_tasks_as_eligible(&mut self, valid: Millis) -> Vec<StartOrder> {
-        self.scheduler.plan(self.now);
-        for action in self.scheduler.take_actions() {
-            let CellAction::RequestEligibility(order) = action else {
-                continue;
-            };
+        let mut starts = self.plan_and_answer(|harness, order| {
             let tickets = order
                 .executors
                 .iter()
@@ -242,12 +225,34 @@
                 eligible: tickets.collect(),
                 valid,
             };
+            let scheduler = &mut harness.scheduler;
+            scheduler.release_eligibility_daemon(order.daemon, true);
+            scheduler.apply_eligibility(order.step, &order.executors, Some(&answer), harness.now);
+        });
+        starts.append(&mut self.start_tasks());
+        starts
+    }
+
+    /// Plans, confirms all start orders and returns them; passes requests for eligibility to
+    /// `answer`.
+    fn plan_and_answer(
+        &mut self,
+        answer: impl Fn(&mut Self, &EligibilityOrder),
+    ) -> Vec<StartOrder> {
+        self.scheduler.plan(self.now);
+        let mut starts = Vec::new();
+        for action in self.scheduler.take_actions() {
+            match action {
+                CellAction::Start(order) => starts.push(order),
+                CellAction::RequestEligibility(order) => answer(self, &order),
+                _ => {}
+            }
+        }
+        for order in &starts {
             self.scheduler
-                .release_eligibility_daemon(order.daemon, true);
-            self.scheduler
-                .apply_eligibility(order.step, &order.executors, Some(&answer), self.now);
+                .apply_start(order, StartAnswer::Started, self.now);
         }
-        self.start_tasks()
+        starts
     }
 
     /// Returns the stop orders among the actions decided so far.
