Move long-running tasks off executors that leave

Callers saw long-running tasks away for 9.5 to 10.5 s while executors and daemons were replaced in turn (LOST).

Cause: the tasks stayed until the executor left and then waited for its lease, a wait that each new owner began anew; the rest of a lease is stored only after 1.8 s of silence, and the owner changed every 1.3 s.

Change: the owner stops such tasks while the executor answers, one of each step at a time, if another executor has free capacity for them.

--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -21,6 +21,7 @@
 mod cell;
 mod eligibility;
 mod eligibility_queue;
+mod evacuation;
 mod executor_health;
 mod executor_report;
 mod executor_state;
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -48,12 +48,13 @@
     }
 
     /// Runs the time-driven work: expires leases, takes executors out of use or confines them,
-    /// stops unanswered starts, repeats stop orders, opens due occurrences and stops hung runs.
+    /// stops unanswered starts, moves long-running tasks off executors that leave, repeats stop orders, opens due occurrences and stops hung runs.
     pub fn tick(&mut self, now: Millis, now_unix_ms: u64) {
         self.expire_leases(now);
         self.retire_leaving();
         self.confine_executors(now);
         self.stop_uncertain_starts(now);
+        self.evacuate_draining(now);
         self.resend_stops(now);
         self.open_due_occurrences(now, now_unix_ms);
         self.stop_hung_runs(now);
@@ -191,7 +192,7 @@
     }
 
     /// Returns the executors that could run the step, with the number of tasks that fit on each.
-    fn candidates(
+    pub(crate) fn candidates(
         &self,
         spec: &StepSpec,
         rules: &QueueRules,
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -10,8 +10,8 @@
 use harness::{CAPACITY, START_UNIX_MS, SchedulerHarness, entry, id, running, task};
 use magnolia_bench::load_simulation::{job, step};
 use magnolia_scheduler::{
-    CellAction, EndKind, JobKey, JobSpec, JobStatus, RunEnd, RunningTask, ServiceName, StartAnswer,
-    SubmitOutcome, TaskRef,
+    CellAction, EndKind, ExecutorStatus, JobKey, JobSpec, JobStatus, RunEnd, RunningTask,
+    ServiceName, StartAnswer, SubmitOutcome, TaskRef,
 };
 
 test_case!(
@@ -470,3 +470,49 @@
         }
     }
 );
+
+/// Reports that an executor is draining.
+fn drain(harness: &mut SchedulerHarness, number: usize) {
+    let mut draining = entry(number, "r1-0");
+    draining.status = ExecutorStatus::Draining;
+    harness.scheduler.upsert_executor(draining, harness.now);
+}
+
+test_case!(
+    /// Guards against long-running tasks that stay on an executor until it leaves, and are then away
+    /// until its lease has expired, or longer if the owner changes meanwhile.
+    long_running_tasks_move_off_a_draining_executor,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        harness.submit(1, lasting_job(1));
+        harness.store_batch();
+        let order = harness.start_tasks().remove(0);
+        let leaving = usize::from(order.executor == id(1));
+        harness.report(leaving, vec![running(&order)], vec![]);
+        drain(&mut harness, leaving);
+        harness.advance(100);
+        let stops = harness.stops();
+        assert_eq!(stops.len(), 1);
+        assert_eq!((stops[0].task, stops[0].run), (order.task, order.run));
+        let end = harness.run_end(order.task, order.run, EndKind::Stopped);
+        harness.report(leaving, vec![], vec![end]);
+        let again = harness.start_tasks();
+        assert_eq!(again.len(), 1);
+        assert_eq!(again[0].executor, id(1 - leaving));
+    }
+);
+
+test_case!(
+    /// Guards against a long-running task that is stopped early although nothing else can run it.
+    long_running_tasks_stay_while_there_is_no_other_executor,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        harness.submit(1, lasting_job(1));
+        harness.store_batch();
+        let order = harness.start_tasks().remove(0);
+        harness.report(0, vec![running(&order)], vec![]);
+        drain(&mut harness, 0);
+        harness.advance(100);
+        assert_eq!(harness.stops(), vec![]);
+    }
+);
