Stop a gang of which a start met a higher epoch

Members that had started would wait for the one whose start an executor rejected for a higher epoch; before, the owner ended at that point. The doc comment of tick is wrapped, and the log line on lists of ends says what has changed.

--- a/crates/magnolia-scheduler/src/hung_runs.rs
+++ b/crates/magnolia-scheduler/src/hung_runs.rs
@@ -30,12 +30,11 @@
     pub(crate) fn stop_hung_runs(&mut self, now: Millis) {
         let limit = self.settings.hang_limit;
         let mut hung = Vec::new();
-        // Progress that is no longer reported says nothing about a run whose end may be unlisted.
-        let complete = self
-            .executors
-            .iter()
-            .filter(|(_, e)| !e.may_have_unlisted_ends);
-        for (executor_index, executor) in complete {
+        for (executor_index, executor) in self.executors.iter() {
+            // A run that is not reported any more may have ended.
+            if executor.may_have_unlisted_ends {
+                continue;
+            }
             for ((task, run), active) in &executor.runs {
                 let watched = active.phase == RunPhase::Running && active.pace == 100;
                 let Some(confirmed_at) = active.confirmed_at.filter(|_| watched) else {
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -48,7 +48,8 @@
     }
 
     /// Runs the time-driven work: expires leases, takes executors out of use or confines them,
-    /// stops unanswered starts, moves long-running tasks off executors that leave, repeats stop orders, opens due occurrences and stops hung runs.
+    /// stops unanswered starts, moves long-running tasks off executors that leave, repeats stop
+    /// orders, opens due occurrences and stops hung runs.
     pub fn tick(&mut self, now: Millis, now_unix_ms: u64) {
         self.expire_leases(now);
         self.retire_leaving();
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -192,7 +192,7 @@
         if executor.may_have_unlisted_ends == report.ends_complete {
             executor.may_have_unlisted_ends = !report.ends_complete;
             log::info!(executor:% = id, complete = report.ends_complete;
-                "the executor's list of ended runs changed to or from its longest");
+                "whether the executor lists all ended runs has changed");
         }
         if report.ends_complete {
             self.release_missing_runs(executor_index, &listed, sent_at, now);
@@ -363,6 +363,7 @@
             StartAnswer::Fenced => {
                 self.apply_fence(&order.executor, now);
                 self.lose_run(executor_index, order.task, order.run, now);
+                self.stop_gang(order.task.step, order.run, now);
             }
             StartAnswer::Unknown => active.uncertain = true,
             // An earlier copy of the order may have been executed; the next report shows whether.
