Play clock steps with recurring jobs and gang checkpoints across owners

Two of the matters that the review had not tried, on the scheduler: an occurrence runs once and in order while the wall clock jumps by 2 s and 4 s, and a gang resumes from one checkpoint under a new owner. Both hold; no fault was found.

--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -10,9 +10,10 @@
 use harness::{CAPACITY, START_UNIX_MS, SchedulerHarness, entry, id, running, task};
 use magnolia_bench::load_simulation::{job, step};
 use magnolia_scheduler::{
-    CellAction, EndKind, ExecutorStatus, JobKey, JobSpec, JobStatus, RunEnd, RunningTask,
-    ServiceName, StartAnswer, SubmitOutcome, TaskRef,
+    CellAction, EndKind, ExecutorStatus, JobKey, JobSpec, JobStatus, RecurrenceSpec, RunEnd,
+    RunningTask, ServiceName, StartAnswer, SubmitOutcome, TaskRef,
 };
+use magnolia_types::Millis;
 
 test_case!(
     /// Guards against a task that starts before its job is stored or before the dependencies of its
@@ -516,3 +517,37 @@
         assert_eq!(harness.stops(), vec![]);
     }
 );
+
+test_case!(
+    /// Guards against an occurrence that runs twice or not at all when the wall clock jumps.
+    each_occurrence_runs_once_while_the_wall_clock_jumps,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        let mut spec = job(vec![step(1, 1000, 100, vec![])]);
+        let start_unix_ms = START_UNIX_MS + harness.now.get();
+        spec.recurrence = Some(RecurrenceSpec {
+            count: 5,
+            start_unix_ms,
+            interval: Millis::new(1000),
+        });
+        harness.submit(1, spec);
+        harness.store_batch();
+        let mut occurrences = Vec::new();
+        let jumps = [0, 2000, 2000, -4000, -4000, 0].into_iter().cycle();
+        for jump in jumps.take(80) {
+            harness.now = harness.now.saturating_add(Millis::new(100));
+            let unix_ms = (START_UNIX_MS + harness.now.get()).saturating_add_signed(jump);
+            harness.scheduler.tick(harness.now, unix_ms);
+            let starts = harness.start_tasks();
+            let ends = starts
+                .iter()
+                .map(|order| harness.run_end(order.task, order.run, EndKind::Done))
+                .collect();
+            harness.report(0, vec![], ends);
+            harness.store_batch();
+            occurrences.extend(starts.iter().map(|order| order.task.step.occurrence));
+        }
+        assert_eq!(occurrences, [0, 1, 2, 3, 4]);
+        assert_eq!(harness.scheduler.status(JobKey::new(1)), Some(JobStatus::Completed));
+    }
+);
--- a/crates/magnolia-scheduler/tests/takeover.rs
+++ b/crates/magnolia-scheduler/tests/takeover.rs
@@ -351,3 +351,32 @@
         assert_eq!(harness.start_tasks().len(), 2);
     }
 );
+
+test_case!(
+    /// Guards against members of a gang that resume from different checkpoints after a change of
+    /// owner: all must carry the same one, and any member's is valid.
+    a_gang_resumes_from_one_checkpoint_under_a_new_owner,
+    || {
+        let mut harness = SchedulerHarness::new_without_reports(2, 1);
+        let mut gang = step(3, 1000, 5000, vec![]);
+        gang.gang = true;
+        let saved = StepRecord {
+            saved: vec![(0, "0002".into()), (2, "0007".into())],
+            ..StepRecord::default()
+        };
+        let record = JobRecord::Live(LiveRecord {
+            rules: Arc::clone(&harness.rules),
+            spec: Arc::new(job(vec![gang])),
+            accepted_unix_ms: START_UNIX_MS,
+            order_unix_ms: START_UNIX_MS,
+            occurrences: vec![OccurrenceRecord { steps: vec![saved] }],
+        });
+        let rules = Arc::clone(&harness.rules);
+        harness.scheduler.load(JobKey::new(1), &record, &rules, harness.now);
+        harness.report_from_all(1);
+        let starts = harness.start_tasks();
+        assert_eq!(starts.len(), 3);
+        assert!(starts.iter().all(|order| order.checkpoint.as_deref() == Some("0007")));
+        assert!(starts.iter().all(|order| order.run == starts[0].run));
+    }
+);
