--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -18,7 +18,7 @@
 use crate::step_selection::UnplaceableSteps;
 use crate::{
     CellAction, CellRules, ExecutorLife, ExecutorRecord, JobKey, JobSpec, JobStatus, QueueName,
-    QueueRules, SchedulerSettings, ServiceName, StepRef, TaskRef,
+    QueueRules, SchedulerSettings, ServiceName, StepRef, StepSpec, TaskRef,
 };
 
 /// Sort key of a step in the ready set, which holds the steps that can start tasks.
@@ -539,6 +539,21 @@
         occurrence.steps.get(usize::from(step.step))
     }
 
+    /// Returns the rules in force for a job: those of its queue in the configuration, or its own if
+    /// the queue is no longer configured.
+    pub(crate) fn rules_in_force<'a>(&'a self, job: &'a JobState) -> &'a Arc<QueueRules> {
+        let configured = self.rules.queues.get(&job.rules.name);
+        configured.unwrap_or(&job.rules)
+    }
+
+    /// Returns what decides on which executors tasks of a step can run: its specification, the rules
+    /// in force and its state.
+    pub(crate) fn step_needs(&self, step: StepRef) -> Option<(&StepSpec, &QueueRules, &StepState)> {
+        let job = self.jobs.get(&step.job)?;
+        let spec = self.step_spec(step)?;
+        Some((spec, self.rules_in_force(job), self.step_state(step)?))
+    }
+
     pub(crate) fn task_state(&self, task: TaskRef) -> Option<&TaskState> {
         self.step_state(task.step)?.tasks.get(task.index as usize)
     }
--- a/crates/magnolia-scheduler/src/evacuation.rs
+++ b/crates/magnolia-scheduler/src/evacuation.rs
@@ -52,14 +52,9 @@
 
     /// Tells whether an executor that may run the step has free capacity for a task of it.
     fn has_free_capacity(&self, step: StepRef, now: Millis) -> bool {
-        let (Some(job), Some(state)) = (self.jobs.get(&step.job), self.step_state(step)) else {
+        let Some((spec, rules, state)) = self.step_needs(step) else {
             return false;
         };
-        let Some(spec) = self.step_spec(step) else {
-            return false;
-        };
-        let rules = self.rules.queues.get(&job.rules.name);
-        let rules = rules.unwrap_or(&job.rules);
         let candidates = self.candidates(spec, rules, state, step, now);
         let groups = [candidates.usable, candidates.unknown, candidates.expired];
         groups.iter().any(|group| !group.is_empty())
--- a/crates/magnolia-scheduler/src/explain.rs
+++ b/crates/magnolia-scheduler/src/explain.rs
@@ -62,8 +62,7 @@
         let Some(job) = self.jobs.get(&step.job) else {
             return String::new();
         };
-        let rules = self.rules.queues.get(&job.rules.name);
-        let rules = rules.unwrap_or(&job.rules);
+        let rules = self.rules_in_force(job);
         let suitable: Vec<ExecutorIndex> = self
             .executors
             .iter()
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -1,6 +1,7 @@
 //! Planning: selects the tasks that start next and the executors that they start on.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use magnolia_types::{Millis, ResourceVector};
 
@@ -140,12 +141,7 @@
             return;
         };
         let spec = &job_spec.steps[usize::from(step.step)];
-        let rules = self
-            .rules
-            .queues
-            .get(&job.rules.name)
-            .unwrap_or(&job.rules)
-            .clone();
+        let rules = Arc::clone(self.rules_in_force(job));
         let Some(state) = self.step_state(step) else {
             return;
         };
--- a/crates/magnolia-scheduler/src/step_selection.rs
+++ b/crates/magnolia-scheduler/src/step_selection.rs
@@ -103,14 +103,9 @@
     /// Tells whether the executors that accept work could start a task of the step, or the whole gang,
     /// if nothing else ran there.
     fn fits_idle_executors(&self, step: StepRef) -> bool {
-        let (Some(job), Some(state)) = (self.jobs.get(&step.job), self.step_state(step)) else {
+        let Some((spec, rules, state)) = self.step_needs(step) else {
             return false;
         };
-        let Some(spec) = self.step_spec(step) else {
-            return false;
-        };
-        let rules = self.rules.queues.get(&job.rules.name);
-        let rules = rules.unwrap_or(&job.rules);
         let wanted = if spec.gang { state.tasks.len() } else { 1 };
         let mut fitting = 0usize;
         for executor_index in &self.unplaceable.accepting {
