Test the mends that had no test which was seen to fail

Each was run with its guard taken out, and failed: the stop of a gang that meets a higher epoch, the bound on the tasks that an executor's record lists, and the move off draining executors, whose tests were in place but had not been seen to fail.

--- a/crates/magnolia-scheduler/tests/harness/mod.rs
+++ b/crates/magnolia-scheduler/tests/harness/mod.rs
@@ -175,6 +175,16 @@
                 "job {key}: a record of {length} bytes"
             );
         }
+        for (id, record) in &batch.executors {
+            let record = record
+                .as_ref()
+                .map(|record| rmp_serde::to_vec(record).expect("encodable"));
+            let length = record.map_or(0, |bytes| bytes.len());
+            assert!(
+                length as u64 <= limit,
+                "executor {id}: a record of {length} bytes"
+            );
+        }
         self.scheduler.finish_batch(batch);
     }
 
--- a/crates/magnolia-scheduler/tests/record_size.rs
+++ b/crates/magnolia-scheduler/tests/record_size.rs
@@ -6,12 +6,12 @@
 use std::sync::Arc;
 
 use common::test_case;
-use harness::{SchedulerHarness, running};
+use harness::{SchedulerHarness, entry, running, task};
 use magnolia_bench::load_simulation::{job, step};
 use magnolia_bench::property_test;
 use magnolia_scheduler::{
-    EndKind, JobKey, JobSpec, JobStatus, RecordError, RecurrenceSpec, RunEnd, RunNumber, StepRef,
-    TaskRef, check_record_size,
+    EndKind, ExecutorStatus, JobKey, JobSpec, JobStatus, RecordError, RecurrenceSpec, RunEnd,
+    RunNumber, RunningTask, StepRef, TaskRef, check_record_size,
 };
 use magnolia_types::{Epoch, Millis};
 
@@ -92,6 +92,31 @@
     }
 );
 
+test_case!(
+    /// Guards against an executor with so many runs that the record of its tasks can't be stored.
+    an_executor_with_very_many_runs_has_a_short_record,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        let keys = [u64::MAX - 1, u64::MAX];
+        for key in keys {
+            harness.load_job(key, job(vec![step(10_000, 0, 9000, vec![])]));
+        }
+        let reported = keys.into_iter().flat_map(|key| (0..10_000).map(move |index| RunningTask {
+            task: task(key, 0, index),
+            run: RunNumber::new(1),
+            checkpoint: None,
+            percent: 10,
+            meter: None,
+        }));
+        harness.report(0, reported.collect(), vec![]);
+        let mut leaving = entry(0, "r1-0");
+        leaving.status = ExecutorStatus::Draining;
+        harness.scheduler.upsert_executor(leaving, harness.now);
+        harness.advance(100);
+        harness.store_batch_checked(LIMIT);
+    }
+);
+
 test_case!(
     /// Guards against a job that is accepted although its record can't be stored, and says by how much
     /// it is too large.
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -11,7 +11,7 @@
 use magnolia_bench::load_simulation::{job, step};
 use magnolia_scheduler::{
     CellAction, EndKind, ExecutorStatus, JobKey, JobSpec, JobStatus, RecurrenceSpec, RunEnd,
-    RunningTask, ServiceName, StartAnswer, SubmitOutcome, TaskRef,
+    RunningTask, ServiceName, StartAnswer, StartOrder, SubmitOutcome, TaskRef,
 };
 use magnolia_types::Millis;
 
@@ -551,3 +551,31 @@
         assert_eq!(harness.scheduler.status(JobKey::new(1)), Some(JobStatus::Completed));
     }
 );
+
+test_case!(
+    /// Guards against members of a gang that wait for one whose executor knows a higher epoch.
+    a_gang_stops_when_a_member_meets_a_higher_epoch,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let mut gang = step(2, CAPACITY / 2 + 1000, 5000, vec![]);
+        gang.gang = true;
+        harness.submit(1, job(vec![gang]));
+        harness.store_batch();
+        harness.scheduler.plan(harness.now);
+        let starts: Vec<StartOrder> = harness
+            .scheduler
+            .take_actions()
+            .into_iter()
+            .filter_map(|action| match action {
+                CellAction::Start(order) => Some(order),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(starts.len(), 2);
+        harness.scheduler.apply_start(&starts[0], StartAnswer::Started, harness.now);
+        harness.scheduler.apply_start(&starts[1], StartAnswer::Fenced, harness.now);
+        let stops = harness.stops();
+        assert_eq!(stops.len(), 1);
+        assert_eq!(stops[0].task, starts[0].task);
+    }
+);
