--- a/crates/magnolia-bench/src/executors.rs
+++ b/crates/magnolia-bench/src/executors.rs
@@ -34,7 +34,7 @@
 const REFRESH_MS: f64 = 500.0;
 /// Weight of a new sample in the smoothed round-trip time.
 const NEW_SAMPLE_WEIGHT: f64 = 0.2;
-/// Number of requests of a run; the first tenth is not measured.
+/// Number of requests of a run, of which the first tenth warms the cell up.
 const REQUESTS: usize = 60_000;
 /// Share of the requests that uneven runs send to the first entry; the others are spread evenly
 /// over all entries, the first one included.
--- a/crates/magnolia-bench/src/floods.rs
+++ b/crates/magnolia-bench/src/floods.rs
@@ -26,7 +26,7 @@
 const DEADLINE_MS: u64 = 500;
 /// Length of each of the three phases: before, during and after the flood.
 const PHASE_MS: u64 = 5_000;
-/// Time at the start of the first phase that is not measured.
+/// Time at the start of the first phase in which the cell warms up.
 const WARM_UP_MS: u64 = 1_000;
 /// Length of the windows by which the recovery time is measured.
 const WINDOW_MS: u64 = 100;
