Log what an owner's orders rest on, pauses, and why executors are given up

Now a line says when the evidence comes from a peer in place of the store, with the age of both; another one gives the length of a pause; and a new owner says why it gives an executor up that did not answer. No decision changes.

--- a/crates/magnolia-node/src/owner.rs
+++ b/crates/magnolia-node/src/owner.rs
@@ -18,7 +18,7 @@
 use crate::eligibility::EligibilityDaemons;
 use crate::guarded_tasks::has_panicked;
 use crate::node::CellNode;
-use crate::ownership_proof::OwnershipProof;
+use crate::ownership_proof::{EvidenceSource, OwnershipProof};
 use crate::peer_messages::PingRequest;
 use crate::ports::{OrderError, StoreError, StreamName, StreamRecord};
 
@@ -258,10 +258,11 @@
     async fn tick_loop(self: Arc<Self>) {
         let mut last_forget_at = self.now();
         let mut was_isolated = false;
+        let mut source = EvidenceSource::Store;
         loop {
             sleep(TICK_INTERVAL).await;
             let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
-            self.lock_proof().check_pause(now);
+            source = self.log_evidence(source);
             let isolated = self.is_isolated();
             if isolated != was_isolated {
                 was_isolated = isolated;
--- a/crates/magnolia-node/src/ownership_proof.rs
+++ b/crates/magnolia-node/src/ownership_proof.rs
@@ -19,6 +19,20 @@
 /// Interval at which the owner checks whether it has to ask.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Delay of a check from which a pause of the process is logged; a busy process is late by less.
+const PAUSE_THRESHOLD: Millis = Millis::new(500);
+
+/// What the orders of an owner rest on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EvidenceSource {
+    /// A recent answer of the store.
+    Store,
+    /// A recent ping of a peer, and no recent answer of the store.
+    Peer,
+    /// No recent evidence.
+    None,
+}
+
 /// Times for which it is known that no later owner had acted.
 #[derive(Clone, Debug)]
 pub(crate) struct OwnershipProof {
@@ -58,12 +72,26 @@
         self.echoed_at = self.echoed_at.max(stamp);
     }
 
-    /// Detects that the process was paused since the last check.
-    pub(crate) fn check_pause(&mut self, now: Millis) {
-        if now.saturating_sub(self.checked_at) > self.limit {
+    /// Detects that the process was paused since the last check; returns the time since then if it
+    /// was.
+    pub(crate) fn check_pause(&mut self, now: Millis) -> Option<Millis> {
+        let since = now.saturating_sub(self.checked_at);
+        if since > self.limit {
             self.resumed_at = Some(now);
         }
         self.checked_at = now;
+        (since > PAUSE_THRESHOLD).then_some(since)
+    }
+
+    /// Returns what orders rest on at `now`.
+    pub(crate) fn source(&self, now: Millis) -> EvidenceSource {
+        let store_age = now.saturating_sub(self.confirmed_at);
+        let peer_age = now.saturating_sub(self.echoed_at);
+        match (store_age <= self.limit, peer_age <= self.limit) {
+            (true, _) => EvidenceSource::Store,
+            (false, true) => EvidenceSource::Peer,
+            (false, false) => EvidenceSource::None,
+        }
     }
 
     /// Returns the start of the latest call by which the store confirmed the claim.
@@ -111,6 +139,27 @@
         }
     }
 
+    /// Logs a pause of the process, and changes of what the orders rest on.
+    pub(crate) fn log_evidence(&self, last: EvidenceSource) -> EvidenceSource {
+        let now = self.now();
+        let (paused, source, store_age, peer_age) = {
+            let mut proof = self.lock_proof();
+            let paused = proof.check_pause(now);
+            let store_age = now.saturating_sub(proof.confirmed_at);
+            let peer_age = now.saturating_sub(proof.echoed_at);
+            (paused, proof.source(now), store_age, peer_age)
+        };
+        if let Some(length) = paused {
+            log::warn!(epoch:% = self.epoch(), length:% = length, store_age:% = store_age,
+                peer_age:% = peer_age; "process was paused");
+        }
+        if source != last {
+            log::warn!(epoch:% = self.epoch(), source:? = source, store_age:% = store_age,
+                peer_age:% = peer_age; "evidence of ownership has another source");
+        }
+        source
+    }
+
     /// Takes the evidence from a ping of a peer.
     pub(crate) fn record_ping_evidence(&self, ping: &PingRequest) {
         if ping.epoch == self.epoch() {
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -201,6 +201,8 @@
     pub(crate) lease_recorded: bool,
     /// Time from which all leases of earlier owners have expired there, even if it never answered.
     pub(crate) settles_at: Millis,
+    /// What `settles_at` follows from, for the log.
+    pub(crate) settles_because: &'static str,
     /// When it last answered.
     pub(crate) last_answer_at: Option<Millis>,
     /// Runs with reserved resources.
@@ -247,6 +249,7 @@
             last_batch: 0,
             lease_recorded: false,
             settles_at: Millis::new(u64::MAX),
+            settles_because: "",
             last_answer_at: None,
             runs: BTreeMap::new(),
             unknown_runs: BTreeSet::new(),
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -70,6 +70,8 @@
             if !executor.settled && now >= executor.settles_at {
                 executor.settled = true;
                 executor.last_answer_at = None;
+                log::warn!(executor:% = executor.entry.id, reason = executor.settles_because;
+                    "executor did not answer this owner; leases of earlier owners have expired there");
                 retired.push(executor_index);
             }
             if !executor.is_lapsed(now) {
--- a/crates/magnolia-scheduler/src/takeover.rs
+++ b/crates/magnolia-scheduler/src/takeover.rs
@@ -36,8 +36,13 @@
         executor.stored_usage = executor.usage;
         executor.inherited_tasks = record.confined_to.map(BTreeSet::from_iter);
         executor.lease_recorded = record.lease_left.is_some();
-        let wait = record.lease_left.map_or(wait, |left| left.min(wait));
-        executor.settles_at = now.saturating_add(wait);
+        let stored = record.lease_left.filter(|left| *left < wait);
+        executor.settles_because = if stored.is_some() {
+            "the stored lease has ended"
+        } else {
+            "the longest lease has ended"
+        };
+        executor.settles_at = now.saturating_add(stored.unwrap_or(wait));
     }
 
     /// Records that no earlier owner sends orders any more, so that all leases that they granted
@@ -47,7 +52,10 @@
         let settles_at = now.saturating_add(self.settings.lease_end());
         let waiting = self.executors.iter_mut().map(|(_, executor)| executor);
         for executor in waiting.filter(|executor| executor.blocks_inherited()) {
-            executor.settles_at = executor.settles_at.min(settles_at);
+            if settles_at < executor.settles_at {
+                executor.settles_at = settles_at;
+                executor.settles_because = "all earlier owners have ended";
+            }
         }
     }
 
