Let executors, not daemons, attest an owner that the store does not answer

Cause: an owner counted a ping of a peer as evidence that its claim was in force. A ping proves that the peer lives, not since when it knows what it says. An owner and a peer that are cut off, or paused, together kept up each other's evidence without end, while the next owner gave up executors that it could not reach after 6 s, the age that evidence may have and one lease.

Why it works: an executor that has answered an epoch rejects lower ones, so it is a witness that can't be mistaken about itself. An owner without the store goes on while more than half of the executors in use accepted its epoch within 2 s. The next owner counts the same executors, whose list is fenced with the stream of jobs and kept until then, and begins its wait when half of them have answered it: from that time no earlier owner finds more than half. Where it finds no half, it waits for the 60 s for which witnesses count without the store. Restarted executors forget the epoch and count only once their new life is stored.

Also: the lease of a renewal counts from the time for which the evidence was checked, not from a later reading of the clock. Replaced claims are kept for two minutes, as an owner may now be known to act for one. An owner without evidence asks executors without renewing leases.

--- a/crates/magnolia-bench/src/load_simulation.rs
+++ b/crates/magnolia-bench/src/load_simulation.rs
@@ -12,8 +12,9 @@
 use magnolia_scheduler::{
     CellAction, CellRules, CellScheduler, CellVersion, EligibilityAnswer, EligibilityCost,
     EligibilityOrder, EndKind, ExecutorEntry, ExecutorLife, ExecutorReport, ExecutorStatus, JobKey,
-    JobSpec, JobStatus, QueueName, QueueRules, RunEnd, RunNumber, RunningTask, SchedulerSettings,
-    ServiceName, StartAnswer, StartOrder, StepSpec, StoreBatch, SubmitOutcome, TaskRef,
+    JobSpec, JobStatus, QueueName, QueueRules, RenewalKind, RunEnd, RunNumber, RunningTask,
+    SchedulerSettings, ServiceName, StartAnswer, StartOrder, StepSpec, StoreBatch, SubmitOutcome,
+    TaskRef,
 };
 use magnolia_types::{DataCentreName, Epoch, ExecutorId, Millis, ResourceVector};
 
@@ -390,7 +391,10 @@
                 continue;
             }
             let id = executor.entry.id.clone();
-            let Some((_, plan)) = self.scheduler.plan_executor_renewal(&id, self.now) else {
+            let Some((_, plan)) =
+                self.scheduler
+                    .plan_executor_renewal(&id, RenewalKind::Full, self.now)
+            else {
                 continue;
             };
             let executor = &mut self.executors[number];
--- a/crates/magnolia-node/src/election.rs
+++ b/crates/magnolia-node/src/election.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
-use magnolia_types::{Epoch, Incarnation, Millis};
+use magnolia_types::{Epoch, Millis};
 use tokio::time::sleep;
 
 use crate::membership::{CellView, EarlierClaim, MemberRecord, OwnerClaim, claim_record};
@@ -59,7 +59,7 @@
             self.open_session(claim.epoch);
             return PING_INTERVAL;
         }
-        let message = self.ping_request(claim.epoch, claim.member.incarnation);
+        let message = self.ping_request(claim.epoch);
         let address = claim.member.address;
         let reply = self
             .peers
@@ -86,20 +86,13 @@
         }
     }
 
-    /// Returns a ping for the owner of an epoch. It carries the clock in the last reply of that owner,
-    /// which shows the owner that the ping was sent after the reply.
-    fn ping_request(&self, epoch: Epoch, owner: Incarnation) -> PeerRequest {
-        let contact = self
-            .owner_contact
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let echo = contact.clock.filter(|(sender, _)| *sender == owner);
+    /// Returns a ping for the owner of an epoch.
+    fn ping_request(&self, epoch: Epoch) -> PeerRequest {
         PeerRequest::Ping(PingRequest {
             name: self.settings.name.clone(),
             incarnation: self.incarnation,
             epoch,
             stopping: self.is_stopping(),
-            echo: echo.map_or(Millis::new(0), |(_, clock)| clock),
         })
     }
 
@@ -115,7 +108,6 @@
             if owns {
                 contact.last_heard_at = now;
                 contact.live.clone_from(&reply.live);
-                contact.clock = Some((reply.incarnation, reply.clock));
             }
             // Another process listens at the address, or the process there gave ownership up. Just
             // after a new claim was read, its owner may still have to open the session.
@@ -285,7 +277,7 @@
         if member.name == self.settings.name {
             return member.incarnation != self.incarnation;
         }
-        let message = self.ping_request(claim.epoch, member.incarnation);
+        let message = self.ping_request(claim.epoch);
         let reply = self
             .peers
             .call(member.address, &message, PING_TIMEOUT, Duration::ZERO);
--- a/crates/magnolia-node/src/executor_loop.rs
+++ b/crates/magnolia-node/src/executor_loop.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use magnolia_scheduler::ExecutorEntry;
+use magnolia_scheduler::{ExecutorEntry, RenewalKind};
 use magnolia_types::ExecutorId;
 use tokio::time::{sleep, timeout};
 
@@ -24,8 +24,8 @@
 const MAX_FAILURE_DELAY: Duration = Duration::from_millis(600);
 /// Delay after an executor rejected the epoch: only a restart lets it accept the epoch again.
 const FENCED_DELAY: Duration = Duration::from_secs(2);
-/// Interval at which an isolated owner checks whether it is still isolated.
-const ISOLATED_DELAY: Duration = Duration::from_millis(200);
+/// Delay between two inquiries of an owner without evidence, well below the longest age of evidence.
+const INQUIRY_DELAY: Duration = Duration::from_millis(400);
 
 /// Starts a lease renewal loop for each executor that has none.
 pub(crate) fn ensure_renewal_loops(session: &Arc<OwnerSession>) {
@@ -49,12 +49,12 @@
     let mut failures = 0u32;
     let mut stored_batches = session.committer.stored_batches();
     loop {
-        if session.is_isolated() {
-            sleep(ISOLATED_DELAY).await;
-            continue;
-        }
         stored_batches.mark_unchanged();
-        let Some((entry, plan)) = session.lock().plan_executor_renewal(&id, session.now()) else {
+        // The lease counts from the time for which the evidence was checked, also if the process is
+        // paused in between.
+        let now = session.now();
+        let kind = session.renewal_kind(now);
+        let Some((entry, plan)) = session.lock().plan_executor_renewal(&id, kind, now) else {
             break;
         };
         match renew_once(&session, &entry, &plan).await {
@@ -73,7 +73,12 @@
                 }
                 sleep(COLLECT_DELAY).await;
             }
-            Ok(false) => failures = 0,
+            Ok(false) => {
+                failures = 0;
+                if kind == RenewalKind::Inquiry {
+                    sleep(INQUIRY_DELAY).await;
+                }
+            }
             Err(error) => {
                 failures += 1;
                 handle_failure(&session, &entry, &error, failures);
--- a/crates/magnolia-node/src/membership.rs
+++ b/crates/magnolia-node/src/membership.rs
@@ -43,9 +43,9 @@
     }
 }
 
-/// Time for which a replaced claim is kept: twice the time after which an unreachable executor is
-/// given up, because the wall clocks of daemons differ.
-const EARLIER_CLAIM_RETENTION_MS: u64 = 20_000;
+/// Time for which a replaced claim is kept: its owner may send orders for up to a minute without the
+/// store, and the wall clocks of daemons differ.
+const EARLIER_CLAIM_RETENTION_MS: u64 = 120_000;
 
 impl OwnerClaim {
     /// Creates the claim that replaces `last`.
--- a/crates/magnolia-node/src/message_tests.rs
+++ b/crates/magnolia-node/src/message_tests.rs
@@ -2,7 +2,7 @@
 //! rejected and never panic.
 
 use magnolia_bench::property_test;
-use magnolia_types::{DaemonId, Epoch, Incarnation, Millis};
+use magnolia_types::{DaemonId, Epoch, Incarnation};
 
 use crate::membership::{CellView, MemberRecord, OwnerClaim, claim_record, member_record};
 use crate::peer_messages::{PeerReply, PeerRequest, PingReply, PingRequest, StoreCall};
@@ -39,7 +39,6 @@
                 incarnation: Incarnation::new(7),
                 epoch: Epoch::new(3),
                 stopping: false,
-                echo: Millis::new(5),
             }),
             PeerRequest::Store(StoreCall::Append {
                 stream: StreamName::Jobs,
@@ -61,7 +60,6 @@
             stopping: false,
             live: vec![member().name],
             version: magnolia_scheduler::CellVersion::new(2),
-            clock: Millis::new(9),
         });
         let bytes = rmp_serde::to_vec(&reply).expect("encoded");
         let _ = rmp_serde::from_slice::<PeerReply>(&damage(bytes, &changes));
--- a/crates/magnolia-node/src/node.rs
+++ b/crates/magnolia-node/src/node.rs
@@ -58,8 +58,6 @@
     pub(crate) refused: bool,
     /// Daemons that the owner recently received a ping from.
     pub(crate) live: Vec<magnolia_types::DaemonId>,
-    /// Clock in the last reply to a ping, and the run of the process that it came from.
-    pub(crate) clock: Option<(Incarnation, Millis)>,
 }
 
 /// One daemon of a cell.
@@ -437,7 +435,6 @@
             stopping: self.is_stopping(),
             live: session.map_or_else(Vec::new, |session| session.live_names()),
             version: self.rules.borrow().version,
-            clock: self.clock.now(),
         }
     }
 }
--- a/crates/magnolia-node/src/owner.rs
+++ b/crates/magnolia-node/src/owner.rs
@@ -32,9 +32,6 @@
 const MEMBER_TIMEOUT: Millis = Millis::new(1600);
 /// Delay before a failed call to the store is retried while the session opens.
 const OPEN_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Time for which earlier owners are asked whether they have ended. After that time the scheduler
-/// gives unreachable executors up in any case.
-const EARLIER_OWNER_WATCH_TIME: Millis = Millis::new(8000);
 /// Interval between two such requests to the earlier owners.
 const EARLIER_OWNER_POLL_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval at which old ended jobs are forgotten and the summary is reported.
@@ -63,7 +60,7 @@
     /// Opens a session and starts its background tasks.
     pub(crate) fn open(node: Arc<CellNode>, epoch: Epoch) -> Arc<Self> {
         let settings = (*node.settings.scheduler).clone();
-        let proof = OwnershipProof::new(node.clock.now(), settings.isolation_limit);
+        let proof = OwnershipProof::new(node.clock.now(), &settings);
         let scheduler = CellScheduler::new(settings, epoch);
         let session = Arc::new(Self {
             node,
@@ -192,8 +189,7 @@
             Some(claim) if claim.epoch == self.epoch => claim.earlier,
             _ => return,
         };
-        let limit = self.now().saturating_add(EARLIER_OWNER_WATCH_TIME);
-        while self.now() < limit {
+        while self.lock().awaits_executors() {
             let mut remaining = Vec::new();
             for claim in earlier {
                 if !self.node.has_ended(&claim).await {
@@ -257,18 +253,11 @@
 
     async fn tick_loop(self: Arc<Self>) {
         let mut last_forget_at = self.now();
-        let mut was_isolated = false;
         let mut source = EvidenceSource::Store;
         loop {
             sleep(TICK_INTERVAL).await;
             let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
-            source = self.log_evidence(source);
-            let isolated = self.is_isolated();
-            if isolated != was_isolated {
-                was_isolated = isolated;
-                log::warn!(isolated = isolated, epoch:% = self.epoch;
-                    "evidence of ownership changed; an isolated owner sends no starts and renewals");
-            }
+            source = self.update_evidence(now, source);
             {
                 let mut scheduler = self.lock();
                 scheduler.tick(now, unix_ms);
@@ -308,7 +297,7 @@
         let now = self.now();
         self.refresh_eligibility_daemons(now);
         let actions = {
-            let isolated = self.is_isolated();
+            let isolated = self.is_isolated(now);
             let mut scheduler = self.lock();
             if !isolated {
                 scheduler.plan(now);
@@ -415,8 +404,6 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         last_pings.insert(ping.name.clone(), (now, ping.stopping));
-        drop(last_pings);
-        self.record_ping_evidence(ping);
     }
 
     /// Returns the daemons that pinged recently and are not stopping, and this daemon.
--- a/crates/magnolia-node/src/ownership_proof.rs
+++ b/crates/magnolia-node/src/ownership_proof.rs
@@ -1,24 +1,25 @@
 //! Evidence that the claim of an owner is still in force. An owner sends orders only while it has
 //! recent evidence.
 //!
-//! Evidence counts from the time at which a call was sent. An answer may be read long after it has
-//! arrived if the process was paused, and says nothing about the time in between.
+//! Evidence comes from the store, or from the executors that the store lists as witnesses. It counts
+//! from the time at which a call was sent. An answer may be read long after it has arrived if the
+//! process was paused, and says nothing about the time in between. Other daemons give no evidence:
+//! they can be cut off from the store and from the next owner together with this one.
 
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use magnolia_scheduler::{RenewalKind, SchedulerSettings};
 use magnolia_types::Millis;
 use tokio::time::sleep;
 
 use crate::owner::OwnerSession;
-use crate::peer_messages::PingRequest;
 
-/// Age of the last confirmation by the store from which the owner asks for another one. Appends
-/// confirm ownership as well, so that a busy owner rarely has to ask.
+/// Age of the last confirmation by the store from which the owner asks for another one, and counts
+/// witnesses. Appends confirm ownership as well, so that a busy owner rarely has to ask.
 const CONFIRMATION_INTERVAL: Millis = Millis::new(500);
 /// Interval at which the owner checks whether it has to ask.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Delay of a check from which a pause of the process is logged; a busy process is late by less.
 const PAUSE_THRESHOLD: Millis = Millis::new(500);
 
@@ -27,8 +28,8 @@
 pub(crate) enum EvidenceSource {
     /// A recent answer of the store.
     Store,
-    /// A recent ping of a peer, and no recent answer of the store.
-    Peer,
+    /// Recent answers of more than half of the witnesses, and no recent answer of the store.
+    Witnesses,
     /// No recent evidence.
     None,
 }
@@ -38,26 +39,25 @@
 pub(crate) struct OwnershipProof {
     /// Start of the latest call by which the store confirmed the claim.
     confirmed_at: Millis,
-    /// Latest time of the owner's clock that a peer returned in a ping that named no later claim.
-    echoed_at: Millis,
+    /// Time since which more than half of the witnesses have accepted the epoch.
+    attested_at: Option<Millis>,
     /// Last check for a pause of the process.
     checked_at: Millis,
-    /// Last check that came late because the process was paused.
-    resumed_at: Option<Millis>,
     /// Longest age of the evidence.
     limit: Millis,
+    /// Longest age of the last confirmation by the store while witnesses count.
+    outage_limit: Millis,
 }
 
 impl OwnershipProof {
-    /// Creates the proof of an owner whose claim is confirmed at `now`; evidence counts for
-    /// `limit`.
-    pub(crate) fn new(now: Millis, limit: Millis) -> Self {
+    /// Creates the proof of an owner whose claim is confirmed at `now`.
+    pub(crate) fn new(now: Millis, settings: &SchedulerSettings) -> Self {
         Self {
             confirmed_at: now,
-            echoed_at: now,
+            attested_at: None,
             checked_at: now,
-            resumed_at: None,
-            limit,
+            limit: settings.isolation_limit,
+            outage_limit: settings.outage_limit,
         }
     }
 
@@ -66,50 +66,38 @@
         self.confirmed_at = self.confirmed_at.max(sent_at);
     }
 
-    /// Records that a peer knew of no later claim after it had read `stamp`, a time of the owner's
-    /// clock. Pings are the only evidence while the store is unavailable for all daemons.
-    pub(crate) fn record_echo(&mut self, stamp: Millis) {
-        self.echoed_at = self.echoed_at.max(stamp);
+    /// Records that more than half of the witnesses accepted the epoch in calls that were sent at
+    /// `since` or later. They are the only evidence while the store is unavailable.
+    pub(crate) fn attest(&mut self, since: Millis) {
+        self.attested_at = self.attested_at.max(Some(since));
     }
 
-    /// Detects that the process was paused since the last check; returns the time since then if it
-    /// was.
+    /// Returns the time since the last check for a pause if the process was paused.
     pub(crate) fn check_pause(&mut self, now: Millis) -> Option<Millis> {
         let since = now.saturating_sub(self.checked_at);
-        if since > self.limit {
-            self.resumed_at = Some(now);
-        }
         self.checked_at = now;
         (since > PAUSE_THRESHOLD).then_some(since)
     }
 
-    /// Returns what orders rest on at `now`.
-    pub(crate) fn source(&self, now: Millis) -> EvidenceSource {
-        let store_age = now.saturating_sub(self.confirmed_at);
-        let peer_age = now.saturating_sub(self.echoed_at);
-        match (store_age <= self.limit, peer_age <= self.limit) {
-            (true, _) => EvidenceSource::Store,
-            (false, true) => EvidenceSource::Peer,
-            (false, false) => EvidenceSource::None,
-        }
-    }
-
     /// Returns the start of the latest call by which the store confirmed the claim.
     pub(crate) fn confirmed_at(&self) -> Millis {
         self.confirmed_at
     }
 
-    /// Tells whether orders may be sent. The only registered daemon needs no recent evidence unless
-    /// it was paused: another daemon may have registered and claimed ownership meanwhile. Only the
-    /// store counts while the evidence is `contradicted` by an executor that knows a higher epoch.
-    pub(crate) fn allows_orders(&self, now: Millis, only_member: bool, contradicted: bool) -> bool {
-        if contradicted {
-            return now.saturating_sub(self.confirmed_at) <= self.limit;
+    /// Returns what orders rest on at `now`. Only the store counts while the evidence is
+    /// `contradicted` by an executor that knows a higher epoch.
+    pub(crate) fn source(&self, now: Millis, contradicted: bool) -> EvidenceSource {
+        let store_age = now.saturating_sub(self.confirmed_at);
+        let attested = self
+            .attested_at
+            .is_some_and(|at| now.saturating_sub(at) <= self.limit);
+        if store_age <= self.limit {
+            EvidenceSource::Store
+        } else if attested && !contradicted && store_age <= self.outage_limit {
+            EvidenceSource::Witnesses
+        } else {
+            EvidenceSource::None
         }
-        let newest = self.confirmed_at.max(self.echoed_at);
-        let paused = now.saturating_sub(self.checked_at) > self.limit
-            || self.resumed_at.is_some_and(|at| at >= self.confirmed_at);
-        now.saturating_sub(newest) <= self.limit || (only_member && !paused)
     }
 }
 
@@ -118,14 +106,29 @@
         self.proof.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Tells whether this daemon has no recent evidence that it still owns the cell. Another daemon
-    /// may own it by then, so no task is started and no lease renewed.
-    pub(crate) fn is_isolated(&self) -> bool {
-        let only_member = self.node.cell.borrow().members.len() <= 1;
+    /// Returns what orders that are decided at `now` rest on.
+    pub(crate) fn evidence(&self, now: Millis) -> EvidenceSource {
         let contradicted = self.lock().has_unexplained_fence();
-        !self
-            .lock_proof()
-            .allows_orders(self.now(), only_member, contradicted)
+        self.lock_proof().source(now, contradicted)
+    }
+
+    /// Tells whether this daemon has no recent evidence at `now` that it still owns the cell. Another
+    /// daemon may own it by then, so no task is started and no lease renewed.
+    pub(crate) fn is_isolated(&self, now: Millis) -> bool {
+        self.evidence(now) == EvidenceSource::None
+    }
+
+    /// Returns what renewals that are decided at `now` may ask for.
+    pub(crate) fn renewal_kind(&self, now: Millis) -> RenewalKind {
+        if self.is_isolated(now) {
+            return RenewalKind::Inquiry;
+        }
+        let store_age = now.saturating_sub(self.lock_proof().confirmed_at());
+        if store_age > CONFIRMATION_INTERVAL {
+            RenewalKind::Attesting
+        } else {
+            RenewalKind::Full
+        }
     }
 
     /// Records that the store confirmed the claim by a call that was sent at `sent_at`.
@@ -139,34 +142,34 @@
         }
     }
 
-    /// Logs a pause of the process, and changes of what the orders rest on.
-    pub(crate) fn log_evidence(&self, last: EvidenceSource) -> EvidenceSource {
-        let now = self.now();
-        let (paused, source, store_age, peer_age) = {
+    /// Counts the witnesses while the store does not confirm the claim. Logs pauses of the process
+    /// and changes of what orders rest on; returns what they rest on now.
+    pub(crate) fn update_evidence(&self, now: Millis, last: EvidenceSource) -> EvidenceSource {
+        let (paused, confirmed_at) = {
             let mut proof = self.lock_proof();
-            let paused = proof.check_pause(now);
-            let store_age = now.saturating_sub(proof.confirmed_at);
-            let peer_age = now.saturating_sub(proof.echoed_at);
-            (paused, proof.source(now), store_age, peer_age)
+            (proof.check_pause(now), proof.confirmed_at())
         };
+        let store_age = now.saturating_sub(confirmed_at);
+        if store_age > CONFIRMATION_INTERVAL {
+            let attested = self.lock().attested_since();
+            if let Some(since) = attested {
+                self.lock_proof().attest(since);
+            }
+        }
+        let source = self.evidence(now);
+        let attested_at = self.lock_proof().attested_at;
         if let Some(length) = paused {
-            log::warn!(epoch:% = self.epoch(), length:% = length, store_age:% = store_age,
-                peer_age:% = peer_age; "process was paused");
+            log::warn!(epoch:% = self.epoch(), length:% = length, store_age:% = store_age;
+                "process was paused");
         }
         if source != last {
             log::warn!(epoch:% = self.epoch(), source:? = source, store_age:% = store_age,
-                peer_age:% = peer_age; "evidence of ownership has another source");
+                attested_at:? = attested_at;
+                "evidence of ownership changed; without any, no starts and renewals are sent");
         }
         source
     }
 
-    /// Takes the evidence from a ping of a peer.
-    pub(crate) fn record_ping_evidence(&self, ping: &PingRequest) {
-        if ping.epoch == self.epoch() {
-            self.lock_proof().record_echo(ping.echo);
-        }
-    }
-
     /// Asks the store for a confirmation when the last one is old, or when tasks wait for one.
     pub(crate) async fn confirm_periodically(self: Arc<Self>) {
         loop {
--- a/crates/magnolia-node/src/peer_messages.rs
+++ b/crates/magnolia-node/src/peer_messages.rs
@@ -39,9 +39,6 @@
         pub(crate) epoch: Epoch,
         /// Whether the sender stops soon.
         pub(crate) stopping: bool,
-        /// Clock in the last reply to a ping that the sender has got from the receiver; zero if
-        /// there is none.
-        pub(crate) echo: Millis,
     }
 
     /// A request to the eligibility service.
@@ -104,8 +101,6 @@
         pub(crate) live: Vec<DaemonId>,
         /// Version of the newest configuration that the receiver knows.
         pub(crate) version: CellVersion,
-        /// Clock of the receiver, to be returned in the next ping.
-        pub(crate) clock: Millis,
     }
 
     /// A configuration as it is sent between daemons.
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -117,6 +117,10 @@
     pub(crate) preempted: BTreeMap<ExecutorIndex, Millis>,
     /// Lost runs whose tasks wait until ownership is confirmed.
     pub(crate) lost_runs: Vec<LostRun>,
+    /// When the executors in use by earlier owners were loaded.
+    pub(crate) loaded_at: Millis,
+    /// Whether no earlier owner is attested by more than half of the witnesses any more.
+    pub(crate) earlier_excluded: bool,
 }
 
 impl CellScheduler {
@@ -144,6 +148,8 @@
             done_unbatched: Vec::new(),
             preempted: BTreeMap::new(),
             lost_runs: Vec::new(),
+            loaded_at: Millis::new(0),
+            earlier_excluded: false,
         }
     }
 
@@ -328,7 +334,10 @@
     /// Tells whether anything that has to be stored is in no batch yet.
     pub fn has_unbatched(&self) -> bool {
         !self.dirty_jobs.is_empty()
-            || !self.dirty_executors.is_empty()
+            || self
+                .dirty_executors
+                .iter()
+                .any(|executor_index| self.is_record_storable(*executor_index))
             || self
                 .executors
                 .iter()
@@ -360,9 +369,15 @@
                 .records
                 .push((key, Some(job.record(limit, now_unix_ms))));
         }
+        self.check_exclusion(now);
+        let witness = self.earlier_excluded;
         for executor_index in std::mem::take(&mut self.dirty_executors) {
+            if !self.is_record_storable(executor_index) {
+                self.dirty_executors.insert(executor_index);
+                continue;
+            }
             let executor = self.executors.get_mut(executor_index);
-            let record = executor.record(now);
+            let record = executor.record(witness, now);
             executor.mark_record_batched(batch.number, record.as_ref());
             batch.executors.push((executor.entry.id.clone(), record));
         }
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -12,6 +12,7 @@
 
 use crate::executor_health::HealthTracker;
 use crate::executors::{ExecutorEntry, ExecutorRecord, ExecutorStatus, ExecutorUse};
+use crate::witnesses::WitnessListing;
 use crate::{ExecutorLife, RunNumber, TaskRef};
 
 /// How much slower than the owner's the clock of an executor may run, in thousandths; a limit of
@@ -80,6 +81,29 @@
     Millis::new(stretched.saturating_add(1))
 }
 
+/// What an owner asks of an executor in a lease renewal, by the evidence of its ownership.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RenewalKind {
+    /// Renews the lease, and waits for ends of runs.
+    Full,
+    /// The same, but waits for a shorter time: while the store is unavailable, the answers are the
+    /// evidence of ownership.
+    Attesting,
+    /// Renews no lease: the owner has no evidence of ownership, and asks for it.
+    Inquiry,
+}
+
+impl RenewalKind {
+    /// Returns how long the executor waits for the end of a run, at most for `longest`.
+    pub(crate) fn wait(self, longest: Millis) -> Millis {
+        match self {
+            Self::Full => longest,
+            Self::Attesting => Millis::new(longest.get() / 2),
+            Self::Inquiry => Millis::new(0),
+        }
+    }
+}
+
 /// Contents of the next lease renewal of an executor, which also waits for ends of runs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RenewalPlan {
@@ -191,6 +215,13 @@
     pub(crate) inherited_tasks: Option<BTreeSet<TaskRef>>,
     /// Whether it rejects the epoch of this owner.
     pub(crate) fence: FenceState,
+    /// What the store may hold of it as a witness of ownership.
+    pub(crate) listing: WitnessListing,
+    /// Start of the latest call in which its present life accepted the epoch of this owner.
+    pub(crate) accepted_at: Option<Millis>,
+    /// Whether it accepts nothing of earlier owners any more: it has answered in this epoch, or the
+    /// life that they knew has ended.
+    pub(crate) closed_to_earlier: bool,
     /// Present use, which is stored for the next owner.
     pub(crate) usage: ExecutorUse,
     /// The most restrictive use that the store may hold.
@@ -244,6 +275,9 @@
             inherited: false,
             inherited_tasks: None,
             fence: FenceState::Accepted,
+            listing: WitnessListing::default(),
+            accepted_at: None,
+            closed_to_earlier: false,
             usage: ExecutorUse::Unused,
             stored_usage: ExecutorUse::Unused,
             last_batch: 0,
@@ -285,7 +319,8 @@
     }
 
     /// Returns the record to store; none if it is not in use.
-    pub(crate) fn record(&self, now: Millis) -> Option<ExecutorRecord> {
+    /// `witness` tells whether the list of witnesses may change; a witness stays one in any case.
+    pub(crate) fn record(&self, witness: bool, now: Millis) -> Option<ExecutorRecord> {
         let confined_to = match self.usage {
             ExecutorUse::Unused => return None,
             ExecutorUse::Open => None,
@@ -308,6 +343,7 @@
             entry: self.entry.clone(),
             confined_to,
             lease_left,
+            witness: witness || self.listing.possible,
         })
     }
 
@@ -316,6 +352,7 @@
         self.last_batch = batch;
         self.stored_usage = self.stored_usage.min(ExecutorUse::of(record));
         self.lease_recorded |= record.is_some_and(|record| record.lease_left.is_some());
+        self.listing.add_pending(record);
     }
 
     /// Records that a batch is stored; has no effect if a later batch contains another record.
@@ -323,6 +360,7 @@
         if self.last_batch == batch {
             self.stored_usage = ExecutorUse::of(record);
             self.lease_recorded = record.is_some_and(|record| record.lease_left.is_some());
+            self.listing = WitnessListing::of(record);
         }
     }
 
@@ -338,6 +376,8 @@
     /// to the new one has expired.
     pub(crate) fn begin_life(&mut self, life: ExecutorLife, lease_end: Millis) {
         self.entry.life = life;
+        self.accepted_at = None;
+        self.closed_to_earlier = true;
         self.lease = ExecutorLease::new_life(lease_end);
         for active in self.runs.values_mut() {
             active.may_be_of_earlier_life = true;
--- a/crates/magnolia-scheduler/src/executors.rs
+++ b/crates/magnolia-scheduler/src/executors.rs
@@ -41,9 +41,18 @@
         /// Remaining lease when the record was made, if the lease is not renewed before the record
         /// is replaced.
         pub lease_left: Option<Millis>,
+        /// Whether the executor is a witness of ownership: an owner that the store does not answer
+        /// sends orders only while more than half of the witnesses accept its epoch.
+        #[serde(default = "is_witness_by_default")]
+        pub witness: bool,
     }
 }
 
+/// Records of versions without witnesses list executors in use, which are all witnesses.
+fn is_witness_by_default() -> bool {
+    true
+}
+
 value_types! {
     /// Use of an executor, from the most restricted.
     pub(crate) enum ExecutorUse {
--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -47,6 +47,7 @@
 mod step;
 mod step_selection;
 mod takeover;
+mod witnesses;
 
 pub use actions::{CellAction, EligibilityOrder, PaceOrder, StartOrder, StopOrder};
 pub use admission::{AdmissionDecision, AdmissionLoad, decide_admission};
@@ -56,7 +57,7 @@
 pub use executor_report::{
     EligibilityAnswer, EndKind, ExecutorReport, RunEnd, RunningTask, StartAnswer,
 };
-pub use executor_state::{ExecutorLease, RenewalPlan};
+pub use executor_state::{ExecutorLease, RenewalKind, RenewalPlan};
 pub use executors::{ExecutorEntry, ExecutorRecord, ExecutorStatus};
 pub use ids::{ExecutorLife, JobKey, ParseKeyError, RunNumber, StepRef, TaskRef};
 pub use job::JobStatus;
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -52,6 +52,7 @@
     /// stops unanswered starts, moves long-running tasks off executors that leave, repeats stop
     /// orders, opens due occurrences and stops hung runs.
     pub fn tick(&mut self, now: Millis, now_unix_ms: u64) {
+        self.check_exclusion(now);
         self.expire_leases(now);
         self.retire_leaving();
         self.confine_executors(now);
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -11,7 +11,7 @@
 
 use crate::cell::CellScheduler;
 use crate::executor_state::{
-    ActiveRun, ExecutorState, FenceState, RenewalPlan, RunPhase, stretch_lease,
+    ActiveRun, ExecutorState, FenceState, RenewalKind, RenewalPlan, RunPhase, stretch_lease,
 };
 use crate::executors::{ExecutorEntry, ExecutorIndex, ExecutorStatus, ExecutorUse};
 use crate::step::{TaskPhase, Ticket};
@@ -84,17 +84,23 @@
 
     /// Returns the contents of the next lease renewal of an executor, and counts its lease as
     /// granted; `None` if no renewal is needed.
-    pub fn plan_renewal(&mut self, id: &ExecutorId, now: Millis) -> Option<RenewalPlan> {
+    pub fn plan_renewal(
+        &mut self,
+        id: &ExecutorId,
+        kind: RenewalKind,
+        now: Millis,
+    ) -> Option<RenewalPlan> {
         let executor_index = self.executors.index_of(id)?;
         let lease = self.settings.lease;
-        let wait = self.settings.renewal_wait;
+        let wait = kind.wait(self.settings.renewal_wait);
         let executor = self.executors.get_mut(executor_index);
         if !executor.needs_renewal() {
             return None;
         }
         // An unanswered renewal may have arrived. Therefore the lease of an unresponsive executor
         // is not renewed, so that it expires at a known time.
-        let lease_until = if executor.is_responsive(now) && !executor.lease_recorded {
+        let renews = kind != RenewalKind::Inquiry;
+        let lease_until = if renews && executor.is_responsive(now) && !executor.lease_recorded {
             executor.lease.expiry_after(lease, now)
         } else {
             None
@@ -146,6 +152,8 @@
         let lease = self.settings.lease;
         let executor = self.executors.get_mut(executor_index);
         executor.fence = FenceState::Accepted;
+        executor.accepted_at = executor.accepted_at.max(Some(sent_at));
+        executor.closed_to_earlier = true;
         executor.lease.observe(report.clock, now);
         executor.last_answer_at = Some(now);
         let ready = executor.entry.status == ExecutorStatus::Ready;
@@ -198,6 +206,7 @@
             self.release_missing_runs(executor_index, &listed, sent_at, now);
         }
         self.pace_fillers(executor_index, now);
+        self.check_exclusion(now);
     }
 
     /// Opens the occurrences of a job up to that of a task that an earlier owner started. The
@@ -337,8 +346,12 @@
         let lease_end = now.saturating_add(stretch_lease(self.settings.max_lease));
         let executor = self.executors.get_mut(executor_index);
         executor.begin_life(life, lease_end);
+        let in_use = executor.usage != ExecutorUse::Unused;
         log::info!(executor:% = executor.entry.id, life:% = life, undecided = executor.runs.len();
             "executor restarted; its runs are lost, except those that the new life may run");
+        if in_use {
+            self.mark_executor_dirty(executor_index);
+        }
     }
 
     /// Applies the answer to a start order.
@@ -634,9 +647,10 @@
     pub fn plan_executor_renewal(
         &mut self,
         id: &ExecutorId,
+        kind: RenewalKind,
         now: Millis,
     ) -> Option<(ExecutorEntry, RenewalPlan)> {
-        let plan = self.plan_renewal(id, now)?;
+        let plan = self.plan_renewal(id, kind, now)?;
         let executor_index = self.executors.index_of(id)?;
         Some((self.executors.get(executor_index).entry.clone(), plan))
     }
--- a/crates/magnolia-scheduler/src/settings.rs
+++ b/crates/magnolia-scheduler/src/settings.rs
@@ -38,8 +38,11 @@
     pub late_order_limit: Millis,
     /// Longest record that the store accepts, in bytes; from the settings file.
     pub max_record_bytes: u64,
-    /// Time after which an owner that reaches neither store nor peers stops renewing leases.
+    /// Longest age of the evidence of ownership on which orders are sent.
     pub isolation_limit: Millis,
+    /// Time without the store after which an owner sends no orders, also if most executors accept
+    /// its epoch. A next owner that can't reach them has to wait for so long.
+    pub outage_limit: Millis,
 }
 
 impl SchedulerSettings {
@@ -58,6 +61,7 @@
             late_order_limit: Millis::from_secs(12),
             max_record_bytes: 262_144,
             isolation_limit: Millis::from_secs(2),
+            outage_limit: Millis::from_secs(60),
         }
     }
 
@@ -86,9 +90,15 @@
     /// Longest time from sending an order to its arrival.
     const MAX_ORDER_DELAY: Millis = Millis::new(400);
 
-    /// Returns the time after a change of owner from which an executor that has not answered holds
-    /// no lease of an earlier owner.
+    /// Returns the time from the exclusion of earlier owners until an executor that has not answered
+    /// holds no lease of theirs.
     pub fn takeover_wait(&self) -> Millis {
         self.isolation_limit.saturating_add(self.lease_end())
     }
+
+    /// Returns the time after a change of owner from which no lease of an earlier owner is left,
+    /// whatever executors that owner still reaches.
+    pub fn longest_takeover_wait(&self) -> Millis {
+        self.outage_limit.saturating_add(self.lease_end())
+    }
 }
--- a/crates/magnolia-scheduler/src/takeover.rs
+++ b/crates/magnolia-scheduler/src/takeover.rs
@@ -12,6 +12,7 @@
 use crate::cell::CellScheduler;
 use crate::executor_state::ExecutorState;
 use crate::executors::{ExecutorIndex, ExecutorRecord, ExecutorStatus, ExecutorUse};
+use crate::witnesses::WitnessListing;
 use crate::{StepRef, TaskRef};
 
 /// Inherited tasks that can't start because an executor has not answered since the change of owner.
@@ -26,12 +27,15 @@
 impl CellScheduler {
     /// Loads an executor that an earlier owner had in use, before anything starts.
     pub fn load_executor(&mut self, record: ExecutorRecord, now: Millis) {
-        let wait = self.settings.takeover_wait();
+        self.loaded_at = now;
+        let wait = self.settings.longest_takeover_wait();
         let usage = ExecutorUse::of(Some(&record));
+        let listing = WitnessListing::of(Some(&record));
         let executor_index = self.executors.add(record.entry);
         let executor = self.executors.get_mut(executor_index);
         executor.listed = false;
         executor.inherited = true;
+        executor.listing = listing;
         executor.usage = usage;
         executor.stored_usage = executor.usage;
         executor.inherited_tasks = record.confined_to.map(BTreeSet::from_iter);
@@ -50,13 +54,13 @@
     /// passed.
     pub fn apply_earlier_owners_ended(&mut self, now: Millis) {
         let settles_at = now.saturating_add(self.settings.lease_end());
-        let waiting = self.executors.iter_mut().map(|(_, executor)| executor);
-        for executor in waiting.filter(|executor| executor.blocks_inherited()) {
-            if settles_at < executor.settles_at {
-                executor.settles_at = settles_at;
-                executor.settles_because = "all earlier owners have ended";
-            }
-        }
+        self.exclude_earlier_owners(settles_at, "all earlier owners have ended");
+    }
+
+    /// Tells whether inherited tasks wait for executors that have not answered yet.
+    pub fn awaits_executors(&self) -> bool {
+        let mut executors = self.executors.iter();
+        executors.any(|(_, executor)| executor.inherited && !executor.settled)
     }
 
     /// Takes executors out of use that are draining or no longer listed and run nothing, so that
--- a/crates/magnolia-scheduler/tests/harness/mod.rs
+++ b/crates/magnolia-scheduler/tests/harness/mod.rs
@@ -8,8 +8,9 @@
 use magnolia_scheduler::{
     CellAction, CellRules, CellScheduler, CellVersion, EligibilityAnswer, EligibilityOrder,
     EndKind, ExecutorEntry, ExecutorLife, ExecutorRecord, ExecutorReport, ExecutorStatus, JobKey,
-    JobRecord, JobSpec, LiveRecord, QueueRules, RunEnd, RunNumber, RunningTask, SchedulerSettings,
-    ServiceName, StartAnswer, StartOrder, StepRef, StopOrder, SubmitOutcome, TaskRef,
+    JobRecord, JobSpec, LiveRecord, QueueRules, RenewalKind, RunEnd, RunNumber, RunningTask,
+    SchedulerSettings, ServiceName, StartAnswer, StartOrder, StepRef, StopOrder, SubmitOutcome,
+    TaskRef,
 };
 use magnolia_types::{DataCentreName, Epoch, ExecutorId, Millis, ResourceVector};
 
@@ -102,6 +103,7 @@
             entry: entry(number, "r1-1"),
             confined_to,
             lease_left,
+            witness: true,
         };
         self.scheduler.load_executor(record, self.now);
     }
@@ -140,7 +142,9 @@
         ends: Vec<RunEnd>,
         ends_complete: bool,
     ) {
-        let plan = self.scheduler.plan_executor_renewal(&id(number), self.now);
+        let plan = self
+            .scheduler
+            .plan_executor_renewal(&id(number), RenewalKind::Full, self.now);
         plan.expect("an executor in use");
         let report = ExecutorReport {
             life: ExecutorLife::new(1),
@@ -153,6 +157,19 @@
             .apply_report(&id(number), report, self.now, self.now);
     }
 
+    /// Lets a life of an executor answer a lease renewal; it runs nothing.
+    pub fn report_life(&mut self, number: usize, life: ExecutorLife) {
+        let report = ExecutorReport {
+            life,
+            clock: self.now,
+            running: vec![],
+            ends: vec![],
+            ends_complete: true,
+        };
+        self.scheduler
+            .apply_report(&id(number), report, self.now, self.now);
+    }
+
     pub fn store_batch(&mut self) {
         let batch = self
             .scheduler
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -10,8 +10,8 @@
 use harness::{CAPACITY, START_UNIX_MS, SchedulerHarness, entry, id, running, task};
 use magnolia_bench::load_simulation::{job, step};
 use magnolia_scheduler::{
-    CellAction, EndKind, ExecutorStatus, JobKey, JobSpec, JobStatus, RecurrenceSpec, RunEnd,
-    RunningTask, ServiceName, StartAnswer, StartOrder, SubmitOutcome, TaskRef,
+    CellAction, EndKind, ExecutorStatus, JobKey, JobSpec, JobStatus, RecurrenceSpec, RenewalKind,
+    RunEnd, RunningTask, ServiceName, StartAnswer, StartOrder, SubmitOutcome, TaskRef,
 };
 use magnolia_types::Millis;
 
@@ -59,7 +59,7 @@
         let end = harness.run_end(order.task, order.run, EndKind::Done);
         harness.report(0, vec![], vec![end]);
         let acked = |harness: &mut SchedulerHarness| {
-            let plan = harness.scheduler.plan_executor_renewal(&id(0), harness.now);
+            let plan = harness.scheduler.plan_executor_renewal(&id(0), RenewalKind::Full, harness.now);
             plan.expect("in use").1.ends_stored
         };
         assert_eq!(acked(&mut harness), 0);
@@ -82,7 +82,7 @@
         harness.report(0, vec![], vec![end]);
         harness.store_batch();
         harness.report(0, vec![], vec![]);
-        let plan = harness.scheduler.plan_executor_renewal(&id(0), harness.now);
+        let plan = harness.scheduler.plan_executor_renewal(&id(0), RenewalKind::Full, harness.now);
         assert_eq!(plan.expect("in use").1.ends_stored, 0);
     }
 );
@@ -102,7 +102,7 @@
             harness.advance(200);
             harness.report(other, vec![], vec![]);
             // The lease renewal is sent, but gets no answer.
-            harness.scheduler.plan_executor_renewal(&id(unresponsive), harness.now);
+            harness.scheduler.plan_executor_renewal(&id(unresponsive), RenewalKind::Full, harness.now);
             let starts = harness.start_tasks();
             if !starts.is_empty() {
                 assert_eq!(starts[0].executor, id(other));
--- a/crates/magnolia-scheduler/tests/takeover.rs
+++ b/crates/magnolia-scheduler/tests/takeover.rs
@@ -9,8 +9,8 @@
 use harness::{CAPACITY, START_UNIX_MS, SchedulerHarness, id, running, task};
 use magnolia_bench::load_simulation::{job, step};
 use magnolia_scheduler::{
-    EndKind, JobKey, JobRecord, JobStatus, LiveRecord, OccurrenceRecord, RecurrenceSpec, RunEnd,
-    RunNumber, RunningTask, StepRecord, TaskRef,
+    EndKind, JobKey, JobRecord, JobStatus, LiveRecord, OccurrenceRecord, RecurrenceSpec,
+    RenewalKind, RunEnd, RunNumber, RunningTask, StepRecord, TaskRef,
 };
 use magnolia_types::Millis;
 
@@ -118,6 +118,8 @@
     || {
         let mut harness = SchedulerHarness::new_without_reports(2, 1);
         harness.load_executor(7, Some(vec![task(1, 0, 0)]));
+        harness.load_executor(8, Some(vec![]));
+        harness.report(8, vec![], vec![]);
         harness.load_job(1, job(vec![step(3, 1000, 5000, vec![])]));
         harness.report_from_all(1);
         harness.advance(200);
@@ -230,16 +232,16 @@
         assert!((1100..1250).contains(&left.get()), "{left}");
         harness.scheduler.finish_batch(batch);
         harness.report(0, vec![running(&order)], vec![]);
-        let plan = harness.scheduler.plan_renewal(&id(0), harness.now).expect("in use");
+        let plan = harness.scheduler.plan_renewal(&id(0), RenewalKind::Full, harness.now).expect("in use");
         assert_eq!(plan.lease_until, None, "the store still holds the end of its lease");
         harness.advance(10);
         let batch = harness.scheduler.begin_batch(harness.now, START_UNIX_MS);
         let record = batch.executors[0].1.clone().expect("in use");
         assert_eq!(record.lease_left, None);
-        let plan = harness.scheduler.plan_renewal(&id(0), harness.now).expect("in use");
+        let plan = harness.scheduler.plan_renewal(&id(0), RenewalKind::Full, harness.now).expect("in use");
         assert_eq!(plan.lease_until, None, "not stored yet");
         harness.scheduler.finish_batch(batch);
-        let plan = harness.scheduler.plan_renewal(&id(0), harness.now).expect("in use");
+        let plan = harness.scheduler.plan_renewal(&id(0), RenewalKind::Full, harness.now).expect("in use");
         assert!(plan.lease_until.is_some(), "renewed again");
     }
 );
@@ -279,7 +281,7 @@
         harness.report(7, vec![], vec![]);
         harness.submit(1, job(vec![step(20, 1000, 100, vec![])]));
         harness.store_batch();
-        let renewal = harness.scheduler.plan_executor_renewal(&id(7), harness.now);
+        let renewal = harness.scheduler.plan_executor_renewal(&id(7), RenewalKind::Full, harness.now);
         assert_eq!(renewal, None, "nothing runs there");
         let started = harness.start_tasks();
         assert!(!started.is_empty());
