Ask executors more often only once the store is late by more than its usual answers

A confirmation is asked for at an age of 500 ms and is a little older when it arrives, so that some renewals of a healthy owner were shortened, and each look at an executor is charged. The threshold is now 900 ms: a renewal that was sent before is answered by the time at which the confirmation no longer counts.

--- a/crates/magnolia-node/src/ownership_proof.rs
+++ b/crates/magnolia-node/src/ownership_proof.rs
@@ -15,9 +15,12 @@
 
 use crate::owner::OwnerSession;
 
-/// Age of the last confirmation by the store from which the owner asks for another one, and counts
-/// witnesses. Appends confirm ownership as well, so that a busy owner rarely has to ask.
+/// Age of the last confirmation by the store from which the owner asks for another one. Appends
+/// confirm ownership as well, so that a busy owner rarely has to ask.
 const CONFIRMATION_INTERVAL: Millis = Millis::new(500);
+/// Age of the last confirmation by the store from which executors are asked more often and counted as
+/// witnesses. A renewal that was sent before has been answered when the confirmation no longer counts.
+const ATTESTATION_AGE: Millis = Millis::new(900);
 /// Interval at which the owner checks whether it has to ask.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay of a check from which a pause of the process is logged; a busy process is late by less.
@@ -124,7 +127,7 @@
             return RenewalKind::Inquiry;
         }
         let store_age = now.saturating_sub(self.lock_proof().confirmed_at());
-        if store_age > CONFIRMATION_INTERVAL {
+        if store_age > ATTESTATION_AGE {
             RenewalKind::Attesting
         } else {
             RenewalKind::Full
@@ -150,7 +153,7 @@
             (proof.check_pause(now), proof.confirmed_at())
         };
         let store_age = now.saturating_sub(confirmed_at);
-        if store_age > CONFIRMATION_INTERVAL {
+        if store_age > ATTESTATION_AGE {
             let attested = self.lock().attested_since();
             if let Some(since) = attested {
                 self.lock_proof().attest(since);
