Give executors up only after a confirmation that was sent after the wait

What callers would see: a task runs on two executors, started by two owners (TWICE).

Cause: a new owner gave an executor up that had not answered once its wait had passed, on evidence of its ownership of up to 2 s before. A later owner that reaches the executor may have claimed the cell in these 2 s and renewed the lease there, while the executors on which the earlier one starts the tasks again have not answered the later one yet. Runs that an owner counts as lost already wait for such a confirmation; executors that it gives up did not, nor those whose list of ends was cut off.

Why it works: if the claim is the newest after the wait, no later owner had a part in the leases, and those of earlier owners have expired.

Price: no executor is given up while the store is away, as with lost runs.

Measured: tests of magnolia-scheduler, and single_runs and partitions of magnolia-edge, pass.

--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -232,6 +232,9 @@
     pub(crate) lease_recorded: bool,
     /// Time from which all leases of earlier owners have expired there, even if it never answered.
     pub(crate) settles_at: Millis,
+    /// When all leases of earlier owners, or of this one before it listed all ends, had expired there
+    /// without an answer. Its tasks start elsewhere once ownership is confirmed after that.
+    pub(crate) given_up_at: Option<Millis>,
     /// What `settles_at` follows from, for the log.
     pub(crate) settles_because: &'static str,
     /// When it last answered.
@@ -283,6 +286,7 @@
             last_batch: 0,
             lease_recorded: false,
             settles_at: Millis::new(u64::MAX),
+            given_up_at: None,
             settles_because: "",
             last_answer_at: None,
             runs: BTreeMap::new(),
--- a/crates/magnolia-scheduler/src/lost_runs.rs
+++ b/crates/magnolia-scheduler/src/lost_runs.rs
@@ -61,7 +61,9 @@
 
     /// Tells whether something waits for a confirmation of ownership.
     pub fn awaits_confirmation(&self) -> bool {
-        self.unconfirmed_loss().is_some() || self.has_unexplained_fence()
+        let mut executors = self.executors.iter();
+        let waits = executors.any(|(_, executor)| executor.given_up_at.is_some());
+        waits || self.unconfirmed_loss().is_some() || self.has_unexplained_fence()
     }
 
     /// Returns the time of the latest loss of runs whose tasks wait for a confirmation.
@@ -70,10 +72,11 @@
     }
 
     /// Records that ownership was confirmed by a call to the store that was sent at `sent_at`. The
-    /// tasks of runs that were lost before may start again, and executors that knew a higher epoch
-    /// before obey another cell.
+    /// tasks of runs that were lost before may start again, and so may those that wait for executors
+    /// given up before. Executors that knew a higher epoch before obey another cell.
     pub fn confirm_ownership(&mut self, sent_at: Millis, now: Millis) {
         self.set_foreign_aside(sent_at);
+        self.settle_given_up(sent_at);
         let confirmed = |lost: &mut LostRun| lost.lost_at < sent_at;
         let returned: Vec<LostRun> = self.lost_runs.extract_if(.., confirmed).collect();
         for lost in returned {
@@ -81,6 +84,30 @@
         }
     }
 
+    /// Settles the executors that were given up before `sent_at`. A later owner may have renewed the
+    /// lease of one that this owner can't reach.
+    fn settle_given_up(&mut self, sent_at: Millis) {
+        let mut settled = Vec::new();
+        for (executor_index, executor) in self.executors.iter_mut() {
+            if executor.given_up_at.is_none_or(|at| at >= sent_at) {
+                continue;
+            }
+            executor.given_up_at = None;
+            // The runs whose ends were not acknowledged before the lease expired start again.
+            executor.may_have_unlisted_ends = false;
+            if !executor.settled {
+                executor.settled = true;
+                executor.last_answer_at = None;
+                log::warn!(executor:% = executor.entry.id, reason = executor.settles_because;
+                    "executor did not answer this owner; leases of earlier owners have expired there");
+            }
+            settled.push(executor_index);
+        }
+        settled
+            .into_iter()
+            .for_each(|executor_index| self.retire_executor(executor_index));
+    }
+
     /// Returns the task of a run that was counted as lost and is reported again, so that the run
     /// can be taken over.
     pub(crate) fn revoke_loss(
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -68,18 +68,14 @@
         let mut lost = Vec::new();
         let mut retired = Vec::new();
         for (executor_index, executor) in self.executors.iter_mut() {
-            if !executor.settled && now >= executor.settles_at {
-                executor.settled = true;
-                executor.last_answer_at = None;
-                log::warn!(executor:% = executor.entry.id, reason = executor.settles_because;
-                    "executor did not answer this owner; leases of earlier owners have expired there");
-                retired.push(executor_index);
+            let unsettled = !executor.settled && now >= executor.settles_at;
+            let is_lapsed = executor.is_lapsed(now);
+            if unsettled || (is_lapsed && executor.may_have_unlisted_ends) {
+                executor.given_up_at.get_or_insert(now);
             }
-            if !executor.is_lapsed(now) {
+            if !is_lapsed {
                 continue;
             }
-            // The runs whose ends were not acknowledged before the lease expired start again.
-            executor.may_have_unlisted_ends = false;
             if executor.runs.is_empty() {
                 continue;
             }
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -154,6 +154,7 @@
         executor.fence = FenceState::Accepted;
         executor.accepted_at = executor.accepted_at.max(Some(sent_at));
         executor.closed_to_earlier = true;
+        executor.given_up_at = None;
         executor.lease.observe(report.clock, now);
         executor.last_answer_at = Some(now);
         let ready = executor.entry.status == ExecutorStatus::Ready;
--- a/crates/magnolia-scheduler/tests/witnesses.rs
+++ b/crates/magnolia-scheduler/tests/witnesses.rs
@@ -123,6 +123,23 @@
     }
 );
 
+test_case!(
+    /// Guards against a task that runs twice: a later owner has renewed the lease of an executor that
+    /// this owner can't reach.
+    executors_are_given_up_only_after_a_confirmation_that_was_sent_after_the_wait,
+    || {
+        let mut harness = harness_after_takeover();
+        (6..9).for_each(|number| harness.report(number, vec![], vec![]));
+        harness.advance_unconfirmed(TAKEOVER_WAIT_MS + 100);
+        assert!(harness.scheduler.awaits_confirmation());
+        (6..9).for_each(|number| harness.report(number, vec![], vec![]));
+        harness.scheduler.confirm_ownership(harness.now, harness.now);
+        assert!(harness.start_tasks().is_empty(), "the confirmation was sent too early");
+        harness.confirm_ownership();
+        assert_eq!(harness.start_tasks().len(), 1);
+    }
+);
+
 test_case!(
     /// Guards against tasks that wait for a minute although every earlier owner said that it ended.
     executors_are_given_up_one_lease_after_all_earlier_owners_ended,
