Let only the log allow starts on a restarted worker

A restarted worker has lost the fence. Its owner therefore confirms its claim before the first start there, and took the word of a peer for it while the log was away. A peer confirms by knowing no later claim, whatever the age of what it has read. An owner and a peer that are both cut off from the log, or that both slept while the claim was made, thus confirm each other: the owner counts the tasks of the restarted worker as lost with it and starts them again there, while the next owner, which had fenced the worker before it restarted, waits out its own lease and starts them elsewhere.

Now only the log allows these starts. Its answer, asked for after the new process was noticed, shows that no later owner had fenced the process before; a start names the process, so that a further restart refuses it. Confirmations by peers still count for services whose leases have expired (two runs of a service do less harm than none), as the design says. The price: a worker that restarts while the log is away gets nothing new, services included, until the log is back.

--- a/crates/magnolia-daemon/src/partition/confirming.rs
+++ b/crates/magnolia-daemon/src/partition/confirming.rs
@@ -2,7 +2,7 @@
 //! giving up attempts whose leases have expired.
 //!
 //! A restarted worker no longer knows its fence and would accept the commands of a superseded
-//! owner. An owner therefore sends it starts only after the claim was confirmed.
+//! owner. An owner therefore sends it starts only after the log has confirmed the claim.
 
 use std::sync::Arc;
 
@@ -43,8 +43,11 @@
         });
     }
 
-    /// Records a confirmation and allows starts on the worker incarnations that were known at
-    /// `asked`.
+    /// Records a confirmation. One by the log allows starts on the worker incarnations that were
+    /// known at `asked`.
+    ///
+    /// A peer that has not read a later claim confirms as well. The later owner may have started
+    /// the tasks of the restarted worker elsewhere by then, so a peer allows no starts.
     pub(super) fn handle_confirmation(
         &mut self,
         asked: Millis,
@@ -55,14 +58,19 @@
             self.next_confirmation_at = self.now().saturating_add(CONFIRM_DELAY);
         }
         match source {
-            Some(ConfirmationSource::Log) => self.confirmed.by_log = asked,
-            Some(ConfirmationSource::Peer) => {}
-            None => {
-                self.context.metrics.count(names::CLAIMS_NOT_CONFIRMED);
-                return;
+            Some(ConfirmationSource::Log) => {
+                self.confirmed.by_log = asked;
+                self.confirmed.by_anyone = asked;
+                self.allow_starts(asked);
             }
+            Some(ConfirmationSource::Peer) => self.confirmed.by_anyone = asked,
+            None => self.context.metrics.count(names::CLAIMS_NOT_CONFIRMED),
         }
-        self.confirmed.by_anyone = asked;
+    }
+
+    /// Allows starts on the worker incarnations that were known at `asked`, when the log confirmed
+    /// the claim.
+    fn allow_starts(&mut self, asked: Millis) {
         let workers: Vec<WorkerId> = self.links.keys().cloned().collect();
         for worker in workers {
             let reading = self.leases.newest_reading(&worker);
--- a/crates/magnolia-daemon/src/partition/worker_link.rs
+++ b/crates/magnolia-daemon/src/partition/worker_link.rs
@@ -76,7 +76,7 @@
     pub is_busy: bool,
     /// Number of failed exchanges since the last answer.
     pub failures: u32,
-    /// The incarnation that may get starts, because the claim was confirmed after it was learned.
+    /// The incarnation that may get starts, because the log confirmed the claim after it was learned.
     pub confirmed_incarnation: Option<Incarnation>,
     /// When the first answer of the current incarnation came.
     pub incarnation_learned_at: Millis,
--- a/crates/magnolia-daemon/tests/cell/mod.rs
+++ b/crates/magnolia-daemon/tests/cell/mod.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use magnolia_backing::{InstanceEntry, InstanceKind, InstanceState};
 use magnolia_config::{CellConfig, ConfigDocument};
 use magnolia_daemon::partition::{run_local, start_owner};
 use magnolia_daemon::{DaemonContext, DaemonSettings, InnerHandler, LifecyclePhase, MemberEntry};
@@ -206,6 +207,28 @@
         unreachable.extend(workers);
     }
 
+    /// Makes a worker reachable again for this daemon.
+    pub fn make_reachable(&self, worker: SocketAddr) {
+        let mut unreachable = self
+            .unreachable
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        unreachable.remove(&worker);
+    }
+
+    /// Puts another daemon into the instance list of this one.
+    pub fn list_daemon(&self, member: &MemberEntry) {
+        let entry = InstanceEntry {
+            instance: member.daemon.as_str().into(),
+            kind: InstanceKind::Entry,
+            address: member.address,
+            data_centre: member.data_centre.clone(),
+            state: InstanceState::Live,
+        };
+        let now = self.context.clock.now();
+        self.context.members.replace_entries(vec![entry], now);
+    }
+
     /// Runs an operation at the owner in this daemon.
     pub async fn run(&self, operation: JobOperation) -> JobReply {
         run_local(&self.context, PARTITION, operation).await
--- a/crates/magnolia-daemon/tests/takeover.rs
+++ b/crates/magnolia-daemon/tests/takeover.rs
@@ -223,6 +223,50 @@
     cell.fleet.assert_single_runs();
 }
 
+/// Guards against a superseded owner that starts tasks on a restarted worker, which has lost the
+/// fence, because a peer that has not read the later claim either confirms its own one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_peer_without_the_log_lets_no_task_start_on_a_restarted_worker() {
+    let cell = TestCell::new(2);
+    let (first, second) = (cell.daemon("d1"), cell.daemon("d2"));
+    let (peer, member) = cell.reachable_daemon("d3").await;
+    first.list_daemon(&member);
+    first.claim(1).await;
+    let job = first.submit(batch(8, 600_000)).await;
+    eventually("all tasks run", || cell.fleet.runs().len() == 8).await;
+    let claims = first
+        .context
+        .claims
+        .with_table(|table| table.iter().cloned().collect::<Vec<_>>());
+    peer.context.claims.merge(&claims);
+    let restarted = usize::from(cell.fleet.runs()[0].worker.as_str() != "w000");
+    // The first owner loses the log and the workers, and keeps the peer.
+    first.log_gate.set_open(false);
+    first.make_unreachable((0..2).map(worker_address));
+    second.claim(2).await;
+    eventually("the second owner has fenced the workers", || {
+        second.counter("attempts.adopted") == 8
+    })
+    .await;
+    // The worker comes back on the side of the first owner.
+    second.make_unreachable([worker_address(restarted)]);
+    cell.fleet.restart(worker_address(restarted));
+    first.make_reachable(worker_address(restarted));
+    eventually("the first owner knows of the restart", || {
+        first.counter("workers.restarts") == 1
+    })
+    .await;
+    eventually("the second owner starts the lost tasks again", || {
+        let runs = cell.fleet.runs().into_iter();
+        let later = runs.filter(|run| run.epoch == Epoch::new(2));
+        later.count() > 0
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(2 * LEASE_MS)).await;
+    assert!(second.view(&job).await.is_some());
+    cell.fleet.assert_single_runs();
+}
+
 /// Guards against a request that is sent after a takeover, or a key that can be used again, when
 /// the journal has an intent without an outcome.
 #[tokio::test(flavor = "multi_thread")]
