Show that an isolated owner of an executor group and a peer exceed its slots

An owner and a peer are cut off from the log and from the other daemons and still reach the executors. The peer's confirmations count from the call and say nothing of when it last read the claims, so that the owner stays confirmed; the next owner announces its claim to those that it reaches, waits the 2 s for which a confirmation counts, and serves.

Not mended here. Executors of magnoliad keep no epoch, and what bounds the owner has to come from the daemons: a choice between waiting for those that can't be reached and counting majorities of a list that lags.

The fakes can now cut daemons off together, from the log and from each other; each daemon has a path to the log and an instance list of its own for it.

--- a/crates/magnolia-daemon/tests/quick_requests.rs
+++ b/crates/magnolia-daemon/tests/quick_requests.rs
@@ -193,6 +193,59 @@
     }
 }
 
+/// Guards against an owner that goes on sending when it is cut off, so that the next owner and it
+/// use the same slots.
+#[tokio::test(flavor = "multi_thread")]
+async fn slots_hold_when_the_owner_is_cut_off_alone() {
+    check_slots_of_isolated_owner(0).await;
+}
+
+/// Guards against an owner and a peer, cut off together from the log and from the next owner, that
+/// keep up each other's confirmations.
+#[tokio::test(flavor = "multi_thread")]
+async fn slots_hold_when_the_owner_and_a_peer_are_cut_off_together() {
+    check_slots_of_isolated_owner(1).await;
+}
+
+/// Cuts the owner of a group off, together with `peers` of the other three daemons, and checks that
+/// it uses no slots once the next owner serves the group.
+async fn check_slots_of_isolated_owner(peers: usize) {
+    let mut cell = TestCell::start(4, &[2]).await;
+    let owner = cell.owner(0).await.expect("an owner");
+    let (inside, outside): (Vec<usize>, Vec<usize>) =
+        (0..4).partition(|index| (index + 4 - owner) % 4 <= peers);
+    cell.isolate(&inside);
+    wait_for("a new owner", async || {
+        let mut owned = false;
+        for index in &outside {
+            let state = cell.state(*index).await.unwrap_or_default();
+            owned |= state["groups"]["groups"]["group:g0"].is_object();
+        }
+        owned
+    })
+    .await;
+    for executor in &cell.groups[0] {
+        executor.set_mode(ExecutorMode::Hold);
+    }
+    // Started after the takeover: an entry reaches the owner at the address in its claim, past the
+    // cut.
+    let load = BackgroundLoad::start(&cell, &outside);
+    wait_for("full executors", async || {
+        let mut executors = cell.groups[0].iter();
+        executors.all(|executor| executor.busy() == SLOTS)
+    })
+    .await;
+    join_all((0..SLOTS).map(|_| cell.request(owner, "inside", 1000))).await;
+    for executor in &cell.groups[0] {
+        executor.set_mode(ExecutorMode::Answer(Duration::ZERO));
+    }
+    load.wait_for_progress().await;
+    load.stop().await;
+    for executor in &cell.groups[0] {
+        assert!(executor.max_busy() <= SLOTS, "{}", executor.max_busy());
+    }
+}
+
 /// Guards against new requests to an executor that reports that it is leaving.
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_executor_gets_nothing_new() {
--- a/crates/magnolia-daemon/tests/support/executor.rs
+++ b/crates/magnolia-daemon/tests/support/executor.rs
@@ -60,7 +60,7 @@
             is_leaving: AtomicBool::new(false),
             bodies: Mutex::default(),
         });
-        let address = platform::start(Arc::clone(&server) as _).await;
+        let address = platform::start(Arc::clone(&server) as _);
         let name = name.to_owned();
         Arc::new(Self {
             name,
--- a/crates/magnolia-daemon/tests/support/mod.rs
+++ b/crates/magnolia-daemon/tests/support/mod.rs
@@ -9,8 +9,9 @@
 pub use executor::{ExecutorMode, FakeExecutor};
 pub use platform::FakeLog;
 
-use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -25,7 +26,7 @@
 use magnolia_protocol::decode;
 use magnolia_state::ClaimChange;
 use magnolia_types::{CustomerName, DataCentreName, ExecutorId, Millis, WorkClass};
-use platform::FakeInstances;
+use platform::{FakeInstances, LogPath};
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
 use tokio::sync::oneshot;
@@ -45,6 +46,9 @@
     pub caller_address: SocketAddr,
     /// Address for other daemons.
     inner_address: SocketAddr,
+    log_path: Arc<LogPath>,
+    /// The instance list as this daemon reads it.
+    instances: Arc<FakeInstances>,
     runtime: Option<Runtime>,
     stop: Option<oneshot::Sender<()>>,
     ended: Option<JoinHandle<ExitStatus>>,
@@ -59,9 +63,10 @@
     /// Executors of each group.
     pub groups: Vec<Vec<Arc<FakeExecutor>>>,
     pub log: Arc<FakeLog>,
-    pub instances: Arc<FakeInstances>,
-    log_address: SocketAddr,
-    instance_address: SocketAddr,
+    /// Accepts connections and answers nothing.
+    silent: TcpListener,
+    /// Daemons that are cut off from the log and from all other daemons.
+    isolated: BTreeSet<usize>,
 }
 
 /// Returns an address that nothing else uses.
@@ -89,16 +94,14 @@
     /// Starts a cell with a given log and grace period of a stop.
     pub async fn start_on(log: FakeLog, daemons: usize, groups: &[usize], grace_ms: u64) -> Self {
         let log = Arc::new(log);
-        let instances = Arc::new(FakeInstances::default());
         let mut cell = Self {
             client: HttpClient::new(PoolSettings::new()),
             grace_ms,
             daemons: Vec::new(),
             groups: Vec::new(),
-            log_address: platform::start(Arc::clone(&log) as _).await,
-            instance_address: platform::start(Arc::clone(&instances) as _).await,
             log,
-            instances,
+            silent: TcpListener::bind(("127.0.0.1", 0)).expect("a port"),
+            isolated: BTreeSet::new(),
         };
         for (group, count) in groups.iter().enumerate() {
             let mut executors = Vec::new();
@@ -128,14 +131,21 @@
     /// Starts a daemon and adds it to the instance list.
     pub fn start_daemon(&mut self, name: &str) {
         let (caller_address, inner_address) = (free_address(), free_address());
+        let log_path = Arc::new(LogPath {
+            log: Arc::clone(&self.log),
+            is_cut: AtomicBool::new(false),
+        });
+        let instances = Arc::new(FakeInstances::default());
+        let log_address = platform::start(Arc::clone(&log_path) as _);
+        let instance_address = platform::start(Arc::clone(&instances) as _);
         let args = [
             "magnoliad".to_owned(),
             format!("--daemon={name}"),
             "--data-centre=dc0".to_owned(),
             format!("--listen={caller_address}"),
             format!("--inner-listen={inner_address}"),
-            format!("--log={}", self.log_address),
-            format!("--instances={}", self.instance_address),
+            format!("--log={log_address}"),
+            format!("--instances={instance_address}"),
             format!("--drain-grace-ms={}", self.grace_ms),
         ];
         let args = args.into_iter().map(Into::into);
@@ -156,6 +166,8 @@
             name: name.to_owned(),
             caller_address,
             inner_address,
+            log_path,
+            instances,
             runtime: Some(runtime),
             stop: Some(stop),
             ended: Some(ended),
@@ -246,20 +258,36 @@
         }
     }
 
-    /// Replaces the instance list by the daemons that are running.
+    /// Cuts daemons off, together, from the log and from all other daemons, in silence.
+    pub fn isolate(&mut self, daemons: &[usize]) {
+        self.isolated.extend(daemons);
+        for index in &self.isolated {
+            let path = &self.daemons[*index].log_path;
+            path.is_cut.store(true, Ordering::SeqCst);
+        }
+        self.update_instance_list();
+    }
+
+    /// Replaces the instance lists by the daemons that are running. Those behind a cut have an
+    /// address that answers nothing.
     pub fn update_instance_list(&self) {
-        let running = self
-            .daemons
-            .iter()
-            .filter(|daemon| daemon.runtime.is_some());
-        let entries = running.map(|daemon| InstanceEntry {
-            instance: daemon.name.as_str().into(),
-            kind: InstanceKind::Entry,
-            address: daemon.inner_address,
-            data_centre: DataCentreName::new("dc0").expect("a name"),
-            state: InstanceState::Live,
-        });
-        self.instances.set(entries.collect());
+        for (reader, daemon) in self.daemons.iter().enumerate() {
+            let is_inside = self.isolated.contains(&reader);
+            let listed = (0..).zip(&self.daemons);
+            let running = listed.filter(|(_, daemon)| daemon.runtime.is_some());
+            let entries = running.map(|(index, daemon)| InstanceEntry {
+                instance: daemon.name.as_str().into(),
+                kind: InstanceKind::Entry,
+                address: if self.isolated.contains(&index) == is_inside {
+                    daemon.inner_address
+                } else {
+                    self.silent.local_addr().expect("an address")
+                },
+                data_centre: DataCentreName::new("dc0").expect("a name"),
+                state: InstanceState::Live,
+            });
+            daemon.instances.set(entries.collect());
+        }
     }
 
     /// Publishes the inventory.
--- a/crates/magnolia-daemon/tests/support/platform.rs
+++ b/crates/magnolia-daemon/tests/support/platform.rs
@@ -18,8 +18,10 @@
 const MAX_WAIT: Duration = Duration::from_millis(200);
 
 /// Serves a fake on an unused port.
-pub async fn start(handler: Arc<dyn HttpHandler>) -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+pub fn start(handler: Arc<dyn HttpHandler>) -> SocketAddr {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a port");
+    listener.set_nonblocking(true).expect("a setting");
+    let listener = TcpListener::from_std(listener).expect("a listener");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(serve(
         listener,
@@ -117,6 +119,21 @@
     }
 }
 
+/// The path of one daemon to the log, which can be cut.
+pub struct LogPath {
+    pub log: Arc<FakeLog>,
+    pub is_cut: AtomicBool,
+}
+
+impl HttpHandler for LogPath {
+    fn handle(self: Arc<Self>, request: HttpRequest) -> BoxFuture<'static, HttpResponse> {
+        if self.is_cut.load(Ordering::SeqCst) {
+            return Box::pin(async { error_response(ResultCode::LogUnavailable, "cut off") });
+        }
+        Arc::clone(&self.log).handle(request)
+    }
+}
+
 /// An instance list in memory.
 #[derive(Default)]
 pub struct FakeInstances {
