Show that an owner behind a firewall counts as ended for magnoliad

The earlier owner has lost the log and reaches one worker, whose leases it renews without a limit. The next owner reaches the others, and a connection to the earlier one is refused. It takes that for the end of the process, waits one lease and starts the tasks of the worker elsewhere.

Not mended here: that a refusal proves the end is a rule of design.md, on which the quick takeover of executor groups rests as well.

--- a/crates/magnolia-daemon/tests/takeover.rs
+++ b/crates/magnolia-daemon/tests/takeover.rs
@@ -6,10 +6,14 @@
 use std::time::Duration;
 
 use cell::{LEASE_MS, TestCell, batch, eventually, unit, worker_address};
+use magnolia_daemon::MemberEntry;
 use magnolia_daemon::partition::{hand_over, stop_owner};
-use magnolia_protocol::{JobOperation, JobReply};
+use magnolia_protocol::{JobOperation, JobReply, PeerRequest};
 use magnolia_types::{Epoch, JobState, Millis, ResultCode};
 
+/// Timeout of a call to another daemon.
+const PING_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Guards against tasks that are lost, run twice or wait forever after their owner was killed.
 #[tokio::test(flavor = "multi_thread")]
 async fn tasks_go_on_after_a_killed_owner() {
@@ -193,6 +197,45 @@
     cell.fleet.assert_single_runs();
 }
 
+/// Guards against a refused connection that counts as the end of an earlier owner, which may run
+/// behind a firewall and renew the leases of workers that only it reaches.
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_of_an_owner_behind_a_firewall_start_nowhere_else() {
+    let cell = TestCell::new(3);
+    // Nothing listens at the address of the first owner, so that connections to it are refused.
+    let (first, second) = (cell.daemon("d1"), cell.daemon("d2"));
+    let identity = &first.context.identity;
+    first.claim(1).await;
+    first.submit(batch(10, 600_000)).await;
+    eventually("all tasks run", || cell.fleet.runs().len() == 10).await;
+    let runs = cell.fleet.runs();
+    let tasks_on = |index: &usize| {
+        let name = format!("w{index:03}");
+        let on_worker = runs.iter().filter(|run| run.worker.as_str() == name);
+        on_worker.count()
+    };
+    let held = (0..3).max_by_key(tasks_on).expect("a worker");
+    first.log_gate.set_open(false);
+    first.make_unreachable((0..3).filter(|index| *index != held).map(worker_address));
+    second.make_unreachable([worker_address(held)]);
+    second.list_daemon(&MemberEntry {
+        daemon: identity.daemon.clone(),
+        address: identity.address,
+        data_centre: identity.data_centre.clone(),
+    });
+    let members = &second.context.members;
+    members.record_run(&identity.daemon, identity.incarnation);
+    second.claim(2).await;
+    second.submit(batch(1, 1)).await;
+    let ping = second
+        .context
+        .call_peer(identity.address, PeerRequest::Ping, PING_TIMEOUT)
+        .await;
+    assert!(ping.is_err_and(|error| error.is_refused()));
+    tokio::time::sleep(Duration::from_millis(3 * LEASE_MS)).await;
+    cell.fleet.assert_single_runs();
+}
+
 /// Guards against an owner that takes the expiry of a lease in its own table for the end of the
 /// task: a later owner, unknown to it, has fenced the worker and renews the lease.
 #[tokio::test(flavor = "multi_thread")]
