Start nothing on a restarted executor before ownership is confirmed

What callers would see: a task runs on two executors, started by two owners (TWICE).

Cause: a restarted executor has forgotten the epoch of a later owner, and accepts an earlier one that still has evidence of its ownership from before the claim. The later owner has started the task elsewhere, as the earlier life of the executor had answered it.

Why it works: a confirmation by the store that was sent after the new life became known shows that no later owner had the earlier life answer. Left is a start that is sent before this owner knows of the restart: orders name an executor and not its life. It takes an executor that restarts within some 2 s after it answered the next owner.

--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -264,6 +264,9 @@
     pub(crate) speed: f64,
     /// When the CPU share of filler tasks there was last changed.
     pub(crate) paced_at: Millis,
+    /// When its present life became known, if that replaced another one and ownership was not
+    /// confirmed since. A later owner may have had the earlier life reject orders of this one.
+    pub(crate) unconfirmed_life: Option<Millis>,
     /// Time before which nothing starts there, after it refused a start for lack of capacity.
     pub(crate) not_before: Millis,
 }
@@ -301,6 +304,7 @@
             health: HealthTracker::default(),
             speed: 1.0,
             paced_at: Millis::new(0),
+            unconfirmed_life: None,
             not_before: Millis::new(0),
         }
     }
@@ -439,6 +443,7 @@
             && healthy
             && self.unknown_runs.is_empty()
             && self.entry.status == ExecutorStatus::Ready
+            && self.unconfirmed_life.is_none()
             && now >= self.not_before
             && self.lease.clock_at(now).is_some()
             && self.is_responsive(now)
--- a/crates/magnolia-scheduler/src/lost_runs.rs
+++ b/crates/magnolia-scheduler/src/lost_runs.rs
@@ -62,7 +62,9 @@
     /// Tells whether something waits for a confirmation of ownership.
     pub fn awaits_confirmation(&self) -> bool {
         let mut executors = self.executors.iter();
-        let waits = executors.any(|(_, executor)| executor.given_up_at.is_some());
+        let waits = executors.any(|(_, executor)| {
+            executor.given_up_at.is_some() || executor.unconfirmed_life.is_some()
+        });
         waits || self.unconfirmed_loss().is_some() || self.has_unexplained_fence()
     }
 
@@ -73,10 +75,14 @@
 
     /// Records that ownership was confirmed by a call to the store that was sent at `sent_at`. The
     /// tasks of runs that were lost before may start again, and so may those that wait for executors
-    /// given up before. Executors that knew a higher epoch before obey another cell.
+    /// given up before. Executors that knew a higher epoch before obey another cell. Lives of
+    /// executors that were known before get tasks.
     pub fn confirm_ownership(&mut self, sent_at: Millis, now: Millis) {
         self.set_foreign_aside(sent_at);
         self.settle_given_up(sent_at);
+        for (_, executor) in self.executors.iter_mut() {
+            executor.unconfirmed_life.take_if(|at| *at < sent_at);
+        }
         let confirmed = |lost: &mut LostRun| lost.lost_at < sent_at;
         let returned: Vec<LostRun> = self.lost_runs.extract_if(.., confirmed).collect();
         for lost in returned {
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -347,6 +347,7 @@
         let lease_end = now.saturating_add(stretch_lease(self.settings.max_lease));
         let executor = self.executors.get_mut(executor_index);
         executor.begin_life(life, lease_end);
+        executor.unconfirmed_life = Some(now);
         let in_use = executor.usage != ExecutorUse::Unused;
         log::info!(executor:% = executor.entry.id, life:% = life, undecided = executor.runs.len();
             "executor restarted; its runs are lost, except those that the new life may run");
--- a/crates/magnolia-scheduler/tests/lost_runs.rs
+++ b/crates/magnolia-scheduler/tests/lost_runs.rs
@@ -214,3 +214,22 @@
         assert_eq!(harness.scheduler.status(JobKey::new(1)), Some(JobStatus::Completed));
     }
 );
+
+test_case!(
+    /// Guards against a task that runs twice: a later owner has started it, and the executor on which
+    /// this owner starts it as well has restarted since it rejected this owner.
+    nothing_starts_on_a_restarted_executor_before_a_confirmation,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        let mut restarted = entry(0, "r1-0");
+        restarted.life = ExecutorLife::new(2);
+        harness.scheduler.upsert_executor(restarted, harness.now);
+        harness.report_life(0, ExecutorLife::new(2));
+        harness.submit(1, job(vec![step(1, 1000, 100, vec![])]));
+        harness.store_batch();
+        assert!(harness.start_tasks().is_empty());
+        assert!(harness.scheduler.awaits_confirmation());
+        harness.confirm_ownership();
+        assert_eq!(harness.start_tasks().len(), 1);
+    }
+);
