Keep a rejection against the answer to an earlier call

What callers would see: orders of an owner that an executor has rejected, without a question to the store in between.

Cause: a renewal waits up to a second at the executor. If a later owner has the executor reject an order meanwhile, the answer to the renewal arrives after the rejection and counted as acceptance, so that the evidence was no longer contradicted.

Evidence: a_rejection_outlasts_the_answer_to_an_earlier_call failed before.

Why it works: only the answer to a call that was sent after the rejection shows that the executor accepts the epoch.

Measured: tests of magnolia-scheduler pass.

--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -129,6 +129,16 @@
     Foreign,
 }
 
+impl FenceState {
+    /// Tells whether the executor may have changed it since, when a call was sent at `sent_at`.
+    pub(crate) fn is_older_than(self, sent_at: Millis) -> bool {
+        match self {
+            Self::Rejected(at) => at < sent_at,
+            Self::Accepted | Self::Foreign => true,
+        }
+    }
+}
+
 /// Phase of a run on an executor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RunPhase {
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -151,7 +151,10 @@
         }
         let lease = self.settings.lease;
         let executor = self.executors.get_mut(executor_index);
-        executor.fence = FenceState::Accepted;
+        // The answer to a call that was sent before says nothing of a later rejection.
+        if executor.fence.is_older_than(sent_at) {
+            executor.fence = FenceState::Accepted;
+        }
         executor.accepted_at = executor.accepted_at.max(Some(sent_at));
         executor.closed_to_earlier = true;
         executor.given_up_at = None;
--- a/crates/magnolia-scheduler/tests/harness/mod.rs
+++ b/crates/magnolia-scheduler/tests/harness/mod.rs
@@ -159,6 +159,15 @@
 
     /// Lets a life of an executor answer a lease renewal; it runs nothing.
     pub fn report_life(&mut self, number: usize, life: ExecutorLife) {
+        self.report_idle(number, life, self.now);
+    }
+
+    /// Lets an executor answer a lease renewal that was sent at `sent_at`; it runs nothing.
+    pub fn report_sent_at(&mut self, number: usize, sent_at: Millis) {
+        self.report_idle(number, ExecutorLife::new(1), sent_at);
+    }
+
+    fn report_idle(&mut self, number: usize, life: ExecutorLife, sent_at: Millis) {
         let report = ExecutorReport {
             life,
             clock: self.now,
@@ -167,7 +176,7 @@
             ends_complete: true,
         };
         self.scheduler
-            .apply_report(&id(number), report, self.now, self.now);
+            .apply_report(&id(number), report, sent_at, self.now);
     }
 
     pub fn store_batch(&mut self) {
--- a/crates/magnolia-scheduler/tests/lost_runs.rs
+++ b/crates/magnolia-scheduler/tests/lost_runs.rs
@@ -233,3 +233,19 @@
         assert_eq!(harness.start_tasks().len(), 1);
     }
 );
+
+test_case!(
+    /// Guards against a rejection that is forgotten because of an older call whose answer came late.
+    a_rejection_outlasts_the_answer_to_an_earlier_call,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        let sent_at = harness.now;
+        harness.advance_unconfirmed(500);
+        harness.scheduler.apply_fence(&id(0), harness.now);
+        harness.advance_unconfirmed(500);
+        harness.report_sent_at(0, sent_at);
+        assert!(harness.scheduler.has_unexplained_fence());
+        harness.report_sent_at(0, harness.now);
+        assert!(!harness.scheduler.has_unexplained_fence());
+    }
+);
