Start tasks only where the last renewal was sent recently

What callers would see: a task runs on two executors, started by two owners (TWICE).

Cause: an executor counted as responsive from the time at which its answer was read. An owner that was paused reads old answers late. The executor may have restarted since and forgotten a later owner, while other executors give the owner fresh evidence.

Why it works: a start needs an answer to a renewal that was sent within 2.5 s, two of the longest waits and their way. An executor that restarts takes longer to be back; that is the assumption which is left (docs/platform.md).

--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -457,6 +457,13 @@
             && now >= self.not_before
             && self.lease.clock_at(now).is_some()
             && self.is_responsive(now)
+            && self.has_accepted_since(now.saturating_sub(Self::ACCEPTANCE_TIMEOUT))
+    }
+
+    /// Tells whether it has accepted the epoch in a call that was sent at `since` or later. An answer
+    /// may be read late, after the executor has restarted and forgotten a later epoch.
+    fn has_accepted_since(&self, since: Millis) -> bool {
+        self.accepted_at.is_some_and(|at| at >= since)
     }
 
     /// Tells whether it has answered recently.
@@ -468,6 +475,10 @@
     /// Most tasks in the record of an executor: some 25 bytes each, in a record of at most 256 KiB.
     const MAX_LISTED_TASKS: usize = 8000;
 
+    /// Longest time from sending the last renewal that was answered to a start; covers the longest wait
+    /// of two renewals.
+    const ACCEPTANCE_TIMEOUT: Millis = Millis::new(2500);
+
     /// Time without an answer after which it counts as unresponsive and nothing new starts there;
     /// covers the longest wait of one renewal and one lost answer.
     const RESPONSE_TIMEOUT: Millis = Millis::new(1800);
--- a/crates/magnolia-scheduler/tests/lost_runs.rs
+++ b/crates/magnolia-scheduler/tests/lost_runs.rs
@@ -249,3 +249,22 @@
         assert!(!harness.scheduler.has_unexplained_fence());
     }
 );
+
+test_case!(
+    /// Guards against a start on an executor whose only recent answer was read long after it was sent:
+    /// it may have restarted and forgotten a later owner.
+    nothing_starts_after_an_answer_that_was_read_late,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        harness.submit(1, job(vec![step(1, 1000, 100, vec![])]));
+        harness.store_batch();
+        let sent_at = harness.now;
+        harness.advance(3000);
+        harness.report_sent_at(0, sent_at);
+        harness.store_batch();
+        assert!(harness.start_tasks().is_empty());
+        harness.report(0, vec![], vec![]);
+        harness.store_batch();
+        assert_eq!(harness.start_tasks().len(), 1);
+    }
+);
