Do not take a job for stored because its key was deleted

A job that was submitted again while the deletion of an ended job's record with the same key was on its way to the store was answered as accepted, and started, when the deletion was stored. Its own record was not stored yet.

Cause: finish_batch marked the job of every key in a batch as stored, also of a key that the batch deletes.

A batch that deletes a key now stores nothing of a job with that key. The job's own record is in a later batch, because its submission marks it.

--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -412,6 +412,10 @@
             let Some(job) = self.jobs.get_mut(&key) else {
                 continue;
             };
+            // A job that was submitted again after its key was deleted is not stored yet.
+            if record.is_none() {
+                continue;
+            }
             let first = !job.stored;
             job.stored = true;
             if let Some(JobRecord::Ended(record)) = record
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -579,3 +579,27 @@
         assert_eq!(stops[0].task, starts[0].task);
     }
 );
+
+test_case!(
+    /// Guards against a job that starts without being stored, because the batch that deletes the
+    /// record of an earlier job with its key is taken for its own.
+    a_job_submitted_again_while_its_key_is_deleted_is_not_stored_yet,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        let key = JobKey::new(1);
+        harness.submit(1, job(vec![step(1, 1000, 100, vec![])]));
+        harness.scheduler.cancel(key, harness.now);
+        harness.store_batch();
+        assert_eq!(harness.scheduler.status(key), Some(JobStatus::Cancelled));
+        harness.scheduler.forget_ended(START_UNIX_MS + 1_000_000_000);
+        let unix_ms = START_UNIX_MS + harness.now.get();
+        let deletion = harness.scheduler.begin_batch(harness.now, unix_ms);
+        assert_eq!(deletion.records, vec![(key, None)]);
+        harness.submit(1, job(vec![step(1, 1000, 100, vec![])]));
+        harness.scheduler.finish_batch(deletion);
+        assert_eq!(harness.scheduler.status(key), None);
+        assert!(harness.start_tasks().is_empty());
+        harness.store_batch();
+        assert_eq!(harness.start_tasks().len(), 1);
+    }
+);
