Store everything but the one record that the store refuses

After a record that the store calls malformed or too large (400, 413) no submission, cancellation or end of anyone was answered any more, for good.

Cause: the owner took a refused append for one whose answer can't be read, and repeated both for ever, with all later appends behind it.

A refusal is now an error of its own; damaged answers are still repeated. - The refused record is looked for with appends whose sequence number is never reached. The refused append keeps its number and is stored without the record, before the appends that may be under way behind it. - A store that looks at the sequence number first tells nothing that way. Then the append is stored in parts if it is the last one; if not, jobs that are not accepted yet go into a later append, and appends overlap no longer. If that does not help, ownership ends and fences the later ones. - A refusal counts only while the store takes the owner's own record. - A job that was not accepted is answered 413 after its key is deleted, because an earlier call may be carried out after all. An accepted one ends as failed, and ends reported until then are acknowledged with its outcome only, also those in batches begun before. An executor is set aside. Each is an error in the log and counts in store_records_refused. - Evidence of ownership counts from the first try of a sequence number.

The order of writes is that of a batch of several appends, so that ownership_model is unchanged.

--- a/crates/magnolia-node/src/callers.rs
+++ b/crates/magnolia-node/src/callers.rs
@@ -64,6 +64,8 @@
             /// Time after which the caller may retry.
             retry_after: Millis,
         },
+        /// Not accepted because the store refuses the record of the job; the job never runs.
+        Unstorable,
         /// The outcome is unknown; the request may have been carried out.
         Undetermined,
     }
--- a/crates/magnolia-node/src/committer.rs
+++ b/crates/magnolia-node/src/committer.rs
@@ -5,20 +5,23 @@
 //! urgent job.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
-use magnolia_scheduler::{JobKey, OutageDecision, StoreBatch, decide_outage};
+use magnolia_scheduler::{
+    JobKey, OutageDecision, RefusedRecords, StoreBatch, SubmissionState, decide_outage,
+};
 use magnolia_types::{Epoch, Millis};
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::owner::{OwnerSession, executor_record, job_record};
 use crate::pending_appends::PendingAppends;
 use crate::ports::{AppendCondition, AppendOutcome, StoreError, StreamName, StreamRecord};
+use crate::refused_appends::{OmittedKeys, store_records};
 
 /// Delay before an append is retried. It is short because callers near their deadline wait for the
 /// store to return. The retries of one daemon are a thirtieth of the writes that the store can
@@ -41,6 +44,16 @@
 /// Key of the record with which an owner opens its epoch.
 const EPOCH_KEY: &str = "epoch";
 
+/// How an append ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AppendEnd {
+    Stored,
+    /// The store refuses it as malformed or too large. Its sequence number is still the next one.
+    Refused,
+    /// Ownership ended.
+    Closed,
+}
+
 /// Outcome for a task that waits for a decision to be stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StoreOutcome {
@@ -53,6 +66,8 @@
         /// Time after which the caller may retry.
         retry_after: Millis,
     },
+    /// The store refused the record of the job, and no longer holds one.
+    Refused,
     /// Ownership ended; only the next owner can tell the outcome.
     Abandoned,
 }
@@ -66,12 +81,15 @@
 
 /// Writer of the stream of jobs.
 pub(crate) struct Committer {
-    epoch: Epoch,
+    pub(crate) epoch: Epoch,
     /// Sequence number of the next append.
     next_sequence: AtomicU64,
     commit_requested: Notify,
     waiters: Mutex<Vec<StoreWaiter>>,
-    pending_appends: PendingAppends,
+    pub(crate) pending_appends: PendingAppends,
+    /// Whether nothing is sent before the last append has an outcome: the store refused records and
+    /// did not tell which.
+    pub(crate) serial: AtomicBool,
     /// Number of batches stored.
     stored_count: watch::Sender<u64>,
 }
@@ -84,6 +102,7 @@
             commit_requested: Notify::new(),
             waiters: Mutex::default(),
             pending_appends: PendingAppends::default(),
+            serial: AtomicBool::new(false),
             stored_count: watch::Sender::new(0),
         }
     }
@@ -165,32 +184,42 @@
 
     /// Opens the epoch at the store, which fences all earlier writers; false if ownership ended.
     pub(crate) async fn open(&self, session: &OwnerSession) -> bool {
-        let record = StreamRecord {
+        let sequence = self.take_sequence();
+        let record = [self.epoch_record()];
+        loop {
+            match self.append(session, sequence, &record).await {
+                AppendEnd::Stored => return true,
+                AppendEnd::Refused => sleep(RETRY_DELAY).await,
+                AppendEnd::Closed => return false,
+            }
+        }
+    }
+
+    /// Returns the record that opens the epoch, which may be stored again at any time.
+    pub(crate) fn epoch_record(&self) -> StreamRecord {
+        StreamRecord {
             key: EPOCH_KEY.into(),
             value: self.epoch.to_string().into_bytes(),
-        };
-        let sequence = self.take_sequence();
-        self.append(session, sequence, &[record]).await
+        }
     }
 
-    fn take_sequence(&self) -> u64 {
+    pub(crate) fn take_sequence(&self) -> u64 {
         self.next_sequence.fetch_add(1, Ordering::SeqCst)
     }
 
-    /// Appends records, retrying until there is an outcome; false if ownership ended.
-    async fn append(
+    /// Appends records, retrying until there is an outcome.
+    pub(crate) async fn append(
         &self,
         session: &OwnerSession,
         sequence: u64,
         records: &[StreamRecord],
-    ) -> bool {
+    ) -> AppendEnd {
         let condition = AppendCondition::Writer {
             epoch: self.epoch,
             sequence,
         };
         let appends = &self.pending_appends;
-        let first_sent_at = session.now();
-        appends.begin(sequence, first_sent_at);
+        let first_sent_at = appends.begin(sequence, session.now());
         loop {
             let first = appends.is_first(sequence);
             let store = &session.node.store;
@@ -200,11 +229,11 @@
                     // The store answers a repeat as it answered the first call, also after it has
                     // fenced the epoch.
                     session.record_confirmation(first_sent_at);
-                    return true;
+                    return AppendEnd::Stored;
                 }
                 Ok(AppendOutcome::Fenced) => {
                     session.close("the store fenced the epoch");
-                    return false;
+                    return AppendEnd::Closed;
                 }
                 // An earlier append has not reached the store yet.
                 Ok(AppendOutcome::OutOfSequence { expected }) if !first && expected < sequence => {
@@ -215,10 +244,16 @@
                     log::error!(outcome:? = outcome, sequence = sequence;
                         "sequence number rejected by the store");
                     session.close("the store rejected the sequence number");
-                    return false;
+                    return AppendEnd::Closed;
+                }
+                Err(StoreError::Refused(reason)) => {
+                    log::error!(reason = &*reason, records = records.len();
+                        "append refused by the store");
+                    appends.record_refusal(sequence);
+                    return AppendEnd::Refused;
                 }
                 Err(StoreError::Malformed(reason)) => {
-                    log::error!(reason = &*reason; "append or its answer malformed; retrying");
+                    log::error!(reason = &*reason; "answer to an append malformed; retrying");
                 }
                 Err(error) => log::debug!(error:% = error; "append without an outcome; retrying"),
             }
@@ -236,6 +271,8 @@
     batch: StoreBatch,
     waiters: Vec<StoreWaiter>,
     sent_at: Millis,
+    /// Keys of the records that were not stored.
+    omitted: OmittedKeys,
 }
 
 /// Stores batches until ownership ends. A batch may be sent before the previous one is stored.
@@ -251,8 +288,9 @@
         } else {
             MIN_OVERLAP_INTERVAL
         };
-        let may_overlap =
-            last_latency >= OVERLAP_LATENCY && !committer.pending_appends.has_failed();
+        let may_overlap = last_latency >= OVERLAP_LATENCY
+            && !committer.pending_appends.has_failed()
+            && !committer.serial.load(Ordering::SeqCst);
         let may_send = appends.is_empty() || (may_overlap && appends.len() < MAX_PENDING_APPENDS);
         tokio::select! {
             biased;
@@ -263,7 +301,7 @@
             () = committer.commit_requested.notified(), if !commit_due => commit_due = true,
             () = sleep_until(last_sent + interval), if commit_due && may_send => {
                 commit_due = false;
-                let Some(sent) = take_batch(&session) else {
+                let Some(mut sent) = take_batch(&session) else {
                     continue;
                 };
                 let mut parts = split_records(&sent.batch);
@@ -277,8 +315,9 @@
                             None => return,
                         }
                     }
-                    if !store_parts(&session, &parts).await {
-                        return;
+                    match store_parts(&session, parts).await {
+                        Some(omitted) => sent.omitted = omitted,
+                        None => return,
                     }
                 }
                 appends.push_back(store_batch(Arc::clone(&session), sent, records));
@@ -300,6 +339,7 @@
         batch: scheduler.begin_batch(now, unix_ms),
         waiters,
         sent_at: now,
+        omitted: OmittedKeys::default(),
     })
 }
 
@@ -328,30 +368,29 @@
     parts
 }
 
-/// Stores appends one after the other; false if ownership ended.
-async fn store_parts(session: &OwnerSession, parts: &[Vec<StreamRecord>]) -> bool {
+/// Stores appends one after the other; returns the keys of omitted records, and `None` if ownership
+/// ended.
+async fn store_parts(session: &OwnerSession, parts: Vec<Vec<StreamRecord>>) -> Option<OmittedKeys> {
+    let mut omitted = OmittedKeys::default();
     for part in parts {
         let sequence = session.committer.take_sequence();
-        if !session.committer.append(session, sequence, part).await {
-            return false;
-        }
+        omitted.extend(store_records(session, sequence, part).await?);
     }
-    true
+    Some(omitted)
 }
 
 /// Stores the last append of a batch; `None` if ownership ended.
 fn store_batch(
     session: Arc<OwnerSession>,
-    sent: SentBatch,
+    mut sent: SentBatch,
     records: Vec<StreamRecord>,
 ) -> impl Future<Output = Option<SentBatch>> {
     // The sequence number is taken before the future first runs, so that batches keep their order.
     let sequence = (!records.is_empty()).then(|| session.committer.take_sequence());
     async move {
-        if let Some(sequence) = sequence
-            && !session.committer.append(&session, sequence, &records).await
-        {
-            return None;
+        if let Some(sequence) = sequence {
+            let omitted = store_records(&session, sequence, records).await?;
+            sent.omitted.extend(omitted);
         }
         Some(sent)
     }
@@ -360,7 +399,7 @@
 /// Tells the scheduler and the waiting tasks that a batch is stored; returns how long that took.
 fn complete_batch(session: &Arc<OwnerSession>, sent: SentBatch) -> Millis {
     let took = session.now().saturating_sub(sent.sent_at);
-    let batch = sent.batch;
+    let mut batch = sent.batch;
     let metrics = &session.node.metrics;
     if !batch.records.is_empty() || !batch.executors.is_empty() {
         metrics.count("store_appends");
@@ -368,6 +407,17 @@
         metrics.add("store_records", records);
         metrics.latency("store_append", took);
     }
+    let refused = sent.omitted.to_records();
+    if refused != RefusedRecords::default() {
+        let count = refused.jobs.len() + refused.executors.len();
+        metrics.add(
+            "store_records_refused",
+            u64::try_from(count).unwrap_or(u64::MAX),
+        );
+        session
+            .lock()
+            .refuse_records(&mut batch, &refused, session.now());
+    }
     let ended = session.lock().finish_batch(batch);
     for (job, status) in ended {
         metrics.count("jobs_ended");
@@ -377,10 +427,33 @@
         .committer
         .stored_count
         .send_modify(|count| *count += 1);
-    for waiter in sent.waiters {
-        // The receiver is gone if the caller no longer waits.
-        waiter.sender.send(StoreOutcome::Stored).ok();
-    }
+    answer_waiters(session, sent.waiters, !refused.jobs.is_empty());
     session.request_plan();
     took
 }
+
+/// Tells the tasks that waited for a batch its outcome. Those whose job was in a refused record wait
+/// for the next batch, which deletes the record, and so do the others if a job's record was
+/// `refused`: the state that they wait for may be part of it.
+fn answer_waiters(session: &OwnerSession, waiters: Vec<StoreWaiter>, refused: bool) {
+    let mut kept = Vec::new();
+    for waiter in waiters {
+        let outcome = match waiter.submission {
+            Some((key, _)) => match session.lock().submission_state(key) {
+                SubmissionState::Stored => Some(StoreOutcome::Stored),
+                SubmissionState::Pending => None,
+                SubmissionState::Refused => Some(StoreOutcome::Refused),
+            },
+            None => (!refused).then_some(StoreOutcome::Stored),
+        };
+        match outcome {
+            // The receiver is gone if the caller no longer waits.
+            Some(outcome) => drop(waiter.sender.send(outcome)),
+            None => kept.push(waiter),
+        }
+    }
+    if !kept.is_empty() {
+        session.committer.lock_waiters().append(&mut kept);
+        session.committer.request_commit();
+    }
+}
--- a/crates/magnolia-node/src/lib.rs
+++ b/crates/magnolia-node/src/lib.rs
@@ -27,6 +27,7 @@
 mod peers;
 mod pending_appends;
 mod ports;
+mod refused_appends;
 mod routed_store;
 mod rules_feed;
 mod serving;
--- a/crates/magnolia-node/src/owner.rs
+++ b/crates/magnolia-node/src/owner.rs
@@ -464,7 +464,7 @@
 }
 
 /// Prefix of the keys of executor records.
-const EXECUTOR_PREFIX: &str = "executor/";
+pub(crate) const EXECUTOR_PREFIX: &str = "executor/";
 
 /// Encodes the record of an executor in use; without one, the record deletes the key.
 pub(crate) fn executor_record(
--- a/crates/magnolia-node/src/pending_appends.rs
+++ b/crates/magnolia-node/src/pending_appends.rs
@@ -14,6 +14,9 @@
 /// Age of a pending append without a failed try from which the store counts as unavailable. A slow
 /// store answers after some 400 ms.
 const OUTAGE_AFTER_SILENCE: Millis = Millis::new(700);
+/// The same while the store refuses an append and the refused record is looked for. A slow store
+/// takes three calls for that.
+const OUTAGE_AFTER_REFUSAL: Millis = Millis::new(1500);
 
 /// An append without an outcome.
 #[derive(Clone, Copy, Debug)]
@@ -21,6 +24,8 @@
     since: Millis,
     /// Whether a try has failed.
     failed: bool,
+    /// Whether the store has refused a try.
+    refused: bool,
 }
 
 /// Appends without an outcome, of which there may be several at a time.
@@ -32,10 +37,16 @@
 }
 
 impl PendingAppends {
-    pub(crate) fn begin(&self, sequence: u64, since: Millis) {
-        let failed = false;
-        self.lock()
-            .insert(sequence, PendingAppend { since, failed });
+    /// Adds an append, unless one with this sequence number is pending; returns when that one was
+    /// first sent.
+    pub(crate) fn begin(&self, sequence: u64, since: Millis) -> Millis {
+        let mut appends = self.lock();
+        let added = PendingAppend {
+            since,
+            failed: false,
+            refused: false,
+        };
+        appends.entry(sequence).or_insert(added).since
     }
 
     pub(crate) fn end(&self, sequence: u64) {
@@ -49,9 +60,17 @@
         }
     }
 
-    /// Tells whether a try of any pending append has failed.
+    pub(crate) fn record_refusal(&self, sequence: u64) {
+        if let Some(append) = self.lock().get_mut(&sequence) {
+            append.refused = true;
+        }
+    }
+
+    /// Tells whether a try of any pending append has failed or was refused.
     pub(crate) fn has_failed(&self) -> bool {
-        self.lock().values().any(|append| append.failed)
+        self.lock()
+            .values()
+            .any(|append| append.failed || append.refused)
     }
 
     /// Tells whether no earlier append is pending.
@@ -61,6 +80,13 @@
             .is_none_or(|(first, _)| *first >= sequence)
     }
 
+    /// Tells whether no later append is pending.
+    pub(crate) fn is_last(&self, sequence: u64) -> bool {
+        self.lock()
+            .last_key_value()
+            .is_none_or(|(last, _)| *last <= sequence)
+    }
+
     /// Waits until no earlier append is pending, because the store accepts appends only in
     /// sequence.
     pub(crate) async fn wait_until_first(&self, sequence: u64) {
@@ -81,8 +107,12 @@
     pub(crate) fn outage_duration(&self, now: Millis) -> Option<Millis> {
         let appends = self.lock();
         let age = |append: &PendingAppend| now.saturating_sub(append.since);
+        // Later appends wait for the refused one.
+        let refused = appends.values().any(|append| append.refused);
         let in_outage = |append: &&PendingAppend| {
-            let threshold = if append.failed {
+            let threshold = if refused {
+                OUTAGE_AFTER_REFUSAL
+            } else if append.failed {
                 OUTAGE_AFTER_FAILURE
             } else {
                 OUTAGE_AFTER_SILENCE
--- a/crates/magnolia-node/src/ports.rs
+++ b/crates/magnolia-node/src/ports.rs
@@ -104,8 +104,11 @@
         /// The store no longer keeps the records at the offset.
         #[error("records at the offset are no longer kept")]
         Expired,
-        /// The request or the answer is malformed.
-        #[error("malformed store request or answer: {0}")]
+        /// The store calls the request malformed or too large, and did nothing.
+        #[error("refused by the store: {0}")]
+        Refused(Arc<str>),
+        /// The answer is malformed.
+        #[error("malformed answer of the store: {0}")]
         Malformed(Arc<str>),
     }
 }
--- a/crates/magnolia-node/src/serving.rs
+++ b/crates/magnolia-node/src/serving.rs
@@ -85,6 +85,10 @@
                 outage,
                 retry_after,
             } => self.refuse_unavailable(key, rules, outage, retry_after),
+            StoreOutcome::Refused => {
+                self.node.metrics.count("refusals");
+                ServeOutcome::Answered(CallerAnswer::Unstorable)
+            }
             StoreOutcome::Abandoned => ServeOutcome::OwnershipLost,
         }
     }
@@ -129,9 +133,9 @@
                 log::info!(job:% = key, stored:? = stored; "job cancelled");
                 match stored {
                     StoreOutcome::Stored => ServeOutcome::Answered(CallerAnswer::Cancelled),
-                    StoreOutcome::Withdrawn { .. } | StoreOutcome::Abandoned => {
-                        ServeOutcome::OwnershipLost
-                    }
+                    StoreOutcome::Withdrawn { .. }
+                    | StoreOutcome::Refused
+                    | StoreOutcome::Abandoned => ServeOutcome::OwnershipLost,
                 }
             }
             None => self.confirm_unknown().await,
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -106,9 +106,13 @@
     work_means: HashMap<QueueName, WorkMean>,
     pub(crate) actions: Vec<CellAction>,
     /// Number of batches begun.
-    batches: u64,
+    pub(crate) batches: u64,
+    /// Number of the last batch that stores no ends, because it was begun before a record was refused.
+    pub(crate) ends_held_through: u64,
+    /// Refused jobs of which the store may still hold a record.
+    pub(crate) refused_jobs: BTreeSet<JobKey>,
     /// Jobs whose newest state is in no batch yet.
-    dirty_jobs: BTreeSet<JobKey>,
+    pub(crate) dirty_jobs: BTreeSet<JobKey>,
     /// Executors whose newest state is in no batch yet.
     dirty_executors: BTreeSet<ExecutorIndex>,
     /// Succeeded tasks that are in no batch yet.
@@ -139,6 +143,8 @@
             work_means: HashMap::new(),
             actions: Vec::new(),
             batches: 0,
+            ends_held_through: 0,
+            refused_jobs: BTreeSet::new(),
             dirty_jobs: BTreeSet::new(),
             dirty_executors: BTreeSet::new(),
             done_unbatched: Vec::new(),
@@ -269,7 +275,7 @@
     /// afterwards.
     pub fn withdraw(&mut self, key: JobKey) -> bool {
         let Some(job) = self.jobs.get(&key) else {
-            return true;
+            return !self.refused_jobs.contains(&key);
         };
         let unsent = !job.stored && !job.sent;
         if unsent {
@@ -292,9 +298,10 @@
         Some(false)
     }
 
-    /// Tells whether a job was accepted, stored or not, and is still kept.
+    /// Tells whether a job was accepted, stored or not, and is still kept, or the store may hold a
+    /// record of it.
     pub fn knows(&self, key: JobKey) -> bool {
-        self.jobs.contains_key(&key)
+        self.jobs.contains_key(&key) || self.refused_jobs.contains(&key)
     }
 
     /// Returns the status of a stored job.
@@ -356,13 +363,15 @@
                 job.ending = Some(JobStatus::Completed);
             }
             job.sent = true;
-            batch
-                .records
-                .push((key, Some(job.record(limit, now_unix_ms))));
+            let record = (!job.unstorable).then(|| job.record(limit, now_unix_ms));
+            batch.records.push((key, record));
         }
         for executor_index in std::mem::take(&mut self.dirty_executors) {
             let executor = self.executors.get_mut(executor_index);
             let record = executor.record(now);
+            if executor.record_refused && record.is_some() {
+                continue;
+            }
             executor.mark_record_batched(batch.number, record.as_ref());
             batch.executors.push((executor.entry.id.clone(), record));
         }
@@ -398,7 +407,8 @@
                 executor.mark_record_stored(batch.number, record.as_ref());
             }
         }
-        for (executor_index, life, through) in batch.ends {
+        let held = batch.number <= self.ends_held_through;
+        for (executor_index, life, through) in batch.ends.into_iter().filter(|_| !held) {
             let executor = self.executors.get_mut(executor_index);
             if executor.entry.life == life {
                 executor.stored_through = executor.stored_through.max(through);
@@ -409,6 +419,7 @@
         }
         let mut ended = Vec::new();
         for (key, record) in batch.records {
+            self.refused_jobs.remove(&key);
             let Some(job) = self.jobs.get_mut(&key) else {
                 continue;
             };
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -197,6 +197,8 @@
     pub(crate) stored_usage: ExecutorUse,
     /// Number of the last batch that carried a record of it.
     pub(crate) last_batch: u64,
+    /// Whether the store refuses its record, so that nothing starts there.
+    pub(crate) record_refused: bool,
     /// Whether the store may hold its remaining lease, which must not be renewed then.
     pub(crate) lease_recorded: bool,
     /// Time from which all leases of earlier owners have expired there, even if it never answered.
@@ -247,6 +249,7 @@
             usage: ExecutorUse::Unused,
             stored_usage: ExecutorUse::Unused,
             last_batch: 0,
+            record_refused: false,
             lease_recorded: false,
             settles_at: Millis::new(u64::MAX),
             settles_because: "",
@@ -393,6 +396,7 @@
             && self.usage == ExecutorUse::Open
             && self.stored_usage == ExecutorUse::Open
             && healthy
+            && !self.record_refused
             && self.unknown_runs.is_empty()
             && self.entry.status == ExecutorStatus::Ready
             && now >= self.not_before
--- a/crates/magnolia-scheduler/src/job.rs
+++ b/crates/magnolia-scheduler/src/job.rs
@@ -52,6 +52,8 @@
     pub(crate) sent: bool,
     /// Whether the acceptance is stored.
     pub(crate) stored: bool,
+    /// Whether the store refuses the record of its end.
+    pub(crate) unstorable: bool,
     /// Unix milliseconds by which it is ordered among the jobs of its priority; see `order_time`.
     pub(crate) order_unix_ms: u64,
 }
@@ -71,6 +73,7 @@
             ended: None,
             sent: false,
             stored: false,
+            unstorable: false,
         }
     }
 
@@ -87,6 +90,7 @@
             ended: Some((ended.status, ended.ended_unix_ms)),
             sent: true,
             stored: true,
+            unstorable: false,
         }
     }
 
--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -41,6 +41,7 @@
 mod preemption;
 mod record;
 mod record_size;
+mod refused_records;
 mod reports;
 mod rules;
 mod settings;
@@ -67,6 +68,7 @@
 pub use placement::{Candidate, choose_executor, choose_executors_to_ask};
 pub use record::{EndedRecord, JobRecord, LiveRecord, OccurrenceRecord, RecordError, StepRecord};
 pub use record_size::check_record_size;
+pub use refused_records::{RefusedRecords, SubmissionState};
 pub use rules::{
     CellRules, CellVersion, EligibilityCost, QueueName, QueueRules, ServiceName, ServiceRules,
 };
