Merge the records that the store refuses

Beside the witnesses: a refused executor record leaves the executor listed as a possible witness, which counts against the owner.

--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -106,9 +106,13 @@
     work_means: HashMap<QueueName, WorkMean>,
     pub(crate) actions: Vec<CellAction>,
     /// Number of batches begun.
-    batches: u64,
+    pub(crate) batches: u64,
+    /// Number of the last batch that stores no ends, because it was begun before a record was refused.
+    pub(crate) ends_held_through: u64,
+    /// Refused jobs of which the store may still hold a record.
+    pub(crate) refused_jobs: BTreeSet<JobKey>,
     /// Jobs whose newest state is in no batch yet.
-    dirty_jobs: BTreeSet<JobKey>,
+    pub(crate) dirty_jobs: BTreeSet<JobKey>,
     /// Executors whose newest state is in no batch yet.
     dirty_executors: BTreeSet<ExecutorIndex>,
     /// Succeeded tasks that are in no batch yet.
@@ -143,6 +147,8 @@
             work_means: HashMap::new(),
             actions: Vec::new(),
             batches: 0,
+            ends_held_through: 0,
+            refused_jobs: BTreeSet::new(),
             dirty_jobs: BTreeSet::new(),
             dirty_executors: BTreeSet::new(),
             done_unbatched: Vec::new(),
@@ -275,7 +281,7 @@
     /// afterwards.
     pub fn withdraw(&mut self, key: JobKey) -> bool {
         let Some(job) = self.jobs.get(&key) else {
-            return true;
+            return !self.refused_jobs.contains(&key);
         };
         let unsent = !job.stored && !job.sent;
         if unsent {
@@ -298,9 +304,10 @@
         Some(false)
     }
 
-    /// Tells whether a job was accepted, stored or not, and is still kept.
+    /// Tells whether a job was accepted, stored or not, and is still kept, or the store may hold a
+    /// record of it.
     pub fn knows(&self, key: JobKey) -> bool {
-        self.jobs.contains_key(&key)
+        self.jobs.contains_key(&key) || self.refused_jobs.contains(&key)
     }
 
     /// Returns the status of a stored job.
@@ -365,9 +372,8 @@
                 job.ending = Some(JobStatus::Completed);
             }
             job.sent = true;
-            batch
-                .records
-                .push((key, Some(job.record(limit, now_unix_ms))));
+            let record = (!job.unstorable).then(|| job.record(limit, now_unix_ms));
+            batch.records.push((key, record));
         }
         self.check_exclusion(now);
         let witness = self.earlier_excluded;
@@ -378,6 +384,9 @@
             }
             let executor = self.executors.get_mut(executor_index);
             let record = executor.record(witness, now);
+            if executor.record_refused && record.is_some() {
+                continue;
+            }
             executor.mark_record_batched(batch.number, record.as_ref());
             batch.executors.push((executor.entry.id.clone(), record));
         }
@@ -413,7 +422,8 @@
                 executor.mark_record_stored(batch.number, record.as_ref());
             }
         }
-        for (executor_index, life, through) in batch.ends {
+        let held = batch.number <= self.ends_held_through;
+        for (executor_index, life, through) in batch.ends.into_iter().filter(|_| !held) {
             let executor = self.executors.get_mut(executor_index);
             if executor.entry.life == life {
                 executor.stored_through = executor.stored_through.max(through);
@@ -424,9 +434,14 @@
         }
         let mut ended = Vec::new();
         for (key, record) in batch.records {
+            self.refused_jobs.remove(&key);
             let Some(job) = self.jobs.get_mut(&key) else {
                 continue;
             };
+            // A job that was submitted again after its key was deleted is not stored yet.
+            if record.is_none() {
+                continue;
+            }
             let first = !job.stored;
             job.stored = true;
             if let Some(JobRecord::Ended(record)) = record
