Check takeovers with executors out of contact in a second model

Each of the eight rules has a test that finds two runs of one task without it. So has the assumption that a restart of an executor takes longer than evidence counts and an order is under way; it is an open point.

--- a/crates/magnolia-node/tests/ownership_model.rs
+++ b/crates/magnolia-node/tests/ownership_model.rs
@@ -9,6 +9,9 @@
 //! measured in time, for executors that never answer a new owner, are not part of the model;
 //! `crates/magnolia-scheduler/tests/takeover.rs` covers them.
 
+#[path = "ownership_model/takeover.rs"]
+mod takeover;
+
 use std::collections::{BTreeSet, HashSet, VecDeque};
 
 /// Epoch after which no daemon claims ownership.
