Require a recent answer of the executor before a start in the model of takeovers

With three executors, an owner can have fresh evidence from two of them while the third one restarts and forgets the later epoch; its start there was carried out.

A start that was sent before a restart is now dropped by the assumption on restarts, so that the search finds no trace that the assumption rules out.

--- a/crates/magnolia-node/tests/ownership_model/takeover.rs
+++ b/crates/magnolia-node/tests/ownership_model/takeover.rs
@@ -9,9 +9,9 @@
 //! gone, and so are their orders under way. What runs under their leases has expired, unless the
 //! owner that granted the lease has gathered evidence since the wait began.
 //!
-//! The rules rest on an assumption: a restart of an executor takes longer than the evidence of an
-//! owner counts and an order is under way. Otherwise an executor answers a later owner, forgets its
-//! epoch, and carries out a start that rests on evidence of before that owner's claim.
+//! The rules rest on an assumption: a restart of an executor takes longer than evidence and answers
+//! count and an order is then under way, taken together. Otherwise an executor answers a later owner,
+//! forgets its epoch, and carries out a start that rests on an answer of before that owner's claim.
 //!
 //! The model is smaller than the real cell in these points:
 //! - A claim, the fencing of earlier writers and the reading of the records are one event. Before
@@ -24,10 +24,17 @@
 //!   run was never started.
 //! - The last owner does not crash, because no later owner depends on it.
 //! - Executors with the same history are interchangeable.
+//! - An answer of an executor allows starts on it until it has restarted; the product forgets it
+//!   sooner.
 //! - There are two owners at most in the searches with restarts or three executors.
 //!
 //! That an owner reads jobs and claims in the right order, stores ends and withdraws starts is
 //! part of the other model and not of this one.
+//!
+//! Neither of these is covered:
+//! - New tasks that are submitted during a takeover.
+//! - Changes of records before the earlier owners are excluded. The product then stores records with
+//!   `witness: false` and new lives of witnesses; the model changes no record.
 
 use std::collections::HashSet;
 
@@ -43,6 +50,8 @@
 struct TakeoverRules {
     /// Starts and renewals need evidence of the time before that the claim was in force.
     evidence_before_orders: bool,
+    /// A start needs a recent answer of its own executor.
+    answer_before_start: bool,
     /// Evidence from executors takes more than half of those in the record.
     evidence_of_majority: bool,
     /// Records count against an owner from the sending of their write to its answer.
@@ -63,6 +72,7 @@
 
 const ALL_RULES: TakeoverRules = TakeoverRules {
     evidence_before_orders: true,
+    answer_before_start: true,
     evidence_of_majority: true,
     count_pending_writes: true,
     witness_of_recorded_life: true,
@@ -97,6 +107,11 @@
     executors: 2,
     restarts: 1,
 };
+const THREE_EXECUTORS_WITH_RESTARTS: CellSize = CellSize {
+    owners: 2,
+    executors: 3,
+    restarts: 1,
+};
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 enum OwnerStage {
@@ -137,6 +152,8 @@
     pending: Option<u8>,
     /// Life that has answered the owner.
     answered: u8,
+    /// Whether its last answer is recent enough for a start.
+    recent: bool,
     /// Whether the executor runs the task, or may do so.
     placed: bool,
     /// Whether a start is under way; it may outlive the owner.
@@ -424,6 +441,7 @@
             let view = &mut asked.views[owner];
             asked.epoch = epoch;
             view.answered = asked.life;
+            view.recent = true;
             if asked.lease > 0 {
                 view.placed = true;
                 if permitted {
@@ -485,11 +503,12 @@
         let view = &self.executors[executor].views[owner];
         let permitted = own.permitted || !rules.evidence_before_orders;
         let recorded = view.answered > 0 && view.names(view.answered);
+        let recent = view.recent || !rules.answer_before_start;
         let blocked = (0..EXECUTORS).any(|other| {
             let inherited = &self.executors[other].views[owner];
             inherited.placed || (inherited.recorded > 0 && !self.is_settled(owner, other))
         });
-        if permitted && recorded && !blocked && !own.started {
+        if permitted && recorded && recent && !blocked && !own.started {
             self.step(
                 next,
                 ("orders a start", Some(owner), Some(executor)),
@@ -533,9 +552,14 @@
                 let restarted = &mut state.executors[executor];
                 let stale = std::mem::take(&mut restarted.stale);
                 restarted.restarting = false;
-                for owner in (0..OWNERS).filter(|owner| stale[*owner] && rules.slow_restarts) {
-                    restarted.views[owner].ordered = false;
-                    state.owners[owner].permitted = false;
+                if !rules.slow_restarts {
+                    return;
+                }
+                for (owner, view) in restarted.views.iter_mut().enumerate() {
+                    view.recent = false;
+                    // A start under way rests on an answer of the life before.
+                    view.ordered &= !stale[owner] && !rules.answer_before_start;
+                    state.owners[owner].permitted &= !stale[owner];
                 }
             });
         } else if self.restarts < size.restarts {
@@ -547,6 +571,10 @@
                 restarted.lease = 0;
                 restarted.restarting = true;
                 restarted.stale = [true; OWNERS];
+                for view in &mut restarted.views {
+                    // What was sent before is not under way any more when the executor is back.
+                    view.ordered &= !rules.slow_restarts;
+                }
             });
         }
     }
@@ -652,6 +680,12 @@
     all_rules_together_hold_in_restarts,
     WITH_RESTARTS
 );
+test_all_rules!(
+    /// Guards against an order of events in which an owner has fresh evidence from other executors
+    /// while one restarts.
+    all_rules_together_hold_in_restarts_of_three_executors,
+    THREE_EXECUTORS_WITH_RESTARTS
+);
 
 test_without_rule!(
     /// Guards against an owner that was paused and orders after the next owner's wait.
@@ -659,6 +693,13 @@
     evidence_before_orders,
     THREE_OWNERS
 );
+test_without_rule!(
+    /// Guards against a start on an executor that has restarted and forgotten the later epoch, while
+    /// others were witnesses of the earlier one.
+    starts_without_an_answer_run_a_task_twice,
+    answer_before_start,
+    THREE_EXECUTORS_WITH_RESTARTS
+);
 test_without_rule!(
     /// Guards against witnesses that are cut off together with an earlier owner.
     evidence_of_few_runs_a_task_twice,
