Count leases and waits from the latest of times that are read out of order

Cause: times are read before the scheduler is locked, and the process may be paused in between. A start that was decided before a pause took its lease from an answer that was applied after it, 30 s later in the test, on evidence from before. A wait for earlier owners began at the time of the answer that completed half of the witnesses, although another one had answered later.

Why it works: the clock of an executor is estimated for times before its last reading as well, and the wait begins at the latest answer.

Also: an owner asks whether earlier ones have ended until they are excluded, not only while tasks wait.

--- a/crates/magnolia-node/src/owner.rs
+++ b/crates/magnolia-node/src/owner.rs
@@ -189,7 +189,7 @@
             Some(claim) if claim.epoch == self.epoch => claim.earlier,
             _ => return,
         };
-        while self.lock().awaits_executors() {
+        while self.lock().awaits_earlier_owners() {
             let mut remaining = Vec::new();
             for claim in earlier {
                 if !self.node.has_ended(&claim).await {
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -123,6 +123,9 @@
     pub(crate) lost_runs: Vec<LostRun>,
     /// When the executors in use by earlier owners were loaded.
     pub(crate) loaded_at: Millis,
+    /// Latest time at which an executor was closed to earlier owners. Times of different tasks may
+    /// arrive out of order.
+    pub(crate) last_closed_at: Millis,
     /// Whether no earlier owner is attested by more than half of the witnesses any more.
     pub(crate) earlier_excluded: bool,
 }
@@ -155,6 +158,7 @@
             preempted: BTreeMap::new(),
             lost_runs: Vec::new(),
             loaded_at: Millis::new(0),
+            last_closed_at: Millis::new(0),
             earlier_excluded: false,
         }
     }
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -46,11 +46,16 @@
         self.reading = Some((clock, now));
     }
 
-    /// Returns the estimated reading of the executor's clock at `now`; `None` before the first
-    /// reading.
+    /// Returns the estimated reading of the executor's clock at `now`, which may be before the last
+    /// reading; `None` before the first reading.
     pub fn clock_at(&self, now: Millis) -> Option<Millis> {
         let (clock, at) = self.reading?;
-        Some(clock.saturating_add(now.saturating_sub(at)))
+        let since = now.saturating_sub(at);
+        Some(
+            clock
+                .saturating_add(since)
+                .saturating_sub(at.saturating_sub(now)),
+        )
     }
 
     /// Records that a lease until `until` may have been granted.
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -157,6 +157,7 @@
         }
         executor.accepted_at = executor.accepted_at.max(Some(sent_at));
         executor.closed_to_earlier = true;
+        self.last_closed_at = self.last_closed_at.max(now);
         executor.given_up_at = None;
         executor.lease.observe(report.clock, now);
         executor.last_answer_at = Some(now);
@@ -350,6 +351,7 @@
         let lease_end = now.saturating_add(stretch_lease(self.settings.max_lease));
         let executor = self.executors.get_mut(executor_index);
         executor.begin_life(life, lease_end);
+        self.last_closed_at = self.last_closed_at.max(now);
         executor.unconfirmed_life = Some(now);
         let in_use = executor.usage != ExecutorUse::Unused;
         log::info!(executor:% = executor.entry.id, life:% = life, undecided = executor.runs.len();
--- a/crates/magnolia-scheduler/src/takeover.rs
+++ b/crates/magnolia-scheduler/src/takeover.rs
@@ -57,10 +57,12 @@
         self.exclude_earlier_owners(settles_at, "all earlier owners have ended");
     }
 
-    /// Tells whether inherited tasks wait for executors that have not answered yet.
-    pub fn awaits_executors(&self) -> bool {
+    /// Tells whether it matters when the earlier owners end: one may still be attested, or inherited
+    /// tasks wait for executors that have not answered yet.
+    pub fn awaits_earlier_owners(&self) -> bool {
+        let unsettled = |executor: &ExecutorState| executor.inherited && !executor.settled;
         let mut executors = self.executors.iter();
-        executors.any(|(_, executor)| executor.inherited && !executor.settled)
+        !self.earlier_excluded || executors.any(|(_, executor)| unsettled(executor))
     }
 
     /// Takes executors out of use that are draining or no longer listed and run nothing, so that
--- a/crates/magnolia-scheduler/src/witnesses.rs
+++ b/crates/magnolia-scheduler/src/witnesses.rs
@@ -84,11 +84,9 @@
             log::info!(epoch:% = self.epoch, answered = closed, silent = open,
                 took:% = now.saturating_sub(self.loaded_at); "earlier owners are excluded");
         }
-        let wait = self.settings.takeover_wait();
-        self.exclude_earlier_owners(
-            now.saturating_add(wait),
-            "half of the witnesses have answered",
-        );
+        let since = now.max(self.last_closed_at);
+        let settles_at = since.saturating_add(self.settings.takeover_wait());
+        self.exclude_earlier_owners(settles_at, "half of the witnesses have answered");
     }
 
     /// Records that no earlier owner gets evidence any more, and that all leases that they granted
--- a/crates/magnolia-scheduler/tests/lost_runs.rs
+++ b/crates/magnolia-scheduler/tests/lost_runs.rs
@@ -268,3 +268,22 @@
         assert_eq!(harness.start_tasks().len(), 1);
     }
 );
+
+test_case!(
+    /// Guards against a lease on old evidence: the time of a decision was read before a pause, and an
+    /// answer of the executor was applied after it.
+    a_start_grants_a_lease_from_the_time_of_its_decision,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        harness.submit(1, job(vec![step(1, 1000, 100, vec![])]));
+        harness.store_batch();
+        let decided_at = harness.now;
+        harness.advance(30_000);
+        harness.report(0, vec![], vec![]);
+        harness.now = decided_at;
+        let starts = harness.start_tasks();
+        let longest = decided_at.saturating_add(Millis::new(3600));
+        assert!(starts.iter().all(|order| order.lease_until <= longest), "{starts:?}");
+        assert_eq!(starts.len(), 1);
+    }
+);
--- a/crates/magnolia-scheduler/tests/witnesses.rs
+++ b/crates/magnolia-scheduler/tests/witnesses.rs
@@ -140,6 +140,41 @@
     }
 );
 
+test_case!(
+    /// Guards against a wait that begins before the last of half the witnesses has answered, because
+    /// the task that applies another answer has read the time earlier.
+    the_wait_begins_when_the_last_of_half_has_answered,
+    || {
+        let mut harness = harness_after_takeover();
+        harness.report(5, vec![], vec![]);
+        harness.advance(5000);
+        harness.report(7, vec![], vec![]);
+        let closed_at = harness.now;
+        harness.now = Millis::new(closed_at.get() - 5000);
+        harness.report(6, vec![], vec![]);
+        harness.now = closed_at;
+        assert!(!starts_within(&mut harness, &[5, 6, 7], TAKEOVER_WAIT_MS));
+        assert!(starts_within(&mut harness, &[5, 6, 7], 600));
+    }
+);
+
+test_case!(
+    /// Guards against an owner that stops asking whether earlier owners have ended, and keeps dead
+    /// witnesses for a minute, because no inherited task waits any more.
+    earlier_owners_matter_until_they_are_excluded,
+    || {
+        let mut harness = SchedulerHarness::new_without_reports(2, 0);
+        for number in 5..8 {
+            harness.load_executor_with_lease(number, Some(vec![]), Some(Millis::new(100)));
+        }
+        harness.advance(1000);
+        harness.confirm_ownership();
+        assert!(harness.scheduler.awaits_earlier_owners());
+        harness.scheduler.apply_earlier_owners_ended(harness.now);
+        assert!(!harness.scheduler.awaits_earlier_owners());
+    }
+);
+
 test_case!(
     /// Guards against tasks that wait for a minute although every earlier owner said that it ended.
     executors_are_given_up_one_lease_after_all_earlier_owners_ended,
