Resume from the checkpoint that comes with the end of a run

A task or gang whose run ended without completing its work resumed from an older checkpoint than the one that its executor reported with the end: a gang that broke after 1.5 s of work began again at 0.8 s.

Cause: the checkpoint of the end was put into the task, and replaced by the one that the run had last reported when the run was removed.

Evidence: a_task_resumes_from_the_checkpoint_of_the_end failed before ("0002" in place of "0007").

The checkpoint of the end is now put into the run as well.

--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -258,6 +258,13 @@
         checkpoint: Option<Arc<str>>,
         now: Millis,
     ) {
+        let runs = &mut self.executors.get_mut(executor_index).runs;
+        if let Some(active) = runs.get_mut(&(task, run))
+            && checkpoint.is_some()
+        {
+            // It is newer than the one that was reported while the run was active.
+            active.checkpoint.clone_from(&checkpoint);
+        }
         if let Some(checkpoint) = checkpoint
             && let Some(state) = self.task_state_mut(task)
         {
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -603,3 +603,35 @@
         assert_eq!(harness.start_tasks().len(), 1);
     }
 );
+
+/// Starts a task that saves its progress, lets it report a checkpoint and then end with a later one;
+/// returns its task, after its end is reported.
+fn stop_with_later_checkpoint(harness: &mut SchedulerHarness) -> TaskRef {
+    harness.submit(1, job(vec![step(1, 1000, 5000, vec![])]));
+    harness.store_batch();
+    let starts = harness.start_tasks();
+    let mut reported = running(&starts[0]);
+    reported.checkpoint = Some("0002".into());
+    harness.report(0, vec![reported], vec![]);
+    harness.store_batch();
+    let mut end = harness.run_end(starts[0].task, starts[0].run, EndKind::Broken);
+    end.checkpoint = Some("0007".into());
+    harness.report(0, vec![], vec![end]);
+    starts[0].task
+}
+
+test_case!(
+    /// Guards the last checkpoint of a run: it comes with the end, after those that were reported
+    /// while it was running.
+    a_task_resumes_from_the_checkpoint_of_the_end,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        stop_with_later_checkpoint(&mut harness);
+        harness.store_batch();
+        harness.advance(1000);
+        harness.report(0, vec![], vec![]);
+        let starts = harness.start_tasks();
+        assert_eq!(starts.len(), 1);
+        assert_eq!(starts[0].checkpoint.as_deref(), Some("0007"));
+    }
+);
