Store the checkpoint that comes with the end of a run

A task or gang whose run ended without completing its work began from the start if the owner changed before the next run.

Cause: ends that change nothing else of a job (stopped, lapsed, broken, alone) were covered by a batch without a record of the job. The executor forgets the checkpoint with the acknowledged end, and no one else knew it.

Evidence: a_checkpoint_is_stored_with_the_end failed before, and on the real program a_stored_checkpoint_of_a_gang_survives_the_loss_of_all_daemons: its gang resumed from 0 ms of work.

An end with a checkpoint now lets the batch carry the record of its job. The price is one record for each such job in a batch that is stored anyway.

--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -269,6 +269,8 @@
             && let Some(state) = self.task_state_mut(task)
         {
             state.checkpoint = Some(checkpoint);
+            // The executor forgets the checkpoint once the end is stored.
+            self.mark_dirty(task.step.job);
         }
         match kind {
             EndKind::Done => self.apply_done(executor_index, task, run, now),
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -10,8 +10,8 @@
 use harness::{CAPACITY, START_UNIX_MS, SchedulerHarness, entry, id, running, task};
 use magnolia_bench::load_simulation::{job, step};
 use magnolia_scheduler::{
-    CellAction, EndKind, ExecutorStatus, JobKey, JobSpec, JobStatus, RecurrenceSpec, RunEnd,
-    RunningTask, ServiceName, StartAnswer, StartOrder, SubmitOutcome, TaskRef,
+    CellAction, EndKind, ExecutorStatus, JobKey, JobRecord, JobSpec, JobStatus, RecurrenceSpec,
+    RunEnd, RunningTask, ServiceName, StartAnswer, StartOrder, SubmitOutcome, TaskRef,
 };
 use magnolia_types::Millis;
 
@@ -635,3 +635,21 @@
         assert_eq!(starts[0].checkpoint.as_deref(), Some("0007"));
     }
 );
+
+test_case!(
+    /// Guards against a checkpoint that nobody knows after a change of owner: the executor forgets it
+    /// once the end is stored.
+    a_checkpoint_is_stored_with_the_end,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        let task = stop_with_later_checkpoint(&mut harness);
+        let unix_ms = START_UNIX_MS + harness.now.get();
+        let batch = harness.scheduler.begin_batch(harness.now, unix_ms);
+        let stored = batch.records.iter().find(|(key, _)| *key == task.step.job);
+        let Some((_, Some(JobRecord::Live(record)))) = stored else {
+            panic!("no record of the job: {batch:?}");
+        };
+        let saved = &record.occurrences[0].steps[0].saved;
+        assert_eq!(saved.len(), 1, "the checkpoint of the only task");
+    }
+);
