--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -10,8 +10,8 @@
 use harness::{CAPACITY, START_UNIX_MS, SchedulerHarness, entry, id, running, task};
 use magnolia_bench::load_simulation::{job, step};
 use magnolia_scheduler::{
-    CellAction, EndKind, ExecutorStatus, JobKey, JobSpec, JobStatus, RecurrenceSpec, RenewalKind,
-    RunEnd, RunningTask, ServiceName, StartAnswer, StartOrder, SubmitOutcome, TaskRef,
+    CellAction, EndKind, ExecutorStatus, JobKey, JobRecord, JobSpec, JobStatus, RecurrenceSpec,
+    RenewalKind, RunEnd, RunningTask, ServiceName, StartAnswer, StartOrder, SubmitOutcome, TaskRef,
 };
 use magnolia_types::Millis;
 
@@ -603,3 +603,53 @@
         assert_eq!(harness.start_tasks().len(), 1);
     }
 );
+
+/// Starts a task that saves its progress, lets it report a checkpoint and then end with a later one;
+/// returns its task, after its end is reported.
+fn stop_with_later_checkpoint(harness: &mut SchedulerHarness) -> TaskRef {
+    harness.submit(1, job(vec![step(1, 1000, 5000, vec![])]));
+    harness.store_batch();
+    let starts = harness.start_tasks();
+    let mut reported = running(&starts[0]);
+    reported.checkpoint = Some("0002".into());
+    harness.report(0, vec![reported], vec![]);
+    harness.store_batch();
+    let mut end = harness.run_end(starts[0].task, starts[0].run, EndKind::Broken);
+    end.checkpoint = Some("0007".into());
+    harness.report(0, vec![], vec![end]);
+    starts[0].task
+}
+
+test_case!(
+    /// Guards the last checkpoint of a run: it comes with the end, after those that were reported
+    /// while it was running.
+    a_task_resumes_from_the_checkpoint_of_the_end,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        stop_with_later_checkpoint(&mut harness);
+        harness.store_batch();
+        harness.advance(1000);
+        harness.report(0, vec![], vec![]);
+        let starts = harness.start_tasks();
+        assert_eq!(starts.len(), 1);
+        assert_eq!(starts[0].checkpoint.as_deref(), Some("0007"));
+    }
+);
+
+test_case!(
+    /// Guards against a checkpoint that nobody knows after a change of owner: the executor forgets it
+    /// once the end is stored.
+    a_checkpoint_is_stored_with_the_end,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        let task = stop_with_later_checkpoint(&mut harness);
+        let unix_ms = START_UNIX_MS + harness.now.get();
+        let batch = harness.scheduler.begin_batch(harness.now, unix_ms);
+        let stored = batch.records.iter().find(|(key, _)| *key == task.step.job);
+        let Some((_, Some(JobRecord::Live(record)))) = stored else {
+            panic!("no record of the job: {batch:?}");
+        };
+        let saved = &record.occurrences[0].steps[0].saved;
+        assert_eq!(saved.len(), 1, "the checkpoint of the only task");
+    }
+);
