--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -135,8 +135,8 @@
 }
 
 impl FenceState {
-    /// Tells whether the executor may have changed it since, when a call was sent at `sent_at`.
-    pub(crate) fn is_older_than(self, sent_at: Millis) -> bool {
+    /// Tells whether the answer to a call that was sent at `sent_at` replaces this state.
+    pub(crate) fn yields_to(self, sent_at: Millis) -> bool {
         match self {
             Self::Rejected(at) => at < sent_at,
             Self::Accepted | Self::Foreign => true,
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -152,7 +152,7 @@
         let lease = self.settings.lease;
         let executor = self.executors.get_mut(executor_index);
         // The answer to a call that was sent before says nothing of a later rejection.
-        if executor.fence.is_older_than(sent_at) {
+        if executor.fence.yields_to(sent_at) {
             executor.fence = FenceState::Accepted;
         }
         executor.accepted_at = executor.accepted_at.max(Some(sent_at));
