--- a/crates/magnolia-node/src/ownership_proof_tests.rs
+++ b/crates/magnolia-node/src/ownership_proof_tests.rs
@@ -37,7 +37,9 @@
     /// accept the epoch.
     witnesses_count_while_the_store_is_unavailable,
     |mut proof| {
+        assert_eq!(proof.source(at(3500), false), EvidenceSource::None);
         proof.attest(at(2900));
+        assert_eq!(proof.source(at(3000), false), EvidenceSource::Store);
         assert_eq!(proof.source(at(4900), false), EvidenceSource::Witnesses);
         assert_eq!(proof.source(at(4901), false), EvidenceSource::None);
     }
