--- /dev/null
+++ b/review/standins-2/cell.rs
@@ -0,0 +1,203 @@
+//! A small cell: the store, executors and processes of the project's program.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::executor::{Executor, MAX_LEASE_MS};
+use crate::net::{Json, call, serve};
+use crate::record::Record;
+use crate::store::Store;
+
+/// Daemons of the cell, one a zone.
+const DAEMONS: usize = 3;
+/// Host and path of the queue.
+const HOST: &str = "desk.example";
+const PREFIX: &str = "/jobs/";
+/// Time that a client waits for a response.
+const DEADLINE: Duration = Duration::from_millis(3000);
+
+struct Daemon {
+    child: Child,
+    front: SocketAddr,
+    ready: SocketAddr,
+}
+
+pub struct Cell {
+    pub store: Arc<Store>,
+    pub record: Arc<Record>,
+    daemons: Vec<Daemon>,
+    folder: PathBuf,
+}
+
+impl Cell {
+    /// Starts the store and the daemons; `program` is that of the deploy file.
+    pub fn start(program: &Path, record: Arc<Record>) -> Result<Self, String> {
+        let store = Arc::new(Store::default());
+        let server = Arc::clone(&store);
+        let address = serve(move |request| server.answer(&request));
+        let config = format!(
+            "{{\"version\":1,\"routes\":[{{\"name\":\"queue\",\"host\":\"{HOST}\",\
+             \"path_prefix\":\"{PREFIX}\",\"service\":\"desk\",\"priority\":1,\"max_attempts\":3,\
+             \"stretch\":3.0,\"target_latency_ms\":2000}}],\"services\":[{{\"name\":\"desk\",\
+             \"rejects_overload\":false}}],\"limits\":{{\"max_body_bytes\":262144}}}}"
+        );
+        store.put("keyed.op", "config", &config);
+        let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
+        let mut cell = Self { store, record, daemons: Vec::new(), folder };
+        for number in 0..DAEMONS {
+            let daemon = cell.start_daemon(program, number, address)?;
+            cell.daemons.push(daemon);
+        }
+        Ok(cell)
+    }
+
+    fn start_daemon(&self, program: &Path, number: usize, store: SocketAddr) -> Result<Daemon, String> {
+        let (first, last) = free_ports(5)?;
+        let front = SocketAddr::from(([127, 0, 0, 1], first + 2));
+        let ready = SocketAddr::from(([127, 0, 0, 1], first + 3));
+        let control = SocketAddr::from(([127, 0, 0, 1], first + 4));
+        let name = format!("edge-{number}");
+        let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
+        let text = format!(
+            "node = \"{name}\"\nrole = \"edge\"\nmachine_class = \"edge\"\n\
+             serves = [\"edge\", \"control_plane\"]\nip = \"127.0.0.1\"\nzone = \"{zone}\"\n\
+             region = \"region\"\nport_range = [{first}, {last}]\nseeds = []\nbootstrap = true\n\
+             in_tolerance = false\ndiscovery = \"platform\"\nentry = \"vip\"\n\
+             heartbeat_ms = 1500\norders = \"invoke\"\n\
+             [listen_addrs]\nfront = \"{front}\"\nready = \"{ready}\"\ncontrol = \"{control}\"\n\
+             [limits]\ncpu_share = 0.25\ncores = 1\nmemory_mb = 260\nmax_fds = 4100\n\
+             link_mbps = 1000.0\ndisk_mb = 0\n\
+             [bounds]\ndrain_ms = 2000\ngrace_s = 6\nmax_hold_ms = {MAX_LEASE_MS}\n\
+             stop_grace_ms = 200\nvisible_ms = 3000\nfinish_s = 14\nstatus_s = 120\n\
+             [platform]\naddr = \"{store}\"\nform = \"log\"\nwrites_per_s = 600.0\n\
+             reads_per_s = 2000.0\nparts = 24\nrecord_bytes = 262144\ncall_bytes = 2097152\n"
+        );
+        let settings = self.folder.join(format!("{name}.toml"));
+        std::fs::write(&settings, text).map_err(|error| error.to_string())?;
+        let child = Command::new(program)
+            .env("MAGNOLIAWING_SETTINGS", &settings)
+            .stdin(Stdio::null())
+            .stdout(self.log_file(&name)?)
+            .stderr(Stdio::null())
+            .spawn()
+            .map_err(|error| format!("{}: {error}", program.display()))?;
+        Ok(Daemon { child, front, ready })
+    }
+
+    fn log_file(&self, name: &str) -> Result<Stdio, String> {
+        match std::env::var_os("KEEP_LOGS") {
+            Some(folder) => {
+                let path = Path::new(&folder).join(format!("{name}.log"));
+                std::fs::File::create(path).map(Stdio::from).map_err(|error| error.to_string())
+            }
+            None => Ok(Stdio::null()),
+        }
+    }
+
+    pub fn executor(&self, id: &str, capacity: (u64, u64, u64), labels: &[&str]) -> Arc<Executor> {
+        Executor::start(id, capacity, labels, &self.store, &self.record)
+    }
+
+    /// Waits until every daemon is ready and a first job has completed.
+    pub fn wait_until_serving(&self) -> Result<(), String> {
+        let deadline = Instant::now() + Duration::from_secs(20);
+        let is_ready = |daemon: &Daemon| {
+            let answer = call(daemon.ready, "GET", "/api/ready", "platform", "", DEADLINE);
+            matches!(answer, Some((200, _)))
+        };
+        while !self.daemons.iter().all(is_ready) {
+            if Instant::now() > deadline {
+                return Err("the daemons did not become ready".into());
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        let first = "00000000000000aa";
+        // Its estimate is that of the later jobs: the queue's jobs are alike.
+        let body = job(1, 30_000, 20_000, "", "").replace("ms=20000", "ms=50");
+        while self.submit(0, first, &body) != 200 {
+            if Instant::now() > deadline {
+                return Err("the first job was not accepted".into());
+            }
+            thread::sleep(Duration::from_millis(300));
+        }
+        while self.state(0, first) != "completed" {
+            if Instant::now() > deadline {
+                return Err("the first job did not complete".into());
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        // All executors have answered the owner by then.
+        thread::sleep(Duration::from_millis(2000));
+        Ok(())
+    }
+
+    fn call(&self, daemon: usize, method: &str, path: &str, body: &str) -> (u16, String) {
+        let front = self.daemons[daemon % self.daemons.len()].front;
+        let answer = call(front, method, path, HOST, body, DEADLINE);
+        let (status, text) = answer.unwrap_or((0, String::new()));
+        let shown: String = body.chars().take(160).collect();
+        self.record.line(&format!("client: {method} {path} {shown} -> {status} {text}"));
+        (status, text)
+    }
+
+    /// Submits a job and returns the status, 0 if there was no response.
+    pub fn submit(&self, daemon: usize, id: &str, body: &str) -> u16 {
+        self.call(daemon, "POST", &format!("{PREFIX}{id}"), body).0
+    }
+
+    pub fn state(&self, daemon: usize, id: &str) -> String {
+        let (_, body) = self.call(daemon, "GET", &format!("{PREFIX}{id}"), "");
+        let body = Json::parse(body.as_bytes()).unwrap_or(Json::Null);
+        body.text("state").to_owned()
+    }
+
+    /// Returns the number of jobs of the queue that are said to wait.
+    pub fn pending_jobs(&self, daemon: usize) -> Option<u64> {
+        let (status, body) = self.call(daemon, "GET", PREFIX, "");
+        let body = Json::parse(body.as_bytes())?;
+        (status == 200 && body.get("pending_jobs").is_some()).then(|| body.number("pending_jobs"))
+    }
+}
+
+impl Drop for Cell {
+    fn drop(&mut self) {
+        for daemon in &mut self.daemons {
+            daemon.child.kill().ok();
+            daemon.child.wait().ok();
+        }
+        std::fs::remove_dir_all(&self.folder).ok();
+    }
+}
+
+/// Returns the body of a job with one step; `more` holds further fields of the step.
+pub fn job(tasks: u64, cpu: u64, run_ms: u64, label: &str, more: &str) -> String {
+    let label = match label {
+        "" => String::new(),
+        label => format!(",\"required_label\":\"{label}\""),
+    };
+    format!(
+        "{{\"spec\":\"ms={run_ms}\",\"phases\":[{{\"count\":{tasks},\"cpu\":{cpu},\"mem_mb\":64,\
+         \"est_runtime_ms\":{run_ms}{label}{more}}}]}}"
+    )
+}
+
+/// Returns the first and the last of some free ports in a row.
+fn free_ports(count: u16) -> Result<(u16, u16), String> {
+    let first = 20_000 + (std::process::id() % 500) as u16 * 20;
+    let mut next = first;
+    while next < first + 20_000 {
+        let ports: Vec<_> = (next..next + count)
+            .map(|port| std::net::TcpListener::bind(("127.0.0.1", port)))
+            .collect();
+        if ports.iter().all(Result::is_ok) {
+            return Ok((next, next + count - 1));
+        }
+        next += count;
+    }
+    Err("no free ports".into())
+}
