--- a/review/standins-2/cell.rs
+++ b/review/standins-2/cell.rs
@@ -1,9 +1,10 @@
 //! A small cell: the store, executors and processes of the project's program.
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -17,11 +18,14 @@
 /// Host and path of the queue.
 const HOST: &str = "desk.example";
 const PREFIX: &str = "/jobs/";
+/// Time after which the platform starts a killed process again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
 /// Time that a client waits for a response.
 const DEADLINE: Duration = Duration::from_millis(3000);
 
 struct Daemon {
     child: Child,
+    name: String,
     front: SocketAddr,
     ready: SocketAddr,
 }
@@ -31,14 +35,15 @@
     pub record: Arc<Record>,
     daemons: Vec<Daemon>,
     folder: PathBuf,
+    program: PathBuf,
+    /// Speed of the link between a daemon and the store, in Mbit/s; no limit if there is none.
+    link_mbps: Option<u64>,
 }
 
 impl Cell {
     /// Starts the store and the daemons; `program` is that of the deploy file.
-    pub fn start(program: &Path, record: Arc<Record>) -> Result<Self, String> {
+    pub fn start(program: &Path, record: Arc<Record>, link_mbps: Option<u64>) -> Result<Self, String> {
         let store = Arc::new(Store::default());
-        let server = Arc::clone(&store);
-        let address = serve(move |request| server.answer(&request));
         let config = format!(
             "{{\"version\":1,\"routes\":[{{\"name\":\"queue\",\"host\":\"{HOST}\",\
              \"path_prefix\":\"{PREFIX}\",\"service\":\"desk\",\"priority\":1,\"max_attempts\":3,\
@@ -48,20 +53,29 @@
         store.put("keyed.op", "config", &config);
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
-        let mut cell = Self { store, record, daemons: Vec::new(), folder };
+        let program = program.to_owned();
+        let mut cell = Self { store, record, daemons: Vec::new(), folder, program, link_mbps };
         for number in 0..DAEMONS {
-            let daemon = cell.start_daemon(program, number, address)?;
+            let server = Arc::clone(&cell.store);
+            let store = serve(move |request| server.answer(number, &request));
+            let address = link_mbps.map_or(store, |mbps| slow_link(store, mbps));
+            let daemon = cell.start_daemon(number, address)?;
             cell.daemons.push(daemon);
         }
         Ok(cell)
     }
 
-    fn start_daemon(&self, program: &Path, number: usize, store: SocketAddr) -> Result<Daemon, String> {
+    fn start_daemon(&self, number: usize, store: SocketAddr) -> Result<Daemon, String> {
         let (first, last) = free_ports(5)?;
         let front = SocketAddr::from(([127, 0, 0, 1], first + 2));
         let ready = SocketAddr::from(([127, 0, 0, 1], first + 3));
         let control = SocketAddr::from(([127, 0, 0, 1], first + 4));
         let name = format!("edge-{number}");
+        // The machines of two of the users' sites.
+        let (cpu_share, memory_mb, link_mbps) = match self.link_mbps {
+            Some(mbps) => (0.12, 160, mbps),
+            None => (0.25, 260, 1000),
+        };
         let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
         let text = format!(
             "node = \"{name}\"\nrole = \"edge\"\nmachine_class = \"edge\"\n\
@@ -70,30 +84,49 @@
              in_tolerance = false\ndiscovery = \"platform\"\nentry = \"vip\"\n\
              heartbeat_ms = 1500\norders = \"invoke\"\n\
              [listen_addrs]\nfront = \"{front}\"\nready = \"{ready}\"\ncontrol = \"{control}\"\n\
-             [limits]\ncpu_share = 0.25\ncores = 1\nmemory_mb = 260\nmax_fds = 4100\n\
-             link_mbps = 1000.0\ndisk_mb = 0\n\
+             [limits]\ncpu_share = {}\ncores = 1\nmemory_mb = {}\nmax_fds = 4100\n\
+             link_mbps = {}.0\ndisk_mb = 0\n\
              [bounds]\ndrain_ms = 2000\ngrace_s = 6\nmax_hold_ms = {MAX_LEASE_MS}\n\
              stop_grace_ms = 200\nvisible_ms = 3000\nfinish_s = 14\nstatus_s = 120\n\
              [platform]\naddr = \"{store}\"\nform = \"log\"\nwrites_per_s = 600.0\n\
-             reads_per_s = 2000.0\nparts = 24\nrecord_bytes = 262144\ncall_bytes = 2097152\n"
+             reads_per_s = 2000.0\nparts = 24\nrecord_bytes = 262144\ncall_bytes = 2097152\n",
+            cpu_share, memory_mb, link_mbps
         );
         let settings = self.folder.join(format!("{name}.toml"));
         std::fs::write(&settings, text).map_err(|error| error.to_string())?;
-        let child = Command::new(program)
-            .env("MAGNOLIAWING_SETTINGS", &settings)
+        let child = self.spawn(&name)?;
+        Ok(Daemon { child, name, front, ready })
+    }
+
+    fn spawn(&self, name: &str) -> Result<Child, String> {
+        Command::new(&self.program)
+            .env("MAGNOLIAWING_SETTINGS", self.folder.join(format!("{name}.toml")))
             .stdin(Stdio::null())
-            .stdout(self.log_file(&name)?)
+            .stdout(self.log_file(name)?)
             .stderr(Stdio::null())
             .spawn()
-            .map_err(|error| format!("{}: {error}", program.display()))?;
-        Ok(Daemon { child, front, ready })
+            .map_err(|error| format!("{}: {error}", self.program.display()))
+    }
+
+    /// Kills the process that last wrote to the store under a condition, and starts it again.
+    pub fn kill_owner(&mut self) -> Result<(), String> {
+        let number = self.store.last_writer();
+        let name = self.daemons[number].name.clone();
+        let child = &mut self.daemons[number].child;
+        child.kill().map_err(|error| error.to_string())?;
+        child.wait().map_err(|error| error.to_string())?;
+        self.record.line(&format!("{name}: process killed; it last wrote to the store"));
+        thread::sleep(RESTART_DELAY);
+        self.daemons[number].child = self.spawn(&name)?;
+        self.record.line(&format!("{name}: process started again"));
+        Ok(())
     }
 
     fn log_file(&self, name: &str) -> Result<Stdio, String> {
         match std::env::var_os("KEEP_LOGS") {
             Some(folder) => {
                 let path = Path::new(&folder).join(format!("{name}.log"));
-                std::fs::File::create(path).map(Stdio::from).map_err(|error| error.to_string())
+                std::fs::OpenOptions::new().create(true).append(true).open(path).map(Stdio::from).map_err(|error| error.to_string())
             }
             None => Ok(Stdio::null()),
         }
@@ -174,6 +207,53 @@
     }
 }
 
+/// Returns the address of a link to `server` that passes on its responses at `mbps` in all.
+fn slow_link(server: SocketAddr, mbps: u64) -> SocketAddr {
+    const CHUNK: usize = 16 * 1024;
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound socket");
+    // Holds the time until which the link is busy.
+    let busy_until = Arc::new(Mutex::new(Instant::now()));
+    thread::spawn(move || {
+        for client in listener.incoming().flatten() {
+            let Ok(server) = TcpStream::connect(server) else { continue };
+            client.set_nodelay(true).ok();
+            server.set_nodelay(true).ok();
+            let (Ok(mut from_client), Ok(mut to_server)) = (client.try_clone(), server.try_clone())
+            else {
+                continue;
+            };
+            thread::spawn(move || {
+                std::io::copy(&mut from_client, &mut to_server).ok();
+                to_server.shutdown(Shutdown::Write).ok();
+            });
+            let busy_until = Arc::clone(&busy_until);
+            let (mut from_server, mut to_client) = (server, client);
+            thread::spawn(move || {
+                let mut chunk = [0; CHUNK];
+                while let Ok(length) = from_server.read(&mut chunk) {
+                    if length == 0 {
+                        break;
+                    }
+                    let sent_at = {
+                        let mut busy_until = busy_until.lock().unwrap();
+                        let micros = length as u64 * 8 / mbps;
+                        *busy_until = (*busy_until).max(Instant::now()) + Duration::from_micros(micros);
+                        *busy_until
+                    };
+                    thread::sleep(sent_at.saturating_duration_since(Instant::now()));
+                    if to_client.write_all(&chunk[..length]).is_err() {
+                        break;
+                    }
+                }
+                to_client.shutdown(Shutdown::Both).ok();
+                from_server.shutdown(Shutdown::Both).ok();
+            });
+        }
+    });
+    address
+}
+
 /// Returns the body of a job with one step; `more` holds further fields of the step.
 pub fn job(tasks: u64, cpu: u64, run_ms: u64, label: &str, more: &str) -> String {
     let label = match label {
@@ -192,7 +272,7 @@
     let mut next = first;
     while next < first + 20_000 {
         let ports: Vec<_> = (next..next + count)
-            .map(|port| std::net::TcpListener::bind(("127.0.0.1", port)))
+            .map(|port| TcpListener::bind(("127.0.0.1", port)))
             .collect();
         if ports.iter().all(Result::is_ok) {
             return Ok((next, next + count - 1));
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -26,10 +26,10 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Arc::new(Record::create(Path::new(path)));
     record.line(&format!("scenario {scenario}, with the disruption: {trouble}"));
-    let outcome = Cell::start(Path::new(program), Arc::clone(&record)).and_then(|cell| {
-        // The cell ends its processes when it is dropped here.
-        scenarios::play(scenario, &cell, trouble)
-    });
+    let link_mbps = (scenario == "takeover").then_some(10);
+    let cell = Cell::start(Path::new(program), Arc::clone(&record), link_mbps);
+    // The cell ends its processes when it is dropped here.
+    let outcome = cell.and_then(|mut cell| scenarios::play(scenario, &mut cell, trouble));
     match outcome {
         Ok(None) => {
             record.line("the rule held");
--- a/review/standins-2/scenarios.rs
+++ b/review/standins-2/scenarios.rs
@@ -3,18 +3,19 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::cell::{Cell, job};
 use crate::executor::Executor;
 
 type Outcome = Result<Option<String>, String>;
 
-pub fn play(scenario: &str, cell: &Cell, trouble: bool) -> Outcome {
+pub fn play(scenario: &str, cell: &mut Cell, trouble: bool) -> Outcome {
     match scenario {
         "backlog" => backlog(cell, trouble),
         "pending" => pending(cell, trouble),
         "reborn" => reborn(cell, trouble),
+        "takeover" => takeover(cell, trouble),
         _ => Err(format!("no scenario {scenario}")),
     }
 }
@@ -170,6 +171,58 @@
     Ok(two_runs_at_once(cell, &job_key))
 }
 
+/// The owner is killed while many jobs are stored, with links of 10 Mbit/s.
+fn takeover(cell: &mut Cell, trouble: bool) -> Outcome {
+    const EXECUTORS: usize = 8;
+    const SCHEDULED: u64 = 300;
+    /// Longest payload of a job, in bytes.
+    const PAYLOAD: usize = 4000;
+    let _executors = executors(cell, EXECUTORS, 0);
+    cell.wait_until_serving()?;
+    // Jobs that are due every hour, first in an hour.
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|error| error.to_string())?;
+    let start = now.as_millis() + 3_600_000;
+    let payload = format!("{:x<PAYLOAD$}", "ms=1000");
+    for number in 0..SCHEDULED {
+        let body = job(4, 2_000, 1_000, "", "").replace("ms=1000", &payload);
+        let times = format!(",\"repeat_count\":24,\"start_at_ms\":{start},\"interval_ms\":3600000}}");
+        let body = format!("{}{times}", body.strip_suffix('}').unwrap_or(&body));
+        let status = cell.submit(number as usize, &key(0x1000 + number), &body);
+        expect(status == 200, "a scheduled job was not accepted")?;
+    }
+    let plain = key(0x500);
+    expect(cell.submit(0, &plain, &job(2, 2_000, 3_000, "", "")) == 200, "the job was not accepted")?;
+    thread::sleep(Duration::from_millis(500));
+    if trouble {
+        cell.kill_owner()?;
+    }
+    // The traffic ends here. Jobs are asked for 14 s later (`finish_s`), also 30 s later.
+    let began = Instant::now();
+    // New jobs are sent from 15 s on (`recovery_s`).
+    let (mut asked, mut answered, mut sent, mut accepted) = (0, 0, 0, 0);
+    while began.elapsed() < Duration::from_secs(32) {
+        thread::sleep(Duration::from_millis(500));
+        for daemon in 0..3 {
+            let counts = began.elapsed() > Duration::from_secs(14);
+            let known = !cell.state(daemon, &plain).is_empty();
+            asked += usize::from(counts);
+            answered += usize::from(counts && known);
+        }
+        if began.elapsed() > Duration::from_secs(15) {
+            sent += 1;
+            let status = cell.submit(sent, &key(0x600 + sent as u64), &job(1, 100, 100, "", ""));
+            accepted += usize::from(status == 200);
+        }
+    }
+    if answered > 0 {
+        return Ok(None);
+    }
+    Ok(Some(format!(
+        "LOST: from 14 s to 32 s after the kill, no daemon has told the state of job {plain}, which was \
+         accepted; asked {asked} times; of {sent} new jobs, {accepted} were accepted"
+    )))
+}
+
 fn wait_for<T>(limit: Duration, mut check: impl FnMut() -> Option<T>) -> Option<T> {
     let deadline = Instant::now() + limit;
     loop {
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -1,6 +1,7 @@
 //! Stand-in for the platform's store: logs with conditions, producers and keys.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -12,6 +13,8 @@
 const ANSWERS_KEPT: usize = 5;
 /// Most keys in a page.
 const PAGE_KEYS: usize = 500;
+/// Most bytes of values in a page.
+const PAGE_BYTES: usize = 1_000_000;
 
 #[derive(Default)]
 struct Producer {
@@ -30,6 +33,7 @@
 pub struct Store {
     topics: Mutex<BTreeMap<String, Topic>>,
     changed: Condvar,
+    last_writer: AtomicUsize,
 }
 
 impl Store {
@@ -42,7 +46,16 @@
         self.changed.notify_all();
     }
 
-    pub fn answer(&self, request: &Request) -> Reply {
+    /// Returns the daemon that last appended as a producer, which only the owner does.
+    pub fn last_writer(&self) -> usize {
+        self.last_writer.load(Ordering::SeqCst)
+    }
+
+    /// Answers a request of a daemon.
+    pub fn answer(&self, daemon: usize, request: &Request) -> Reply {
+        if request.query.contains_key("producer") {
+            self.last_writer.store(daemon, Ordering::SeqCst);
+        }
         std::thread::sleep(ANSWER_TIME);
         let topic = request.query.get("topic").map_or("", String::as_str);
         match (request.method.as_str(), request.path.as_str()) {
@@ -112,8 +125,11 @@
         let after = request.query.get("after").map_or("", String::as_str);
         let mut rest = newest.into_iter().filter(|(key, _)| *key > after).peekable();
         let mut items = Vec::new();
+        let mut bytes = 0;
         while items.len() < PAGE_KEYS {
-            let Some((key, (offset, value))) = rest.next() else { break };
+            let fits = |(_, (_, value)): &(&str, (usize, &[u8]))| bytes + value.len() <= PAGE_BYTES;
+            let Some((key, (offset, value))) = rest.next_if(fits) else { break };
+            bytes += value.len();
             let value = base64(value);
             items.push(format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}"));
         }
