--- a/review/standins-2/cell.rs
+++ b/review/standins-2/cell.rs
@@ -18,8 +18,12 @@
 /// Host and path of the queue.
 const HOST: &str = "desk.example";
 const PREFIX: &str = "/jobs/";
+/// Memory of a process (`memory_mb`), in MiB.
+const MEMORY_MB: u64 = 260;
 /// Time after which the platform starts a killed process again.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
+/// The same after a kill for its memory; other daemons take over in this time.
+const MEMORY_RESTART_DELAY: Duration = Duration::from_millis(3000);
 /// Time that a client waits for a response.
 const DEADLINE: Duration = Duration::from_millis(3000);
 
@@ -28,6 +32,9 @@
     name: String,
     front: SocketAddr,
     ready: SocketAddr,
+    /// When the platform starts the process again.
+    restart_at: Option<Instant>,
+    memory_kills: usize,
 }
 
 pub struct Cell {
@@ -66,7 +73,7 @@
     }
 
     fn start_daemon(&self, number: usize, store: SocketAddr) -> Result<Daemon, String> {
-        let (first, last) = free_ports(5)?;
+        let (first, last) = free_ports(number as u16)?;
         let front = SocketAddr::from(([127, 0, 0, 1], first + 2));
         let ready = SocketAddr::from(([127, 0, 0, 1], first + 3));
         let control = SocketAddr::from(([127, 0, 0, 1], first + 4));
@@ -74,7 +81,7 @@
         // The machines of two of the users' sites.
         let (cpu_share, memory_mb, link_mbps) = match self.link_mbps {
             Some(mbps) => (0.12, 160, mbps),
-            None => (0.25, 260, 1000),
+            None => (0.25, MEMORY_MB, 1000),
         };
         let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
         let text = format!(
@@ -95,7 +102,7 @@
         let settings = self.folder.join(format!("{name}.toml"));
         std::fs::write(&settings, text).map_err(|error| error.to_string())?;
         let child = self.spawn(&name)?;
-        Ok(Daemon { child, name, front, ready })
+        Ok(Daemon { child, name, front, ready, restart_at: None, memory_kills: 0 })
     }
 
     fn spawn(&self, name: &str) -> Result<Child, String> {
@@ -108,6 +115,38 @@
             .map_err(|error| format!("{}: {error}", self.program.display()))
     }
 
+    /// Kills and restarts the processes that exceed their memory, as the platform does; returns how
+    /// many there were in this call.
+    pub fn check_memory(&mut self) -> Result<usize, String> {
+        let mut killed = 0;
+        for number in 0..self.daemons.len() {
+            let daemon = &mut self.daemons[number];
+            if daemon.restart_at.is_some_and(|at| Instant::now() >= at) {
+                let name = daemon.name.clone();
+                let child = self.spawn(&name)?;
+                let daemon = &mut self.daemons[number];
+                (daemon.child, daemon.restart_at) = (child, None);
+                continue;
+            }
+            let resident = resident_mb(daemon.child.id());
+            if daemon.restart_at.is_none() && resident > MEMORY_MB {
+                daemon.child.kill().map_err(|error| error.to_string())?;
+                daemon.child.wait().map_err(|error| error.to_string())?;
+                daemon.restart_at = Some(Instant::now() + MEMORY_RESTART_DELAY);
+                daemon.memory_kills += 1;
+                killed += 1;
+                let text = format!("{}: killed, {resident} MB of memory in use", daemon.name);
+                self.record.line(&text);
+            }
+        }
+        Ok(killed)
+    }
+
+    /// Returns how often each process was killed for its memory.
+    pub fn memory_kills(&self) -> Vec<usize> {
+        self.daemons.iter().map(|daemon| daemon.memory_kills).collect()
+    }
+
     /// Kills the process that last wrote to the store under a condition, and starts it again.
     pub fn kill_owner(&mut self) -> Result<(), String> {
         let number = self.store.last_writer();
@@ -137,7 +176,7 @@
     }
 
     /// Waits until every daemon is ready and a first job has completed.
-    pub fn wait_until_serving(&self) -> Result<(), String> {
+    pub fn wait_until_serving(&mut self) -> Result<(), String> {
         let deadline = Instant::now() + Duration::from_secs(20);
         let is_ready = |daemon: &Daemon| {
             let answer = call(daemon.ready, "GET", "/api/ready", "platform", "", DEADLINE);
@@ -164,6 +203,11 @@
             }
             thread::sleep(Duration::from_millis(100));
         }
+        for daemon in &mut self.daemons {
+            if !matches!(daemon.child.try_wait(), Ok(None)) {
+                return Err(format!("{} ended by itself", daemon.name));
+            }
+        }
         // All executors have answered the owner by then.
         thread::sleep(Duration::from_millis(2000));
         Ok(())
@@ -266,18 +310,28 @@
     )
 }
 
-/// Returns the first and the last of some free ports in a row.
-fn free_ports(count: u16) -> Result<(u16, u16), String> {
-    let first = 20_000 + (std::process::id() % 500) as u16 * 20;
-    let mut next = first;
-    while next < first + 20_000 {
-        let ports: Vec<_> = (next..next + count)
+/// Returns the resident memory of a process, in MiB.
+fn resident_mb(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kibibytes = line.and_then(|line| line.trim().split(' ').next()?.parse::<u64>().ok());
+    kibibytes.unwrap_or(0) / 1024
+}
+
+/// Returns the first and the last of some free ports in a row, which differ for each daemon.
+fn free_ports(number: u16) -> Result<(u16, u16), String> {
+    const PORTS: u16 = 5;
+    const PROCESSES: u32 = 400;
+    // Below the ports that the system gives out by itself.
+    let mut first = 12_000 + (std::process::id() % PROCESSES) as u16 * 50 + number * PORTS;
+    for _ in 0..3 {
+        let ports: Vec<_> = (first..first + PORTS)
             .map(|port| TcpListener::bind(("127.0.0.1", port)))
             .collect();
         if ports.iter().all(Result::is_ok) {
-            return Ok((next, next + count - 1));
+            return Ok((first, first + PORTS - 1));
         }
-        next += count;
+        first += DAEMONS as u16 * PORTS;
     }
     Err("no free ports".into())
 }
--- a/review/standins-2/scenarios.rs
+++ b/review/standins-2/scenarios.rs
@@ -16,6 +16,7 @@
         "pending" => pending(cell, trouble),
         "reborn" => reborn(cell, trouble),
         "takeover" => takeover(cell, trouble),
+        "memory" => memory(cell, trouble),
         _ => Err(format!("no scenario {scenario}")),
     }
 }
@@ -39,7 +40,7 @@
 }
 
 /// Jobs that wait for the executors of one kind, and then one job that any executor can run.
-fn backlog(cell: &Cell, trouble: bool) -> Outcome {
+fn backlog(cell: &mut Cell, trouble: bool) -> Outcome {
     const EXECUTORS: usize = 16;
     const LABELLED: usize = 5;
     const BACKLOG: u64 = 60;
@@ -81,7 +82,7 @@
 }
 
 /// Jobs whose starts one executor rejects, while the others are full.
-fn pending(cell: &Cell, trouble: bool) -> Outcome {
+fn pending(cell: &mut Cell, trouble: bool) -> Outcome {
     const EXECUTORS: usize = 8;
     const WAITING: u64 = 6;
     let executors = executors(cell, EXECUTORS, 0);
@@ -131,7 +132,7 @@
 }
 
 /// A start that gets no answer and is carried out late, by the next life of its executor.
-fn reborn(cell: &Cell, trouble: bool) -> Outcome {
+fn reborn(cell: &mut Cell, trouble: bool) -> Outcome {
     const EXECUTORS: usize = 8;
     let start = |number: usize| {
         let rack = format!("r1-{number}");
@@ -223,6 +224,60 @@
     )))
 }
 
+/// Recurring jobs of many tasks, on processes that are killed when they exceed their memory.
+fn memory(cell: &mut Cell, trouble: bool) -> Outcome {
+    const EXECUTORS: usize = 8;
+    const JOBS: u64 = 4;
+    let _executors = executors(cell, EXECUTORS, 0);
+    cell.wait_until_serving()?;
+    let plain = key(0x500);
+    expect(cell.submit(0, &plain, &job(2, 2_000, 20_000, "", "")) == 200, "the job was not accepted")?;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|error| error.to_string())?;
+    if trouble {
+        for number in 0..JOBS {
+            let body = format!(
+                "{{\"spec\":\"ms=50\",\"phases\":[{{\"count\":1,\"cpu\":100,\"mem_mb\":64,\
+                 \"est_runtime_ms\":50}},{{\"count\":9000,\"cpu\":100,\"mem_mb\":64,\"gpus\":1,\
+                 \"est_runtime_ms\":50,\"after\":[0]}}],\"repeat_count\":150,\"start_at_ms\":{},\
+                 \"interval_ms\":100}}",
+                now.as_millis()
+            );
+            let status = cell.submit(number as usize, &key(0x1000 + number), &body);
+            expect(status == 200, "a recurring job was not accepted")?;
+        }
+    }
+    // The traffic ends here. Jobs are asked for 14 s later (`finish_s`), and new ones sent 12 s after
+    // it (`recovery_s`); the time starts when the last occurrence is due.
+    let last_due = Duration::from_secs(15);
+    let began = Instant::now();
+    let (mut asked, mut answered, mut sent, mut accepted) = (0, 0, 0, 0);
+    let mut next_question = last_due + Duration::from_secs(14);
+    while began.elapsed() < Duration::from_secs(70) {
+        thread::sleep(Duration::from_millis(100));
+        cell.check_memory()?;
+        if began.elapsed() < next_question {
+            continue;
+        }
+        next_question += Duration::from_secs(4);
+        asked += 1;
+        answered += usize::from((0..3).any(|daemon| !cell.state(daemon, &plain).is_empty()));
+        sent += 1;
+        let (new, body) = (key(0x600 + sent as u64), job(1, 100, 100, "", ""));
+        accepted += usize::from((0..3).any(|daemon| cell.submit(daemon, &new, &body) == 200));
+    }
+    let kills = cell.memory_kills();
+    cell.record.line(&format!("processes killed for their memory: {kills:?} times"));
+    let answers = format!(
+        "from 14 s after the end of the traffic on, the state of an accepted job was told {answered} times \
+         of {asked}, and {accepted} of {sent} new jobs were accepted, by any of the daemons"
+    );
+    cell.record.line(&answers);
+    let often = kills.iter().filter(|kills| **kills >= 3).count();
+    Ok((often >= 2).then(|| {
+        format!("Fault: the processes ended {kills:?} times for their memory; {answers}")
+    }))
+}
+
 fn wait_for<T>(limit: Duration, mut check: impl FnMut() -> Option<T>) -> Option<T> {
     let deadline = Instant::now() + limit;
     loop {
