--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/standins ] && [ -x target/release/magnolia-edge ] || exit 2
-exec target/review-2/standins pending target/release/magnolia-edge review/10/record.txt
+exec target/review-2/standins reborn target/release/magnolia-edge review/10/record.txt
