--- a/crates/magnolia-node/src/executor_loop.rs
+++ b/crates/magnolia-node/src/executor_loop.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use magnolia_scheduler::{ExecutorEntry, RenewalKind};
-use magnolia_types::ExecutorId;
+use magnolia_scheduler::{ExecutorEntry, RenewalKind, RenewalPlan};
+use magnolia_types::{ExecutorId, Millis};
 use tokio::time::{sleep, timeout};
 
 use crate::owner::OwnerSession;
@@ -57,7 +57,7 @@
         let Some((entry, plan)) = session.lock().plan_executor_renewal(&id, kind, now) else {
             break;
         };
-        match renew_once(&session, &entry, &plan).await {
+        match renew_once(&session, &entry, &plan, now).await {
             Ok(true) => {
                 failures = 0;
                 // The next renewal acknowledges the ends, so they have to be stored first.
@@ -81,7 +81,7 @@
             }
             Err(error) => {
                 failures += 1;
-                handle_failure(&session, &entry, &error, failures);
+                handle_failure(&session, &entry, &plan, &error, failures);
                 let delay = if error == OrderError::Fenced {
                     FENCED_DELAY
                 } else {
@@ -98,19 +98,15 @@
     renewal_loops.remove(&id);
 }
 
-/// Renews a lease once; returns whether reported ends still have to be stored.
+/// Renews a lease as planned at `sent_at`; returns whether reported ends still have to be stored.
 async fn renew_once(
     session: &Arc<OwnerSession>,
     entry: &ExecutorEntry,
-    plan: &magnolia_scheduler::RenewalPlan,
+    plan: &RenewalPlan,
+    sent_at: Millis,
 ) -> Result<bool, OrderError> {
-    let sent_at = session.now();
     let node = &session.node;
-    let report = node
-        .ports
-        .executors
-        .renew_lease(entry, session.epoch(), plan)
-        .await?;
+    let report = node.ports.executors.renew_lease(entry, plan).await?;
     node.metrics.count("holds");
     let now = session.now();
     let has_ends = !report.ends.is_empty();
@@ -136,12 +132,14 @@
 fn handle_failure(
     session: &Arc<OwnerSession>,
     entry: &ExecutorEntry,
+    plan: &RenewalPlan,
     error: &OrderError,
     failures: u32,
 ) {
     if *error == OrderError::Fenced {
         session.node.metrics.count("fenced_renewals");
-        session.lock().apply_fence(&entry.id, session.now());
+        let now = session.now();
+        session.lock().apply_fence(&entry.id, plan.token, now);
         return;
     }
     if failures <= 2 {
--- a/crates/magnolia-node/src/owner.rs
+++ b/crates/magnolia-node/src/owner.rs
@@ -340,7 +340,7 @@
         self.node.metrics.count("starts");
         let sent = self.now();
         let ports = &self.node.ports.executors;
-        let answer = ports.start(address, self.epoch, &order).await;
+        let answer = ports.start(address, &order).await;
         let now = self.now();
         self.node.metrics.latency("start", now.saturating_sub(sent));
         if answer != StartAnswer::Started {
@@ -361,12 +361,7 @@
             return;
         };
         self.node.metrics.count("stops");
-        let result = self
-            .node
-            .ports
-            .executors
-            .stop(address, self.epoch, &order)
-            .await;
+        let result = self.node.ports.executors.stop(address, &order).await;
         let fenced = result == Err(OrderError::Fenced);
         if let Err(error) = &result {
             log::info!(task:% = order.task, run:% = order.run, executor:% = order.executor,
@@ -374,7 +369,7 @@
         }
         let mut scheduler = self.lock();
         if fenced {
-            scheduler.apply_fence(&order.executor, self.now());
+            scheduler.apply_fence(&order.executor, order.token, self.now());
         }
         scheduler.apply_stop(&order, result.is_ok());
     }
@@ -384,13 +379,7 @@
             return;
         };
         self.node.metrics.count("paces");
-        if let Err(error) = self
-            .node
-            .ports
-            .executors
-            .pace(address, self.epoch, &order)
-            .await
-        {
+        if let Err(error) = self.node.ports.executors.pace(address, &order).await {
             log::info!(task:% = order.task, executor:% = order.executor, percent = order.percent,
                 error:% = error; "change of the CPU share not confirmed");
         }
--- a/crates/magnolia-node/src/ports.rs
+++ b/crates/magnolia-node/src/ports.rs
@@ -166,7 +166,6 @@
     fn renew_lease<'a>(
         &'a self,
         executor: &'a ExecutorEntry,
-        epoch: Epoch,
         plan: &'a RenewalPlan,
     ) -> BoxFuture<'a, Result<ExecutorReport, OrderError>>;
 
@@ -174,7 +173,6 @@
     fn start<'a>(
         &'a self,
         address: SocketAddr,
-        epoch: Epoch,
         order: &'a StartOrder,
     ) -> BoxFuture<'a, StartAnswer>;
 
@@ -182,7 +180,6 @@
     fn stop<'a>(
         &'a self,
         address: SocketAddr,
-        epoch: Epoch,
         order: &'a StopOrder,
     ) -> BoxFuture<'a, Result<(), OrderError>>;
 
@@ -190,7 +187,6 @@
     fn pace<'a>(
         &'a self,
         address: SocketAddr,
-        epoch: Epoch,
         order: &'a PaceOrder,
     ) -> BoxFuture<'a, Result<(), OrderError>>;
 }
--- a/crates/magnolia-scheduler/src/actions.rs
+++ b/crates/magnolia-scheduler/src/actions.rs
@@ -4,7 +4,7 @@
 
 use magnolia_types::{ExecutorId, Millis};
 
-use crate::{ExecutorLife, RunNumber, StepRef, TaskRef};
+use crate::{ExecutorLife, FenceToken, RunNumber, StepRef, TaskRef};
 
 /// Order to start a task.
 #[derive(Clone, Debug, PartialEq)]
@@ -13,6 +13,8 @@
     pub executor: ExecutorId,
     /// Life of the executor that the order is meant for.
     pub life: ExecutorLife,
+    /// Token of that life.
+    pub token: FenceToken,
     /// The task.
     pub task: TaskRef,
     /// Number of the run.
@@ -34,6 +36,8 @@
     pub executor: ExecutorId,
     /// Life of the executor that the order is meant for.
     pub life: ExecutorLife,
+    /// Token of that life.
+    pub token: FenceToken,
     /// The task.
     pub task: TaskRef,
     /// Number of the run.
@@ -47,6 +51,8 @@
     pub executor: ExecutorId,
     /// Life of the executor that the order is meant for.
     pub life: ExecutorLife,
+    /// Token of that life.
+    pub token: FenceToken,
     /// The task.
     pub task: TaskRef,
     /// Number of the run.
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -12,8 +12,9 @@
 
 use crate::executor_health::HealthTracker;
 use crate::executors::{ExecutorEntry, ExecutorRecord, ExecutorStatus, ExecutorUse};
+use crate::unanswered_starts::UnansweredStart;
 use crate::witnesses::WitnessListing;
-use crate::{ExecutorLife, RunNumber, TaskRef};
+use crate::{ExecutorLife, FenceToken, RunNumber, SchedulerSettings, TaskRef};
 
 /// How much slower than the owner's the clock of an executor may run, in thousandths; a limit of
 /// the platform.
@@ -58,6 +59,12 @@
         )
     }
 
+    /// Records that the lease has expired at `at` at the latest, apart from leases granted by its
+    /// present clock.
+    pub(crate) fn limit_expiry(&mut self, at: Millis) {
+        self.earliest_expiry = self.earliest_expiry.map(|known| known.min(at));
+    }
+
     /// Records that a lease until `until` may have been granted.
     pub fn grant(&mut self, until: Millis) {
         self.until = self.until.max(until);
@@ -114,6 +121,8 @@
 pub struct RenewalPlan {
     /// Life of the executor that the renewal is meant for.
     pub life: ExecutorLife,
+    /// Token of that life.
+    pub token: FenceToken,
     /// Number up to which its ends are stored; the executor may drop these.
     pub ends_stored: u64,
     /// End of the lease on the executor's clock; none if the lease is not renewed, because the
@@ -164,8 +173,15 @@
     pub(crate) sent_at: Millis,
     /// When the executor last confirmed the run.
     pub(crate) confirmed_at: Option<Millis>,
-    /// Whether the start got no answer, so that it may still be executed.
-    pub(crate) uncertain: bool,
+    /// The latest start that got no answer, if it may still be carried out.
+    pub(crate) unanswered: Option<UnansweredStart>,
+    /// Number of starts that were sent.
+    pub(crate) starts_sent: u32,
+    /// Whether a start is under way.
+    pub(crate) in_flight: bool,
+    /// Whether the present life of the executor rejects further starts of the run, because it has
+    /// ended or was stopped there.
+    pub(crate) closed: bool,
     /// Last reported progress.
     pub(crate) percent: u8,
     /// When the progress last changed.
@@ -195,7 +211,10 @@
             reserved,
             sent_at: now,
             confirmed_at: None,
-            uncertain: false,
+            unanswered: None,
+            starts_sent: 0,
+            in_flight: false,
+            closed: false,
             percent: 0,
             progress_at: now,
             checkpoint: None,
@@ -286,6 +305,18 @@
     pub(crate) unconfirmed_life: Option<Millis>,
     /// Time before which nothing starts there, after it refused a start for lack of capacity.
     pub(crate) not_before: Millis,
+    /// Number of restarts that this owner knows of.
+    pub(crate) restarts: u64,
+    /// When the present life became known, if calls that were meant for an earlier one may still be
+    /// carried out there: it has answered no call that was sent later.
+    pub(crate) open_to_earlier_calls: Option<Millis>,
+    /// When the renewal was planned that has no answer yet, if it grants a lease.
+    pub(crate) open_renewal: Option<Millis>,
+    /// When it last became clear that a renewal that grants a lease gets no answer.
+    pub(crate) lost_renewal_at: Option<Millis>,
+    /// Tasks that an earlier owner started without an answer, with the time until which a later life
+    /// may carry the start out.
+    pub(crate) inherited_starts: BTreeMap<TaskRef, Millis>,
 }
 
 impl ExecutorState {
@@ -324,6 +355,11 @@
             paced_at: Millis::new(0),
             unconfirmed_life: None,
             not_before: Millis::new(0),
+            restarts: 0,
+            open_to_earlier_calls: None,
+            open_renewal: None,
+            lost_renewal_at: None,
+            inherited_starts: BTreeMap::new(),
         }
     }
 
@@ -370,6 +406,7 @@
             confined_to,
             lease_left,
             witness: witness || self.listing.possible,
+            late_starts: self.late_starts(now),
         })
     }
 
@@ -394,20 +431,35 @@
     /// renews the lease, and no unanswered start may still be executed.
     pub(crate) fn is_lease_recordable(&self, now: Millis) -> bool {
         let confined = self.usage == ExecutorUse::Confined && self.settled;
-        confined && !self.is_responsive(now) && !self.runs.values().any(|run| run.uncertain)
+        let may_start = |run: &ActiveRun| run.unanswered.is_some_and(|start| start.may_arrive(now));
+        confined && !self.is_responsive(now) && !self.runs.values().any(may_start)
     }
 
-    /// Resets the state that belongs to the earlier life. The runs that are left may be of either
-    /// life. `lease_end` is when the longest lease that an order for the earlier life may have granted
-    /// to the new one has expired.
-    pub(crate) fn begin_life(&mut self, life: ExecutorLife, lease_end: Millis) {
+    /// Begins a life that became known at `now`: resets what belongs to the earlier one, and raises
+    /// the token. The runs that are left may be of either life.
+    pub(crate) fn begin_life(
+        &mut self,
+        life: ExecutorLife,
+        settings: &SchedulerSettings,
+        now: Millis,
+    ) {
         self.entry.life = life;
+        self.restarts = self.restarts.saturating_add(1);
+        self.open_to_earlier_calls = Some(now);
         self.accepted_at = None;
         self.closed_to_earlier = true;
+        // Calls that were computed with the clock of the earlier life may grant the new one the
+        // longest lease.
+        let last_arrival = self.last_arrival_of_calls(settings.late_order_limit, now);
+        let lease_end = last_arrival.saturating_add(stretch_lease(settings.max_lease));
         self.lease = ExecutorLease::new_life(lease_end);
         for active in self.runs.values_mut() {
             active.may_be_of_earlier_life = true;
+            active.closed = false;
+            active.stop_sent = None;
+            active.stop_acked = false;
         }
+        self.open_renewal = None;
         self.unknown_runs.clear();
         self.fence = FenceState::Accepted;
         self.may_have_unlisted_ends = false;
@@ -463,6 +515,7 @@
             && self.unknown_runs.is_empty()
             && self.entry.status == ExecutorStatus::Ready
             && self.unconfirmed_life.is_none()
+            && self.open_to_earlier_calls.is_none()
             && now >= self.not_before
             && self.lease.clock_at(now).is_some()
             && self.is_responsive(now)
--- a/crates/magnolia-scheduler/src/executors.rs
+++ b/crates/magnolia-scheduler/src/executors.rs
@@ -45,6 +45,10 @@
         /// sends orders only while more than half of the witnesses accept its epoch.
         #[serde(default = "is_witness_by_default")]
         pub witness: bool,
+        /// Tasks of starts without an answer, with the time for which a later life of the executor
+        /// may still carry them out.
+        #[serde(default)]
+        pub late_starts: Vec<(TaskRef, Millis)>,
     }
 }
 
--- a/crates/magnolia-scheduler/src/ids.rs
+++ b/crates/magnolia-scheduler/src/ids.rs
@@ -115,6 +115,32 @@
     ""
 );
 
+number_type!(
+    /// Number in each call to an executor, which rejects calls with a lower number than the highest
+    /// that it has seen.
+    FenceToken,
+    ""
+);
+
+impl FenceToken {
+    /// How many tokens each epoch reserves for an executor.
+    const PER_EPOCH: u64 = 1 << 16;
+
+    /// Returns the token for the life of an executor that the owner of an epoch knows after so many
+    /// restarts. Tokens of a later epoch are always higher. Once a life has answered a call, it
+    /// rejects calls that were meant for an earlier one.
+    pub const fn new_in(epoch: Epoch, restarts: u64) -> Self {
+        let last = Self::PER_EPOCH - 1;
+        let restarts = if restarts < last { restarts } else { last };
+        Self::new(
+            epoch
+                .get()
+                .saturating_mul(Self::PER_EPOCH)
+                .saturating_add(restarts),
+        )
+    }
+}
+
 impl RunNumber {
     /// How many run numbers each epoch reserves for a task.
     const PER_EPOCH: u64 = 1 << 20;
--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -48,6 +48,7 @@
 mod step;
 mod step_selection;
 mod takeover;
+mod unanswered_starts;
 mod witnesses;
 
 pub use actions::{CellAction, EligibilityOrder, PaceOrder, StartOrder, StopOrder};
@@ -60,7 +61,7 @@
 };
 pub use executor_state::{ExecutorLease, RenewalKind, RenewalPlan};
 pub use executors::{ExecutorEntry, ExecutorRecord, ExecutorStatus};
-pub use ids::{ExecutorLife, JobKey, ParseKeyError, RunNumber, StepRef, TaskRef};
+pub use ids::{ExecutorLife, FenceToken, JobKey, ParseKeyError, RunNumber, StepRef, TaskRef};
 pub use job::JobStatus;
 pub use job_spec::{JobSpec, RecurrenceSpec, SpecError, StepSpec};
 pub use ordering::{WorkMean, order_time};
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -138,6 +138,7 @@
     ) {
         let executor = self.executors.get_mut(executor_index);
         let (id, life) = (executor.entry.id.clone(), executor.entry.life);
+        let token = executor.token(self.epoch);
         if let Some(active) = executor.runs.get_mut(&(task, run)) {
             let recent = |sent: Millis| now.saturating_sub(sent) < STOP_RESEND_INTERVAL;
             active.phase = RunPhase::Stopping;
@@ -149,6 +150,7 @@
         self.actions.push(CellAction::Stop(StopOrder {
             executor: id,
             life,
+            token,
             task,
             run,
         }));
@@ -196,7 +198,8 @@
         self.update_ready(task.step);
     }
 
-    /// Releases the resources of a run and returns its task to the waiting ones.
+    /// Releases the resources of a run and returns its task to the waiting ones, unless a later life
+    /// of the executor may still begin the run.
     pub(crate) fn release_run(
         &mut self,
         executor_index: ExecutorIndex,
@@ -204,6 +207,9 @@
         run: RunNumber,
         now: Millis,
     ) {
+        if self.keep_bound_run(executor_index, task, run, now) {
+            return;
+        }
         self.remove_run(executor_index, task, run);
         self.return_task(executor_index, task, run, now);
     }
@@ -216,6 +222,9 @@
         run: RunNumber,
     ) {
         let removed = self.executors.get_mut(executor_index).remove_run(task, run);
+        if removed.as_ref().is_some_and(ActiveRun::has_lasting_start) {
+            self.mark_executor_dirty(executor_index);
+        }
         let checkpoint = removed.and_then(|active| active.checkpoint);
         if let Some(entry) = self.task_state_mut(task)
             && checkpoint.is_some()
@@ -259,11 +268,15 @@
         now: Millis,
     ) {
         let runs = &mut self.executors.get_mut(executor_index).runs;
-        if let Some(active) = runs.get_mut(&(task, run))
-            && checkpoint.is_some()
-        {
-            // It is newer than the one that was reported while the run was active.
-            active.checkpoint.clone_from(&checkpoint);
+        if let Some(active) = runs.get_mut(&(task, run)) {
+            active.closed = true;
+            if checkpoint.is_some() {
+                // It is newer than the one that was reported while the run was active.
+                active.checkpoint.clone_from(&checkpoint);
+            }
+            if active.settle_single_start() {
+                self.mark_executor_dirty(executor_index);
+            }
         }
         if let Some(checkpoint) = checkpoint
             && let Some(state) = self.task_state_mut(task)
--- a/crates/magnolia-scheduler/src/lost_runs.rs
+++ b/crates/magnolia-scheduler/src/lost_runs.rs
@@ -41,8 +41,8 @@
         }
     }
 
-    /// Releases the resources of a run that is lost. Its task waits for
-    /// [`confirm_ownership`](Self::confirm_ownership).
+    /// Releases the resources of a run that is lost, unless a later life of its executor may still
+    /// begin it. Its task waits for [`confirm_ownership`](Self::confirm_ownership).
     pub(crate) fn lose_run(
         &mut self,
         executor_index: ExecutorIndex,
@@ -50,6 +50,9 @@
         run: RunNumber,
         now: Millis,
     ) {
+        if self.keep_bound_run(executor_index, task, run, now) {
+            return;
+        }
         self.remove_run(executor_index, task, run);
         self.lost_runs.push(LostRun {
             executor_index,
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -49,14 +49,15 @@
     }
 
     /// Runs the time-driven work: expires leases, takes executors out of use or confines them,
-    /// stops unanswered starts, moves long-running tasks off executors that leave, repeats stop
+    /// withdraws unanswered starts, moves long-running tasks off executors that leave, repeats stop
     /// orders, opens due occurrences and stops hung runs.
     pub fn tick(&mut self, now: Millis, now_unix_ms: u64) {
         self.check_exclusion(now);
+        self.expire_inherited_starts(now);
         self.expire_leases(now);
         self.retire_leaving();
         self.confine_executors(now);
-        self.stop_uncertain_starts(now);
+        self.stop_unanswered_starts(now);
         self.evacuate_draining(now);
         self.resend_stops(now);
         self.open_due_occurrences(now, now_unix_ms);
@@ -64,7 +65,7 @@
     }
 
     fn expire_leases(&mut self, now: Millis) {
-        let late_limit = self.settings.late_order_limit;
+        let max_lease = self.settings.max_lease;
         let mut lost = Vec::new();
         let mut retired = Vec::new();
         for (executor_index, executor) in self.executors.iter_mut() {
@@ -79,13 +80,9 @@
             if executor.runs.is_empty() {
                 continue;
             }
-            // A start without an answer may still be executed until `late_order_limit` has passed.
-            let pending = |sent: Millis| now.saturating_sub(sent) < late_limit;
-            let may_start = executor
-                .runs
-                .values()
-                .any(|run| run.uncertain && pending(run.sent_at));
-            if !may_start {
+            // A start without an answer may still be executed.
+            let mut runs = executor.runs.values();
+            if !runs.any(|run| run.may_start_late(max_lease, now)) {
                 lost.push(executor_index);
             }
         }
@@ -119,6 +116,7 @@
 
     /// Starts the tasks that can start and queues eligibility requests for the others.
     pub fn plan(&mut self, now: Millis) {
+        self.repeat_starts(now);
         let block = self.takeover_block();
         for key in self.steps_to_plan(&block, now) {
             self.plan_step(key, &block, now);
@@ -362,29 +360,52 @@
         spec: &StepSpec,
         now: Millis,
     ) {
-        let lease = self.settings.lease;
+        let executor = self.executors.get(executor_index);
+        if executor.lease.clock_at(now).is_none() {
+            return;
+        }
+        let (reserved, filler) = (spec.reserved(), filler_cpu(spec));
+        self.place_run(executor_index, task, run, reserved, filler, now);
+        self.order_start(executor_index, task, run, now);
+    }
+
+    /// Orders the start of a run that has resources reserved.
+    pub(crate) fn order_start(
+        &mut self,
+        executor_index: ExecutorIndex,
+        task: TaskRef,
+        run: RunNumber,
+        now: Millis,
+    ) {
         let Some(job) = self.jobs.get(&task.step.job) else {
             return;
         };
         let Some(payload) = job.spec.as_ref().map(|spec| spec.payload.clone()) else {
             return;
         };
-        let state =
-            &job.occurrences[task.step.occurrence as usize].steps[usize::from(task.step.step)];
+        let Some(state) = self.step_state(task.step) else {
+            return;
+        };
         let checkpoint = state.tasks[task.index as usize].checkpoint.clone();
-        let ticket = state
-            .eligibility
-            .tickets
+        let tickets = &state.eligibility.tickets;
+        let ticket = tickets
             .get(&executor_index)
             .map(|ticket| ticket.text.clone());
         let executor = self.executors.get_mut(executor_index);
-        let Some(until) = executor.lease.expiry_after(lease, now) else {
+        let Some(until) = executor.lease.expiry_after(self.settings.lease, now) else {
             return;
         };
         executor.lease.grant(until);
+        let token = executor.token(self.epoch);
+        let Some(active) = executor.runs.get_mut(&(task, run)) else {
+            return;
+        };
+        active.starts_sent = active.starts_sent.saturating_add(1);
+        active.in_flight = true;
         let order = StartOrder {
             executor: executor.entry.id.clone(),
             life: executor.entry.life,
+            token,
             task,
             run,
             payload,
@@ -392,14 +413,6 @@
             ticket,
             lease_until: until,
         };
-        self.place_run(
-            executor_index,
-            task,
-            run,
-            spec.reserved(),
-            filler_cpu(spec),
-            now,
-        );
         self.actions.push(CellAction::Start(order));
     }
 }
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -17,8 +17,8 @@
 use crate::step::{TaskPhase, Ticket};
 use crate::{CellAction, PaceOrder};
 use crate::{
-    EligibilityAnswer, ExecutorLife, ExecutorReport, PaceDecision, RunNumber, RunningTask,
-    StartAnswer, StartOrder, StepRef, StopOrder, TaskRef, decide_pace,
+    EligibilityAnswer, ExecutorLife, ExecutorReport, FenceToken, PaceDecision, RunNumber,
+    RunningTask, StartAnswer, StartOrder, StepRef, StopOrder, TaskRef, decide_pace,
 };
 
 /// Weight of one answer in the moving mean of the share of eligible executors.
@@ -105,13 +105,19 @@
         } else {
             None
         };
+        if executor.open_renewal.take().is_some() {
+            executor.lost_renewal_at = Some(now);
+        }
         if let Some(until) = lease_until {
             executor.lease.grant(until);
+            executor.open_renewal = Some(now);
         }
-        // An executor that is not settled must answer at once, because nothing starts there before.
+        // An executor that is not settled, or may carry out calls for an earlier life, must answer at
+        // once, because nothing starts there before.
         // One with ends that are not acknowledged answers at once in any case.
         let unstored = executor.seen_through > executor.stored_through;
-        let wait = if executor.settled && !unstored {
+        let closed = executor.open_to_earlier_calls.is_none();
+        let wait = if executor.settled && closed && !unstored {
             wait
         } else {
             Millis::new(0)
@@ -125,6 +131,7 @@
         };
         Some(RenewalPlan {
             life: executor.entry.life,
+            token: executor.token(self.epoch),
             ends_stored,
             lease_until,
             wait,
@@ -146,9 +153,11 @@
         if report.life < known_life {
             return;
         }
+        self.executors.get_mut(executor_index).open_renewal = None;
         if report.life > known_life {
             self.replace_life(executor_index, report.life, now);
         }
+        self.exclude_earlier_calls(executor_index, sent_at, now);
         let lease = self.settings.lease;
         let executor = self.executors.get_mut(executor_index);
         // The answer to a call that was sent before says nothing of a later rejection.
@@ -214,6 +223,26 @@
         self.check_exclusion(now);
     }
 
+    /// Notes that the present life of an executor has answered a call with its own token, if the call
+    /// was sent after the life became known: from now on it rejects calls for earlier lives.
+    fn exclude_earlier_calls(
+        &mut self,
+        executor_index: ExecutorIndex,
+        sent_at: Millis,
+        now: Millis,
+    ) {
+        let lease_end = now.saturating_add(stretch_lease(self.settings.max_lease));
+        let executor = self.executors.get_mut(executor_index);
+        let known_before = |at: &mut Millis| *at < sent_at;
+        if executor
+            .open_to_earlier_calls
+            .take_if(known_before)
+            .is_some()
+        {
+            executor.lease.limit_expiry(lease_end);
+        }
+    }
+
     /// Opens the occurrences of a job up to that of a task that an earlier owner started. The
     /// occurrence may be missing in the record of the job, and not due yet by the clock of this
     /// daemon.
@@ -256,6 +285,9 @@
             if reported.checkpoint.is_some() {
                 active.checkpoint = reported.checkpoint;
             }
+            if active.settle_single_start() {
+                self.mark_executor_dirty(executor_index);
+            }
             return;
         }
         self.adopt_run(executor_index, reported, now);
@@ -309,8 +341,9 @@
     }
 
     /// Releases the runs that a report with all ends does not list, if the executor confirmed them,
-    /// or was sent a stop order that it has confirmed, before the renewal was sent at `sent_at`. The
-    /// report may be too old to list other runs.
+    /// or was sent a stop order that it has confirmed, before the renewal was sent at `sent_at`, or
+    /// if they were meant for an earlier life and the present one rejects such calls. The report may
+    /// be too old to list other runs.
     fn release_missing_runs(
         &mut self,
         executor_index: ExecutorIndex,
@@ -325,10 +358,19 @@
             let before = active.stop_sent.is_some_and(|at| at < sent_at);
             active.stop_acked && before
         };
+        let closed = executor.open_to_earlier_calls.is_none();
+        let excluded = |active: &ActiveRun| closed && active.may_be_of_earlier_life;
+        for (key, active) in &mut executor.runs {
+            if !listed.contains(key) && excluded(active) {
+                active.unanswered = None;
+            }
+        }
         let gone: Vec<(TaskRef, RunNumber, bool)> = executor
             .runs
             .iter()
-            .filter(|(key, active)| !listed.contains(key) && (confirmed(active) || stopped(active)))
+            .filter(|(key, active)| {
+                !listed.contains(key) && (confirmed(active) || stopped(active) || excluded(active))
+            })
             .map(|((task, run), active)| (*task, *run, active.may_be_of_earlier_life))
             .collect();
         for (task, run, may_be_of_earlier_life) in gone {
@@ -348,9 +390,8 @@
     /// show by which.
     fn replace_life(&mut self, executor_index: ExecutorIndex, life: ExecutorLife, now: Millis) {
         self.lose_listed_runs(executor_index, now);
-        let lease_end = now.saturating_add(stretch_lease(self.settings.max_lease));
         let executor = self.executors.get_mut(executor_index);
-        executor.begin_life(life, lease_end);
+        executor.begin_life(life, &self.settings, now);
         self.last_closed_at = self.last_closed_at.max(now);
         executor.unconfirmed_life = Some(now);
         let in_use = executor.usage != ExecutorUse::Unused;
@@ -368,9 +409,12 @@
         };
         let key = (order.task, order.run);
         let executor = self.executors.get_mut(executor_index);
+        let is_current = order.token == executor.token(self.epoch);
         let Some(active) = executor.runs.get_mut(&key) else {
             return;
         };
+        active.in_flight = false;
+        let is_unanswered = active.unanswered.is_some();
         match answer {
             StartAnswer::Started => {
                 active.confirmed_at = Some(now);
@@ -381,14 +425,22 @@
             }
             // The order had no effect. The task waits until ownership is confirmed.
             StartAnswer::Fenced => {
-                self.apply_fence(&order.executor, now);
+                if is_current {
+                    self.apply_fence(&order.executor, order.token, now);
+                }
                 self.lose_run(executor_index, order.task, order.run, now);
                 self.stop_gang(order.task.step, order.run, now);
             }
-            StartAnswer::Unknown => active.uncertain = true,
+            StartAnswer::Unknown => self.record_lost_start(executor_index, order, now),
             // An earlier copy of the order may have been executed; the next report shows whether.
-            StartAnswer::Old if active.uncertain => active.confirmed_at = Some(now),
-            _ if active.uncertain => self.order_stop(executor_index, order.task, order.run, now),
+            StartAnswer::Old if is_unanswered => {
+                active.closed = is_current;
+                active.confirmed_at = Some(now);
+            }
+            _ if active.is_bound(now) => {
+                self.postpone_repeat(executor_index, order.task, order.run, now);
+            }
+            _ if is_unanswered => self.order_stop(executor_index, order.task, order.run, now),
             _ => self.reject_start(executor_index, order, answer, now),
         }
     }
@@ -421,7 +473,7 @@
 
     /// Stops the members of a gang's run after one of them could not be started. Otherwise they
     /// would wait for it and keep their resources until the executors give up.
-    fn stop_gang(&mut self, step: StepRef, run: RunNumber, now: Millis) {
+    pub(crate) fn stop_gang(&mut self, step: StepRef, run: RunNumber, now: Millis) {
         if !self.step_spec(step).is_some_and(|spec| spec.gang) {
             return;
         }
@@ -454,43 +506,30 @@
         }
     }
 
-    /// Orders the stop of runs whose start got no answer; once it is confirmed, the start can take
-    /// no effect.
-    pub(crate) fn stop_uncertain_starts(&mut self, now: Millis) {
-        let mut stops = Vec::new();
-        for (executor_index, executor) in self.executors.iter() {
-            for ((task, run), active) in &executor.runs {
-                if active.phase == RunPhase::Starting && active.uncertain {
-                    stops.push((executor_index, *task, *run));
-                }
-            }
-        }
-        for (executor_index, task, run) in stops {
-            self.order_stop(executor_index, task, run, now);
-            self.stop_gang(task.step, run, now);
-        }
-    }
-
     /// Applies the answer to a stop order: after a confirmed stop, no copy of the start can take
-    /// effect.
+    /// effect in this life of the executor.
     pub fn apply_stop(&mut self, order: &StopOrder, confirmed: bool) {
         let Some(executor_index) = self.executors.index_of(&order.executor) else {
             return;
         };
         let executor = self.executors.get_mut(executor_index);
+        let is_current = order.token == executor.token(self.epoch);
         if let Some(active) = executor.runs.get_mut(&(order.task, order.run)) {
-            active.stop_acked |= confirmed;
+            active.stop_acked |= confirmed && is_current;
         }
     }
 
-    /// Records that an executor rejected an order because it knows a higher epoch. Either a later
-    /// owner has claimed the cell, or the executor obeys another cell; the next confirmation of
-    /// ownership shows which.
-    pub fn apply_fence(&mut self, id: &ExecutorId, now: Millis) {
+    /// Records that an executor rejected an order with `token` because it knows a higher one. Either
+    /// a later owner has claimed the cell, or the executor obeys another cell; the next confirmation
+    /// of ownership shows which. An order for an earlier life of the executor shows neither.
+    pub fn apply_fence(&mut self, id: &ExecutorId, token: FenceToken, now: Millis) {
         let Some(executor_index) = self.executors.index_of(id) else {
             return;
         };
         let executor = self.executors.get_mut(executor_index);
+        if token < executor.token(self.epoch) {
+            return;
+        }
         executor.last_answer_at = None;
         if executor.fence == FenceState::Accepted {
             log::warn!(executor:% = id, epoch:% = self.epoch; "executor knows a higher epoch");
@@ -603,6 +642,7 @@
             }
         }
         let (id, life) = (executor.entry.id.clone(), executor.entry.life);
+        let token = executor.token(self.epoch);
         let fillers = executor
             .runs
             .iter()
@@ -627,6 +667,7 @@
             self.actions.push(CellAction::Pace(PaceOrder {
                 executor: id.clone(),
                 life,
+                token,
                 task,
                 run,
                 percent,
--- a/crates/magnolia-scheduler/src/takeover.rs
+++ b/crates/magnolia-scheduler/src/takeover.rs
@@ -20,7 +20,7 @@
 pub(crate) struct TakeoverBlock {
     /// Whether all inherited tasks are blocked: one of these executors may run any of them.
     pub(crate) all: bool,
-    /// Tasks that may run on one of these executors.
+    /// Tasks that may run on one of these executors, or begin there late.
     pub(crate) tasks: BTreeSet<TaskRef>,
 }
 
@@ -40,6 +40,10 @@
         executor.stored_usage = executor.usage;
         executor.inherited_tasks = record.confined_to.map(BTreeSet::from_iter);
         executor.lease_recorded = record.lease_left.is_some();
+        let late = record.late_starts.into_iter();
+        executor.inherited_starts = late
+            .map(|(task, left)| (task, now.saturating_add(left)))
+            .collect();
         let stored = record.lease_left.filter(|left| *left < wait);
         executor.settles_because = if stored.is_some() {
             "the stored lease has ended"
@@ -84,10 +88,13 @@
             .for_each(|executor_index| self.retire_executor(executor_index));
     }
 
-    /// Takes an executor out of use if it has no runs, and none whose end may be unlisted.
+    /// Takes an executor out of use if it has no runs, none whose end may be unlisted, and no later
+    /// life of it may begin one.
     pub(crate) fn retire_executor(&mut self, executor_index: ExecutorIndex) {
         let executor = self.executors.get_mut(executor_index);
-        let empty = executor.runs.is_empty() && !executor.may_have_unlisted_ends;
+        let empty = executor.runs.is_empty()
+            && executor.inherited_starts.is_empty()
+            && !executor.may_have_unlisted_ends;
         if executor.usage != ExecutorUse::Unused && empty {
             executor.usage = ExecutorUse::Unused;
             self.mark_executor_dirty(executor_index);
@@ -136,7 +143,15 @@
             .for_each(|executor_index| self.mark_executor_dirty(executor_index));
     }
 
-    /// Returns the inherited tasks that may run on executors that have not answered this owner yet.
+    /// Forgets starts of earlier owners that can't be carried out any more.
+    pub(crate) fn expire_inherited_starts(&mut self, now: Millis) {
+        for (_, executor) in self.executors.iter_mut() {
+            executor.inherited_starts.retain(|_, until| now < *until);
+        }
+    }
+
+    /// Returns the inherited tasks that may run on executors that have not answered this owner yet,
+    /// or that a later life of an executor may begin by a start of an earlier owner.
     pub(crate) fn takeover_block(&self) -> TakeoverBlock {
         let mut block = TakeoverBlock::default();
         let executors = self.executors.iter().map(|(_, executor)| executor);
@@ -146,6 +161,9 @@
                 None => block.all = true,
             }
         }
+        let executors = self.executors.iter().map(|(_, executor)| executor);
+        let late = executors.flat_map(|executor| executor.inherited_starts.keys());
+        block.tasks.extend(late);
         block
     }
 
@@ -154,7 +172,7 @@
         self.step_state(step).is_some_and(|state| state.inherited)
     }
 
-    /// Tells whether tasks of a step may run on an executor that has not answered this owner yet.
+    /// Tells whether tasks of a step have to wait because of an earlier owner.
     pub(crate) fn is_blocked(&self, step: StepRef) -> bool {
         let block = self.takeover_block();
         let may_run = block.tasks.iter().any(|task| task.step == step);
--- /dev/null
+++ b/crates/magnolia-scheduler/tests/unanswered_starts.rs
@@ -0,0 +1,289 @@
+//! Tests of starts without an answer, which a later life of their executor may still carry out.
+
+mod common;
+mod harness;
+
+use common::test_case;
+use harness::{START_UNIX_MS, SchedulerHarness, entry, id, running};
+use magnolia_bench::load_simulation::{job, step};
+use magnolia_scheduler::{
+    EndKind, ExecutorLife, ExecutorReport, FenceToken, RenewalKind, RunEnd, RunningTask,
+    StartAnswer, StartOrder, StopOrder, TaskRef,
+};
+use magnolia_types::{Epoch, Millis};
+
+/// Longest time after which an unanswered start may be carried out.
+const LATE_LIMIT_MS: u64 = 12_000;
+/// Longest lease, on a clock that is 2% slow.
+const LONGEST_LEASE_MS: u64 = 6_123;
+
+/// Plans the start of one long task and loses its answer; returns the start and the number of its
+/// executor.
+fn lose_start(harness: &mut SchedulerHarness) -> (StartOrder, usize) {
+    harness.submit(1, job(vec![step(1, 1000, 9000, vec![])]));
+    harness.store_batch();
+    let order = harness.take_starts().remove(0);
+    harness.advance(400);
+    harness
+        .scheduler
+        .apply_start(&order, StartAnswer::Unknown, harness.now);
+    let executor = usize::from(order.executor == id(1));
+    (order, executor)
+}
+
+/// Lets an executor answer in a later life, by a call that was sent now.
+fn report_life(harness: &mut SchedulerHarness, number: usize, running: Vec<RunningTask>) {
+    let report = ExecutorReport {
+        life: ExecutorLife::new(2),
+        clock: Millis::new(1),
+        running,
+        ends: vec![],
+        ends_complete: true,
+    };
+    harness
+        .scheduler
+        .apply_report(&id(number), report, harness.now, harness.now);
+}
+
+/// Checks that a task starts nowhere for `ms` milliseconds while only the other executor answers, and
+/// starts there afterwards.
+fn check_wait(harness: &mut SchedulerHarness, silent: usize, ms: u64) {
+    let end = harness.now.saturating_add(Millis::new(ms));
+    while harness.now.saturating_add(Millis::new(200)) < end {
+        harness.advance(200);
+        harness.report(1 - silent, vec![], vec![]);
+        assert!(harness.start_tasks().is_empty(), "at {}", harness.now);
+    }
+    harness.advance(600);
+    harness.report(1 - silent, vec![], vec![]);
+    let starts = harness.start_tasks();
+    assert_eq!(starts.len(), 1, "at {}", harness.now);
+    assert_eq!(starts[0].executor, id(1 - silent));
+}
+
+test_case!(
+    /// Guards against a second run of a task whose start is carried out by the next life of its
+    /// executor, which knows nothing of a stop: the same start is repeated at the same executor.
+    an_unanswered_start_is_repeated_in_place_of_a_second_run,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let (order, executor) = lose_start(&mut harness);
+        for _ in 0..20 {
+            harness.advance(200);
+            (0..2).for_each(|number| harness.report(number, vec![], vec![]));
+            let starts = harness.start_tasks();
+            assert!(harness.stops().is_empty(), "a stop binds this life only");
+            let repeats = |again: &StartOrder| {
+                (&again.executor, again.task, again.run) == (&order.executor, order.task, order.run)
+            };
+            assert!(starts.iter().all(repeats), "{starts:?}");
+            if let Some(again) = starts.first() {
+                assert!(again.lease_until > order.lease_until);
+                harness.report(executor, vec![running(&order)], vec![]);
+                return;
+            }
+        }
+        panic!("the start is never repeated");
+    }
+);
+
+test_case!(
+    /// Guards against a second run beside one that a later life begins by the first of two starts:
+    /// the run was listed, but the executor crashed while its first start could still arrive.
+    a_repeated_run_stays_with_its_executor_after_a_crash,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let (order, executor) = lose_start(&mut harness);
+        harness.advance(200);
+        harness.report(executor, vec![], vec![]);
+        assert_eq!(harness.start_tasks().len(), 1, "the start is repeated");
+        harness.advance(200);
+        harness.report(executor, vec![running(&order)], vec![]);
+        // The answer to a call that was sent before shows the next life.
+        report_life(&mut harness, executor, vec![]);
+        harness.confirm_ownership();
+        assert!(harness.start_tasks().is_empty(), "the first start may still arrive");
+        harness.advance(200);
+        report_life(&mut harness, executor, vec![running(&order)]);
+        harness.advance(200);
+        harness.report(1 - executor, vec![], vec![]);
+        assert!(harness.start_tasks().is_empty(), "the next life runs it");
+    }
+);
+
+test_case!(
+    /// Guards against a second run of a task that a later life, of which nothing was heard, began at
+    /// the last moment: it holds the longest lease.
+    an_unanswered_start_of_a_silent_executor_binds_its_task,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let (_, executor) = lose_start(&mut harness);
+        check_wait(&mut harness, executor, LATE_LIMIT_MS + LONGEST_LEASE_MS);
+    }
+);
+
+test_case!(
+    /// Guards against tasks that stay away although their ticket is valid for one life of the
+    /// executor only: once it has confirmed a stop, they start elsewhere.
+    a_start_with_a_ticket_is_withdrawn_by_a_stop,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        harness.require_eligibility();
+        harness.submit(1, job(vec![step(1, 1000, 9000, vec![])]));
+        harness.store_batch();
+        let order = harness.plan_as_eligible().remove(0);
+        assert!(order.ticket.is_some());
+        harness.scheduler.apply_start(&order, StartAnswer::Unknown, harness.now);
+        let mut moved = Vec::new();
+        for _ in 0..10 {
+            harness.advance(200);
+            let stops: Vec<StopOrder> = harness.stops();
+            stops.iter().for_each(|stop| harness.scheduler.apply_stop(stop, true));
+            harness.advance(10);
+            (0..2).for_each(|number| harness.report(number, vec![], vec![]));
+            moved.append(&mut harness.start_tasks());
+            if !moved.is_empty() {
+                break;
+            }
+        }
+        assert_eq!(moved.len(), 1, "{moved:?}");
+        assert!(moved[0].run > order.run);
+    }
+);
+
+test_case!(
+    /// Guards against a second run under the next owner: the task of an unanswered start is stored.
+    the_next_owner_waits_for_an_unanswered_start,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let (order, _) = lose_start(&mut harness);
+        let batch = harness.scheduler.begin_batch(harness.now, START_UNIX_MS);
+        let mut records = batch.executors.iter().filter_map(|(_, record)| record.as_ref());
+        let record = records.find(|record| record.entry.id == order.executor);
+        let record = record.expect("a record of the executor").clone();
+        let tasks: Vec<TaskRef> = record.late_starts.iter().map(|(task, _)| *task).collect();
+        assert_eq!(tasks, [order.task]);
+        let mut next = SchedulerHarness::new_without_reports(2, 0);
+        next.scheduler.load_executor(record, next.now);
+        (0..2).for_each(|number| next.scheduler.upsert_executor(entry(number, "r1-0"), next.now));
+        next.load_job(1, job(vec![step(2, 1000, 9000, vec![])]));
+        next.report_from_all(2);
+        next.advance(1);
+        let started: Vec<TaskRef> = next.start_tasks().iter().map(|start| start.task).collect();
+        assert_eq!(started.len(), 1, "{started:?}");
+        assert!(!started.contains(&order.task));
+        next.advance(LATE_LIMIT_MS);
+        next.report_from_all(2);
+        let started: Vec<TaskRef> = next.start_tasks().iter().map(|start| start.task).collect();
+        assert!(started.contains(&order.task), "{started:?}");
+    }
+);
+
+test_case!(
+    /// Guards against an owner that gives an executor up because a call that was meant for an earlier
+    /// life of it is rejected by the present one.
+    a_rejected_call_for_an_earlier_life_shows_no_later_owner,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        let before = FenceToken::new_in(Epoch::new(1), 0);
+        report_life(&mut harness, 0, vec![]);
+        harness.scheduler.apply_fence(&id(0), before, harness.now);
+        assert!(!harness.scheduler.has_unexplained_fence());
+        let plan = harness.scheduler.plan_renewal(&id(0), RenewalKind::Full, harness.now);
+        let plan = plan.expect("listed");
+        assert!(plan.token > before && plan.token < FenceToken::new_in(Epoch::new(2), 0));
+        harness.scheduler.apply_fence(&id(0), plan.token, harness.now);
+        assert!(harness.scheduler.has_unexplained_fence());
+    }
+);
+
+test_case!(
+    /// Guards against a second run of a task on a new life whose lease an unanswered renewal for the
+    /// earlier life extends late: until the new life has answered a call with its own token, it may
+    /// hold the longest lease from the last moment at which the renewal can arrive.
+    a_late_renewal_for_an_earlier_life_counts_for_the_lease,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        harness.submit(1, job(vec![step(1, 1000, 60_000, vec![])]));
+        harness.store_batch();
+        let order = harness.start_tasks().remove(0);
+        let executor = usize::from(order.executor == id(1));
+        let renewal = harness.scheduler.plan_renewal(&id(executor), RenewalKind::Full, harness.now);
+        assert!(renewal.expect("in use").lease_until.is_some());
+        let mut restarted = entry(executor, "r1-0");
+        restarted.life = ExecutorLife::new(2);
+        harness.scheduler.upsert_executor(restarted, harness.now);
+        check_wait(&mut harness, executor, LATE_LIMIT_MS + LONGEST_LEASE_MS);
+    }
+);
+
+test_case!(
+    /// Guards against a task that is kept away for long after its run has failed: the executor rejects
+    /// the run from then on, and only a later life could begin it.
+    a_failed_run_by_a_repeated_start_restarts_after_the_last_arrival,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let (order, executor) = lose_start(&mut harness);
+        let lost_at = harness.now;
+        harness.advance(200);
+        harness.report(executor, vec![], vec![]);
+        assert_eq!(harness.start_tasks().len(), 1, "the start is repeated");
+        let end = RunEnd {
+            number: 1,
+            task: order.task,
+            run: order.run,
+            kind: EndKind::Failed,
+            checkpoint: None,
+        };
+        harness.report(executor, vec![], vec![end]);
+        harness.store_batch();
+        let mut restarted_at = None;
+        while restarted_at.is_none() {
+            harness.advance(200);
+            let stops: Vec<StopOrder> = harness.stops();
+            stops.iter().for_each(|stop| harness.scheduler.apply_stop(stop, true));
+            harness.store_batch();
+            (0..2).for_each(|number| harness.report(number, vec![], vec![]));
+            let starts = harness.start_tasks();
+            assert!(starts.iter().all(|start| start.run > order.run), "{starts:?}");
+            restarted_at = (!starts.is_empty()).then_some(harness.now);
+            assert!(harness.now.saturating_sub(lost_at) < Millis::new(LATE_LIMIT_MS + 1500));
+        }
+        let waited = harness.now.saturating_sub(lost_at);
+        assert!(waited >= Millis::new(LATE_LIMIT_MS), "{waited}");
+    }
+);
+
+test_case!(
+    /// Guards against members of a gang that wait for one whose start gets no answer, until their
+    /// executors give them up: the start is repeated once, and then the others are stopped.
+    members_of_a_gang_are_stopped_after_a_repeat_without_an_answer,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let mut gang = step(6, 2000, 60_000, vec![]);
+        gang.gang = true;
+        harness.submit(1, job(vec![gang]));
+        harness.store_batch();
+        let orders = harness.take_starts();
+        let lost = orders[0].clone();
+        for order in &orders {
+            let answer = if *order == lost { StartAnswer::Unknown } else { StartAnswer::Started };
+            harness.scheduler.apply_start(order, answer, harness.now);
+        }
+        let others: Vec<RunningTask> = orders[1..].iter().map(running).collect();
+        let on = |number: usize, others: &[RunningTask]| {
+            let on = orders.iter().filter(|order| order.executor == id(number));
+            let on: Vec<TaskRef> = on.map(|order| order.task).collect();
+            others.iter().filter(|run| on.contains(&run.task)).cloned().collect()
+        };
+        harness.advance(200);
+        (0..2).for_each(|number| harness.report(number, on(number, &others), vec![]));
+        let again = harness.take_starts();
+        assert_eq!(again.len(), 1, "{again:?}");
+        assert_eq!((again[0].task, again[0].run), (lost.task, lost.run));
+        harness.scheduler.apply_start(&again[0], StartAnswer::Unknown, harness.now);
+        harness.advance(10);
+        let stopped: Vec<TaskRef> = harness.stops().iter().map(|stop| stop.task).collect();
+        assert!(orders.iter().all(|order| stopped.contains(&order.task)), "{stopped:?}");
+    }
+);
--- a/crates/magnolia-scheduler/tests/witnesses.rs
+++ b/crates/magnolia-scheduler/tests/witnesses.rs
@@ -221,6 +221,7 @@
             confined_to: None,
             lease_left: None,
             witness: true,
+            late_starts: Vec::new(),
         };
         let fields = (record.entry.clone(), None::<Vec<u8>>, None::<Millis>);
         let bytes = rmp_serde::to_vec(&fields).expect("encoded");
