--- a/crates/magnolia-backing/src/http_log.rs
+++ b/crates/magnolia-backing/src/http_log.rs
@@ -138,6 +138,7 @@
             let path =
                 format!("/v1/streams/{stream}/records?from={from}&wait_ms={wait_ms}&max={max}");
             let limits = CallLimits {
+                stall: None,
                 timeout: self.call_timeout + Duration::from(wait),
                 silence: wait.into(),
             };
--- a/crates/magnolia-http/src/client.rs
+++ b/crates/magnolia-http/src/client.rs
@@ -85,6 +85,25 @@
     /// Time for which the peer may deliberately delay its answer, as in a long poll. It extends the
     /// progress deadline until the head of the answer arrives, and is part of `timeout`.
     pub silence: Duration,
+    /// Longest time without a byte of the answer, after which the call fails; `timeout` alone counts
+    /// by default. The first byte has to arrive within this time from the start of the call,
+    /// extended by `silence`.
+    pub stall: Option<Duration>,
+}
+
+impl CallLimits {
+    /// Sets the longest time without a byte of the answer.
+    #[must_use]
+    pub fn with_stall(mut self, stall: Duration) -> Self {
+        self.stall = Some(stall);
+        self
+    }
+
+    /// Returns the time until which the next byte has to arrive.
+    fn next_byte_by(&self, since: Instant, silence: Duration, deadline: Instant) -> Instant {
+        let stalled_at = self.stall.map(|stall| since + stall + silence);
+        stalled_at.map_or(deadline, |at| at.min(deadline))
+    }
 }
 
 impl From<Duration> for CallLimits {
@@ -92,6 +111,7 @@
         Self {
             timeout,
             silence: Duration::ZERO,
+            stall: None,
         }
     }
 }
@@ -125,14 +145,16 @@
         limits: impl Into<CallLimits>,
     ) -> Result<HttpAnswer, HttpError> {
         let limits = limits.into();
-        let deadline = Instant::now() + limits.timeout;
+        let started = Instant::now();
+        let deadline = started + limits.timeout;
         let host = header::HeaderValue::from_str(&peer.to_string())
             .map_err(|error| HttpError::NotConnected(error.to_string()))?;
         request.headers_mut().insert(header::HOST, host);
         loop {
-            let (mut connection, reused) = self.connection(peer, deadline).await?;
+            let head_by = limits.next_byte_by(started, limits.silence, deadline);
+            let (mut connection, reused) = self.connection(peer, head_by).await?;
             let result = self
-                .exchange(peer, &mut connection, request, deadline, limits.silence)
+                .exchange(peer, &mut connection, request, started, limits)
                 .await;
             match result {
                 Ok(answer) => {
@@ -183,20 +205,22 @@
     /// Sends the request on a connection and reads the complete answer.
     ///
     /// If the head or a further part of the answer takes longer than the progress deadline, the
-    /// connection and all older ones to the peer are not used again, while this call continues
-    /// until `deadline`.
+    /// connection and all older ones to the peer are not used again, while this call, which began at
+    /// `started`, continues until its limits.
     async fn exchange(
         &self,
         peer: SocketAddr,
         connection: &mut PooledConnection,
         request: Request<Full<Bytes>>,
-        deadline: Instant,
-        silence: Duration,
+        started: Instant,
+        limits: CallLimits,
     ) -> Result<HttpAnswer, ExchangeError> {
         let opened = connection.opened;
+        let deadline = started + limits.timeout;
         let progress = self.settings.progress_deadline;
         let head = connection.sender.try_send_request(request);
-        let head = self.await_progress(peer, opened, head, progress + silence, deadline);
+        let head_by = limits.next_byte_by(started, limits.silence, deadline);
+        let head = self.await_progress(peer, opened, head, progress + limits.silence, head_by);
         let (parts, body) = match head.await? {
             Ok(response) => response.into_parts(),
             Err(mut failure) => {
@@ -209,10 +233,12 @@
         };
         let mut body = Limited::new(body, self.settings.max_answer_bytes);
         let mut collected = BytesMut::new();
-        while let Some(frame) = self
-            .await_progress(peer, opened, body.frame(), progress, deadline)
-            .await?
-        {
+        loop {
+            let part_by = limits.next_byte_by(Instant::now(), Duration::ZERO, deadline);
+            let part = self.await_progress(peer, opened, body.frame(), progress, part_by);
+            let Some(frame) = part.await? else {
+                break;
+            };
             let frame = frame.map_err(|error| self.body_error(&*error))?;
             if let Ok(data) = frame.into_data() {
                 collected.extend_from_slice(&data);
--- a/crates/magnolia-node/src/election.rs
+++ b/crates/magnolia-node/src/election.rs
@@ -138,7 +138,7 @@
     /// Tells whether the owner has been out of contact for so long that this daemon claims
     /// ownership.
     pub(crate) fn is_claim_due(&self) -> bool {
-        if self.is_stopping() || self.session().is_some() {
+        if self.is_stopping() || self.abstains() || self.session().is_some() {
             return false;
         }
         let owner = self.cell.borrow().owner.clone();
--- a/crates/magnolia-node/src/lib.rs
+++ b/crates/magnolia-node/src/lib.rs
@@ -20,6 +20,7 @@
 mod inventory;
 mod membership;
 mod metrics;
+mod newest_reader;
 mod node;
 mod owner;
 mod ownership_proof;
@@ -33,6 +34,7 @@
 mod serving;
 mod settings;
 mod state;
+mod transfer;
 
 #[cfg(test)]
 mod message_tests;
@@ -55,3 +57,4 @@
 };
 pub use settings::NodeSettings;
 pub use state::{JobExplanation, NodeState, NodeStatus};
+pub use transfer::{page_transfer_time, transfer_time};
--- a/crates/magnolia-node/src/node.rs
+++ b/crates/magnolia-node/src/node.rs
@@ -33,6 +33,9 @@
 const TAIL_WAIT: Millis = Millis::new(10_000);
 /// Delay before a failed call to the store is retried.
 pub(crate) const STORE_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Time for which a daemon that could not take ownership leaves it to others: they claim it within
+/// about a second, and need some seconds each on a slow link.
+const ABSTENTION: Millis = Millis::new(10_000);
 /// Largest body of a message between daemons.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
@@ -77,6 +80,8 @@
     session: Mutex<Option<Arc<OwnerSession>>>,
     pub(crate) owner_contact: Mutex<OwnerContact>,
     stopping: AtomicBool,
+    /// Time before which this daemon does not claim ownership by itself.
+    abstains_until: Mutex<Millis>,
     /// Notified when the owner asks this daemon to take over ownership.
     pub(crate) claim_requested: Notify,
     /// Notified when the owner should be pinged at once.
@@ -102,6 +107,7 @@
             session: Mutex::new(None),
             owner_contact: Mutex::default(),
             stopping: AtomicBool::new(false),
+            abstains_until: Mutex::default(),
             claim_requested: Notify::new(),
             ping_requested: Notify::new(),
         })
@@ -144,6 +150,24 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
+    /// Leaves ownership to other daemons for a while, because this one could not take it.
+    pub(crate) fn abstain(&self) {
+        let until = self.clock.now().saturating_add(ABSTENTION);
+        *self
+            .abstains_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = until;
+    }
+
+    /// Tells whether this daemon leaves ownership to others.
+    pub(crate) fn abstains(&self) -> bool {
+        let until = self
+            .abstains_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        self.clock.now() < *until
+    }
+
     /// Marks this daemon as stopping, and hands ownership over if it is the owner.
     pub async fn begin_stop(&self) {
         self.stopping.store(true, Ordering::SeqCst);
--- a/crates/magnolia-node/src/owner.rs
+++ b/crates/magnolia-node/src/owner.rs
@@ -17,10 +17,11 @@
 use crate::committer::Committer;
 use crate::eligibility::EligibilityDaemons;
 use crate::guarded_tasks::has_panicked;
+use crate::newest_reader::NewestReader;
 use crate::node::CellNode;
 use crate::ownership_proof::{EvidenceSource, OwnershipProof};
 use crate::peer_messages::PingRequest;
-use crate::ports::{OrderError, StoreError, StreamName, StreamRecord};
+use crate::ports::{OrderError, StreamName, StreamRecord};
 
 /// Interval between two passes over timeouts and other timed work of the scheduler.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -30,6 +31,9 @@
 /// Time without a ping after which a daemon no longer counts as live, and gets no eligibility
 /// requests.
 const MEMBER_TIMEOUT: Millis = Millis::new(1600);
+/// Time without a further page of the jobs after which ownership is given up, if the store answers
+/// other calls: several tries.
+const READ_TIMEOUT: Millis = Millis::new(5000);
 /// Delay before a failed call to the store is retried while the session opens.
 const OPEN_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Interval between two such requests to the earlier owners.
@@ -136,13 +140,11 @@
         if !self.committer.open(&self).await {
             return;
         }
-        let jobs = loop {
-            match self.load_jobs().await {
-                Ok(jobs) => break jobs,
-                Err(error) => log::warn!(error:% = error; "reading the jobs failed; retrying"),
-            }
-            sleep(OPEN_RETRY_DELAY).await;
+        let Some(records) = self.read_jobs().await else {
+            return;
         };
+        let jobs = self.load_jobs(&records);
+        drop(records);
         if !self.confirm_claim().await {
             return;
         }
@@ -206,13 +208,36 @@
         }
     }
 
+    /// Reads the stored executors and jobs. If no page arrives for [`READ_TIMEOUT`] although the store
+    /// answers other calls, ownership is given up: another daemon may have a better link.
+    async fn read_jobs(&self) -> Option<Vec<StreamRecord>> {
+        let mut reader = NewestReader::new(StreamName::Jobs);
+        let mut stalled: Option<(u64, Millis)> = None;
+        loop {
+            let Err(error) = reader.read(&self.node.store).await else {
+                return Some(reader.finish().0);
+            };
+            log::warn!(error:% = error, pages = reader.pages();
+                "reading the jobs failed; retrying");
+            let answers = self.node.catch_up().await.is_ok();
+            let now = self.now();
+            let known = stalled.filter(|(pages, _)| answers && *pages == reader.pages());
+            let (_, since) = *stalled.insert(known.unwrap_or((reader.pages(), now)));
+            if now.saturating_sub(since) >= READ_TIMEOUT {
+                self.node.abstain();
+                self.close("the jobs can't be read");
+                return None;
+            }
+            sleep(OPEN_RETRY_DELAY).await;
+        }
+    }
+
     /// Loads the stored executors and jobs into the scheduler; returns the number of jobs.
-    async fn load_jobs(&self) -> Result<usize, StoreError> {
-        let (records, _) = self.node.store.read_all(StreamName::Jobs).await?;
+    fn load_jobs(&self, records: &[StreamRecord]) -> usize {
         let now = self.now();
         let mut scheduler = self.lock();
         let mut loaded = 0;
-        for record in &records {
+        for record in records {
             if record.key.starts_with(EXECUTOR_PREFIX) {
                 match rmp_serde::from_slice::<ExecutorRecord>(&record.value) {
                     Ok(record) => scheduler.load_executor(record, now),
@@ -235,7 +260,7 @@
                 Err(error) => log::error!(job:% = key, error:% = error; "unreadable job record"),
             }
         }
-        Ok(loaded)
+        loaded
     }
 
     pub(crate) fn apply_rules(&self, rules: Arc<CellRules>) {
--- a/crates/magnolia-node/src/peers.rs
+++ b/crates/magnolia-node/src/peers.rs
@@ -42,6 +42,21 @@
         message: &PeerRequest,
         timeout: Duration,
         silence: Duration,
+    ) -> Result<PeerReply, HttpError> {
+        let limits = CallLimits {
+            timeout,
+            silence,
+            stall: None,
+        };
+        self.call_within(peer, message, limits).await
+    }
+
+    /// Sends a request and waits for the reply within `limits`.
+    pub(crate) async fn call_within(
+        &self,
+        peer: SocketAddr,
+        message: &PeerRequest,
+        limits: CallLimits,
     ) -> Result<PeerReply, HttpError> {
         let not_sent = |error: &dyn std::fmt::Display| HttpError::NotConnected(error.to_string());
         let body = rmp_serde::to_vec(message).map_err(|error| not_sent(&error))?;
@@ -51,7 +66,6 @@
             .header(header::CONTENT_TYPE, MESSAGE_TYPE)
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| not_sent(&error))?;
-        let limits = CallLimits { timeout, silence };
         let answer = self.http.call(peer, request, limits).await?;
         rmp_serde::from_slice(&answer.body).map_err(|error| HttpError::Malformed(error.to_string()))
     }
--- a/crates/magnolia-node/src/routed_store.rs
+++ b/crates/magnolia-node/src/routed_store.rs
@@ -11,21 +11,24 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use magnolia_http::CallLimits;
 use magnolia_types::{LogOffset, Millis};
 use tokio::time::sleep;
 
 use crate::clock::NodeClock;
+use crate::newest_reader::NewestReader;
 use crate::peer_messages::{PeerReply, PeerRequest, StoreCall};
 use crate::peers::PeerClient;
 use crate::ports::{
     AppendCondition, AppendOutcome, NewestPage, StoreError, StreamName, StreamRecord, StreamStore,
     TailPage,
 };
+use crate::transfer::{append_bytes, page_transfer_time, transfer_time};
 
 /// Time after a failed direct call during which relays are tried first.
 const DIRECT_BACKOFF: Millis = Millis::new(2000);
-/// Timeout of a call over all paths. A slow store answers after some 400 ms, and a call that was
-/// sent during an outage is never answered.
+/// Timeout of a call over all paths, without the time that its data takes. A slow store answers after
+/// some 400 ms, and a call that was sent during an outage is never answered.
 const ROUTE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Further tries of an append by the direct path: as many as fit into the timeout.
 const DIRECT_REPEATS: usize = 5;
@@ -41,6 +44,8 @@
 /// Paths that a claim takes in parallel: the direct one and two peers, as one peer may be the
 /// failed owner.
 const CLAIM_PARALLEL_PATHS: usize = 3;
+/// Longest wait for the first byte of a page from a peer, which reads the whole page before.
+const RELAYED_PAGE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Limit of the peers asked for one call. A peer that can't reach the store either answers so at
 /// once.
 const MAX_RELAYS: usize = 4;
@@ -198,9 +203,21 @@
         } else {
             1
         };
-        let deadline = sleep(ROUTE_TIMEOUT + wait);
-        tokio::pin!(deadline);
+        let limits = RouteLimits::of(&call);
+        let hedge_delay = self.hedge_delay() + limits.sending;
+        let deadline = sleep(limits.timeout);
+        let last_byte = sleep(limits.timeout + limits.receiving);
+        tokio::pin!(deadline, last_byte);
+        let mut is_over = false;
         loop {
+            if is_over {
+                // A direct call ends by itself after a time without a byte, so that one that is still
+                // pending receives its answer.
+                if direct_pending == 0 {
+                    break;
+                }
+                paths.clear();
+            }
             for path in paths.drain(..parallel.min(paths.len())) {
                 direct_pending += usize::from(path == StorePath::Direct);
                 tries.push(self.try_path(path, &call));
@@ -232,8 +249,9 @@
                         }
                     }
                 }
-                () = sleep(wait + self.hedge_delay()), if !paths.is_empty() => {}
-                () = &mut deadline => break,
+                () = sleep(wait + hedge_delay), if limits.hedges && !paths.is_empty() => {}
+                () = &mut deadline, if !is_over => is_over = true,
+                () = &mut last_byte => break,
             }
         }
         if direct_pending > 0 {
@@ -251,9 +269,9 @@
         let reply = match path {
             StorePath::Direct => Ok(run_store_call(&*self.direct, call).await),
             StorePath::Relay(relay) => {
-                let limit = ROUTE_TIMEOUT + call_wait(call);
+                let limits = RouteLimits::of(call).of_relay();
                 let message = PeerRequest::Store(call.clone());
-                self.peers.call(relay, &message, limit, limit).await
+                self.peers.call_within(relay, &message, limits).await
             }
         };
         let result = match reply {
@@ -313,24 +331,15 @@
         }
     }
 
-    /// Reads the newest records of all keys, page by page. Returns them with the end of the stream
-    /// as of the first page.
+    /// Reads the newest records of all keys. Returns them with the end of the stream as of the first
+    /// page.
     pub(crate) async fn read_all(
         &self,
         stream: StreamName,
     ) -> Result<(Vec<StreamRecord>, LogOffset), StoreError> {
-        let mut page = self.read_newest(stream, None).await?;
-        let end = page.end;
-        let mut records = std::mem::take(&mut page.records);
-        while page.more {
-            let after = records.last().map(|record| Arc::clone(&record.key));
-            page = self.read_newest(stream, after.as_deref()).await?;
-            if page.records.is_empty() {
-                break;
-            }
-            records.append(&mut page.records);
-        }
-        Ok((records, end))
+        let mut reader = NewestReader::new(stream);
+        reader.read(self).await?;
+        Ok(reader.finish())
     }
 
     pub(crate) async fn read_tail(
@@ -394,6 +403,65 @@
     )
 }
 
+/// Time limits of a call over all paths.
+#[derive(Clone, Copy, Debug)]
+struct RouteLimits {
+    /// Time within which the answer has to begin to arrive: for the store's answer, for the wait that
+    /// the call asks for, and for sending its data.
+    timeout: Duration,
+    /// Time that the data of the call takes on its way to the store.
+    sending: Duration,
+    /// Longest time that the answer takes from its first byte.
+    receiving: Duration,
+    /// Whether other paths are tried before the first one has failed.
+    hedges: bool,
+}
+
+impl RouteLimits {
+    fn of(call: &StoreCall) -> Self {
+        let timeout = ROUTE_TIMEOUT + call_wait(call);
+        match call {
+            StoreCall::Append { records, .. } => {
+                let sending = transfer_time(append_bytes(records));
+                Self {
+                    timeout: timeout + sending,
+                    sending,
+                    receiving: Duration::ZERO,
+                    hedges: true,
+                }
+            }
+            // Every path that is tried would send the page over the link of this daemon.
+            StoreCall::Newest { .. } => Self {
+                timeout: timeout + page_transfer_time(),
+                sending: Duration::ZERO,
+                receiving: Duration::ZERO,
+                hedges: false,
+            },
+            StoreCall::Tail { .. } => Self {
+                timeout,
+                sending: Duration::ZERO,
+                receiving: page_transfer_time(),
+                hedges: true,
+            },
+        }
+    }
+
+    /// Returns the limits of a call through a peer.
+    fn of_relay(&self) -> CallLimits {
+        if self.hedges {
+            return CallLimits {
+                silence: self.timeout,
+                ..CallLimits::from(self.timeout)
+            };
+        }
+        let limits = CallLimits {
+            silence: RELAYED_PAGE_TIMEOUT,
+            ..CallLimits::from(self.timeout)
+        };
+        limits.with_stall(ROUTE_TIMEOUT)
+    }
+}
+
 /// Tells whether a call claims ownership.
 fn is_claim(call: &StoreCall) -> bool {
     let StoreCall::Append { condition, .. } = call else {
