--- a/crates/magnolia-node/src/callers.rs
+++ b/crates/magnolia-node/src/callers.rs
@@ -66,6 +66,13 @@
         },
         /// Not accepted because the store refuses the record of the job; the job never runs.
         Unstorable,
+        /// Not accepted because the job takes more memory than all jobs may take; it never runs.
+        TooLarge {
+            /// Memory that the job takes, in bytes.
+            needed: u64,
+            /// Memory that all jobs may take, in bytes.
+            limit: u64,
+        },
         /// The outcome is unknown; the request may have been carried out.
         Undetermined,
     }
--- a/crates/magnolia-node/src/membership.rs
+++ b/crates/magnolia-node/src/membership.rs
@@ -20,6 +20,9 @@
         /// Processors that the daemon may use, in thousandths of one processor. Daemons with more
         /// are preferred as owner.
         pub weight: u64,
+        /// Memory of the daemon, in bytes; none if it is not limited.
+        #[serde(default)]
+        pub memory_bytes: Option<u64>,
     }
 
     /// A claim of ownership. The last claim in the stream is the valid one.
--- a/crates/magnolia-node/src/message_tests.rs
+++ b/crates/magnolia-node/src/message_tests.rs
@@ -17,6 +17,7 @@
         address: "127.0.0.1:80".parse().expect("an address"),
         incarnation: Incarnation::new(7),
         weight: 250,
+        memory_bytes: Some(260_000_000),
     }
 }
 
--- a/crates/magnolia-node/src/node.rs
+++ b/crates/magnolia-node/src/node.rs
@@ -216,9 +216,21 @@
             address: self.settings.inner_address,
             incarnation: self.incarnation,
             weight: self.settings.weight,
+            memory_bytes: self.settings.memory_bytes,
         }
     }
 
+    /// Returns the memory of the smallest daemon of the cell, in bytes; none if no memory is limited.
+    /// Any daemon may be the next owner, and has to hold what this one accepts.
+    pub(crate) fn smallest_memory(&self) -> Option<u64> {
+        let view = self.cell.borrow();
+        let others = view
+            .members
+            .values()
+            .filter_map(|member| member.memory_bytes);
+        others.chain(self.settings.memory_bytes).min()
+    }
+
     /// Registers this daemon, then follows the registrations and claims in the cell's stream.
     async fn follow_cell(self: Arc<Self>) {
         while let Err(error) = self.register().await {
--- a/crates/magnolia-node/src/owner.rs
+++ b/crates/magnolia-node/src/owner.rs
@@ -8,7 +8,7 @@
 
 use magnolia_scheduler::{
     CellAction, CellRules, CellScheduler, ExecutorRecord, JobKey, JobRecord, QueueRules,
-    ServiceName, StartAnswer,
+    ServiceName, StartAnswer, job_memory_share,
 };
 use magnolia_types::{DaemonId, Epoch, Millis};
 use tokio::sync::{Notify, watch};
@@ -63,7 +63,10 @@
 impl OwnerSession {
     /// Opens a session and starts its background tasks.
     pub(crate) fn open(node: Arc<CellNode>, epoch: Epoch) -> Arc<Self> {
-        let settings = (*node.settings.scheduler).clone();
+        let mut settings = (*node.settings.scheduler).clone();
+        if let Some(bytes) = node.smallest_memory() {
+            settings = settings.with_job_memory_bytes(job_memory_share(bytes));
+        }
         let proof = OwnershipProof::new(node.clock.now(), &settings);
         let scheduler = CellScheduler::new(settings, epoch);
         let session = Arc::new(Self {
--- a/crates/magnolia-node/src/owner_tests.rs
+++ b/crates/magnolia-node/src/owner_tests.rs
@@ -110,6 +110,7 @@
         data_centre: DataCentreName::new("here").expect("valid name"),
         inner_address: "127.0.0.1:1".parse().expect("an address"),
         weight: 250,
+        memory_bytes: None,
         scheduler: Arc::new(SchedulerSettings::new(Millis::new(6000))),
         stop_limit: Duration::from_secs(6),
         drain_delay: Duration::from_secs(2),
@@ -150,6 +151,7 @@
             address,
             incarnation: Incarnation::new(7),
             weight: 250,
+            memory_bytes: None,
         },
         replaced_unix_ms: 0,
     };
--- a/crates/magnolia-node/src/serving.rs
+++ b/crates/magnolia-node/src/serving.rs
@@ -69,6 +69,12 @@
                 self.node.metrics.count("refusals");
                 return ServeOutcome::Answered(CallerAnswer::Refused { retry_after });
             }
+            SubmitOutcome::TooLarge { needed, limit } => {
+                log::info!(job:% = key, queue:% = rules.name, needed = needed, limit = limit;
+                    "job refused: it takes more memory than all jobs may take");
+                self.node.metrics.count("refusals");
+                return ServeOutcome::Answered(CallerAnswer::TooLarge { needed, limit });
+            }
             SubmitOutcome::Accepted => {}
         }
         let stored = self
--- a/crates/magnolia-node/src/settings.rs
+++ b/crates/magnolia-node/src/settings.rs
@@ -19,6 +19,8 @@
     /// Processors that the daemon may use, in thousandths of one processor. Daemons with more are
     /// preferred as owner.
     pub weight: u64,
+    /// Memory of the daemon, in bytes; none if it is not limited.
+    pub memory_bytes: Option<u64>,
     /// Settings of the scheduler.
     pub scheduler: Arc<SchedulerSettings>,
     /// Longest time from a stop request to the exit of the process.
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -21,6 +21,10 @@
     QueueRules, SchedulerSettings, ServiceName, StepRef, StepSpec, TaskRef,
 };
 
+/// Time after which a caller may retry whose job finds no memory: as long as for the largest backlog,
+/// because nobody knows when jobs end.
+const MEMORY_RETRY_AFTER: Millis = Millis::new(10_000);
+
 /// Sort key of a step in the ready set, which holds the steps that can start tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct ReadyKey {
@@ -42,6 +46,13 @@
         /// Time after which the caller should retry.
         retry_after: Millis,
     },
+    /// Refused because the job alone takes more memory than all jobs may take; it never runs.
+    TooLarge {
+        /// Memory that the job takes, in bytes.
+        needed: u64,
+        /// Memory that all jobs may take, in bytes.
+        limit: u64,
+    },
 }
 
 /// Records to store in one call, and the state changes that become durable with them.
@@ -220,6 +231,17 @@
             mean.observe(spec.work());
             job.order_by_work(mean.ratio(spec.work()), self.settings.order_work_share);
         }
+        let (needed, limit) = (job.memory_bytes, self.settings.job_memory_bytes);
+        if needed > limit {
+            return SubmitOutcome::TooLarge { needed, limit };
+        }
+        if needed > limit.saturating_sub(self.job_memory_in_use()) {
+            log::warn!(job:% = key, needed = needed, limit = limit;
+                "the jobs of the cell take the memory that they may");
+            return SubmitOutcome::Refused {
+                retry_after: MEMORY_RETRY_AFTER,
+            };
+        }
         let load = self.admission_load(&job, spec);
         if let AdmissionDecision::Refuse { retry_after } = decide_admission(&load) {
             return SubmitOutcome::Refused { retry_after };
@@ -233,6 +255,13 @@
         SubmitOutcome::Accepted
     }
 
+    /// Returns the memory that the jobs take whose end is not stored, in bytes.
+    fn job_memory_in_use(&self) -> u64 {
+        let live = self.live.iter().filter_map(|key| self.jobs.get(key));
+        live.map(|job| job.memory_bytes)
+            .fold(0, u64::saturating_add)
+    }
+
     fn admission_load(&self, new: &JobState, spec: &JobSpec) -> AdmissionLoad {
         let rules = &*new.rules;
         let position = |job: &JobState| (job.rules.priority, job.order_unix_ms);
@@ -435,6 +464,7 @@
         }
         for task in batch.done {
             self.finish_task(task);
+            self.release_finished_occurrence(task);
         }
         let mut ended = Vec::new();
         for (key, record) in batch.records {
@@ -589,7 +619,7 @@
     }
 
     pub(crate) fn task_state(&self, task: TaskRef) -> Option<&TaskState> {
-        self.step_state(task.step)?.tasks.get(task.index as usize)
+        self.step_state(task.step)?.tasks.get(task.index)
     }
 
     /// Returns the phase of a task.
--- a/crates/magnolia-scheduler/src/explain.rs
+++ b/crates/magnolia-scheduler/src/explain.rs
@@ -36,6 +36,9 @@
             return Some(lines);
         };
         for (occurrence, state) in (0u32..).zip(&job.occurrences) {
+            if state.is_finished() {
+                lines.push(format!("occurrence {occurrence}: all tasks done"));
+            }
             for ((step, state), spec) in (0u16..).zip(&state.steps).zip(&spec.steps) {
                 let step = StepRef {
                     job: key,
@@ -112,13 +115,17 @@
 
 fn step_line(step: StepRef, state: &StepState) -> String {
     let count = |wanted: fn(&TaskPhase) -> bool| {
-        let tasks = state.tasks.iter().map(|task| &task.phase);
+        let tasks = state.tasks.iter().map(|(_, task)| &task.phase);
         tasks.filter(|phase| wanted(phase)).count()
     };
     let done = count(|phase| matches!(phase, TaskPhase::Done | TaskPhase::DoneUnstored));
     let placed = count(|phase| matches!(phase, TaskPhase::Placed(..)));
     let waiting = count(|phase| matches!(phase, TaskPhase::Waiting));
-    let failed: usize = state.tasks.iter().map(|task| task.failed.len()).sum();
+    let failed: usize = state
+        .tasks
+        .touched()
+        .map(|(_, task)| task.failed.len())
+        .sum();
     let gate = if state.open {
         ""
     } else {
--- a/crates/magnolia-scheduler/src/job.rs
+++ b/crates/magnolia-scheduler/src/job.rs
@@ -4,11 +4,12 @@
 
 use magnolia_types::{Millis, value_types};
 
+use crate::job_memory::job_memory;
 use crate::ordering::order_time;
 use crate::record::{EndedRecord, JobRecord, LiveRecord, OccurrenceRecord, StepRecord};
 use crate::record_size::{CHECKPOINT_BYTES, FAILED_RUN_BYTES, progress_bytes};
 use crate::step::{StepState, TaskPhase};
-use crate::{JobSpec, QueueName, QueueRules};
+use crate::{JobSpec, QueueName, QueueRules, StepSpec};
 
 value_types! {
     /// Status of a job as reported to callers.
@@ -29,9 +30,26 @@
 /// State of one occurrence of a job.
 #[derive(Clone, Debug)]
 pub(crate) struct OccurrenceState {
+    /// Its steps; none once the success of all of them is stored.
     pub(crate) steps: Vec<StepState>,
 }
 
+impl OccurrenceState {
+    /// Tells whether the success of all steps is stored.
+    pub(crate) fn is_finished(&self) -> bool {
+        self.steps.is_empty()
+    }
+
+    /// Releases the steps if the success of all of them is stored; returns whether it is.
+    pub(crate) fn release_finished(&mut self) -> bool {
+        let finished = self.steps.iter().all(StepState::is_finished);
+        if finished {
+            self.steps = Vec::new();
+        }
+        finished
+    }
+}
+
 /// State of a live job, or of an ended job that is kept.
 #[derive(Clone, Debug)]
 pub(crate) struct JobState {
@@ -56,6 +74,8 @@
     pub(crate) unstorable: bool,
     /// Unix milliseconds by which it is ordered among the jobs of its priority; see `order_time`.
     pub(crate) order_unix_ms: u64,
+    /// Memory that it takes until its end is stored, in bytes.
+    pub(crate) memory_bytes: u64,
 }
 
 impl JobState {
@@ -63,6 +83,7 @@
         let objective = rules.objective(spec.critical_path());
         Self {
             order_unix_ms: accepted_unix_ms.saturating_add(objective.get()),
+            memory_bytes: job_memory(&spec),
             rules,
             spec: Some(spec),
             accepted_unix_ms,
@@ -80,6 +101,7 @@
     pub(crate) fn new_ended(rules: Arc<QueueRules>, ended: &EndedRecord) -> Self {
         Self {
             order_unix_ms: 0,
+            memory_bytes: 0,
             rules,
             spec: None,
             accepted_unix_ms: ended.ended_unix_ms,
@@ -166,8 +188,8 @@
             .iter()
             .flat_map(|occurrence| &occurrence.steps);
         let runs = steps
-            .flat_map(|step| &step.tasks)
-            .map(|task| task.failed.len());
+            .flat_map(|step| step.tasks.touched())
+            .map(|(_, task)| task.failed.len());
         let runs = u64::try_from(runs.sum::<usize>()).unwrap_or(u64::MAX);
         runs.saturating_mul(FAILED_RUN_BYTES)
     }
@@ -194,8 +216,14 @@
     fn occurrence_records(&self, limit: u64) -> Vec<OccurrenceRecord> {
         let mut room = progress_bytes(limit).saturating_sub(self.failed_bytes());
         let mut record = |step: &StepState| step_record(step, &mut room);
-        let occurrences = self.occurrences.iter().map(|occurrence| OccurrenceRecord {
-            steps: occurrence.steps.iter().map(&mut record).collect(),
+        let occurrences = self.occurrences.iter().map(|occurrence| {
+            let steps = if occurrence.is_finished() {
+                let specs = self.spec.iter().flat_map(|spec| &spec.steps);
+                specs.map(finished_step_record).collect()
+            } else {
+                occurrence.steps.iter().map(&mut record).collect()
+            };
+            OccurrenceRecord { steps }
         });
         occurrences.collect()
     }
@@ -214,7 +242,9 @@
                 restore_step(step, stored, spec.lasting);
                 self.started |= step.done > 0 || !stored.failed.is_empty();
             }
-            open_steps(self.spec.as_deref(), occurrence, now);
+            if !occurrence.release_finished() {
+                open_steps(self.spec.as_deref(), occurrence, now);
+            }
         }
     }
 }
@@ -253,9 +283,12 @@
 
 /// Returns the record of a step, with the checkpoints for which there is `room` in bytes.
 fn step_record(step: &StepState, room: &mut u64) -> StepRecord {
-    let mut record = StepRecord::default();
-    for (index, task) in (0u32..).zip(&step.tasks) {
-        if matches!(task.phase, TaskPhase::Done | TaskPhase::DoneUnstored) {
+    let mut record = StepRecord {
+        done: step.tasks.finished_bits().to_vec(),
+        ..StepRecord::default()
+    };
+    for (index, task) in step.tasks.touched() {
+        if task.phase == TaskPhase::DoneUnstored {
             record.set_done(index);
             continue;
         }
@@ -273,23 +306,30 @@
     record
 }
 
+/// Returns the record of a step of which the success of all tasks is stored.
+fn finished_step_record(spec: &StepSpec) -> StepRecord {
+    let mut record = StepRecord::default();
+    (0..spec.tasks).for_each(|index| record.set_done(index));
+    record
+}
+
 /// Restores the tasks of a step. A long-running task is never done; earlier versions recorded it as
 /// done after a run that ended by itself.
 fn restore_step(step: &mut StepState, record: &StepRecord, lasting: bool) {
-    for (index, task) in (0u32..).zip(&mut step.tasks) {
-        if record.is_done(index) && !lasting {
-            task.phase = TaskPhase::Done;
-            step.done += 1;
-            step.waiting -= 1;
-        }
+    let tasks = u32::try_from(step.tasks.len()).unwrap_or(u32::MAX);
+    for index in (0..tasks).filter(|index| record.is_done(*index) && !lasting) {
+        step.tasks.finish(index);
+        step.done += 1;
+        step.succeeded += 1;
+        step.waiting -= 1;
     }
     for (index, run) in &record.failed {
-        if let Some(task) = step.tasks.get_mut(*index as usize) {
+        if let Some(task) = step.tasks.get_mut(*index) {
             task.failed.insert(*run);
         }
     }
     for (index, checkpoint) in &record.saved {
-        if let Some(task) = step.tasks.get_mut(*index as usize) {
+        if let Some(task) = step.tasks.get_mut(*index) {
             task.checkpoint = Some(Arc::clone(checkpoint));
         }
     }
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -35,7 +35,7 @@
 
     pub(crate) fn task_state_mut(&mut self, task: TaskRef) -> Option<&mut TaskState> {
         let step = self.step_state_mut(task.step)?;
-        step.tasks.get_mut(task.index as usize)
+        step.tasks.get_mut(task.index)
     }
 
     fn ready_key(job: &JobState, step: StepRef) -> ReadyKey {
@@ -105,7 +105,7 @@
             let Some(state) = self.step_state_mut(step) else {
                 continue;
             };
-            for (index, task) in (0u32..).zip(&state.tasks) {
+            for (index, task) in state.tasks.touched() {
                 if let TaskPhase::Placed(executor_index, run) = task.phase {
                     placed.push((executor_index, TaskRef { step, index }, run));
                 }
@@ -188,7 +188,7 @@
         let job = task.step.job;
         if let Some(state) = self.step_state_mut(task.step) {
             state.waiting = state.waiting.saturating_sub(1);
-            if let Some(task) = state.tasks.get_mut(task.index as usize) {
+            if let Some(task) = state.tasks.get_mut(task.index) {
                 task.phase = TaskPhase::Placed(executor_index, run);
             }
         }
@@ -245,12 +245,17 @@
         let Some(state) = self.step_state_mut(task.step) else {
             return;
         };
-        let Some(entry) = state.tasks.get_mut(task.index as usize) else {
-            return;
-        };
-        if entry.phase != TaskPhase::Placed(executor_index, run) {
+        let placed = TaskPhase::Placed(executor_index, run);
+        if state
+            .tasks
+            .get(task.index)
+            .is_none_or(|entry| entry.phase != placed)
+        {
             return;
         }
+        let Some(entry) = state.tasks.get_mut(task.index) else {
+            return;
+        };
         entry.phase = TaskPhase::Waiting;
         state.waiting += 1;
         state.ready_since = now;
@@ -349,7 +354,7 @@
         let Some(state) = self.step_state_mut(task.step) else {
             return;
         };
-        let Some(entry) = state.tasks.get_mut(task.index as usize) else {
+        let Some(entry) = state.tasks.get_mut(task.index) else {
             return;
         };
         match entry.phase {
@@ -358,6 +363,7 @@
             TaskPhase::Placed(..) => {}
         }
         entry.phase = TaskPhase::DoneUnstored;
+        state.succeeded = state.succeeded.saturating_add(1);
         let last = state.all_tasks_done();
         self.done_unbatched.push(task);
         self.mark_dirty(task.step.job);
@@ -390,14 +396,21 @@
         let Some(step) = self.step_state_mut(task.step) else {
             return;
         };
-        let Some(entry) = step.tasks.get_mut(task.index as usize) else {
+        let unstored = |entry: &TaskState| entry.phase == TaskPhase::DoneUnstored;
+        if step.tasks.get(task.index).is_some_and(unstored) {
+            step.tasks.finish(task.index);
+            step.done += 1;
+        }
+    }
+
+    /// Releases the memory of an occurrence once the success of all its tasks is stored.
+    pub(crate) fn release_finished_occurrence(&mut self, task: TaskRef) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
-        if entry.phase != TaskPhase::DoneUnstored {
-            return;
+        if let Some(occurrence) = job.occurrences.get_mut(task.step.occurrence as usize) {
+            occurrence.release_finished();
         }
-        entry.phase = TaskPhase::Done;
-        step.done += 1;
     }
 
     fn apply_failure(
@@ -441,8 +454,8 @@
         // The members of a gang share run numbers, so that each failed run counts once.
         let counted = if gang {
             let step = self.step_state_mut(task.step);
-            let runs = step.iter().flat_map(|step| &step.tasks);
-            let runs = runs.flat_map(|task| task.failed.iter());
+            let runs = step.iter().flat_map(|step| step.tasks.touched());
+            let runs = runs.flat_map(|(_, task)| task.failed.iter());
             runs.collect::<std::collections::BTreeSet<_>>().len() as u64
         } else {
             failures
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -325,11 +325,13 @@
         // whose text sorts last.
         let checkpoint = state
             .tasks
-            .iter()
-            .filter_map(|task| task.checkpoint.clone())
+            .touched()
+            .filter_map(|(_, task)| task.checkpoint.clone())
             .max();
-        for task in &mut state.tasks {
-            task.checkpoint.clone_from(&checkpoint);
+        for index in startable {
+            if let Some(task) = state.tasks.get_mut(*index) {
+                task.checkpoint.clone_from(&checkpoint);
+            }
         }
         let run = RunNumber::new_in(self.epoch, count);
         for (index, executor_index) in startable.iter().zip(&chosen) {
@@ -386,7 +388,10 @@
         let Some(state) = self.step_state(task.step) else {
             return;
         };
-        let checkpoint = state.tasks[task.index as usize].checkpoint.clone();
+        let checkpoint = state
+            .tasks
+            .get(task.index)
+            .and_then(|task| task.checkpoint.clone());
         let tickets = &state.eligibility.tickets;
         let ticket = tickets
             .get(&executor_index)
@@ -419,8 +424,9 @@
 
 /// Returns the indexes of the tasks that wait and are not delayed after a failed run.
 fn startable_tasks(state: &StepState, now: Millis) -> Vec<u32> {
-    (0u32..)
-        .zip(&state.tasks)
+    state
+        .tasks
+        .iter()
         .filter(|(_, task)| is_startable(task, now))
         .map(|(index, _)| index)
         .collect()
@@ -435,9 +441,9 @@
 fn avoided_executors(state: &StepState) -> BTreeSet<ExecutorIndex> {
     let waiting = state
         .tasks
-        .iter()
-        .filter(|task| task.phase == TaskPhase::Waiting);
-    waiting.filter_map(|task| task.avoid).collect()
+        .touched()
+        .filter(|(_, task)| task.phase == TaskPhase::Waiting);
+    waiting.filter_map(|(_, task)| task.avoid).collect()
 }
 
 /// Tells whether an executor belongs to the service of the queue and has the label that the step
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -480,8 +480,9 @@
         let Some(state) = self.step_state(step) else {
             return;
         };
-        let members: Vec<(ExecutorIndex, u32)> = (0u32..)
-            .zip(&state.tasks)
+        let members: Vec<(ExecutorIndex, u32)> = state
+            .tasks
+            .touched()
             .filter_map(|(index, task)| match task.phase {
                 TaskPhase::Placed(executor_index, placed) if placed == run => {
                     Some((executor_index, index))
--- a/crates/magnolia-scheduler/src/settings.rs
+++ b/crates/magnolia-scheduler/src/settings.rs
@@ -38,6 +38,8 @@
     pub late_order_limit: Millis,
     /// Longest record that the store accepts, in bytes; from the settings file.
     pub max_record_bytes: u64,
+    /// Memory that the jobs of the cell may take, in bytes; from the settings file.
+    pub job_memory_bytes: u64,
     /// Longest age of the evidence of ownership on which orders are sent.
     pub isolation_limit: Millis,
     /// Time without the store after which an owner sends no orders, also if most executors accept
@@ -60,6 +62,7 @@
             hang_limit: Millis::new(1500),
             late_order_limit: Millis::from_secs(12),
             max_record_bytes: 262_144,
+            job_memory_bytes: 64 << 20,
             isolation_limit: Millis::from_secs(2),
             outage_limit: Millis::from_secs(60),
         }
@@ -79,6 +82,13 @@
         self
     }
 
+    /// Sets the memory that the jobs of the cell may take, in bytes.
+    #[must_use]
+    pub fn with_job_memory_bytes(mut self, bytes: u64) -> Self {
+        self.job_memory_bytes = bytes;
+        self
+    }
+
     /// Returns the time from the last order of an earlier owner until every lease that it granted
     /// has certainly expired, on executor clocks that are up to 2% slow. Every owner asks for the
     /// same lease length.
--- a/crates/magnolia-scheduler/src/step.rs
+++ b/crates/magnolia-scheduler/src/step.rs
@@ -6,6 +6,7 @@
 use magnolia_types::Millis;
 
 use crate::executors::ExecutorIndex;
+use crate::task_table::TaskTable;
 use crate::{ExecutorLife, RunNumber};
 
 /// Phase of a task.
@@ -38,9 +39,9 @@
 }
 
 impl TaskState {
-    fn new() -> Self {
+    pub(crate) const fn new(phase: TaskPhase) -> Self {
         Self {
-            phase: TaskPhase::Waiting,
+            phase,
             runs: 0,
             failed: BTreeSet::new(),
             checkpoint: None,
@@ -76,11 +77,13 @@
 /// State of one step of one occurrence.
 #[derive(Clone, Debug)]
 pub(crate) struct StepState {
-    pub(crate) tasks: Vec<TaskState>,
+    pub(crate) tasks: TaskTable,
     /// Number of waiting tasks.
     pub(crate) waiting: u32,
     /// Number of tasks whose success is stored.
     pub(crate) done: u32,
+    /// Number of tasks that have succeeded, stored or not.
+    pub(crate) succeeded: u32,
     /// Whether all steps that it depends on have succeeded, stored or not.
     pub(crate) open: bool,
     /// Whether an earlier owner may have started tasks of it.
@@ -99,9 +102,10 @@
 impl StepState {
     pub(crate) fn new(tasks: u32) -> Self {
         Self {
-            tasks: (0..tasks).map(|_| TaskState::new()).collect(),
+            tasks: TaskTable::new(tasks),
             waiting: tasks,
             done: 0,
+            succeeded: 0,
             open: false,
             inherited: false,
             eligibility: StepEligibility::default(),
@@ -114,8 +118,15 @@
 
     /// Tells whether all tasks have succeeded, stored or not.
     pub(crate) fn all_tasks_done(&self) -> bool {
-        self.tasks
-            .iter()
-            .all(|task| matches!(task.phase, TaskPhase::Done | TaskPhase::DoneUnstored))
+        self.is_count(self.succeeded)
+    }
+
+    /// Tells whether the success of all tasks is stored.
+    pub(crate) fn is_finished(&self) -> bool {
+        self.is_count(self.done)
+    }
+
+    fn is_count(&self, tasks: u32) -> bool {
+        usize::try_from(tasks).is_ok_and(|tasks| tasks == self.tasks.len())
     }
 }
--- a/crates/magnolia-scheduler/src/step_selection.rs
+++ b/crates/magnolia-scheduler/src/step_selection.rs
@@ -96,8 +96,9 @@
     }
 
     fn has_startable_task(&self, step: StepRef, now: Millis) -> bool {
-        self.step_state(step)
-            .is_some_and(|state| state.tasks.iter().any(|task| is_startable(task, now)))
+        self.step_state(step).is_some_and(|state| {
+            state.waiting > 0 && state.tasks.iter().any(|(_, task)| is_startable(task, now))
+        })
     }
 
     /// Tells whether the executors that accept work could start a task of the step, or the whole gang,
--- a/crates/magnolia-scheduler/tests/harness/mod.rs
+++ b/crates/magnolia-scheduler/tests/harness/mod.rs
@@ -53,13 +53,25 @@
 
     /// Creates a harness whose executors have not reported yet.
     pub fn new_without_reports(epoch: u64, executors: usize) -> Self {
+        let settings = SchedulerSettings::new(Millis::new(6000));
+        Self::with_settings(settings, epoch, executors)
+    }
+
+    /// Creates a harness that accepts jobs of any size.
+    pub fn new_with_any_memory(epoch: u64, executors: usize) -> Self {
+        let settings = SchedulerSettings::new(Millis::new(6000)).with_job_memory_bytes(u64::MAX);
+        let mut harness = Self::with_settings(settings, epoch, executors);
+        harness.report_from_all(executors);
+        harness
+    }
+
+    fn with_settings(settings: SchedulerSettings, epoch: u64, executors: usize) -> Self {
         let rules = Arc::new(queue("batch", 2, 0, 0));
         let cell = CellRules {
             version: CellVersion::new(1),
             queues: [(rules.name.clone(), Arc::clone(&rules))].into(),
             ..CellRules::default()
         };
-        let settings = SchedulerSettings::new(Millis::new(6000));
         let mut scheduler = CellScheduler::new(settings, Epoch::new(epoch));
         scheduler.set_rules(Arc::new(cell));
         let now = Millis::new(1000);
@@ -111,13 +123,7 @@
 
     /// Loads a job that an earlier owner accepted.
     pub fn load_job(&mut self, key: u64, spec: JobSpec) {
-        let record = JobRecord::Live(LiveRecord {
-            rules: Arc::clone(&self.rules),
-            spec: Arc::new(spec),
-            accepted_unix_ms: START_UNIX_MS,
-            order_unix_ms: START_UNIX_MS,
-            occurrences: Vec::new(),
-        });
+        let record = live_record(&self.rules, &Arc::new(spec));
         let rules = Arc::clone(&self.rules);
         self.scheduler
             .load(JobKey::new(key), &record, &rules, self.now);
@@ -355,3 +361,14 @@
         meter: None,
     }
 }
+
+/// Returns the record of a job of which nothing has begun.
+pub fn live_record(rules: &Arc<QueueRules>, spec: &Arc<JobSpec>) -> JobRecord {
+    JobRecord::Live(LiveRecord {
+        rules: Arc::clone(rules),
+        spec: Arc::clone(spec),
+        accepted_unix_ms: START_UNIX_MS,
+        order_unix_ms: START_UNIX_MS,
+        occurrences: Vec::new(),
+    })
+}
--- a/crates/magnolia-scheduler/tests/malformed_input.rs
+++ b/crates/magnolia-scheduler/tests/malformed_input.rs
@@ -214,7 +214,7 @@
 #[test]
 fn reports_of_any_runs_are_applied() {
     fn property(running: Vec<AnyRun>, ended: Vec<AnyRun>) -> bool {
-        let mut harness = SchedulerHarness::new(1, 1);
+        let mut harness = SchedulerHarness::new_with_any_memory(1, 1);
         let mut recurring = job(vec![
             step(2, 1000, 100, vec![]),
             step(1, 1000, 100, vec![0]),
