--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -12,7 +12,7 @@
 
 use crate::executor_health::HealthTracker;
 use crate::executors::{ExecutorEntry, ExecutorRecord, ExecutorStatus, ExecutorUse};
-use crate::unanswered_starts::UnansweredStart;
+use crate::unanswered_starts::{GivenUpStart, UnansweredStart};
 use crate::witnesses::WitnessListing;
 use crate::{ExecutorLife, FenceToken, RunNumber, SchedulerSettings, TaskRef};
 
@@ -310,6 +310,8 @@
     /// When the present life became known, if calls that were meant for an earlier one may still be
     /// carried out there: it has answered no call that was sent later.
     pub(crate) open_to_earlier_calls: Option<Millis>,
+    /// Unanswered starts that were given up when its lease had expired.
+    pub(crate) given_up_starts: BTreeMap<(TaskRef, RunNumber), GivenUpStart>,
     /// When the renewal was planned that has no answer yet, if it grants a lease.
     pub(crate) open_renewal: Option<Millis>,
     /// When it last became clear that a renewal that grants a lease gets no answer.
@@ -357,6 +359,7 @@
             not_before: Millis::new(0),
             restarts: 0,
             open_to_earlier_calls: None,
+            given_up_starts: BTreeMap::new(),
             open_renewal: None,
             lost_renewal_at: None,
             inherited_starts: BTreeMap::new(),
@@ -428,11 +431,11 @@
     }
 
     /// Tells whether its remaining lease can be stored: it is unresponsive, so that nothing
-    /// renews the lease, and no unanswered start may still be executed.
+    /// renews the lease, and no later life may begin a run by an unanswered start.
     pub(crate) fn is_lease_recordable(&self, now: Millis) -> bool {
         let confined = self.usage == ExecutorUse::Confined && self.settled;
-        let may_start = |run: &ActiveRun| run.unanswered.is_some_and(|start| start.may_arrive(now));
-        confined && !self.is_responsive(now) && !self.runs.values().any(may_start)
+        let outlasts = |run: &ActiveRun| run.outlasts_lease(now);
+        confined && !self.is_responsive(now) && !self.runs.values().any(outlasts)
     }
 
     /// Begins a life that became known at `now`: resets what belongs to the earlier one, and raises
@@ -461,6 +464,7 @@
         }
         self.open_renewal = None;
         self.unknown_runs.clear();
+        self.given_up_starts.clear();
         self.fence = FenceState::Accepted;
         self.may_have_unlisted_ends = false;
         self.seen_through = 0;
@@ -513,6 +517,7 @@
             && healthy
             && !self.record_refused
             && self.unknown_runs.is_empty()
+            && self.given_up_starts.is_empty()
             && self.entry.status == ExecutorStatus::Ready
             && self.unconfirmed_life.is_none()
             && self.open_to_earlier_calls.is_none()
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -19,7 +19,7 @@
 /// Longest such delay; long-running tasks have to be back within seconds.
 const MAX_RETRY_PAUSE: Millis = Millis::new(1000);
 /// Time after which an unconfirmed stop is sent again; several round trips.
-const STOP_RESEND_INTERVAL: Millis = Millis::new(400);
+pub(crate) const STOP_RESEND_INTERVAL: Millis = Millis::new(400);
 
 impl CellScheduler {
     pub(crate) fn step_state_mut(&mut self, step: StepRef) -> Option<&mut StepState> {
--- a/crates/magnolia-scheduler/src/lost_runs.rs
+++ b/crates/magnolia-scheduler/src/lost_runs.rs
@@ -21,15 +21,6 @@
 }
 
 impl CellScheduler {
-    /// Loses all runs of an executor.
-    pub(crate) fn lose_all_runs(&mut self, executor_index: ExecutorIndex, now: Millis) {
-        let executor = self.executors.get(executor_index);
-        let runs: Vec<_> = executor.runs.keys().copied().collect();
-        for (task, run) in runs {
-            self.lose_run(executor_index, task, run, now);
-        }
-    }
-
     /// Loses the runs of an executor that were certainly on its earlier life, because a report of that
     /// life listed them. The start of any other run may have been carried out by the new life.
     pub(crate) fn lose_listed_runs(&mut self, executor_index: ExecutorIndex, now: Millis) {
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -58,6 +58,7 @@
         self.retire_leaving();
         self.confine_executors(now);
         self.stop_unanswered_starts(now);
+        self.withdraw_given_up_starts(now);
         self.evacuate_draining(now);
         self.resend_stops(now);
         self.open_due_occurrences(now, now_unix_ms);
@@ -65,36 +66,22 @@
     }
 
     fn expire_leases(&mut self, now: Millis) {
-        let max_lease = self.settings.max_lease;
-        let mut lost = Vec::new();
-        let mut retired = Vec::new();
+        let mut lapsed = Vec::new();
         for (executor_index, executor) in self.executors.iter_mut() {
             let unsettled = !executor.settled && now >= executor.settles_at;
             let is_lapsed = executor.is_lapsed(now);
             if unsettled || (is_lapsed && executor.may_have_unlisted_ends) {
                 executor.given_up_at.get_or_insert(now);
             }
-            if !is_lapsed {
-                continue;
-            }
-            if executor.runs.is_empty() {
-                continue;
-            }
-            // A start without an answer may still be executed.
-            let mut runs = executor.runs.values();
-            if !runs.any(|run| run.may_start_late(max_lease, now)) {
-                lost.push(executor_index);
+            if is_lapsed && !executor.runs.is_empty() {
+                lapsed.push(executor_index);
             }
         }
-        for executor_index in lost {
-            let id = self.executor_id(executor_index);
-            log::info!(executor:% = id; "lease of an unresponsive executor expired; its runs are lost");
-            self.lose_all_runs(executor_index, now);
-            retired.push(executor_index);
+        for executor_index in lapsed {
+            if self.lose_lapsed_runs(executor_index, now) {
+                self.retire_executor(executor_index);
+            }
         }
-        retired
-            .into_iter()
-            .for_each(|executor_index| self.retire_executor(executor_index));
     }
 
     fn open_due_occurrences(&mut self, now: Millis, now_unix_ms: u64) {
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -98,9 +98,11 @@
             return None;
         }
         // An unanswered renewal may have arrived. Therefore the lease of an unresponsive executor
-        // is not renewed, so that it expires at a known time.
+        // is not renewed, so that it expires at a known time. A start that was given up must not find
+        // a lease.
         let renews = kind != RenewalKind::Inquiry;
-        let lease_until = if renews && executor.is_responsive(now) && !executor.lease_recorded {
+        let may_renew = !executor.lease_recorded && executor.given_up_starts.is_empty();
+        let lease_until = if renews && executor.is_responsive(now) && may_renew {
             executor.lease.expiry_after(lease, now)
         } else {
             None
@@ -297,6 +299,9 @@
     /// not waiting or the outcome of its job is decided.
     fn adopt_run(&mut self, executor_index: ExecutorIndex, reported: RunningTask, now: Millis) {
         self.revoke_loss(executor_index, reported.task, reported.run, now);
+        let executor = self.executors.get_mut(executor_index);
+        let key = (reported.task, reported.run);
+        executor.given_up_starts.remove(&key);
         let alive = self
             .jobs
             .get(&reported.task.step.job)
@@ -515,6 +520,9 @@
         };
         let executor = self.executors.get_mut(executor_index);
         let is_current = order.token == executor.token(self.epoch);
+        if confirmed && is_current {
+            executor.given_up_starts.remove(&(order.task, order.run));
+        }
         if let Some(active) = executor.runs.get_mut(&(order.task, order.run)) {
             active.stop_acked |= confirmed && is_current;
         }
--- a/crates/magnolia-scheduler/src/unanswered_starts.rs
+++ b/crates/magnolia-scheduler/src/unanswered_starts.rs
@@ -7,6 +7,10 @@
 //! which the late one could be carried out. Once a later life has answered a call with its own
 //! [`FenceToken`], it rejects starts that were meant for an earlier one.
 //!
+//! What may be given up is a property of each run. When the lease of a silent executor has expired,
+//! its runs are over, and so is a start with a ticket: the life for which the ticket is valid rejects
+//! a start whose lease is over.
+//!
 //! [`late_order_limit`]: crate::SchedulerSettings::late_order_limit
 
 #![deny(
@@ -19,13 +23,24 @@
 use crate::cell::CellScheduler;
 use crate::executor_state::{ActiveRun, ExecutorState, RunPhase, stretch_lease};
 use crate::executors::{ExecutorIndex, ExecutorStatus};
-use crate::{FenceToken, RunNumber, StartOrder, TaskRef};
+use crate::lifecycle::STOP_RESEND_INTERVAL;
+use crate::{CellAction, FenceToken, RunNumber, StartOrder, StopOrder, TaskRef};
 
 /// Pause before a start is repeated after the executor rejected it.
 const REPEAT_PAUSE: Millis = Millis::new(400);
 /// Most starts in the record of an executor, which have to fit beside the list of its tasks.
 const MAX_STORED_STARTS: usize = 2000;
 
+/// An unanswered start whose task may have started elsewhere, because the lease of its executor had
+/// expired. If the executor answers again, its lease is renewed only after it has confirmed a stop.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct GivenUpStart {
+    /// Time until which the executor may carry it out.
+    until: Millis,
+    /// When a stop order was last sent.
+    stop_sent: Option<Millis>,
+}
+
 /// A start without an answer.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct UnansweredStart {
@@ -35,6 +50,9 @@
     arrives_until: Millis,
     /// Whether a later life may carry it out as well: it has no ticket.
     outlives: bool,
+    /// Time until which a run that a later life began by it may be active, if no life has answered
+    /// since. Zero if no later life may begin one.
+    active_until: Millis,
     /// Time before which it is not repeated.
     repeat_at: Millis,
 }
@@ -44,17 +62,6 @@
     pub(crate) fn may_arrive(&self, now: Millis) -> bool {
         now < self.arrives_until
     }
-
-    /// Tells whether a run that a later life began by the start may be active, if no life has
-    /// answered since.
-    fn may_be_active(&self, max_lease: Millis, now: Millis) -> bool {
-        let lease = if self.outlives {
-            stretch_lease(max_lease)
-        } else {
-            Millis::new(0)
-        };
-        now < self.arrives_until.saturating_add(lease)
-    }
 }
 
 impl ActiveRun {
@@ -66,10 +73,11 @@
     }
 
     /// Tells whether the run may be active by an unanswered start although every lease that was
-    /// granted to the executor has expired.
-    pub(crate) fn may_start_late(&self, max_lease: Millis, now: Millis) -> bool {
+    /// granted to the executor has expired: on a later life, as the present one rejects a start whose
+    /// lease is over.
+    pub(crate) fn outlasts_lease(&self, now: Millis) -> bool {
         self.unanswered
-            .is_some_and(|start| start.may_be_active(max_lease, now))
+            .is_some_and(|start| now < start.active_until)
     }
 
     /// Tells whether a start that a later life may carry out got no answer.
@@ -129,6 +137,7 @@
             && self.settled
             && self.entry.status == ExecutorStatus::Ready
             && !self.lease_recorded
+            && self.given_up_starts.is_empty()
             && self.unconfirmed_life.is_none()
             && self.open_to_earlier_calls.is_none()
             && self.lease.clock_at(now).is_some()
@@ -144,7 +153,8 @@
         order: &StartOrder,
         now: Millis,
     ) {
-        let late_limit = self.settings.late_order_limit;
+        let arrives_until = now.saturating_add(self.settings.late_order_limit);
+        let longest_lease = stretch_lease(self.settings.max_lease);
         let executor = self.executors.get_mut(executor_index);
         let Some(active) = executor.runs.get_mut(&(order.task, order.run)) else {
             return;
@@ -152,8 +162,13 @@
         let outlives = order.ticket.is_none();
         active.unanswered = Some(UnansweredStart {
             lost_at: now,
-            arrives_until: now.saturating_add(late_limit),
+            arrives_until,
             outlives,
+            active_until: if outlives {
+                arrives_until.saturating_add(longest_lease)
+            } else {
+                Millis::new(0)
+            },
             repeat_at: now,
         });
         if outlives {
@@ -161,6 +176,65 @@
         }
     }
 
+    /// Gives up the runs of an executor whose lease has expired, apart from those that a later life
+    /// may have begun. Returns whether none is left.
+    pub(crate) fn lose_lapsed_runs(&mut self, executor_index: ExecutorIndex, now: Millis) -> bool {
+        let executor = self.executors.get_mut(executor_index);
+        let lapsed = executor.runs.iter();
+        let lapsed: Vec<(TaskRef, RunNumber)> = lapsed
+            .filter(|(_, active)| !active.outlasts_lease(now))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in &lapsed {
+            let start = executor.runs.get(key).and_then(|active| active.unanswered);
+            if let Some(start) = start.filter(|start| start.may_arrive(now)) {
+                let given_up = GivenUpStart {
+                    until: start.arrives_until,
+                    stop_sent: None,
+                };
+                executor.given_up_starts.insert(*key, given_up);
+            }
+        }
+        let left = executor.runs.len().saturating_sub(lapsed.len());
+        if !lapsed.is_empty() {
+            log::info!(executor:% = executor.entry.id, lost = lapsed.len(), left = left;
+                "lease of an unresponsive executor expired; its runs are lost");
+        }
+        for (task, run) in lapsed {
+            self.lose_run(executor_index, task, run, now);
+        }
+        left == 0
+    }
+
+    /// Orders stops of the starts that were given up, at executors that answer again.
+    pub(crate) fn withdraw_given_up_starts(&mut self, now: Millis) {
+        let epoch = self.epoch;
+        for (_, executor) in self.executors.iter_mut() {
+            executor
+                .given_up_starts
+                .retain(|_, start| now < start.until);
+            if !executor.is_responsive(now) {
+                continue;
+            }
+            let (id, life) = (executor.entry.id.clone(), executor.entry.life);
+            let token = executor.token(epoch);
+            for ((task, run), start) in &mut executor.given_up_starts {
+                let recent = |sent: Millis| now.saturating_sub(sent) < STOP_RESEND_INTERVAL;
+                if start.stop_sent.is_some_and(recent) {
+                    continue;
+                }
+                start.stop_sent = Some(now);
+                self.actions.push(CellAction::Stop(StopOrder {
+                    executor: id.clone(),
+                    life,
+                    token,
+                    task: *task,
+                    run: *run,
+                }));
+            }
+        }
+    }
+
     /// Keeps a run that would otherwise be released, if a later life of its executor may still begin
     /// it; returns whether it is kept.
     pub(crate) fn keep_bound_run(
--- a/crates/magnolia-scheduler/tests/unanswered_starts.rs
+++ b/crates/magnolia-scheduler/tests/unanswered_starts.rs
@@ -287,3 +287,98 @@
         assert!(orders.iter().all(|order| stopped.contains(&order.task)), "{stopped:?}");
     }
 );
+
+/// Starts a long task that its executor lists, and then a second one, with a ticket if `ticketed`,
+/// whose start on the same executor gets no answer; returns both starts.
+fn lose_second_start(harness: &mut SchedulerHarness, ticketed: bool) -> (StartOrder, StartOrder) {
+    let long = || job(vec![step(1, 1000, 60_000, vec![])]);
+    if ticketed {
+        harness.require_eligibility();
+    }
+    harness.submit(1, long());
+    harness.store_batch();
+    let plan = |harness: &mut SchedulerHarness| {
+        let mut starts = if ticketed {
+            harness.plan_as_eligible()
+        } else {
+            harness.take_starts()
+        };
+        starts.remove(0)
+    };
+    let first = plan(harness);
+    harness
+        .scheduler
+        .apply_start(&first, StartAnswer::Started, harness.now);
+    let executor = usize::from(first.executor == id(1));
+    harness.advance(100);
+    harness.report(executor, vec![running(&first)], vec![]);
+    harness.submit(2, long());
+    harness.store_batch();
+    // The fullest executor is chosen.
+    let second = plan(harness);
+    assert_eq!(first.executor, second.executor);
+    harness
+        .scheduler
+        .apply_start(&second, StartAnswer::Unknown, harness.now);
+    (first, second)
+}
+
+test_case!(
+    /// Guards against tasks that stay away for long after a silent crash of their executor, because a
+    /// start of another task got no answer when it fell silent.
+    an_unanswered_start_holds_back_no_other_run_of_its_executor,
+    || {
+        for ticketed in [true, false] {
+            let mut harness = SchedulerHarness::new(1, 2);
+            let (first, second) = lose_second_start(&mut harness, ticketed);
+            let executor = usize::from(first.executor == id(1));
+            let silent_since = harness.now;
+            let mut restarted = Vec::new();
+            while harness.now.saturating_sub(silent_since) < Millis::new(4500) {
+                harness.advance(100);
+                harness.report(1 - executor, vec![], vec![]);
+                let starts = if ticketed {
+                    harness.start_tasks_as_eligible(Millis::new(60_000))
+                } else {
+                    harness.start_tasks()
+                };
+                restarted.extend(starts.iter().map(|start| start.task));
+            }
+            assert!(restarted.contains(&first.task), "{ticketed}: {restarted:?}");
+            if !ticketed {
+                assert!(!restarted.contains(&second.task), "a later life may begin it");
+            }
+        }
+    }
+);
+
+test_case!(
+    /// Guards against a second run of a task whose start is carried out late, by the life that it was
+    /// meant for: the lease had expired, the task has moved, and the executor answers again. It gets
+    /// no lease, which a late start would need, before it has confirmed a stop.
+    an_executor_that_answers_again_gets_a_lease_after_late_starts_are_withdrawn,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let (first, second) = lose_second_start(&mut harness, true);
+        let executor = usize::from(first.executor == id(1));
+        while harness.scheduler.unconfirmed_loss().is_none() {
+            harness.advance_unconfirmed(100);
+            harness.report(1 - executor, vec![], vec![]);
+        }
+        harness.confirm_ownership();
+        harness.stops();
+        let renewal = |harness: &mut SchedulerHarness| {
+            let now = harness.now;
+            let plan = harness.scheduler.plan_renewal(&id(executor), RenewalKind::Full, now);
+            plan.expect("listed").lease_until
+        };
+        harness.report(executor, vec![], vec![]);
+        harness.advance(100);
+        assert_eq!(renewal(&mut harness), None, "the start may still be carried out");
+        let stops = harness.stops();
+        let stopped: Vec<TaskRef> = stops.iter().map(|stop| stop.task).collect();
+        assert_eq!(stopped, [second.task]);
+        harness.scheduler.apply_stop(&stops[0], true);
+        assert!(renewal(&mut harness).is_some());
+    }
+);
