--- a/crates/magnolia-node/src/inventory.rs
+++ b/crates/magnolia-node/src/inventory.rs
@@ -63,7 +63,9 @@
 ) -> Result<LogOffset, StoreError> {
     let (records, end) = session.node.store.read_all(StreamName::Inventory).await?;
     let now = session.now();
-    for entry in session.lock().executors_to_renew() {
+    let known = session.lock().executors_to_renew();
+    for entry in known {
+        session.lock().record_deleted_entry(&entry.id);
         removals.entry(entry.id).or_insert(now);
     }
     apply_records(session, &records, removals);
@@ -96,6 +98,7 @@
         if record.value.is_empty() {
             match ExecutorId::new(&record.key) {
                 Ok(id) => {
+                    scheduler.record_deleted_entry(&id);
                     removals.entry(id).or_insert(now);
                 }
                 Err(error) => log::debug!(error:% = error; "invalid key of a deleted entry"),
--- a/crates/magnolia-node/src/lib.rs
+++ b/crates/magnolia-node/src/lib.rs
@@ -52,8 +52,8 @@
 pub use node::{CellNode, NodePorts};
 pub use ports::{
     AppendCondition, AppendOutcome, DocumentDecoder, EligibilityError, EligibilityPort, EntryError,
-    ExecutorPort, NewestPage, OrderError, StoreError, StreamName, StreamRecord, StreamStore,
-    TailPage,
+    ExecutorPort, NewestPage, OrderError, StartReply, StoreError, StreamName, StreamRecord,
+    StreamStore, TailPage,
 };
 pub use settings::NodeSettings;
 pub use state::{JobExplanation, NodeState, NodeStatus};
--- a/crates/magnolia-node/src/owner.rs
+++ b/crates/magnolia-node/src/owner.rs
@@ -368,7 +368,8 @@
         self.node.metrics.count("starts");
         let sent = self.now();
         let ports = &self.node.ports.executors;
-        let answer = ports.start(address, &order).await;
+        let reply = ports.start(address, &order).await;
+        let answer = reply.answer;
         let now = self.now();
         self.node.metrics.latency("start", now.saturating_sub(sent));
         if answer != StartAnswer::Started {
@@ -378,6 +379,9 @@
         }
         let mut scheduler = self.lock();
         scheduler.apply_start(&order, answer, now);
+        if let Some(clock) = reply.clock {
+            scheduler.check_clock(&order, clock, sent, now);
+        }
         drop(scheduler);
         if answer != StartAnswer::Started {
             self.request_plan();
--- a/crates/magnolia-node/src/ports.rs
+++ b/crates/magnolia-node/src/ports.rs
@@ -159,6 +159,15 @@
     Refused(Arc<str>),
 }
 
+/// Answer of an executor to a start.
+#[derive(Clone, Copy, Debug)]
+pub struct StartReply {
+    /// What became of the start.
+    pub answer: StartAnswer,
+    /// Reading of the executor's clock, if it answered with one.
+    pub clock: Option<Millis>,
+}
+
 /// Sends orders to executors.
 pub trait ExecutorPort: Send + Sync {
     /// Renews the lease if `plan` grants one, acknowledges the ends that are stored, and reads
@@ -170,11 +179,8 @@
     ) -> BoxFuture<'a, Result<ExecutorReport, OrderError>>;
 
     /// Starts a task.
-    fn start<'a>(
-        &'a self,
-        address: SocketAddr,
-        order: &'a StartOrder,
-    ) -> BoxFuture<'a, StartAnswer>;
+    fn start<'a>(&'a self, address: SocketAddr, order: &'a StartOrder)
+    -> BoxFuture<'a, StartReply>;
 
     /// Stops a run.
     fn stop<'a>(
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -65,6 +65,11 @@
         self.earliest_expiry = self.earliest_expiry.map(|known| known.min(at));
     }
 
+    /// Records that leases which an earlier owner granted may last until `at`.
+    pub(crate) fn expect_earlier_leases(&mut self, at: Millis) {
+        self.earliest_expiry = self.earliest_expiry.max(Some(at));
+    }
+
     /// Records that a lease until `until` may have been granted.
     pub fn grant(&mut self, until: Millis) {
         self.until = self.until.max(until);
@@ -76,6 +81,21 @@
         Some(self.clock_at(now)?.saturating_add(length))
     }
 
+    /// Returns how long leases may last that calls for an earlier life granted; none if there are none.
+    pub(crate) fn restart_lease_left(&self, now: Millis) -> Option<Millis> {
+        let expiry = self.earliest_expiry.filter(|at| *at > now)?;
+        Some(expiry.saturating_sub(now))
+    }
+
+    /// Returns the lowest reading that the clock of the same life can have at `at` or later, even if
+    /// the clock is slow; none before the first reading.
+    pub(crate) fn lowest_clock_at(&self, at: Millis) -> Option<Millis> {
+        let (clock, read_at) = self.reading?;
+        let since = at.saturating_sub(read_at).get();
+        let advanced = since.saturating_mul(1000 - CLOCK_SLOWNESS_PERMILLE) / 1000;
+        Some(clock.saturating_add(Millis::new(advanced)))
+    }
+
     /// Returns the time on the owner's clock at which the lease has certainly expired, even if the
     /// executor's clock is slow; `None` if nothing is known of any lease.
     pub fn expires_at(&self) -> Option<Millis> {
@@ -268,6 +288,15 @@
     pub(crate) lease_recorded: bool,
     /// Time from which all leases of earlier owners have expired there, even if it never answered.
     pub(crate) settles_at: Millis,
+    /// The same for leases that calls for an earlier life may have granted, as far as they are stored.
+    pub(crate) restart_leases_end: Millis,
+    /// Time to add to `settles_at` unless the platform's list shows the executor in the life that the
+    /// earlier owner knew: orders computed with the clock of another life grant the longest lease.
+    pub(crate) unproven_wait: Millis,
+    /// Life in the record of the earlier owner.
+    pub(crate) recorded_life: Option<ExecutorLife>,
+    /// Whether the platform's list has an entry of it now.
+    pub(crate) has_entry: bool,
     /// When all leases of earlier owners, or of this one before it listed all ends, had expired there
     /// without an answer. Its tasks start elsewhere once ownership is confirmed after that.
     pub(crate) given_up_at: Option<Millis>,
@@ -340,6 +369,10 @@
             record_refused: false,
             lease_recorded: false,
             settles_at: Millis::new(u64::MAX),
+            restart_leases_end: Millis::new(0),
+            unproven_wait: Millis::new(0),
+            recorded_life: None,
+            has_entry: true,
             given_up_at: None,
             settles_because: "",
             last_answer_at: None,
@@ -377,6 +410,19 @@
         self.inherited && (!self.settled || self.may_have_unlisted_ends)
     }
 
+    /// Tells whether all leases of earlier owners have expired there, even if it never answered.
+    pub(crate) fn is_settled_by(&self, now: Millis) -> bool {
+        // An entry is deleted after less time without a sign of life than the shortest wait, and shows
+        // each restart of an executor that writes it.
+        let is_proven = self.has_entry && self.recorded_life == Some(self.entry.life);
+        let wait = if is_proven {
+            Millis::new(0)
+        } else {
+            self.unproven_wait
+        };
+        now >= self.settles_at.saturating_add(wait) && now >= self.restart_leases_end
+    }
+
     /// Tells whether it is unresponsive and every lease that was granted to it has expired.
     pub(crate) fn is_lapsed(&self, now: Millis) -> bool {
         let expired = self.lease.expires_at().is_none_or(|at| now > at);
@@ -410,6 +456,7 @@
             lease_left,
             witness: witness || self.listing.possible,
             late_starts: self.late_starts(now),
+            restart_lease_left: self.lease.restart_lease_left(now),
         })
     }
 
--- a/crates/magnolia-scheduler/src/executors.rs
+++ b/crates/magnolia-scheduler/src/executors.rs
@@ -49,6 +49,10 @@
         /// may still carry them out.
         #[serde(default)]
         pub late_starts: Vec<(TaskRef, Millis)>,
+        /// Time after which the leases have expired that calls for an earlier life may have granted to
+        /// the present one; none if the owner knew of no restart.
+        #[serde(default)]
+        pub restart_lease_left: Option<Millis>,
     }
 }
 
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -68,7 +68,7 @@
     fn expire_leases(&mut self, now: Millis) {
         let mut lapsed = Vec::new();
         for (executor_index, executor) in self.executors.iter_mut() {
-            let unsettled = !executor.settled && now >= executor.settles_at;
+            let unsettled = !executor.settled && executor.is_settled_by(now);
             let is_lapsed = executor.is_lapsed(now);
             if unsettled || (is_lapsed && executor.may_have_unlisted_ends) {
                 executor.given_up_at.get_or_insert(now);
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -29,12 +29,14 @@
 /// Shortest time between two changes of the CPU share of fillers: a reported tail latency covers
 /// half a second.
 const PACE_INTERVAL: Millis = Millis::new(400);
+/// Difference between two readings of a clock that rounding to milliseconds can make.
+const CLOCK_ROUNDING: Millis = Millis::new(2);
 /// Pause after an executor refused a start for lack of capacity: its view of its reservations
 /// differs from the owner's until the next report.
 const NO_ROOM_PAUSE: Millis = Millis::new(300);
 /// Time before the end of its validity from which a ticket is not used any more, because the order
 /// still has to arrive.
-const TICKET_MARGIN: Millis = Millis::new(60);
+pub(crate) const TICKET_MARGIN: Millis = Millis::new(60);
 
 impl CellScheduler {
     /// Adds or updates an executor from the platform's list.
@@ -54,6 +56,7 @@
                 "executor status changed");
         }
         known.listed = true;
+        known.has_entry = true;
         if entry.life > known.entry.life {
             self.replace_life(executor_index, entry.life, now);
         }
@@ -65,6 +68,14 @@
         *known = entry;
     }
 
+    /// Records that the entry of an executor was deleted from the platform's list. It counts as listed
+    /// for a while, as entries are deleted during outages of the store as well.
+    pub fn record_deleted_entry(&mut self, id: &ExecutorId) {
+        if let Some(executor_index) = self.executors.index_of(id) {
+            self.executors.get_mut(executor_index).has_entry = false;
+        }
+    }
+
     /// Records that an executor is no longer in the platform's list.
     pub fn remove_executor(&mut self, id: &ExecutorId) {
         if let Some(executor_index) = self.executors.index_of(id) {
@@ -160,7 +171,7 @@
             self.replace_life(executor_index, report.life, now);
         }
         self.exclude_earlier_calls(executor_index, sent_at, now);
-        let lease = self.settings.lease;
+        let (lease, max_lease) = (self.settings.lease, self.settings.max_lease);
         let executor = self.executors.get_mut(executor_index);
         // The answer to a call that was sent before says nothing of a later rejection.
         if executor.fence.yields_to(sent_at) {
@@ -180,8 +191,16 @@
         let executor = self.executors.get_mut(executor_index);
         if !executor.settled {
             executor.settled = true;
-            // An earlier owner may have granted a lease just before this report.
-            executor.lease.grant(report.clock.saturating_add(lease));
+            // An earlier owner may have granted a lease just before this report, and the longest one if
+            // it did not know this life yet.
+            let is_known = executor
+                .recorded_life
+                .is_none_or(|life| life == report.life);
+            let granted = if is_known { lease } else { max_lease };
+            executor.lease.grant(report.clock.saturating_add(granted));
+            executor
+                .lease
+                .expect_earlier_leases(executor.restart_leases_end);
         }
         let listed: BTreeSet<(TaskRef, RunNumber)> = report
             .running
@@ -242,9 +261,33 @@
             .is_some()
         {
             executor.lease.limit_expiry(lease_end);
+            if executor.usage != ExecutorUse::Unused {
+                self.mark_executor_dirty(executor_index);
+            }
         }
     }
 
+    /// Compares the clock in the answer to a start that was sent at `sent_at` with that of the life
+    /// that the start was meant for. A lower reading shows that the executor has restarted since, and
+    /// that the start granted the longest lease.
+    pub fn check_clock(&mut self, order: &StartOrder, clock: Millis, sent_at: Millis, now: Millis) {
+        let Some(executor_index) = self.executors.index_of(&order.executor) else {
+            return;
+        };
+        let executor = self.executors.get_mut(executor_index);
+        let lowest = executor.lease.lowest_clock_at(sent_at);
+        let restarted = lowest.is_some_and(|lowest| clock.saturating_add(CLOCK_ROUNDING) < lowest);
+        if !restarted || order.token != executor.token(self.epoch) {
+            return;
+        }
+        log::info!(executor:% = order.executor, clock:% = clock;
+            "executor has restarted: its clock is behind; its runs wait for a report");
+        let life = executor.entry.life;
+        executor.begin_life(life, &self.settings, now);
+        executor.unconfirmed_life = Some(now);
+        self.mark_executor_dirty(executor_index);
+    }
+
     /// Opens the occurrences of a job up to that of a task that an earlier owner started. The
     /// occurrence may be missing in the record of the job, and not due yet by the clock of this
     /// daemon.
--- a/crates/magnolia-scheduler/src/settings.rs
+++ b/crates/magnolia-scheduler/src/settings.rs
@@ -97,6 +97,13 @@
         Millis::new(stretched).saturating_add(Self::MAX_ORDER_DELAY)
     }
 
+    /// Returns the same for orders that were computed with the clock of an earlier life of the
+    /// executor: they grant the longest lease.
+    pub fn longest_lease_end(&self) -> Millis {
+        let stretched = self.max_lease.get().saturating_mul(102) / 100;
+        Millis::new(stretched).saturating_add(Self::MAX_ORDER_DELAY)
+    }
+
     /// Longest time from sending an order to its arrival.
     const MAX_ORDER_DELAY: Millis = Millis::new(400);
 
@@ -106,6 +113,12 @@
         self.isolation_limit.saturating_add(self.lease_end())
     }
 
+    /// Returns the time by which an executor is waited for longer if it may be in a life that the
+    /// earlier owner did not know.
+    pub(crate) fn unproven_wait(&self) -> Millis {
+        self.longest_lease_end().saturating_sub(self.lease_end())
+    }
+
     /// Returns the time after a change of owner from which no lease of an earlier owner is left,
     /// whatever executors that owner still reaches.
     pub fn longest_takeover_wait(&self) -> Millis {
--- a/crates/magnolia-scheduler/src/takeover.rs
+++ b/crates/magnolia-scheduler/src/takeover.rs
@@ -29,11 +29,17 @@
     pub fn load_executor(&mut self, record: ExecutorRecord, now: Millis) {
         self.loaded_at = now;
         let wait = self.settings.longest_takeover_wait();
+        let unproven_wait = self.settings.unproven_wait();
         let usage = ExecutorUse::of(Some(&record));
         let listing = WitnessListing::of(Some(&record));
+        let life = record.entry.life;
         let executor_index = self.executors.add(record.entry);
         let executor = self.executors.get_mut(executor_index);
         executor.listed = false;
+        executor.has_entry = false;
+        executor.recorded_life = Some(life);
+        let restart_lease = record.restart_lease_left.unwrap_or_default();
+        executor.restart_leases_end = now.saturating_add(restart_lease);
         executor.inherited = true;
         executor.listing = listing;
         executor.usage = usage;
@@ -51,6 +57,10 @@
             "the longest lease has ended"
         };
         executor.settles_at = now.saturating_add(stored.unwrap_or(wait));
+        // A lease is stored with all leases that the owner may have granted.
+        if stored.is_none() {
+            executor.unproven_wait = unproven_wait;
+        }
     }
 
     /// Records that no earlier owner sends orders any more, so that all leases that they granted
--- a/crates/magnolia-scheduler/src/unanswered_starts.rs
+++ b/crates/magnolia-scheduler/src/unanswered_starts.rs
@@ -24,6 +24,7 @@
 use crate::executor_state::{ActiveRun, ExecutorState, RunPhase, stretch_lease};
 use crate::executors::{ExecutorIndex, ExecutorStatus};
 use crate::lifecycle::STOP_RESEND_INTERVAL;
+use crate::reports::TICKET_MARGIN;
 use crate::{CellAction, FenceToken, RunNumber, StartOrder, StopOrder, TaskRef};
 
 /// Pause before a start is repeated after the executor rejected it.
@@ -51,7 +52,7 @@
     /// Whether a later life may carry it out as well: it has no ticket.
     outlives: bool,
     /// Time until which a run that a later life began by it may be active, if no life has answered
-    /// since. Zero if no later life may begin one.
+    /// since.
     active_until: Millis,
     /// Time before which it is not repeated.
     repeat_at: Millis,
@@ -155,6 +156,10 @@
     ) {
         let arrives_until = now.saturating_add(self.settings.late_order_limit);
         let longest_lease = stretch_lease(self.settings.max_lease);
+        let tickets = self.step_state(order.task.step);
+        let ticket = tickets.and_then(|state| state.eligibility.tickets.get(&executor_index));
+        // The life for which a ticket is valid may be a later one than this owner knows.
+        let ticket_end = ticket.map(|ticket| ticket.valid_until.saturating_add(TICKET_MARGIN));
         let executor = self.executors.get_mut(executor_index);
         let Some(active) = executor.runs.get_mut(&(order.task, order.run)) else {
             return;
@@ -164,11 +169,10 @@
             lost_at: now,
             arrives_until,
             outlives,
-            active_until: if outlives {
-                arrives_until.saturating_add(longest_lease)
-            } else {
-                Millis::new(0)
-            },
+            active_until: ticket_end
+                .filter(|_| !outlives)
+                .unwrap_or(arrives_until)
+                .saturating_add(longest_lease),
             repeat_at: now,
         });
         if outlives {
--- a/crates/magnolia-scheduler/src/witnesses.rs
+++ b/crates/magnolia-scheduler/src/witnesses.rs
@@ -93,10 +93,12 @@
     /// have expired at `settles_at`.
     pub(crate) fn exclude_earlier_owners(&mut self, settles_at: Millis, reason: &'static str) {
         self.earlier_excluded = true;
+        let unproven_wait = self.settings.unproven_wait();
         let waiting = self.executors.iter_mut().map(|(_, executor)| executor);
         for executor in waiting.filter(|executor| executor.blocks_inherited()) {
             if settles_at < executor.settles_at {
                 executor.settles_at = settles_at;
+                executor.unproven_wait = unproven_wait;
                 executor.settles_because = reason;
             }
         }
--- a/crates/magnolia-scheduler/tests/witnesses.rs
+++ b/crates/magnolia-scheduler/tests/witnesses.rs
@@ -222,6 +222,7 @@
             lease_left: None,
             witness: true,
             late_starts: Vec::new(),
+            restart_lease_left: None,
         };
         let fields = (record.entry.clone(), None::<Vec<u8>>, None::<Millis>);
         let bytes = rmp_serde::to_vec(&fields).expect("encoded");
