--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -407,12 +407,9 @@
             active.stop_acked && before
         };
         let closed = executor.open_to_earlier_calls.is_none();
-        let excluded = |active: &ActiveRun| closed && active.may_be_of_earlier_life;
-        for (key, active) in &mut executor.runs {
-            if !listed.contains(key) && excluded(active) {
-                active.unanswered = None;
-            }
-        }
+        // A start on its way may still turn out to be one that a further life can carry out.
+        let excluded =
+            |active: &ActiveRun| closed && active.may_be_of_earlier_life && !active.in_flight;
         let gone: Vec<(TaskRef, RunNumber, bool)> = executor
             .runs
             .iter()
--- a/crates/magnolia-scheduler/src/unanswered_starts.rs
+++ b/crates/magnolia-scheduler/src/unanswered_starts.rs
@@ -4,8 +4,9 @@
 //! later life of it: calls name the executor, not its life. A stop that the present life confirms
 //! does not bind the next one. Only a ticket is valid for one life. Without one, the run keeps its
 //! task, and the same start is sent to the same executor again, so that there is no second run beside
-//! which the late one could be carried out. Once a later life has answered a call with its own
-//! [`FenceToken`], it rejects starts that were meant for an earlier one.
+//! which the late one could be carried out. A later life that has answered a call with its own
+//! [`FenceToken`] rejects starts that were meant for an earlier one, but the life after it has forgotten
+//! the token again. So the task stays at the executor until the start can't be carried out any more.
 //!
 //! What may be given up is a property of each run. When the lease of a silent executor has expired,
 //! its runs are over, and so is a start with a ticket: the life for which the ticket is valid rejects
