scheduler: a stored lease is withdrawn once, also while appends overlap

What callers saw: 503 in place of 413 for a job whose record the store refuses, after executors had fallen silent beside a slow store.

Cause: the record that withdraws an executor's stored lease was put into every batch until the newest one was stored. While appends overlap, that never happens: the executor gets no lease, and four appends are always pending.

Change: a record is batched again only if it differs from the newest batched one.

--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -286,6 +286,8 @@
     pub(crate) record_refused: bool,
     /// Whether the store may hold its remaining lease, which must not be renewed then.
     pub(crate) lease_recorded: bool,
+    /// Whether the newest record in a batch holds its remaining lease.
+    pub(crate) lease_batched: bool,
     /// Time from which all leases of earlier owners have expired there, even if it never answered.
     pub(crate) settles_at: Millis,
     /// The same for leases that calls for an earlier life may have granted, as far as they are stored.
@@ -368,6 +370,7 @@
             last_batch: 0,
             record_refused: false,
             lease_recorded: false,
+            lease_batched: false,
             settles_at: Millis::new(u64::MAX),
             restart_leases_end: Millis::new(0),
             unproven_wait: Millis::new(0),
@@ -464,7 +467,8 @@
     pub(crate) fn mark_record_batched(&mut self, batch: u64, record: Option<&ExecutorRecord>) {
         self.last_batch = batch;
         self.stored_usage = self.stored_usage.min(ExecutorUse::of(record));
-        self.lease_recorded |= record.is_some_and(|record| record.lease_left.is_some());
+        self.lease_batched = record.is_some_and(|record| record.lease_left.is_some());
+        self.lease_recorded |= self.lease_batched;
         self.listing.add_pending(record);
     }
 
--- a/crates/magnolia-scheduler/src/takeover.rs
+++ b/crates/magnolia-scheduler/src/takeover.rs
@@ -46,6 +46,7 @@
         executor.stored_usage = executor.usage;
         executor.inherited_tasks = record.confined_to.map(BTreeSet::from_iter);
         executor.lease_recorded = record.lease_left.is_some();
+        executor.lease_batched = executor.lease_recorded;
         let late = record.late_starts.into_iter();
         executor.inherited_starts = late
             .map(|(task, left)| (task, now.saturating_add(left)))
@@ -139,8 +140,10 @@
         let changed = |executor: &ExecutorState| {
             let recordable =
                 executor.is_lease_recordable(now) && executor.lease.expires_at().is_some();
-            recordable && !executor.lease_recorded
-                || executor.lease_recorded && executor.is_responsive(now)
+            // A record that waits for the store is not written again: while appends overlap, the newest
+            // one would never be stored.
+            recordable && !executor.lease_batched
+                || executor.lease_batched && executor.is_responsive(now)
         };
         let indexes: Vec<ExecutorIndex> = self
             .executors
--- a/crates/magnolia-scheduler/tests/takeover.rs
+++ b/crates/magnolia-scheduler/tests/takeover.rs
@@ -500,3 +500,35 @@
         assert!((6122..6170).contains(&unknown), "{unknown}");
     }
 );
+
+test_case!(
+    /// Guards against an executor that gets no lease while the store is slow: its record without the
+    /// stored lease is in one batch only, so that the newest one is stored although batches overlap.
+    a_stored_lease_is_withdrawn_once_while_batches_overlap,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        harness.submit(1, job(vec![step(1, 1000, 60_000, vec![])]));
+        harness.store_batch();
+        let order = harness.start_tasks().remove(0);
+        harness.advance(2500);
+        let batch = harness.scheduler.begin_batch(harness.now, START_UNIX_MS);
+        assert!(batch.executors[0].1.as_ref().is_some_and(|record| record.lease_left.is_some()));
+        harness.scheduler.finish_batch(batch);
+        harness.report(0, vec![running(&order)], vec![]);
+        harness.advance(100);
+        let withdrawing = harness.scheduler.begin_batch(harness.now, START_UNIX_MS);
+        assert_eq!(withdrawing.executors.len(), 1);
+        let mut later = Vec::new();
+        for key in 2..6 {
+            harness.report(0, vec![running(&order)], vec![]);
+            harness.advance(100);
+            harness.submit(key, job(vec![step(1, 1000, 60_000, vec![])]));
+            let batch = harness.scheduler.begin_batch(harness.now, START_UNIX_MS);
+            assert!(batch.executors.is_empty(), "{batch:?}");
+            later.push(batch);
+        }
+        harness.scheduler.finish_batch(withdrawing);
+        let plan = harness.scheduler.plan_renewal(&id(0), RenewalKind::Full, harness.now);
+        assert!(plan.expect("in use").lease_until.is_some(), "renewed again");
+    }
+);
