scheduler: a job waits until an executor has begun a task

Cause: a job counted as started when a start was decided, whatever became of it.

Change: it has started when an executor confirms or lists a run, or its end.

--- a/crates/magnolia-scheduler/src/job.rs
+++ b/crates/magnolia-scheduler/src/job.rs
@@ -58,7 +58,8 @@
     pub(crate) spec: Option<Arc<JobSpec>>,
     pub(crate) accepted_unix_ms: u64,
     pub(crate) occurrences: Vec<OccurrenceState>,
-    /// Whether this owner knows that a task has started.
+    /// Whether this owner knows that a task has begun. A start that was ordered does not count: it may
+    /// be rejected or get no answer.
     pub(crate) started: bool,
     /// Whether it was loaded after a change of owner.
     pub(crate) inherited: bool,
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -185,17 +185,20 @@
         self.executors
             .get_mut(executor_index)
             .add_run(task, run, active);
-        let job = task.step.job;
         if let Some(state) = self.step_state_mut(task.step) {
             state.waiting = state.waiting.saturating_sub(1);
             if let Some(task) = state.tasks.get_mut(task.index) {
                 task.phase = TaskPhase::Placed(executor_index, run);
             }
         }
-        if let Some(job) = self.jobs.get_mut(&job) {
+        self.update_ready(task.step);
+    }
+
+    /// Records that a task of a job has begun.
+    pub(crate) fn mark_started(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get_mut(&key) {
             job.started = true;
         }
-        self.update_ready(task.step);
     }
 
     /// Releases the resources of a run and returns its task to the waiting ones, unless a later life
@@ -272,6 +275,7 @@
         checkpoint: Option<Arc<str>>,
         now: Millis,
     ) {
+        self.mark_started(task.step.job);
         let runs = &mut self.executors.get_mut(executor_index).runs;
         if let Some(active) = runs.get_mut(&(task, run)) {
             active.closed = true;
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -314,6 +314,7 @@
 
     fn apply_running(&mut self, executor_index: ExecutorIndex, reported: RunningTask, now: Millis) {
         let key = (reported.task, reported.run);
+        self.mark_started(reported.task.step.job);
         let executor = self.executors.get_mut(executor_index);
         if let Some(active) = executor.runs.get_mut(&key) {
             if active.percent != reported.percent || active.confirmed_at.is_none() {
@@ -467,6 +468,7 @@
                 if active.phase == RunPhase::Starting {
                     active.phase = RunPhase::Running;
                 }
+                self.mark_started(order.task.step.job);
             }
             // The order had no effect. The task waits until ownership is confirmed.
             StartAnswer::Fenced => {
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -650,3 +650,27 @@
         assert_eq!(saved.len(), 1, "the checkpoint of the only task");
     }
 );
+
+test_case!(
+    /// Guards against a count of waiting jobs that leaves out jobs whose starts were rejected: they have
+    /// not begun.
+    a_job_waits_until_an_executor_has_begun_a_task,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        harness.submit(1, job(vec![step(1, 1000, 100, vec![])]));
+        harness.store_batch();
+        let queue = harness.rules.name.clone();
+        for answer in [StartAnswer::Unhealthy, StartAnswer::NoRoom, StartAnswer::Unknown] {
+            harness.advance(5000);
+            harness.report(0, vec![], vec![]);
+            let order = harness.take_starts().remove(0);
+            harness.scheduler.apply_start(&order, answer, harness.now);
+            assert_eq!(harness.scheduler.pending(&queue), 1, "{answer:?}");
+            assert_eq!(harness.scheduler.status(JobKey::new(1)), Some(JobStatus::Queued));
+        }
+        harness.advance(200);
+        harness.report(0, vec![], vec![]);
+        assert_eq!(harness.start_tasks().len(), 1);
+        assert_eq!(harness.scheduler.pending(&queue), 0);
+    }
+);
