--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -12,6 +12,7 @@
 use crate::executors::{ExecutorIndex, ExecutorTable};
 use crate::job::JobState;
 use crate::lost_runs::LostRun;
+use crate::need_classes::{NeedClass, NeedClasses};
 use crate::ordering::WorkMean;
 use crate::record::JobRecord;
 use crate::step::{StepState, TaskPhase, TaskState};
@@ -32,6 +33,8 @@
     /// Unix milliseconds by which steps of the same priority are ordered.
     pub(crate) order_unix_ms: u64,
     pub(crate) step: StepRef,
+    /// Steps of other classes don't wait for the same executors.
+    pub(crate) class: NeedClass,
 }
 
 /// Outcome of a submission.
@@ -108,6 +111,8 @@
     pub(crate) executors: ExecutorTable,
     /// Steps that can start tasks, in the order in which they are planned.
     pub(crate) ready: BTreeSet<ReadyKey>,
+    /// Classes of the steps by the executors that they need.
+    pub(crate) need_classes: NeedClasses,
     /// Ready steps that no executor could run even if it were idle.
     pub(crate) unplaceable: UnplaceableSteps,
     pub(crate) eligibility_queue: EligibilityQueue,
@@ -155,6 +160,7 @@
             live: BTreeSet::new(),
             executors: ExecutorTable::default(),
             ready: BTreeSet::new(),
+            need_classes: NeedClasses::default(),
             unplaceable: UnplaceableSteps::default(),
             eligibility_queue: EligibilityQueue::new(),
             eligible_share: HashMap::new(),
--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -34,6 +34,7 @@
 mod job_spec;
 mod lifecycle;
 mod lost_runs;
+mod need_classes;
 mod ordering;
 mod outage;
 mod pacing;
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -8,6 +8,7 @@
 use crate::executor_state::{ActiveRun, RunPhase};
 use crate::executors::ExecutorIndex;
 use crate::job::{JobState, open_steps};
+use crate::need_classes::NeedClasses;
 use crate::step::{StepState, TaskPhase, TaskState};
 use crate::{
     CellAction, EndKind, JobKey, JobStatus, RunNumber, StepRef, StepSpec, StopOrder, TaskRef,
@@ -38,12 +39,14 @@
         step.tasks.get_mut(task.index)
     }
 
-    fn ready_key(job: &JobState, step: StepRef) -> ReadyKey {
-        ReadyKey {
+    fn ready_key(classes: &mut NeedClasses, job: &JobState, step: StepRef) -> Option<ReadyKey> {
+        let spec = job.spec.as_ref()?.steps.get(usize::from(step.step))?;
+        Some(ReadyKey {
             priority: job.rules.priority,
             order_unix_ms: job.order_unix_ms,
             step,
-        }
+            class: classes.class_of(&job.rules.service, spec),
+        })
     }
 
     /// Adds a step to the ready set or removes it, depending on whether it can start tasks.
@@ -52,9 +55,11 @@
         let Some(job) = self.jobs.get(&step.job) else {
             return;
         };
-        let key = Self::ready_key(job, step);
-        let state = self.step_state(step);
+        let Some(key) = Self::ready_key(&mut self.need_classes, job, step) else {
+            return;
+        };
         let can_start = job.stored && job.ending.is_none();
+        let state = self.step_state(step);
         if can_start && state.is_some_and(|state| state.open && state.waiting > 0) {
             self.ready.insert(key);
         } else {
--- a/crates/magnolia-scheduler/src/step_selection.rs
+++ b/crates/magnolia-scheduler/src/step_selection.rs
@@ -7,12 +7,13 @@
 use crate::cell::{CellScheduler, ReadyKey};
 use crate::executors::ExecutorIndex;
 use crate::job::JobState;
+use crate::need_classes::NeedClass;
 use crate::planning::{is_startable, is_suitable};
 use crate::takeover::TakeoverBlock;
 use crate::{JobKey, StepRef};
 
-/// Most steps of one priority that a planning pass considers. Steps behind them wait for the same
-/// capacity.
+/// Most steps of one priority and class of needs that a planning pass considers. Steps behind them
+/// wait for the same capacity.
 const STEPS_PER_PASS: usize = 48;
 
 /// Ready steps that no executor could run even if it were idle, as of the last planning pass: none
@@ -72,11 +73,11 @@
             self.unplaceable.clear();
             self.unplaceable.accepting = accepting;
         }
-        let mut considered: BTreeMap<u32, usize> = BTreeMap::new();
+        let mut considered: BTreeMap<(u32, NeedClass), usize> = BTreeMap::new();
         let mut keys = Vec::new();
         let mut found = Vec::new();
         for key in &self.ready {
-            let count = considered.entry(key.priority).or_default();
+            let count = considered.entry((key.priority, key.class)).or_default();
             let blocked = block.all && self.is_inherited(key.step);
             if blocked || *count >= STEPS_PER_PASS || self.unplaceable.steps.contains(&key.step) {
                 continue;
--- a/crates/magnolia-scheduler/tests/step_selection.rs
+++ b/crates/magnolia-scheduler/tests/step_selection.rs
@@ -156,3 +156,32 @@
         assert!(asked, "the last job is never looked at");
     }
 );
+
+test_case!(
+    /// Guards against a job that waits while executors are idle: more steps than a planning pass
+    /// considers wait for busy executors of one kind, and it needs none of these.
+    steps_that_wait_for_one_kind_of_executor_hold_up_no_others,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        let mut of_kind = entry(1, "r1-0");
+        of_kind.labels = vec!["b".into(), "r1-0".into()];
+        harness.scheduler.upsert_executor(of_kind, harness.now);
+        harness.report_from_all(2);
+        let waiting = changed_job(|step| {
+            step.label = Some("b".into());
+            step.need.cpu_millis = magnolia_types::CpuMillis::new(CAPACITY * 3 / 4);
+        });
+        let mut started = 0;
+        for key in 1..=HOPELESS_JOBS {
+            harness.submit(key, waiting.clone());
+            harness.store_batch();
+            started += harness.start_tasks().len();
+        }
+        assert_eq!(started, 1, "one task fits on the executor of the kind");
+        // The job comes after all others, although it is smaller.
+        harness.advance(30_000);
+        (0..2).for_each(|number| harness.report(number, vec![], vec![]));
+        harness.start_tasks();
+        check_sound_job_starts(&mut harness);
+    }
+);
