scheduler: an overtaken answer shows no restart of its executor

Such an executor gets nothing new until its next report.

Cause: the clock in the answer to a start was compared with a reading of a later time, when a report had overtaken the answer.

Change: the comparison goes back from a later reading to the time of the start.

Evidence: an_answer_that_was_overtaken_shows_no_restart fails on the code before.

--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -88,12 +88,18 @@
     }
 
     /// Returns the lowest reading that the clock of the same life can have at `at` or later, even if
-    /// the clock is slow; none before the first reading.
+    /// the clock is slow; none before the first reading. The last reading may be of a later time, as
+    /// answers overtake each other.
     pub(crate) fn lowest_clock_at(&self, at: Millis) -> Option<Millis> {
         let (clock, read_at) = self.reading?;
         let since = at.saturating_sub(read_at).get();
         let advanced = since.saturating_mul(1000 - CLOCK_SLOWNESS_PERMILLE) / 1000;
-        Some(clock.saturating_add(Millis::new(advanced)))
+        let before = read_at.saturating_sub(at);
+        Some(
+            clock
+                .saturating_add(Millis::new(advanced))
+                .saturating_sub(before),
+        )
     }
 
     /// Returns the time on the owner's clock at which the lease has certainly expired, even if the
--- a/crates/magnolia-scheduler/tests/unanswered_starts.rs
+++ b/crates/magnolia-scheduler/tests/unanswered_starts.rs
@@ -425,6 +425,27 @@
     }
 );
 
+test_case!(
+    /// Guards against an owner that takes an executor for restarted, and does not use it for a while,
+    /// because a report has overtaken the answer to an earlier start.
+    an_answer_that_was_overtaken_shows_no_restart,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        harness.submit(1, job(vec![step(1, 1000, 60_000, vec![])]));
+        harness.store_batch();
+        let order = harness.take_starts().remove(0);
+        let sent_at = harness.now;
+        harness.advance(300);
+        harness.report(0, vec![running(&order)], vec![]);
+        harness.advance(10);
+        let (clock, now) = (sent_at.saturating_add(Millis::new(5)), harness.now);
+        harness.scheduler.apply_start(&order, StartAnswer::Started, now);
+        harness.scheduler.check_clock(&order, clock, sent_at, now);
+        let plan = harness.scheduler.plan_renewal(&id(0), RenewalKind::Full, harness.now);
+        assert_eq!(plan.expect("in use").token, order.token);
+    }
+);
+
 test_case!(
     /// Guards against a second run of a task whose unanswered start had a ticket of a life that the
     /// owner does not know: that life may have begun the run as long as the ticket was valid.
