node: batches are stored in appends of 1 MiB again

Cause: appends were split at 128 KiB for slow links. The parts of a larger batch are stored one after the other, and no other append overlaps them.

Change: 1 MiB as before; the time of a call follows from its size anyway.

--- a/crates/magnolia-node/src/committer.rs
+++ b/crates/magnolia-node/src/committer.rs
@@ -38,9 +38,9 @@
 const OVERLAP_LATENCY: Millis = Millis::new(80);
 /// Limit of pending appends. The store recognises repeats of the last five appends only.
 const MAX_PENDING_APPENDS: usize = 4;
-/// Size in bytes from which an append takes no further record: what the slowest link carries in a
-/// tenth of a second. It is below the limit of the platform.
-const MAX_APPEND_BYTES: usize = 128 << 10;
+/// Size in bytes from which an append takes no further record, below the limit of the platform. The
+/// parts of a larger batch are stored one after the other, which takes long while the store is slow.
+const MAX_APPEND_BYTES: usize = 1 << 20;
 
 /// Key of the record with which an owner opens its epoch.
 const EPOCH_KEY: &str = "epoch";
--- a/crates/magnolia-node/src/routed_store.rs
+++ b/crates/magnolia-node/src/routed_store.rs
@@ -23,7 +23,7 @@
     AppendCondition, AppendOutcome, NewestPage, StoreError, StreamName, StreamRecord, StreamStore,
     TailPage,
 };
-use crate::transfer::{append_bytes, page_transfer_time, transfer_time};
+use crate::transfer::{append_bytes, link_time, page_transfer_time, transfer_time};
 
 /// Time after a failed direct call during which relays are tried first.
 const DIRECT_BACKOFF: Millis = Millis::new(2000);
@@ -409,7 +409,7 @@
     /// Time within which the answer has to begin to arrive: for the store's answer, for the wait that
     /// the call asks for, and for sending its data.
     timeout: Duration,
-    /// Time that the data of the call takes on its way to the store.
+    /// Time that the data of the call takes on the link of this daemon, if nothing else does.
     sending: Duration,
     /// Longest time that the answer takes from its first byte.
     receiving: Duration,
@@ -422,10 +422,10 @@
         let timeout = ROUTE_TIMEOUT + call_wait(call);
         match call {
             StoreCall::Append { records, .. } => {
-                let sending = transfer_time(append_bytes(records));
+                let bytes = append_bytes(records);
                 Self {
-                    timeout: timeout + sending,
-                    sending,
+                    timeout: timeout + transfer_time(bytes),
+                    sending: link_time(bytes),
                     receiving: Duration::ZERO,
                     hedges: true,
                 }
