--- a/crates/magnolia-bench/src/load_simulation.rs
+++ b/crates/magnolia-bench/src/load_simulation.rs
@@ -10,11 +10,11 @@
 use std::sync::Arc;
 
 use magnolia_scheduler::{
-    CellAction, CellRules, CellScheduler, CellVersion, EligibilityAnswer, EligibilityCost,
-    EligibilityOrder, EndKind, ExecutorEntry, ExecutorLife, ExecutorReport, ExecutorStatus, JobKey,
-    JobSpec, JobStatus, QueueName, QueueRules, RenewalKind, RunEnd, RunNumber, RunningTask,
-    SchedulerSettings, ServiceName, StartAnswer, StartOrder, StepSpec, StoreBatch, SubmitOutcome,
-    TaskRef,
+    AccountDirectory, AccountName, AccountRules, CellAction, CellRules, CellScheduler, CellVersion,
+    EligibilityAnswer, EligibilityCost, EligibilityOrder, EndKind, ExecutorEntry, ExecutorLife,
+    ExecutorReport, ExecutorStatus, JobKey, JobSpec, JobStatus, QueueName, QueueRules, RenewalKind,
+    RunEnd, RunNumber, RunningTask, SchedulerSettings, ServiceName, StartAnswer, StartOrder,
+    StepSpec, StoreBatch, SubmitOutcome, TaskRef,
 };
 use magnolia_types::{DataCentreName, Epoch, ExecutorId, Millis, ResourceVector};
 
@@ -57,6 +57,8 @@
     work: u64,
     ended_at: Option<Millis>,
     refused: bool,
+    /// Client account that submitted it, by name.
+    account: Option<AccountName>,
 }
 
 /// Number of jobs of a queue by result.
@@ -130,6 +132,7 @@
             per_executor_us,
             valid: Millis::new(2500),
         }),
+        public: false,
     }
 }
 
@@ -244,13 +247,25 @@
 
     /// Submits a job to the queue with this index.
     pub fn submit(&mut self, queue: usize, key: u64, spec: JobSpec) {
+        self.submit_as(None, queue, key, spec);
+    }
+
+    /// Submits a job of a client account.
+    pub fn submit_as(
+        &mut self,
+        account: Option<&Arc<AccountRules>>,
+        queue: usize,
+        key: u64,
+        spec: JobSpec,
+    ) {
         let rules = Arc::clone(&self.queues[queue]);
         let key = JobKey::new(key);
         let objective = rules.objective(spec.critical_path());
         let work = spec.work();
         let unix_ms = self.unix_ms();
         let spec = Arc::new(spec);
-        let outcome = self.scheduler.submit(key, &rules, &spec, self.now, unix_ms);
+        let scheduler = &mut self.scheduler;
+        let outcome = scheduler.submit_as(account, key, &rules, &spec, self.now, unix_ms);
         let refused = matches!(outcome, SubmitOutcome::Refused { .. });
         self.jobs.insert(
             key,
@@ -261,6 +276,7 @@
                 work,
                 ended_at: None,
                 refused,
+                account: account.map(|account| account.name.clone()),
             },
         );
     }
@@ -331,6 +347,43 @@
         earned.sum::<f64>() / queue_jobs().map(value).sum::<f64>().max(f64::MIN_POSITIVE)
     }
 
+    /// Puts a configuration with these client accounts in force.
+    pub fn set_accounts(&mut self, accounts: &[Arc<AccountRules>]) {
+        let mut directory = AccountDirectory::new();
+        for rules in accounts {
+            directory.add((**rules).clone(), &[]);
+        }
+        let queues = self.queues.iter();
+        let rules = CellRules {
+            version: CellVersion::new(2),
+            queues: queues
+                .map(|queue| (queue.name.clone(), Arc::clone(queue)))
+                .collect(),
+            accounts: Some(Arc::new(directory)),
+            ..CellRules::default()
+        };
+        self.scheduler.set_rules(Arc::new(rules));
+    }
+
+    /// Returns the results of the jobs of the account `named`, or of those of all other accounts.
+    pub fn account_result(&self, named: &str, is_named: bool) -> QueueResult {
+        let mut result = QueueResult::default();
+        let of_account = |job: &&SimulatedJob| {
+            let account = job.account.as_ref();
+            account.is_some_and(|name| (name.as_str() == named) == is_named)
+        };
+        for job in self.jobs.values().filter(of_account) {
+            result.sent += 1;
+            result.refused += u32::from(job.refused);
+            if let Some(ended_at) = job.ended_at {
+                let on_time = ended_at.saturating_sub(job.sent_at) <= job.objective;
+                result.on_time += u32::from(on_time);
+                result.late += u32::from(!on_time);
+            }
+        }
+        result
+    }
+
     /// Returns an upper bound on the number of jobs of a queue that can be on time.
     ///
     /// The bound counts the smallest jobs whose work fits on all executors between the first
--- a/crates/magnolia-node/src/callers.rs
+++ b/crates/magnolia-node/src/callers.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use magnolia_scheduler::{JobKey, JobSpec, JobStatus, QueueName, QueueRules};
+use magnolia_scheduler::{
+    AccountRules, CellVersion, JobKey, JobSpec, JobStatus, KeyDigest, QueueName, QueueRules,
+};
 use magnolia_types::{Millis, wire_types};
 
 wire_types! {
@@ -12,6 +14,27 @@
         pub request: CallerRequest,
         /// Time for which the caller still waits for the answer.
         pub time_left: Millis,
+        /// For whom the daemon that the caller asked lets the request through.
+        pub access: CallerAccess,
+    }
+
+    /// Verdict of a daemon on the key of a caller. The owner does not rely on it if it knows a newer
+    /// configuration.
+    pub struct CallerAccess {
+        /// Version of the configuration by which the daemon decided.
+        pub version: CellVersion,
+        /// Queue that the request is for.
+        pub queue: QueueName,
+        /// The account of the key; none if the queue needs no key.
+        pub grant: Option<AccountGrant>,
+    }
+
+    /// Account of a caller, and the key that shows it.
+    pub struct AccountGrant {
+        /// Rules of the account.
+        pub account: Arc<AccountRules>,
+        /// Digest of the key.
+        pub key: KeyDigest,
     }
 
     /// A caller's request.
@@ -73,11 +96,28 @@
             /// Memory that all jobs may take, in bytes.
             limit: u64,
         },
+        /// Not carried out: the caller's key is missing, or unknown in the configuration in force.
+        Unauthorized,
+        /// Not accepted because a task, or the tasks of a gang together, need more than the client
+        /// account may use; the job never runs.
+        AboveCap {
+            /// Number of the step.
+            step: u16,
+        },
+        /// Not accepted because another client account has a job with this key.
+        OtherAccount,
         /// The outcome is unknown; the request may have been carried out.
         Undetermined,
     }
 }
 
+impl CallerAccess {
+    /// Returns the rules of the caller's account.
+    pub fn account(&self) -> Option<&Arc<AccountRules>> {
+        self.grant.as_ref().map(|grant| &grant.account)
+    }
+}
+
 /// Outcome of serving a request in an owner's session.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum ServeOutcome {
--- a/crates/magnolia-node/src/gateway.rs
+++ b/crates/magnolia-node/src/gateway.rs
@@ -34,7 +34,7 @@
                 return answer_without_owner(&timed.request, forwarded);
             }
             let left = deadline.saturating_sub(now);
-            match self.try_owner(&timed.request, left, &mut forwarded).await {
+            match self.try_owner(&timed, left, &mut forwarded).await {
                 Some(answer) => return answer,
                 None => self.wait_for_owner_change(deadline).await,
             }
@@ -54,13 +54,13 @@
     /// owner may have received the request.
     async fn try_owner(
         self: &Arc<Self>,
-        request: &CallerRequest,
+        timed: &TimedCallerRequest,
         left: Millis,
         forwarded: &mut bool,
     ) -> Option<CallerAnswer> {
         if let Some(session) = self.session() {
             let limit = left.into();
-            let outcome = tokio::time::timeout(limit, session.serve(request, left)).await;
+            let outcome = tokio::time::timeout(limit, session.serve(timed, left)).await;
             return match outcome {
                 Ok(ServeOutcome::Answered(answer)) => Some(answer),
                 Ok(ServeOutcome::NotOwner) => None,
@@ -75,8 +75,8 @@
             return None;
         }
         let message = PeerRequest::Caller(TimedCallerRequest {
-            request: request.clone(),
             time_left: left,
+            ..timed.clone()
         });
         let limit = FORWARD_TIMEOUT.min(left.into());
         let reply = self
--- a/crates/magnolia-node/src/lib.rs
+++ b/crates/magnolia-node/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`CellScheduler`](magnolia_scheduler::CellScheduler), stores the decisions of the scheduler,
 //! renews leases, orders starts and stops, and sends eligibility requests through all daemons.
 
+mod access;
 mod callers;
 mod clock;
 mod committer;
@@ -45,7 +46,8 @@
 #[cfg(test)]
 mod routed_store_tests;
 
-pub use callers::{CallerAnswer, CallerRequest, TimedCallerRequest};
+pub use access::check_access;
+pub use callers::{AccountGrant, CallerAccess, CallerAnswer, CallerRequest, TimedCallerRequest};
 pub use clock::NodeClock;
 pub use membership::{MemberRecord, OwnerClaim};
 pub use metrics::NodeMetrics;
--- a/crates/magnolia-node/src/metrics.rs
+++ b/crates/magnolia-node/src/metrics.rs
@@ -13,6 +13,8 @@
     counters: Mutex<BTreeMap<&'static str, u64>>,
     gauges: Mutex<BTreeMap<&'static str, u64>>,
     latencies: Mutex<BTreeMap<&'static str, Histogram<u32>>>,
+    /// Gauges by client account; each report replaces all values of a name.
+    account_gauges: Mutex<BTreeMap<&'static str, Vec<(String, u64)>>>,
 }
 
 /// Largest latency that a histogram records, in milliseconds; larger ones count as this.
@@ -45,6 +47,15 @@
         gauges.insert(name, value);
     }
 
+    /// Replaces the values of a gauge by client account.
+    pub fn account_gauge(&self, name: &'static str, values: Vec<(String, u64)>) {
+        let mut gauges = self
+            .account_gauges
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        gauges.insert(name, values);
+    }
+
     /// Records a latency in a histogram.
     pub fn latency(&self, name: &'static str, time: Millis) {
         let mut latencies = self
@@ -85,6 +96,16 @@
             line(name, *value);
         }
         drop(gauges);
+        let gauges = self
+            .account_gauges
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        for (name, values) in gauges.iter() {
+            for (account, value) in values {
+                line(&format!("{name}{{account=\"{account}\"}}"), *value);
+            }
+        }
+        drop(gauges);
         let latencies = self
             .latencies
             .lock()
--- a/crates/magnolia-node/src/node.rs
+++ b/crates/magnolia-node/src/node.rs
@@ -7,7 +7,9 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use magnolia_http::{HttpHandler, HttpRequest, HttpResponse, read_body, serve};
-use magnolia_scheduler::{CellRules, JobSpec, QueueRules, RecordError, check_record_size};
+use magnolia_scheduler::{
+    AccountRules, CellRules, JobSpec, QueueRules, RecordError, check_record_size,
+};
 use magnolia_types::{Epoch, Incarnation, LogOffset, Millis};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
@@ -416,9 +418,10 @@
         &self,
         rules: &Arc<QueueRules>,
         spec: &Arc<JobSpec>,
+        account: Option<&Arc<AccountRules>>,
     ) -> Result<(), RecordError> {
         let limit = self.settings.scheduler.max_record_bytes;
-        check_record_size(spec, rules, limit)
+        check_record_size(spec, rules, account, limit)
     }
 
     /// Answers a request from another daemon.
@@ -426,7 +429,7 @@
         match message {
             PeerRequest::Ping(ping) => PeerReply::Ping(self.answer_ping(&ping)),
             PeerRequest::Caller(timed) => match self.session() {
-                Some(session) => match session.serve(&timed.request, timed.time_left).await {
+                Some(session) => match session.serve(&timed, timed.time_left).await {
                     ServeOutcome::Answered(answer) => PeerReply::Caller(answer),
                     ServeOutcome::NotOwner => PeerReply::NotOwner,
                     ServeOutcome::OwnershipLost => PeerReply::Unsettled,
--- a/crates/magnolia-node/src/owner.rs
+++ b/crates/magnolia-node/src/owner.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use magnolia_scheduler::{
-    CellAction, CellRules, CellScheduler, ExecutorRecord, JobKey, JobRecord, QueueRules,
-    ServiceName, StartAnswer, job_memory_share,
+    AccountSummary, CellAction, CellRules, CellScheduler, ExecutorRecord, JobKey, JobRecord,
+    QueueRules, ServiceName, StartAnswer, job_memory_share,
 };
 use magnolia_types::{DaemonId, Epoch, Millis};
 use tokio::sync::{Notify, watch};
@@ -314,6 +314,28 @@
         gauge("usable_executors", summary.usable_executors);
         metrics.gauge("used_cpu_millis", summary.used_cpu);
         metrics.gauge("total_cpu_millis", summary.total_cpu);
+        let by_account = |value: fn(&AccountSummary) -> u64| {
+            let accounts = summary.accounts.iter();
+            accounts
+                .map(|account| (account.name.to_string(), value(account)))
+                .collect()
+        };
+        metrics.account_gauge(
+            "account_used_cpu_millis",
+            by_account(|account| account.running.cpu_millis.get()),
+        );
+        metrics.account_gauge(
+            "account_cap_cpu_millis",
+            by_account(|account| account.cap.cpu_millis.get()),
+        );
+        metrics.account_gauge(
+            "account_waiting_jobs",
+            by_account(|account| u64::try_from(account.waiting_jobs).unwrap_or(0)),
+        );
+        metrics.account_gauge(
+            "account_refused_jobs",
+            by_account(|account| account.refused_share.saturating_add(account.refused_other)),
+        );
         log::info!(live = summary.live_jobs, ready = summary.ready_steps,
             advice = summary.waiting_advice, runs = summary.active_runs,
             executors = summary.usable_executors, unsettled = summary.unsettled_executors,
@@ -461,6 +483,7 @@
             stretch_permille: 1000,
             latency_target: Millis::new(0),
             advice: None,
+            public: false,
         }),
     }
 }
--- a/crates/magnolia-node/src/peer_messages.rs
+++ b/crates/magnolia-node/src/peer_messages.rs
@@ -1,8 +1,12 @@
 //! Messages between daemons.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use magnolia_scheduler::{CellRules, CellVersion, EligibilityAnswer, JobKey, StepRef};
+use magnolia_scheduler::{
+    AccountDirectory, AccountName, AccountRules, CellRules, CellVersion, EligibilityAnswer, JobKey,
+    KeyDigest, StepRef,
+};
 use magnolia_types::{DaemonId, Epoch, ExecutorId, Incarnation, LogOffset, Millis, wire_types};
 
 use crate::callers::{CallerAnswer, TimedCallerRequest};
@@ -109,7 +113,32 @@
         pub(crate) queues: Vec<magnolia_scheduler::QueueRules>,
         pub(crate) services: Vec<(magnolia_scheduler::ServiceName, magnolia_scheduler::ServiceRules)>,
         pub(crate) max_body_bytes: u64,
+        /// Client accounts with the digests of their keys.
+        #[serde(default)]
+        pub(crate) accounts: Option<Vec<(AccountRules, Vec<KeyDigest>)>>,
+    }
+}
+
+/// Returns the accounts of a configuration with their keys.
+fn account_copies(directory: &AccountDirectory) -> Vec<(AccountRules, Vec<KeyDigest>)> {
+    let mut keys: BTreeMap<&AccountName, Vec<KeyDigest>> = BTreeMap::new();
+    for (key, name) in directory.keys() {
+        keys.entry(name).or_default().push(*key);
+    }
+    let copy = |rules: &Arc<AccountRules>| {
+        let keys = keys.get(&rules.name).cloned().unwrap_or_default();
+        ((**rules).clone(), keys)
+    };
+    directory.accounts().map(copy).collect()
+}
+
+/// Returns the directory of copied accounts.
+fn account_directory(copies: &[(AccountRules, Vec<KeyDigest>)]) -> AccountDirectory {
+    let mut directory = AccountDirectory::new();
+    for (rules, keys) in copies {
+        directory.add(rules.clone(), keys);
     }
+    directory
 }
 
 impl From<&CellRules> for RulesCopy {
@@ -126,6 +155,7 @@
                 .map(|(name, rules)| (name.clone(), rules.clone()))
                 .collect(),
             max_body_bytes: rules.max_body_bytes,
+            accounts: rules.accounts.as_deref().map(account_copies),
         }
     }
 }
@@ -140,6 +170,10 @@
                 .collect(),
             services: copy.services.iter().cloned().collect(),
             max_body_bytes: copy.max_body_bytes,
+            accounts: copy
+                .accounts
+                .as_deref()
+                .map(|copies| Arc::new(account_directory(copies))),
         }
     }
 }
--- a/crates/magnolia-node/src/serving.rs
+++ b/crates/magnolia-node/src/serving.rs
@@ -4,28 +4,61 @@
 use std::sync::atomic::Ordering;
 
 use magnolia_scheduler::{
-    JobKey, JobSpec, OutageDecision, QueueRules, SubmitOutcome, decide_outage,
+    AccountAccess, AccountRules, JobKey, JobSpec, OutageDecision, QueueRules, SubmitOutcome,
+    decide_outage,
 };
 use magnolia_types::Millis;
 
-use crate::callers::{CallerAnswer, CallerRequest, ServeOutcome};
+use crate::access::recheck_access;
+use crate::callers::{CallerAnswer, CallerRequest, ServeOutcome, TimedCallerRequest};
 use crate::committer::StoreOutcome;
 use crate::owner::OwnerSession;
 
+/// A job that a caller submits.
+struct SubmittedJob<'a> {
+    key: JobKey,
+    rules: &'a Arc<QueueRules>,
+    spec: &'a Arc<JobSpec>,
+    account: Option<&'a Arc<AccountRules>>,
+}
+
+/// Returns the jobs that a caller of this account may read and cancel.
+fn job_access(account: Option<&Arc<AccountRules>>) -> AccountAccess<'_> {
+    account.map_or(AccountAccess::Any, |account| {
+        AccountAccess::Account(&account.name)
+    })
+}
+
 impl OwnerSession {
     /// Serves the request of a caller that still waits for `time_left`.
     pub(crate) async fn serve(
         self: &Arc<Self>,
-        request: &CallerRequest,
+        timed: &TimedCallerRequest,
         time_left: Millis,
     ) -> ServeOutcome {
         if !self.serving.load(Ordering::SeqCst) {
             return ServeOutcome::NotOwner;
         }
-        match request {
+        let Some(account) = recheck_access(&self.node.rules(), &timed.access) else {
+            log::info!(call = timed.request.name(), queue:% = timed.access.queue;
+                "request rejected: its key is not valid in a newer configuration");
+            return ServeOutcome::Answered(CallerAnswer::Unauthorized);
+        };
+        match &timed.request {
             CallerRequest::Submit { key, rules, spec } => {
                 let deadline = self.now().saturating_add(time_left);
-                self.serve_submission(*key, rules, spec, deadline).await
+                let job = SubmittedJob {
+                    key: *key,
+                    rules,
+                    spec,
+                    account: account.as_ref(),
+                };
+                self.serve_submission(job, deadline).await
+            }
+            CallerRequest::Status { key } | CallerRequest::Cancel { key }
+                if !self.lock().is_visible(*key, job_access(account.as_ref())) =>
+            {
+                self.confirm_unknown().await
             }
             CallerRequest::Status { key } => self.serve_status(*key).await,
             CallerRequest::Cancel { key } => self.serve_cancel(*key).await,
@@ -36,13 +69,13 @@
         }
     }
 
-    async fn serve_submission(
-        &self,
-        key: JobKey,
-        rules: &Arc<QueueRules>,
-        spec: &Arc<JobSpec>,
-        deadline: Millis,
-    ) -> ServeOutcome {
+    async fn serve_submission(&self, job: SubmittedJob<'_>, deadline: Millis) -> ServeOutcome {
+        let SubmittedJob {
+            key,
+            rules,
+            spec,
+            account,
+        } = job;
         self.node.metrics.count("submissions");
         let started = self.now();
         if let Some(outage) = self.committer.outage_duration(started)
@@ -60,11 +93,17 @@
             }
         }
         let unix_ms = self.node.clock.unix_ms();
-        let outcome = self.lock().submit(key, rules, spec, started, unix_ms);
+        let outcome = self
+            .lock()
+            .submit_as(account, key, rules, spec, started, unix_ms);
         match outcome {
             SubmitOutcome::Known => return ServeOutcome::Answered(CallerAnswer::Accepted),
-            SubmitOutcome::Refused { retry_after } => {
-                log::info!(job:% = key, queue:% = rules.name, retry_after:% = retry_after;
+            SubmitOutcome::Refused {
+                retry_after,
+                reason,
+            } => {
+                log::info!(job:% = key, queue:% = rules.name, retry_after:% = retry_after,
+                    reason:? = reason, account:? = account.map(|account| account.name.as_str());
                     "job refused: it can't be served in time");
                 self.node.metrics.count("refusals");
                 return ServeOutcome::Answered(CallerAnswer::Refused { retry_after });
@@ -75,6 +114,17 @@
                 self.node.metrics.count("refusals");
                 return ServeOutcome::Answered(CallerAnswer::TooLarge { needed, limit });
             }
+            SubmitOutcome::AboveCap { step } => {
+                log::info!(job:% = key, queue:% = rules.name, step = step;
+                    "job refused: a step needs more than its client account may use");
+                self.node.metrics.count("refusals");
+                return ServeOutcome::Answered(CallerAnswer::AboveCap { step });
+            }
+            SubmitOutcome::OtherAccount => {
+                log::info!(job:% = key, queue:% = rules.name;
+                    "job refused: its key belongs to a job of another client account");
+                return ServeOutcome::Answered(CallerAnswer::OtherAccount);
+            }
             SubmitOutcome::Accepted => {}
         }
         let stored = self
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -6,7 +6,11 @@
 use magnolia_types::{Epoch, ExecutorId, Millis};
 use serde::{Deserialize, Serialize};
 
-use crate::admission::{AdmissionDecision, AdmissionLoad, decide_admission};
+use crate::account_table::{AccountSummary, AccountTable};
+use crate::admission::{
+    AccountBacklog, AdmissionDecision, AdmissionLoad, LeftOver, RefusalReason, decide_admission,
+    latest_useful_end,
+};
 use crate::eligibility_queue::EligibilityQueue;
 use crate::executor_state::FenceState;
 use crate::executors::{ExecutorIndex, ExecutorTable};
@@ -18,18 +22,25 @@
 use crate::step::{StepState, TaskPhase, TaskState};
 use crate::step_selection::UnplaceableSteps;
 use crate::{
-    CellAction, CellRules, ExecutorLife, ExecutorRecord, JobKey, JobSpec, JobStatus, QueueName,
-    QueueRules, SchedulerSettings, ServiceName, StepRef, StepSpec, TaskRef,
+    AccountName, AccountRules, CellAction, CellRules, ExecutorLife, ExecutorRecord, JobKey,
+    JobSpec, JobStatus, QueueName, QueueRules, SchedulerSettings, ServiceName, SharePosition,
+    StepRef, StepSpec, TaskRef,
 };
 
 /// Time after which a caller may retry whose job finds no memory: as long as for the largest backlog,
 /// because nobody knows when jobs end.
 const MEMORY_RETRY_AFTER: Millis = Millis::new(10_000);
 
+/// Shortest time after which a caller may retry whose account is ahead of its share.
+const MIN_SHARE_RETRY_AFTER: Millis = Millis::new(1000);
+
 /// Sort key of a step in the ready set, which holds the steps that can start tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct ReadyKey {
     pub(crate) priority: u32,
+    /// Whether the job is beyond the share of its client account; such steps come last of their
+    /// priority.
+    pub(crate) beyond_share: bool,
     /// Unix milliseconds by which steps of the same priority are ordered.
     pub(crate) order_unix_ms: u64,
     pub(crate) step: StepRef,
@@ -48,6 +59,8 @@
     Refused {
         /// Time after which the caller should retry.
         retry_after: Millis,
+        /// What the job would have to wait for.
+        reason: RefusalReason,
     },
     /// Refused because the job alone takes more memory than all jobs may take; it never runs.
     TooLarge {
@@ -56,6 +69,14 @@
         /// Memory that all jobs may take, in bytes.
         limit: u64,
     },
+    /// Refused because a task, or the tasks of a gang together, need more than their client account
+    /// may use; the job never runs.
+    AboveCap {
+        /// Number of the step.
+        step: u16,
+    },
+    /// A job with this key belongs to another client account; nothing was done.
+    OtherAccount,
 }
 
 /// Records to store in one call, and the state changes that become durable with them.
@@ -98,6 +119,9 @@
     pub used_cpu: u64,
     /// Processors of all listed executors, in thousandths.
     pub total_cpu: u64,
+    /// The client accounts that use most, at most [`CellScheduler::MAX_ACCOUNT_SUMMARIES`] of them.
+    #[serde(default)]
+    pub accounts: Vec<AccountSummary>,
 }
 
 /// Scheduler of one cell, run by the daemon that holds the epoch.
@@ -106,6 +130,14 @@
     pub(crate) epoch: Epoch,
     pub(crate) rules: Arc<CellRules>,
     pub(crate) jobs: HashMap<JobKey, JobState>,
+    pub(crate) accounts: AccountTable,
+    /// Jobs of earlier owners that count for the share of their account, with the Unix milliseconds
+    /// of their acceptance, until they are counted.
+    pub(crate) uncounted_jobs: Vec<(u64, Arc<AccountRules>)>,
+    /// Unix milliseconds of the latest change in the records that were loaded.
+    pub(crate) newest_loaded_unix_ms: u64,
+    /// When it was last computed what runs of earlier owners may take for each account.
+    pub(crate) unlocated_at: Option<Millis>,
     /// Jobs whose end is not stored.
     pub(crate) live: BTreeSet<JobKey>,
     pub(crate) executors: ExecutorTable,
@@ -157,6 +189,10 @@
             epoch,
             rules: Arc::default(),
             jobs: HashMap::new(),
+            accounts: AccountTable::default(),
+            uncounted_jobs: Vec::new(),
+            newest_loaded_unix_ms: 0,
+            unlocated_at: None,
             live: BTreeSet::new(),
             executors: ExecutorTable::default(),
             ready: BTreeSet::new(),
@@ -200,7 +236,8 @@
             JobRecord::Ended(ended) => JobState::new_ended(Arc::clone(rules), ended),
             JobRecord::Live(live) => {
                 let spec = Arc::clone(&live.spec);
-                let mut job = JobState::new(Arc::clone(&live.rules), spec, live.accepted_unix_ms);
+                let mut job = JobState::new(Arc::clone(&live.rules), spec, live.accepted_unix_ms)
+                    .with_account(live.account.clone(), live.beyond_share);
                 job.inherited = true;
                 job.restore(live, now);
                 job.stored = true;
@@ -209,13 +246,15 @@
             }
         };
         let live = job.ended.is_none();
+        self.load_account(&job, record);
         self.jobs.insert(key, job);
         if live {
             self.queue_open_steps(key);
         }
     }
 
-    /// Accepts or refuses a submitted job; a repeated submission changes nothing.
+    /// Accepts or refuses a job that belongs to no client account; a repeated submission changes
+    /// nothing.
     pub fn submit(
         &mut self,
         key: JobKey,
@@ -223,15 +262,40 @@
         spec: &Arc<JobSpec>,
         now: Millis,
         now_unix_ms: u64,
+    ) -> SubmitOutcome {
+        self.submit_as(None, key, rules, spec, now, now_unix_ms)
+    }
+
+    /// Accepts or refuses a job of a client account, if `account` names one; a repeated submission
+    /// changes nothing.
+    pub fn submit_as(
+        &mut self,
+        account: Option<&Arc<AccountRules>>,
+        key: JobKey,
+        rules: &Arc<QueueRules>,
+        spec: &Arc<JobSpec>,
+        now: Millis,
+        now_unix_ms: u64,
     ) -> SubmitOutcome {
         if let Some(job) = self.jobs.get(&key) {
+            let name = account.map(|account| &account.name);
+            let holder = job.account.as_ref().map(|holder| &holder.name);
+            if holder.is_some() && holder != name && !rules.public {
+                return SubmitOutcome::OtherAccount;
+            }
             return if job.stored {
                 SubmitOutcome::Known
             } else {
                 SubmitOutcome::Accepted
             };
         }
-        let mut job = JobState::new(Arc::clone(rules), Arc::clone(spec), now_unix_ms);
+        if let Some(step) = account.and_then(|account| self.step_above_cap(account, spec)) {
+            return SubmitOutcome::AboveCap { step };
+        }
+        let position = self.share_position(account, now_unix_ms);
+        let beyond_share = position != SharePosition::Within;
+        let mut job = JobState::new(Arc::clone(rules), Arc::clone(spec), now_unix_ms)
+            .with_account(account.cloned(), beyond_share);
         if !spec.is_lasting() {
             let mean = self.work_means.entry(rules.name.clone()).or_default();
             mean.observe(spec.work());
@@ -246,12 +310,27 @@
                 "the jobs of the cell take the memory that they may");
             return SubmitOutcome::Refused {
                 retry_after: MEMORY_RETRY_AFTER,
+                reason: RefusalReason::Memory,
             };
         }
-        let load = self.admission_load(&job, spec);
-        if let AdmissionDecision::Refuse { retry_after } = decide_admission(&load) {
-            return SubmitOutcome::Refused { retry_after };
+        let load = self.admission_load(&job, spec, now);
+        if let AdmissionDecision::Refuse {
+            retry_after,
+            reason,
+        } = decide_admission(&load)
+        {
+            self.count_refusal(account, position);
+            let retry_after = match position {
+                SharePosition::Within => retry_after,
+                SharePosition::Beyond(ahead) => ahead.max(MIN_SHARE_RETRY_AFTER),
+            };
+            return SubmitOutcome::Refused {
+                retry_after,
+                reason,
+            };
         }
+        self.count_accepted(account, position, now_unix_ms);
+        self.observe_urgent_demand(account, rules.priority, spec, now);
         if spec.recurrence.is_none() {
             job.open_occurrence(now);
         }
@@ -268,25 +347,69 @@
             .fold(0, u64::saturating_add)
     }
 
-    fn admission_load(&self, new: &JobState, spec: &JobSpec) -> AdmissionLoad {
+    fn admission_load(&self, new: &JobState, spec: &JobSpec, now: Millis) -> AdmissionLoad {
         let rules = &*new.rules;
-        let position = |job: &JobState| (job.rules.priority, job.order_unix_ms);
-        let competing = self
+        let position = |job: &JobState| (job.rules.priority, job.beyond_share, job.order_unix_ms);
+        let objective = rules.objective(spec.critical_path());
+        let competes = |job: &JobState| job.rules.priority <= rules.priority;
+        let mut backlog = AccountBacklog::default();
+        for (key, job) in self
             .live_jobs_of(&rules.service)
-            .filter(|(_, job)| job.rules.priority <= rules.priority);
-        let backlog_work = competing
-            .map(|(key, job)| {
-                let comes_first = position(job) <= position(new);
-                open_work(key, job, comes_first, &self.unplaceable)
-            })
-            .fold(0, u64::saturating_add);
-        let critical_path = spec.critical_path();
+            .filter(|(_, job)| competes(job))
+        {
+            let comes_first = position(job) <= position(new);
+            let work = open_work(key, job, comes_first, &self.unplaceable);
+            backlog.add(job.account.as_ref().map(|account| &account.name), work);
+        }
+        let cap = |name: &AccountName| self.account_cap(name).cpu_millis.get();
+        let own = new.account.as_ref().map(|account| &account.name);
         AdmissionLoad {
-            backlog_work,
+            backlog_work: backlog.total(latest_useful_end(objective), cap),
             capacity_millis: self.shared_capacity(rules),
-            eligibility_backlog: self.eligibility_queue.backlog(rules.priority),
-            objective: rules.objective(critical_path),
-            critical_path,
+            account_work: own.map_or(0, |name| backlog.of(name)),
+            account_millis: own.map(cap).filter(|cap| *cap > 0),
+            eligibility_backlog: self
+                .eligibility_queue
+                .backlog(new.beyond_share, rules.priority),
+            objective,
+            critical_path: spec.critical_path(),
+            left_over: new
+                .beyond_share
+                .then(|| self.left_over(&rules.service, spec, now)),
+        }
+    }
+
+    /// Returns what the jobs that come before one beyond the share of its account leave of a service.
+    fn left_over(&self, service: &ServiceName, spec: &JobSpec, now: Millis) -> LeftOver {
+        let executors = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| executor.listed && executor.entry.service == *service);
+        let free = executors
+            .map(|(_, executor)| executor.free().cpu_millis.get())
+            .fold(0, u64::saturating_add);
+        let awaited = self
+            .ready
+            .iter()
+            .filter(|key| !self.unplaceable.contains(key.step))
+            .filter_map(|key| {
+                let (spec, rules, state) = self.step_needs(key.step)?;
+                if rules.service != *service {
+                    return None;
+                }
+                // Tasks that wait for the limit of their account take no processors now.
+                let startable = u64::try_from(self.startable_below_cap(key.step, now));
+                let tasks = u64::from(state.waiting).min(startable.unwrap_or(u64::MAX));
+                Some(spec.reserved().cpu_millis.get().saturating_mul(tasks))
+            })
+            .fold(0, u64::saturating_add);
+        let widest = spec.steps.iter().map(|step| {
+            let each = step.reserved().cpu_millis.get();
+            each.saturating_mul(u64::from(step.tasks))
+        });
+        LeftOver {
+            free_millis: free.saturating_sub(awaited),
+            needed_millis: widest.max().unwrap_or(0),
         }
     }
 
@@ -518,6 +641,7 @@
             self.jobs.remove(&key);
             self.dirty_jobs.insert(key);
         }
+        self.forget_accounts();
     }
 
     /// Added to the retention of ended jobs, because the clocks of daemons differ.
@@ -530,6 +654,7 @@
             ended_jobs: self.jobs.len() - self.live.len().min(self.jobs.len()),
             ready_steps: self.ready.len(),
             waiting_advice: self.eligibility_queue.waiting(),
+            accounts: self.account_summaries(),
             ..CellSummary::default()
         };
         for (_, executor) in self.executors.iter() {
--- a/crates/magnolia-scheduler/src/eligibility.rs
+++ b/crates/magnolia-scheduler/src/eligibility.rs
@@ -43,7 +43,7 @@
         let Some(cost) = rules.advice.clone() else {
             return;
         };
-        let urgent = rules.priority == PREEMPTING_PRIORITY;
+        let urgent = rules.priority == PREEMPTING_PRIORITY && !key.beyond_share;
         let eligibility_interval = self.settings.eligibility_interval;
         let share = self.expected_eligible_share(rules);
         if urgent && candidates.unknown.is_empty() && candidates.expired.is_empty() {
@@ -121,6 +121,7 @@
             .map(|executor_index| self.executor_id(*executor_index))
             .collect();
         self.eligibility_queue.push(QueuedEligibilityRequest {
+            beyond_share: key.beyond_share,
             priority: key.priority,
             order_unix_ms: key.order_unix_ms,
             step,
@@ -155,7 +156,7 @@
                     && !is_known(executor_index)
             })
             .filter_map(|(executor_index, executor)| {
-                let (_, _, freed) = self.victim(executor_index, rules)?;
+                let (_, _, freed) = self.victim(executor_index, rules, false)?;
                 let free = executor.free().saturating_add(&freed);
                 let fitting = self.fitting_tasks(executor, spec, rules, step, free);
                 (fitting > 0).then(|| new_candidate(executor_index, executor, spec, fitting, false))
--- a/crates/magnolia-scheduler/src/eligibility_queue.rs
+++ b/crates/magnolia-scheduler/src/eligibility_queue.rs
@@ -19,6 +19,8 @@
 /// A waiting eligibility request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QueuedEligibilityRequest {
+    /// Whether the job is beyond the share of its client account; such requests come last of their priority.
+    pub beyond_share: bool,
     /// Priority of the queue; 0 is the highest.
     pub priority: u32,
     /// Unix milliseconds by which requests of the same priority are ordered.
@@ -75,13 +77,13 @@
         self.waiting.len()
     }
 
-    /// Returns how long the waiting requests with `priority` or a higher one will keep all daemons
-    /// busy.
-    pub fn backlog(&self, priority: u32) -> Millis {
+    /// Returns how long the waiting requests that come before a new one with `priority` will keep all
+    /// daemons busy.
+    pub fn backlog(&self, beyond_share: bool, priority: u32) -> Millis {
         let ahead = self
             .waiting
             .iter()
-            .filter(|request| request.priority <= priority);
+            .filter(|request| (request.priority, request.beyond_share) <= (priority, beyond_share));
         let total = ahead
             .map(|request| request.expected_duration.get())
             .fold(0, u64::saturating_add);
@@ -102,8 +104,10 @@
 
     /// Removes and returns the requests that can be sent now, each assigned to an idle daemon.
     pub fn dispatch(&mut self) -> Vec<EligibilityOrder> {
-        self.waiting
-            .sort_by_key(|request| (request.priority, request.order_unix_ms, request.step));
+        self.waiting.sort_by_key(|request| {
+            let order = (request.priority, request.order_unix_ms);
+            (request.beyond_share, order, request.step)
+        });
         let mut orders = Vec::new();
         let mut left = Vec::new();
         for request in std::mem::take(&mut self.waiting) {
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -14,7 +14,7 @@
 use crate::executors::{ExecutorEntry, ExecutorRecord, ExecutorStatus, ExecutorUse};
 use crate::unanswered_starts::{GivenUpStart, UnansweredStart};
 use crate::witnesses::WitnessListing;
-use crate::{ExecutorLife, FenceToken, RunNumber, SchedulerSettings, TaskRef};
+use crate::{AccountName, ExecutorLife, FenceToken, RunNumber, SchedulerSettings, TaskRef};
 
 /// How much slower than the owner's the clock of an executor may run, in thousandths; a limit of
 /// the platform.
@@ -228,6 +228,28 @@
     pub(crate) listed: bool,
     /// Whether the run may have been on an earlier life of the executor, and is lost with it.
     pub(crate) may_be_of_earlier_life: bool,
+    /// What it counts for its client account.
+    pub(crate) charge: Option<RunCharge>,
+}
+
+/// What a run counts against the limit of a client account.
+#[derive(Clone, Debug)]
+pub(crate) struct RunCharge {
+    pub(crate) account: AccountName,
+    pub(crate) need: ResourceVector,
+    /// Whether it is a run of the highest priority.
+    pub(crate) urgent: bool,
+}
+
+impl RunCharge {
+    /// Returns the processors that it counts as urgent, in thousandths.
+    pub(crate) fn urgent_millis(&self) -> u64 {
+        if self.urgent {
+            self.need.cpu_millis.get()
+        } else {
+            0
+        }
+    }
 }
 
 impl ActiveRun {
@@ -251,9 +273,15 @@
             filler_cpu: 0,
             listed: false,
             may_be_of_earlier_life: false,
+            charge: None,
         }
     }
 
+    pub(crate) fn with_charge(mut self, charge: Option<RunCharge>) -> Self {
+        self.charge = charge;
+        self
+    }
+
     pub(crate) fn with_filler_cpu(mut self, cpu: u64) -> Self {
         self.filler_cpu = cpu;
         self
--- a/crates/magnolia-scheduler/src/explain.rs
+++ b/crates/magnolia-scheduler/src/explain.rs
@@ -24,6 +24,9 @@
             job.rules.priority,
             job.status()
         )];
+        if let Some(account) = &job.account {
+            lines.push(self.account_line(&account.name));
+        }
         if !job.stored {
             lines.push("its acceptance is not stored yet; nothing starts before that".into());
         }
@@ -106,6 +109,12 @@
         if let Some(ahead) = ahead {
             parts.push(format!("steps of the same priority ahead: {ahead}"));
         }
+        if let Some(account) = self.account_at_cap(step, now) {
+            parts.push(format!("client account {account} is at its limit"));
+        }
+        if job.beyond_share {
+            parts.push("the job is beyond the share of its client account".into());
+        }
         if self.is_blocked(step) {
             parts.push("an executor that may run it has not answered this owner yet".into());
         }
--- a/crates/magnolia-scheduler/src/job.rs
+++ b/crates/magnolia-scheduler/src/job.rs
@@ -2,14 +2,16 @@
 
 use std::sync::Arc;
 
-use magnolia_types::{Millis, value_types};
+use magnolia_types::{Millis, ResourceVector, value_types};
 
 use crate::job_memory::job_memory;
 use crate::ordering::order_time;
-use crate::record::{EndedRecord, JobRecord, LiveRecord, OccurrenceRecord, StepRecord};
+use crate::record::{
+    EndedAccount, EndedRecord, JobRecord, LiveRecord, OccurrenceRecord, StepRecord,
+};
 use crate::record_size::{CHECKPOINT_BYTES, FAILED_RUN_BYTES, progress_bytes};
 use crate::step::{StepState, TaskPhase};
-use crate::{JobSpec, QueueName, QueueRules, StepSpec};
+use crate::{AccountRules, JobSpec, QueueName, QueueRules, StepSpec};
 
 value_types! {
     /// Status of a job as reported to callers.
@@ -77,6 +79,13 @@
     pub(crate) order_unix_ms: u64,
     /// Memory that it takes until its end is stored, in bytes.
     pub(crate) memory_bytes: u64,
+    /// Rules of its client account when it was accepted.
+    pub(crate) account: Option<Arc<AccountRules>>,
+    /// Whether the account was ahead of its share when it was accepted: its steps come after those
+    /// of all jobs within their share.
+    pub(crate) beyond_share: bool,
+    /// Resources of the runs that were being stopped when it ended.
+    pub(crate) stopping: ResourceVector,
 }
 
 impl JobState {
@@ -96,9 +105,23 @@
             sent: false,
             stored: false,
             unstorable: false,
+            account: None,
+            beyond_share: false,
+            stopping: ResourceVector::default(),
         }
     }
 
+    /// Sets the client account, and whether the account is ahead of its share.
+    pub(crate) fn with_account(
+        mut self,
+        account: Option<Arc<AccountRules>>,
+        beyond_share: bool,
+    ) -> Self {
+        self.account = account;
+        self.beyond_share = beyond_share;
+        self
+    }
+
     pub(crate) fn new_ended(rules: Arc<QueueRules>, ended: &EndedRecord) -> Self {
         Self {
             order_unix_ms: 0,
@@ -108,12 +131,25 @@
             accepted_unix_ms: ended.ended_unix_ms,
             occurrences: Vec::new(),
             started: true,
-            inherited: false,
+            inherited: true,
             ending: Some(ended.status),
             ended: Some((ended.status, ended.ended_unix_ms)),
             sent: true,
             stored: true,
             unstorable: false,
+            account: ended
+                .account
+                .as_ref()
+                .map(|account| Arc::new(AccountRules::new(account.name.clone()))),
+            beyond_share: ended
+                .account
+                .as_ref()
+                .is_some_and(|account| account.counted_unix_ms.is_none()),
+            stopping: ended
+                .account
+                .as_ref()
+                .map(|account| account.stopping)
+                .unwrap_or_default(),
         }
     }
 
@@ -203,6 +239,7 @@
                 queue: self.queue().clone(),
                 status,
                 ended_unix_ms: self.ended.map_or(now_unix_ms, |(_, at)| at),
+                account: self.ended_account(),
             });
         }
         JobRecord::Live(LiveRecord {
@@ -211,6 +248,18 @@
             accepted_unix_ms: self.accepted_unix_ms,
             order_unix_ms: self.order_unix_ms,
             occurrences: self.occurrence_records(limit),
+            account: self.account.clone(),
+            beyond_share: self.beyond_share,
+        })
+    }
+
+    /// Returns what remains of the job for its client account once it has ended.
+    fn ended_account(&self) -> Option<EndedAccount> {
+        let account = self.account.as_ref()?;
+        Some(EndedAccount {
+            name: account.name.clone(),
+            counted_unix_ms: (!self.beyond_share).then_some(self.accepted_unix_ms),
+            stopping: self.stopping,
         })
     }
 
--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -16,6 +16,10 @@
 //! time, reports and answers, and takes out the actions to carry out and the records to store, so
 //! that each rule can be tested alone.
 
+mod account_limits;
+mod account_rules;
+mod account_table;
+mod accounts;
 mod actions;
 mod admission;
 mod cell;
@@ -27,6 +31,7 @@
 mod executor_state;
 mod executors;
 mod explain;
+mod fair_share;
 mod hung_runs;
 mod ids;
 mod job;
@@ -54,8 +59,12 @@
 mod unanswered_starts;
 mod witnesses;
 
+pub use account_limits::{AccountLoad, UrgentDemand, can_fit_cap, raise_cap, tasks_below_cap};
+pub use account_rules::{AccountDirectory, AccountName, AccountRules, AccountWeight, KeyDigest};
+pub use account_table::AccountSummary;
+pub use accounts::AccountAccess;
 pub use actions::{CellAction, EligibilityOrder, PaceOrder, StartOrder, StopOrder};
-pub use admission::{AdmissionDecision, AdmissionLoad, decide_admission};
+pub use admission::{AdmissionDecision, AdmissionLoad, LeftOver, RefusalReason, decide_admission};
 pub use cell::{CellScheduler, CellSummary, StoreBatch, SubmitOutcome};
 pub use eligibility_queue::{EligibilityQueue, QueuedEligibilityRequest};
 pub use executor_health::{HealthState, HealthTracker};
@@ -64,6 +73,7 @@
 };
 pub use executor_state::{ExecutorLease, RenewalKind, RenewalPlan};
 pub use executors::{ExecutorEntry, ExecutorRecord, ExecutorStatus};
+pub use fair_share::{ShareClock, SharePosition};
 pub use ids::{ExecutorLife, FenceToken, JobKey, ParseKeyError, RunNumber, StepRef, TaskRef};
 pub use job::JobStatus;
 pub use job_memory::job_memory_share;
@@ -72,7 +82,9 @@
 pub use outage::{OutageDecision, decide_outage};
 pub use pacing::{PaceDecision, decide_pace};
 pub use placement::{Candidate, choose_executor, choose_executors_to_ask};
-pub use record::{EndedRecord, JobRecord, LiveRecord, OccurrenceRecord, RecordError, StepRecord};
+pub use record::{
+    EndedAccount, EndedRecord, JobRecord, LiveRecord, OccurrenceRecord, RecordError, StepRecord,
+};
 pub use record_size::check_record_size;
 pub use refused_records::{RefusedRecords, SubmissionState};
 pub use rules::{
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -43,6 +43,7 @@
         let spec = job.spec.as_ref()?.steps.get(usize::from(step.step))?;
         Some(ReadyKey {
             priority: job.rules.priority,
+            beyond_share: job.beyond_share,
             order_unix_ms: job.order_unix_ms,
             step,
             class: classes.class_of(&job.rules.service, spec),
@@ -116,6 +117,18 @@
                 }
             }
         }
+        let need = |(_, task, _): &(ExecutorIndex, TaskRef, RunNumber)| {
+            self.step_spec(task.step).map(|spec| spec.need)
+        };
+        let stopping = placed
+            .iter()
+            .filter_map(need)
+            .fold(ResourceVector::default(), |sum, need| {
+                sum.saturating_add(&need)
+            });
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.stopping = stopping;
+        }
         for (executor_index, task, run) in placed {
             self.order_stop(executor_index, task, run, now);
         }
@@ -187,9 +200,7 @@
         now: Millis,
     ) {
         let active = ActiveRun::new(reserved, now).with_filler_cpu(filler_cpu);
-        self.executors
-            .get_mut(executor_index)
-            .add_run(task, run, active);
+        self.add_run(executor_index, task, run, active);
         if let Some(state) = self.step_state_mut(task.step) {
             state.waiting = state.waiting.saturating_sub(1);
             if let Some(task) = state.tasks.get_mut(task.index) {
@@ -229,7 +240,7 @@
         task: TaskRef,
         run: RunNumber,
     ) {
-        let removed = self.executors.get_mut(executor_index).remove_run(task, run);
+        let removed = self.take_run(executor_index, task, run);
         if removed.as_ref().is_some_and(ActiveRun::has_lasting_start) {
             self.mark_executor_dirty(executor_index);
         }
@@ -337,7 +348,7 @@
         for index in first..first.saturating_add(count) {
             self.mark_done(TaskRef { index, ..task }, now);
         }
-        self.executors.get_mut(executor_index).remove_run(task, run);
+        self.take_run(executor_index, task, run);
         self.update_ready(task.step);
     }
 
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -62,6 +62,7 @@
         self.evacuate_draining(now);
         self.resend_stops(now);
         self.open_due_occurrences(now, now_unix_ms);
+        self.update_unlocated(now);
         self.stop_hung_runs(now);
     }
 
@@ -104,6 +105,7 @@
     /// Starts the tasks that can start and queues eligibility requests for the others.
     pub fn plan(&mut self, now: Millis) {
         self.repeat_starts(now);
+        self.refresh_unlocated(now);
         let block = self.takeover_block();
         for key in self.steps_to_plan(&block, now) {
             self.plan_step(key, &block, now);
@@ -145,6 +147,13 @@
         if spec.gang && startable.len() < state.tasks.len() {
             return;
         }
+        let below_cap = self.startable_below_cap(step, now);
+        if below_cap == 0 || (spec.gang && below_cap < startable.len()) {
+            self.eligibility_queue.remove(step);
+            return;
+        }
+        let held_by_cap = startable.len().saturating_sub(below_cap);
+        startable.truncate(below_cap);
         let mut candidates = self.candidates(spec, &rules, state, step, now);
         let placed = if spec.gang {
             self.place_gang(step, spec, &startable, &mut candidates, now)
@@ -157,12 +166,16 @@
             log::info!(step:% = step, placed = placed, left = left, waited:% = waited;
                 "tasks started");
         }
+        if held_by_cap > 0 && placed > 0 {
+            log::debug!(step:% = step, held = held_by_cap; "tasks wait for the limit of their account");
+        }
         if left == 0 {
             self.eligibility_queue.remove(step);
             return;
         }
         let wanted = u32::try_from(left).unwrap_or(u32::MAX);
         if rules.priority == PREEMPTING_PRIORITY
+            && !key.beyond_share
             && !self.expects_enough_capacity(&candidates, &rules, wanted)
         {
             self.preempt_runs(step, spec, &rules, wanted, now);
--- a/crates/magnolia-scheduler/src/preemption.rs
+++ b/crates/magnolia-scheduler/src/preemption.rs
@@ -72,7 +72,7 @@
                 missing = missing.saturating_sub(freeing);
                 continue;
             }
-            let Some((task, run, freed)) = self.victim(executor_index, rules) else {
+            let Some((task, run, freed)) = self.victim(executor_index, rules, false) else {
                 continue;
             };
             let free = executor.free().saturating_add(&freed);
@@ -95,13 +95,15 @@
         &self,
         executor_index: ExecutorIndex,
         rules: &QueueRules,
+        beyond_share: bool,
     ) -> Option<(TaskRef, RunNumber, ResourceVector)> {
         let executor = self.executors.get(executor_index);
         let less_urgent = executor.runs.iter().filter_map(|((task, run), active)| {
             let job = self.jobs.get(&task.step.job)?;
             let spec = self.step_spec(task.step)?;
             let protected = spec.lasting || spec.gang || spec.filler;
-            let preemptible = job.rules.priority > rules.priority && !protected;
+            let yields = job.rules.priority > rules.priority || (job.beyond_share && !beyond_share);
+            let preemptible = yields && !protected;
             if !preemptible || active.phase != RunPhase::Running {
                 return None;
             }
--- a/crates/magnolia-scheduler/src/record.rs
+++ b/crates/magnolia-scheduler/src/record.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use magnolia_types::wire_types;
+use magnolia_types::{ResourceVector, wire_types};
 
-use crate::{JobSpec, JobStatus, QueueName, QueueRules, SpecError};
+use crate::{AccountName, AccountRules, JobSpec, JobStatus, QueueName, QueueRules, SpecError};
 
 /// Error of encoding or decoding a job record.
 #[derive(Debug, thiserror::Error)]
@@ -50,6 +50,12 @@
         pub order_unix_ms: u64,
         /// Progress of each occurrence that has begun.
         pub occurrences: Vec<OccurrenceRecord>,
+        /// Rules of its client account when it was accepted.
+        #[serde(default)]
+        pub account: Option<Arc<AccountRules>>,
+        /// Whether the account was ahead of its share when it was accepted.
+        #[serde(default)]
+        pub beyond_share: bool,
     }
 
     /// Outcome of a job.
@@ -60,6 +66,19 @@
         pub status: JobStatus,
         /// Unix milliseconds of its end.
         pub ended_unix_ms: u64,
+        /// Its client account.
+        #[serde(default)]
+        pub account: Option<EndedAccount>,
+    }
+
+    /// What remains of an ended job for its client account.
+    pub struct EndedAccount {
+        /// Name of the account.
+        pub name: AccountName,
+        /// Unix milliseconds of the acceptance, if the job counts for the share of the account.
+        pub counted_unix_ms: Option<u64>,
+        /// Resources of the runs that were being stopped when the job ended.
+        pub stopping: ResourceVector,
     }
 
     /// Progress of one occurrence.
--- a/crates/magnolia-scheduler/src/record_size.rs
+++ b/crates/magnolia-scheduler/src/record_size.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 
 use crate::record::{JobRecord, LiveRecord, RecordError};
-use crate::{JobSpec, QueueRules};
+use crate::{AccountRules, JobSpec, QueueRules};
 
 /// Share of the longest record that is kept for failed runs and checkpoints, as a divisor.
 const PROGRESS_SHARE: u64 = 4;
@@ -43,6 +43,7 @@
 pub fn check_record_size(
     spec: &Arc<JobSpec>,
     rules: &Arc<QueueRules>,
+    account: Option<&Arc<AccountRules>>,
     limit: u64,
 ) -> Result<(), RecordError> {
     let empty = JobRecord::Live(LiveRecord {
@@ -51,6 +52,8 @@
         accepted_unix_ms: u64::MAX,
         order_unix_ms: u64::MAX,
         occurrences: Vec::new(),
+        account: account.cloned(),
+        beyond_share: true,
     });
     let encoded = u64::try_from(empty.encode()?.len()).unwrap_or(u64::MAX);
     let steps = spec.steps.iter().map(|step| {
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -377,8 +377,7 @@
             let mut active = ActiveRun::new(reserved, now).with_filler_cpu(filler);
             active.confirmed_at = Some(now);
             active.listed = true;
-            let executor = self.executors.get_mut(executor_index);
-            executor.add_run(reported.task, reported.run, active);
+            self.add_run(executor_index, reported.task, reported.run, active);
         } else {
             let executor = self.executors.get_mut(executor_index);
             executor.unknown_runs.insert((reported.task, reported.run));
--- a/crates/magnolia-scheduler/src/rules.rs
+++ b/crates/magnolia-scheduler/src/rules.rs
@@ -10,6 +10,8 @@
 
 use magnolia_types::{Millis, number_type, text_id, wire_types};
 
+use crate::AccountDirectory;
+
 text_id!(
     /// A queue of the configuration.
     QueueName
@@ -57,6 +59,9 @@
         /// Cost of eligibility requests, if tasks of the queue need tickets to start. The
         /// configuration and the metrics call these requests advice.
         pub advice: Option<EligibilityCost>,
+        /// Whether callers need no key. Jobs of such a queue belong to no client account.
+        #[serde(default)]
+        pub public: bool,
     }
 
     /// Rules of a service.
@@ -79,6 +84,9 @@
     pub services: BTreeMap<ServiceName, ServiceRules>,
     /// Largest body of a caller's request, in bytes.
     pub max_body_bytes: u64,
+    /// Client accounts. If the configuration names none, callers need no key and nothing is limited
+    /// by account.
+    pub accounts: Option<Arc<AccountDirectory>>,
 }
 
 impl CellRules {
--- a/crates/magnolia-scheduler/src/settings.rs
+++ b/crates/magnolia-scheduler/src/settings.rs
@@ -45,6 +45,9 @@
     /// Time without the store after which an owner sends no orders, also if most executors accept
     /// its epoch. A next owner that can't reach them has to wait for so long.
     pub outage_limit: Millis,
+    /// Part of the limit of a client account, in thousandths, by which its tasks may exceed the limit;
+    /// from the settings file.
+    pub cap_tolerance_permille: u64,
 }
 
 impl SchedulerSettings {
@@ -65,6 +68,7 @@
             job_memory_bytes: 64 << 20,
             isolation_limit: Millis::from_secs(2),
             outage_limit: Millis::from_secs(60),
+            cap_tolerance_permille: 0,
         }
     }
 
@@ -89,6 +93,14 @@
         self
     }
 
+    /// Sets the part of the limit of a client account, in thousandths, by which its tasks may exceed
+    /// the limit.
+    #[must_use]
+    pub fn with_cap_tolerance(mut self, permille: u64) -> Self {
+        self.cap_tolerance_permille = permille;
+        self
+    }
+
     /// Returns the time from the last order of an earlier owner until every lease that it granted
     /// has certainly expired, on executor clocks that are up to 2% slow. Every owner asks for the
     /// same lease length.
--- a/crates/magnolia-scheduler/tests/decisions.rs
+++ b/crates/magnolia-scheduler/tests/decisions.rs
@@ -23,6 +23,7 @@
         step: 0,
     };
     QueuedEligibilityRequest {
+        beyond_share: false,
         priority,
         order_unix_ms: order,
         step,
@@ -72,8 +73,11 @@
             eligibility_backlog: Millis::new(0),
             objective: Millis::new(10_000),
             critical_path: Millis::new(4000),
+            account_work: 0,
+            account_millis: None,
+            left_over: None,
         };
-        let AdmissionDecision::Refuse { retry_after } = decide_admission(&load) else {
+        let AdmissionDecision::Refuse { retry_after, .. } = decide_admission(&load) else {
             panic!("accepted despite a backlog of 100 s");
         };
         assert!(retry_after >= Millis::new(1000) && retry_after <= Millis::new(10_000));
--- a/crates/magnolia-scheduler/tests/harness/mod.rs
+++ b/crates/magnolia-scheduler/tests/harness/mod.rs
@@ -373,5 +373,7 @@
         accepted_unix_ms: START_UNIX_MS,
         order_unix_ms: START_UNIX_MS,
         occurrences: Vec::new(),
+        account: None,
+        beyond_share: false,
     })
 }
--- a/crates/magnolia-scheduler/tests/malformed_input.rs
+++ b/crates/magnolia-scheduler/tests/malformed_input.rs
@@ -169,6 +169,8 @@
             accepted_unix_ms: START_UNIX_MS,
             order_unix_ms: START_UNIX_MS,
             occurrences: vec![OccurrenceRecord { steps }],
+            account: None,
+            beyond_share: false,
         });
         let mut bytes = record.encode().expect("encoded");
         for (position, byte) in changes {
--- a/crates/magnolia-scheduler/tests/record_size.rs
+++ b/crates/magnolia-scheduler/tests/record_size.rs
@@ -61,7 +61,7 @@
     checkpoints_without_room_are_left_out,
     || {
         let spec = job(vec![step(10_000, 10, 100, vec![])]);
-        check_record_size(&Arc::new(spec.clone()), &SchedulerHarness::new(1, 1).rules, LIMIT)
+        check_record_size(&Arc::new(spec.clone()), &SchedulerHarness::new(1, 1).rules, None, LIMIT)
             .expect("accepted");
         let checkpoint = "c".repeat(100);
         let mut harness = SchedulerHarness::new(1, 1);
@@ -124,7 +124,7 @@
     || {
         let rules = SchedulerHarness::new(1, 1).rules;
         let spec = Arc::new(job(vec![step(1, 1000, 100, vec![]); 9500]));
-        let refused = check_record_size(&spec, &rules, LIMIT);
+        let refused = check_record_size(&spec, &rules, None, LIMIT);
         let Err(RecordError::TooLarge { needed, limit }) = refused else {
             panic!("{refused:?}");
         };
@@ -143,7 +143,7 @@
             start_unix_ms: 1,
             interval: Millis::new(1),
         });
-        let refused = check_record_size(&Arc::new(spec), &rules, LIMIT);
+        let refused = check_record_size(&Arc::new(spec), &rules, None, LIMIT);
         assert!(matches!(refused, Err(RecordError::TooLarge { .. })), "{refused:?}");
     }
 );
@@ -163,7 +163,7 @@
             spec.payload = "p".repeat(usize::from(payload % 4001)).into();
             let rules = SchedulerHarness::new(1, 1).rules;
             let sound = spec.check().is_ok();
-            if !sound || check_record_size(&Arc::new(spec.clone()), &rules, LIMIT).is_err() {
+            if !sound || check_record_size(&Arc::new(spec.clone()), &rules, None, LIMIT).is_err() {
                 return true;
             }
             let checkpoint = "c".repeat(usize::from(text));
--- a/crates/magnolia-scheduler/tests/takeover.rs
+++ b/crates/magnolia-scheduler/tests/takeover.rs
@@ -72,6 +72,8 @@
             accepted_unix_ms: START_UNIX_MS,
             order_unix_ms: START_UNIX_MS,
             occurrences: Vec::new(),
+            account: None,
+            beyond_share: false,
         });
         let rules = Arc::clone(&harness.rules);
         harness.scheduler.load(JobKey::new(1), &record, &rules, harness.now);
@@ -185,6 +187,8 @@
             accepted_unix_ms: START_UNIX_MS,
             order_unix_ms: START_UNIX_MS,
             occurrences: Vec::new(),
+            account: None,
+            beyond_share: false,
         });
         let rules = Arc::clone(&harness.rules);
         harness.scheduler.load(JobKey::new(1), &record, &rules, harness.now);
@@ -338,6 +342,8 @@
             accepted_unix_ms: START_UNIX_MS,
             order_unix_ms: START_UNIX_MS,
             occurrences: vec![OccurrenceRecord { steps: vec![done] }],
+            account: None,
+            beyond_share: false,
         });
         let rules = Arc::clone(&harness.rules);
         harness.scheduler.load(JobKey::new(1), &record, &rules, harness.now);
@@ -374,6 +380,8 @@
             accepted_unix_ms: START_UNIX_MS,
             order_unix_ms: START_UNIX_MS,
             occurrences: vec![OccurrenceRecord { steps: vec![saved] }],
+            account: None,
+            beyond_share: false,
         });
         let rules = Arc::clone(&harness.rules);
         harness.scheduler.load(JobKey::new(1), &record, &rules, harness.now);
