--- a/crates/magnolia-bench/src/command.rs
+++ b/crates/magnolia-bench/src/command.rs
@@ -3,14 +3,14 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
 use crate::{
-    BenchError, BenchReport, BenchScope, decisions, executors, faults, floods, heavy_days,
-    job_floods, memory, packing, waiting,
+    BenchError, BenchReport, BenchScope, account_costs, decisions, executors, faults, floods,
+    heavy_days, job_floods, memory, packing, waiting,
 };
 
 type BenchFunction = fn(&BenchScope) -> Result<BenchReport, BenchError>;
 
 /// Every benchmark with its name, help text and function.
-const BENCHMARKS: [(&str, &str, BenchFunction); 9] = [
+const BENCHMARKS: [(&str, &str, BenchFunction); 10] = [
     (
         "decisions",
         "Time of a placement decision and decisions a second",
@@ -51,6 +51,11 @@
         "What callers of a full cell get, beside simpler decisions and without its limits",
         heavy_days::run,
     ),
+    (
+        "accounts",
+        "Time and memory by the number of client accounts",
+        account_costs::run,
+    ),
     (
         "memory",
         "Memory per worker and per waiting task",
--- a/crates/magnolia-bench/src/lib.rs
+++ b/crates/magnolia-bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Benchmarks of the decision logic: each one runs the policies of the product and their simpler
 //! baselines on the same generated work and reports the results side by side.
 
+mod account_costs;
 mod cluster;
 mod command;
 mod decisions;
--- a/crates/magnolia-bench/src/memory.rs
+++ b/crates/magnolia-bench/src/memory.rs
@@ -86,7 +86,7 @@
 }
 
 /// Returns the resident memory of this process.
-fn resident_bytes() -> Result<f64, BenchError> {
+pub(crate) fn resident_bytes() -> Result<f64, BenchError> {
     let text = std::fs::read_to_string("/proc/self/statm").map_err(BenchError::Memory)?;
     let pages = text
         .split_whitespace()
