http, node, platform: bounds on what clients can make a daemon hold

Cause: the server set a timeout of 10 s for heads and the library's defaults otherwise: read buffers of 400 KiB a connection, no bound on connections, on descriptors or on the bytes of all bodies together, and an entry with its read buffer for each chunk of a body. Crowds of 40 to 400 clients took 62 to 136 MB where the settings allow 48, and 420 descriptors where they allow 300.

Change: each listener has an account of connections and memory that follows from the machine. Bytes are taken as they come and given back with the answer.

--- a/crates/magnolia-daemon/src/callers/handler.rs
+++ b/crates/magnolia-daemon/src/callers/handler.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http::header::{ALLOW, HeaderValue};
-use magnolia_http::{HttpHandler, HttpRequest, HttpResponse, error_response, read_body};
+use magnolia_http::{
+    BodyError, HttpHandler, HttpRequest, HttpResponse, error_response, read_held_body,
+};
 use magnolia_types::ResultCode;
 
 use super::route::{Route, RouteError};
@@ -50,13 +52,18 @@
                 return refuse_method(parts.method.as_str(), allowed);
             }
         };
-        let body = match tokio::time::timeout(BODY_TIMEOUT, read_body(body, MAX_BODY_BYTES)).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(ResultCode::BodyTooLarge)) => {
+        let body = match tokio::time::timeout(
+            BODY_TIMEOUT,
+            read_held_body(body, &parts.extensions, MAX_BODY_BYTES),
+        )
+        .await
+        {
+            Ok(Ok(held)) => held.into_bytes(),
+            Ok(Err(BodyError::TooLarge)) => {
                 let message = format!("the body is larger than {MAX_BODY_BYTES} bytes");
                 return error_response(ResultCode::BodyTooLarge, &message);
             }
-            Ok(Err(code)) => return error_response(code, "the body ended early"),
+            Ok(Err(error)) => return error_response(error.into(), &error.to_string()),
             Err(_) => {
                 return error_response(ResultCode::BadRequest, "the body did not arrive in time");
             }
--- a/crates/magnolia-daemon/src/inner/mod.rs
+++ b/crates/magnolia-daemon/src/inner/mod.rs
@@ -6,7 +6,7 @@
 use futures_util::future::BoxFuture;
 use http::{Method, Response, StatusCode};
 use http_body_util::Full;
-use magnolia_http::{HttpHandler, HttpRequest, HttpResponse, error_response, read_body};
+use magnolia_http::{HttpHandler, HttpRequest, HttpResponse, error_response, read_held_body};
 use magnolia_protocol::{
     Handover, INNER_PATH, PROTOCOL_VERSION, PeerEnvelope, PeerReply, PeerRequest, decode, encode,
 };
@@ -37,9 +37,10 @@
         if request.method() != Method::POST || request.uri().path() != INNER_PATH {
             return error_response(ResultCode::NotFound, "no such path");
         }
-        let body = match read_body(request.into_body(), MAX_MESSAGE_BYTES).await {
-            Ok(body) => body,
-            Err(code) => return error_response(code, "the message could not be read"),
+        let (parts, body) = request.into_parts();
+        let body = match read_held_body(body, &parts.extensions, MAX_MESSAGE_BYTES).await {
+            Ok(held) => held.into_bytes(),
+            Err(error) => return error_response(error.into(), &error.to_string()),
         };
         let message = match decode::<PeerEnvelope<PeerRequest>>(&body) {
             Ok(message) if message.protocol == PROTOCOL_VERSION => message,
--- a/crates/magnolia-http/src/json.rs
+++ b/crates/magnolia-http/src/json.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::{Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http::{Extensions, Response, StatusCode, header};
+use http_body_util::Full;
 use hyper::body::Body;
 use magnolia_types::{Ran, ResultCode};
 use serde::{Deserialize, Serialize};
 
-use crate::HttpResponse;
+use crate::{HttpResponse, read_held_body};
 
 /// JSON body of every response that reports a refusal or failure.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -52,22 +52,15 @@
     json_response(code.http_status(), &ErrorBody::new(code, message))
 }
 
-/// Reads a complete body of at most `limit` bytes.
+/// Reads a complete body of at most `limit` bytes that counts for no client.
 ///
 /// # Errors
 ///
-/// Returns [`ResultCode::BodyTooLarge`] for a larger body, and [`ResultCode::BadRequest`] if the
-/// body cannot be read to its end.
+/// Returns the code of the [`BodyError`](crate::BodyError).
 pub async fn read_body<B>(body: B, limit: usize) -> Result<Bytes, ResultCode>
 where
     B: Body<Data = Bytes>,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(ResultCode::BodyTooLarge)
-        }
-        Err(_) => Err(ResultCode::BadRequest),
-    }
+    let held = read_held_body(body, &Extensions::new(), limit).await?;
+    Ok(held.into_bytes())
 }
--- a/crates/magnolia-http/src/lib.rs
+++ b/crates/magnolia-http/src/lib.rs
@@ -5,17 +5,26 @@
 //! may have reached the peer.
 
 mod client;
+mod client_guard;
+mod client_stream;
 mod error;
 mod json;
+mod memory_budget;
 mod pool;
+mod request_body;
 mod server;
 mod traffic;
 mod write_guard;
 
 pub use client::{CallLimits, HttpAnswer, HttpClient};
+pub use client_guard::{ClientGuard, ClientHandle, ConnectionLimits, GuardCounts};
 pub use error::HttpError;
 pub use json::{ErrorBody, error_response, json_response, read_body};
+pub use memory_budget::{MemoryBudget, MemoryShare};
 pub use pool::PoolSettings;
-pub use server::{HttpBody, HttpHandler, HttpRequest, HttpResponse, serve};
+pub use request_body::{BodyError, HeldBody, read_held_body};
+pub use server::{
+    HttpBody, HttpHandler, HttpRequest, HttpResponse, ServerSettings, serve, serve_with,
+};
 pub use traffic::{TrafficCount, traffic};
 pub use write_guard::WriteGuard;
--- a/crates/magnolia-http/src/server.rs
+++ b/crates/magnolia-http/src/server.rs
@@ -14,8 +14,10 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
+use crate::client_guard::{ClientGuard, ConnectionLimits, ConnectionPhase};
+use crate::client_stream::ClientStream;
 use crate::traffic::CountedStream;
 
 /// Body of a response.
@@ -25,9 +27,9 @@
 /// A response with its complete body.
 pub type HttpResponse = Response<HttpBody>;
 
-/// Maximum time for the head of a request to arrive. It includes the wait for the request, so that
-/// a connection that stays idle for this long is closed.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Part of a read buffer beyond the longest head: what has arrived of the body. The server needs a
+/// buffer of this size at least.
+const BODY_BUFFER_BYTES: usize = 8 << 10;
 /// Time after the start of the shutdown in which requests that are already on their way are still
 /// answered, with a `Connection: close` header. If connections were closed at once, these requests
 /// would be lost unread.
@@ -42,14 +44,64 @@
     fn handle(self: Arc<Self>, request: HttpRequest) -> BoxFuture<'static, HttpResponse>;
 }
 
+/// Limits of a listener.
+#[derive(Clone)]
+pub struct ServerSettings {
+    /// Bounds on all clients together.
+    pub guard: Arc<ClientGuard>,
+    /// Returns the limits of a new connection.
+    pub limits: Arc<dyn Fn() -> ConnectionLimits + Send + Sync>,
+}
+
+impl ServerSettings {
+    /// Creates settings with the default limits of a connection.
+    pub fn new(guard: Arc<ClientGuard>) -> Self {
+        Self {
+            guard,
+            limits: Arc::new(ConnectionLimits::default),
+        }
+    }
+
+    /// Sets where the limits of a new connection come from.
+    #[must_use]
+    pub fn with_limits(
+        mut self,
+        limits: impl Fn() -> ConnectionLimits + Send + Sync + 'static,
+    ) -> Self {
+        self.limits = Arc::new(limits);
+        self
+    }
+}
+
+impl Default for ServerSettings {
+    fn default() -> Self {
+        Self::new(ClientGuard::new(
+            ClientGuard::DEFAULT_MEMORY_BYTES,
+            ClientGuard::DEFAULT_CONNECTIONS,
+        ))
+    }
+}
+
+/// Serves with default limits; see [`serve_with`].
+pub async fn serve(
+    listener: TcpListener,
+    handler: Arc<dyn HttpHandler>,
+    shutdown: impl Future<Output = ()>,
+    drain_limit: Duration,
+) -> bool {
+    let settings = ServerSettings::default();
+    serve_with(listener, handler, settings, shutdown, drain_limit).await
+}
+
 /// Accepts and serves connections until a short time after `shutdown` completes, then waits for the
 /// requests in flight.
 ///
 /// Returns when all connections are closed or when `drain_limit`, which starts with that wait, has
 /// passed. The result tells whether all connections were closed.
-pub async fn serve(
+pub async fn serve_with(
     listener: TcpListener,
     handler: Arc<dyn HttpHandler>,
+    settings: ServerSettings,
     shutdown: impl Future<Output = ()>,
     drain_limit: Duration,
 ) -> bool {
@@ -68,7 +120,15 @@
             () = &mut linger => break,
         };
         match accepted {
-            Ok((stream, _)) => start_connection(stream, &handler, &closing, &graceful),
+            Ok((stream, _)) => {
+                // A refused connection is closed by dropping it.
+                if let Some(client) = settings.guard.admit().await {
+                    stream.set_nodelay(true).ok();
+                    let limits = (settings.limits)();
+                    let stream = ClientStream::new(CountedStream::new(stream), client, limits);
+                    start_connection(stream, limits, &handler, &closing, &graceful);
+                }
+            }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
@@ -81,31 +141,42 @@
 }
 
 fn start_connection(
-    stream: TcpStream,
+    stream: ClientStream,
+    limits: ConnectionLimits,
     handler: &Arc<dyn HttpHandler>,
     closing: &Arc<AtomicBool>,
     graceful: &GracefulShutdown,
 ) {
-    stream.set_nodelay(true).ok();
+    let client = stream.client().clone();
+    let state = Arc::clone(client.state());
     let (handler, closing) = (Arc::clone(handler), Arc::clone(closing));
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: HttpRequest| {
         let (handler, closing) = (Arc::clone(&handler), Arc::clone(&closing));
+        let client = client.clone();
+        client.state().set_phase(ConnectionPhase::Serving);
+        request.extensions_mut().insert(client.clone());
+        request.extensions_mut().insert(limits);
         async move {
             let mut response = handler.handle(request).await;
             if closing.load(Ordering::SeqCst) {
                 let close = header::HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
+            client.state().set_phase(ConnectionPhase::Idle);
             Ok::<_, std::convert::Infallible>(response)
         }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
-        .serve_connection(TokioIo::new(CountedStream::new(stream)), service);
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.max_head_bytes.saturating_add(BODY_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
     let watched = graceful.watch(connection);
     tokio::spawn(async move {
-        // A connection that breaks needs no action of the server.
-        watched.await.ok();
+        tokio::select! {
+            // A connection that breaks needs no action of the server.
+            _ = watched => {}
+            () = state.evicted() => {}
+        }
     });
 }
--- a/crates/magnolia-node/src/node.rs
+++ b/crates/magnolia-node/src/node.rs
@@ -6,7 +6,9 @@
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use magnolia_http::{HttpHandler, HttpRequest, HttpResponse, read_body, serve};
+use magnolia_http::{
+    HttpHandler, HttpRequest, HttpResponse, ServerSettings, read_held_body, serve_with,
+};
 use magnolia_scheduler::{
     AccountRules, CellRules, JobSpec, QueueRules, RecordError, check_record_size,
 };
@@ -38,6 +40,8 @@
 /// Time for which a daemon that could not take ownership leaves it to others: they claim it within
 /// about a second, and need some seconds each on a slow link.
 const ABSTENTION: Millis = Millis::new(10_000);
+/// Time for which operators are told that clients were refused.
+const SHED_MEMORY: Millis = Millis::new(10_000);
 /// Largest body of a message between daemons.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
@@ -88,6 +92,8 @@
     pub(crate) claim_requested: Notify,
     /// Notified when the owner should be pinged at once.
     pub(crate) ping_requested: Notify,
+    /// When clients were last refused because they held too much.
+    shed_at: Mutex<Option<Millis>>,
 }
 
 impl CellNode {
@@ -112,16 +118,18 @@
             abstains_until: Mutex::default(),
             claim_requested: Notify::new(),
             ping_requested: Notify::new(),
+            shed_at: Mutex::default(),
         })
     }
 
     /// Starts the background tasks of the daemon and serves other daemons on `listener`.
-    pub fn run(self: &Arc<Self>, listener: TcpListener) {
+    pub fn run(self: &Arc<Self>, listener: TcpListener, server: ServerSettings) {
         let node = Arc::clone(self);
         let handler: Arc<dyn HttpHandler> = Arc::new(PeerHandler { node });
-        tokio::spawn(serve(
+        tokio::spawn(serve_with(
             listener,
             handler,
+            server,
             std::future::pending(),
             Duration::ZERO,
         ));
@@ -135,6 +143,18 @@
         });
     }
 
+    /// Records that clients were refused or given up because they held too much or were too slow.
+    pub fn record_shed_clients(&self) {
+        let now = self.clock.now();
+        *self.shed_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
+    }
+
+    /// Tells whether clients were refused or given up lately.
+    pub(crate) fn sheds_clients(&self) -> bool {
+        let shed_at = *self.shed_at.lock().unwrap_or_else(PoisonError::into_inner);
+        shed_at.is_some_and(|at| self.clock.now().saturating_sub(at) < SHED_MEMORY)
+    }
+
     /// Returns the newest configuration that this daemon knows.
     pub fn rules(&self) -> Arc<CellRules> {
         Arc::clone(&self.rules.borrow())
@@ -486,14 +506,17 @@
 impl HttpHandler for PeerHandler {
     fn handle(self: Arc<Self>, request: HttpRequest) -> BoxFuture<'static, HttpResponse> {
         async move {
-            let body = match read_body(request, MAX_MESSAGE_BYTES).await {
-                Ok(body) => body,
-                Err(code) => {
-                    log::warn!(code:? = code; "reading a message from a daemon failed");
+            let (parts, body) = request.into_parts();
+            let read = read_held_body(body, &parts.extensions, MAX_MESSAGE_BYTES);
+            let held = match read.await {
+                Ok(held) => held,
+                Err(error) => {
+                    log::warn!(error:% = error; "reading a message from a daemon failed");
                     return reply_response(&PeerReply::Malformed);
                 }
             };
-            match rmp_serde::from_slice::<PeerRequest>(&body) {
+            // The body counts until the answer is there: what is decoded from it lives as long.
+            match rmp_serde::from_slice::<PeerRequest>(held.bytes()) {
                 Ok(message) => reply_response(&self.node.answer_peer(message).await),
                 Err(error) => {
                     log::warn!(error:% = error; "malformed message from a daemon");
--- a/crates/magnolia-node/src/peer_messages.rs
+++ b/crates/magnolia-node/src/peer_messages.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use magnolia_scheduler::{
-    AccountDirectory, AccountName, AccountRules, CellRules, CellVersion, EligibilityAnswer, JobKey,
-    KeyDigest, StepRef,
+    AccountDirectory, AccountName, AccountRules, CellRules, CellVersion, ConnectionRules,
+    EligibilityAnswer, JobKey, KeyDigest, StepRef,
 };
 use magnolia_types::{DaemonId, Epoch, ExecutorId, Incarnation, LogOffset, Millis, wire_types};
 
@@ -113,6 +113,8 @@
         pub(crate) queues: Vec<magnolia_scheduler::QueueRules>,
         pub(crate) services: Vec<(magnolia_scheduler::ServiceName, magnolia_scheduler::ServiceRules)>,
         pub(crate) max_body_bytes: u64,
+        #[serde(default)]
+        pub(crate) connections: ConnectionRules,
         /// Client accounts with the digests of their keys.
         #[serde(default)]
         pub(crate) accounts: Option<Vec<(AccountRules, Vec<KeyDigest>)>>,
@@ -155,6 +157,7 @@
                 .map(|(name, rules)| (name.clone(), rules.clone()))
                 .collect(),
             max_body_bytes: rules.max_body_bytes,
+            connections: rules.connections,
             accounts: rules.accounts.as_deref().map(account_copies),
         }
     }
@@ -170,6 +173,7 @@
                 .collect(),
             services: copy.services.iter().cloned().collect(),
             max_body_bytes: copy.max_body_bytes,
+            connections: copy.connections,
             accounts: copy
                 .accounts
                 .as_deref()
--- a/crates/magnolia-node/src/state.rs
+++ b/crates/magnolia-node/src/state.rs
@@ -105,6 +105,14 @@
                 state.version, state.store_age
             ),
         };
+        let answer = if self.sheds_clients() {
+            format!(
+                "{answer}; {} refuses clients that hold too much",
+                state.daemon
+            )
+        } else {
+            answer
+        };
         let owner_in_contact = state.owner.is_some() && self.has_owner_contact(state.owns);
         NodeStatus {
             serving: state.ready && owner_in_contact,
--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -88,6 +88,7 @@
 pub use record_size::check_record_size;
 pub use refused_records::{RefusedRecords, SubmissionState};
 pub use rules::{
-    CellRules, CellVersion, EligibilityCost, QueueName, QueueRules, ServiceName, ServiceRules,
+    CellRules, CellVersion, ConnectionRules, EligibilityCost, QueueName, QueueRules, ServiceName,
+    ServiceRules,
 };
 pub use settings::SchedulerSettings;
--- a/crates/magnolia-scheduler/src/rules.rs
+++ b/crates/magnolia-scheduler/src/rules.rs
@@ -73,6 +73,29 @@
     }
 }
 
+wire_types! {
+    /// Limits on the connections of callers.
+    #[derive(Copy)]
+    pub struct ConnectionRules {
+        /// Longest head of a request, in bytes.
+        pub max_head_bytes: u64,
+        /// Time for a head to arrive, from its first byte.
+        pub head_timeout: Millis,
+        /// Time for which a connection may stay open without a request.
+        pub idle_timeout: Millis,
+    }
+}
+
+impl Default for ConnectionRules {
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 16 << 10,
+            head_timeout: Millis::from_secs(10),
+            idle_timeout: Millis::from_secs(15),
+        }
+    }
+}
+
 /// One version of the configuration.
 #[derive(Clone, Debug, PartialEq, Default)]
 pub struct CellRules {
@@ -84,6 +107,8 @@
     pub services: BTreeMap<ServiceName, ServiceRules>,
     /// Largest body of a caller's request, in bytes.
     pub max_body_bytes: u64,
+    /// Limits on the connections of callers.
+    pub connections: ConnectionRules,
     /// Client accounts. If the configuration names none, callers need no key and nothing is limited
     /// by account.
     pub accounts: Option<Arc<AccountDirectory>>,
