scheduler: speeds by kind of executor, and how long a wait for a rack pays

Change: speeds are averaged as logarithms relative to the mean of all, and what one executor shows is expected of the others with its label. Urgent steps ask and use the fast ones; other work leaves these free while slower ones have room. A task whose data is on a full rack waits there while the turnover of the rack makes that shorter than a run elsewhere, and in time for the objective of its job.

--- a/crates/magnolia-scheduler/src/accounts.rs
+++ b/crates/magnolia-scheduler/src/accounts.rs
@@ -145,12 +145,14 @@
         executor_index: ExecutorIndex,
         task: TaskRef,
         run: RunNumber,
+        now: Millis,
     ) -> Option<ActiveRun> {
         let executor = self.executors.get_mut(executor_index);
         let active = executor.remove_run(task, run)?;
         if let Some(charge) = &active.charge {
             self.accounts.release(charge);
         }
+        self.record_turnover(executor_index, &active.reserved, now);
         Some(active)
     }
 
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -26,6 +26,7 @@
     JobSpec, JobStatus, QueueName, QueueRules, SchedulerSettings, ServiceName, SharePosition,
     StepRef, StepSpec, TaskRef,
 };
+use crate::{SpeedModel, TurnoverMeter};
 
 /// Time after which a caller may retry whose job finds no memory: as long as for the largest backlog,
 /// because nobody knows when jobs end.
@@ -150,6 +151,10 @@
     pub(crate) eligibility_queue: EligibilityQueue,
     /// Moving mean of the share of named executors that were eligible, by queue.
     pub(crate) eligible_share: HashMap<QueueName, f64>,
+    /// Processors that become free on the racks that hold the data of steps.
+    pub(crate) turnovers: HashMap<Arc<str>, TurnoverMeter>,
+    /// Speeds of executors by label.
+    pub(crate) speeds: SpeedModel,
     /// Mean work of the jobs of each queue.
     work_means: HashMap<QueueName, WorkMean>,
     pub(crate) actions: Vec<CellAction>,
@@ -200,6 +205,8 @@
             unplaceable: UnplaceableSteps::default(),
             eligibility_queue: EligibilityQueue::new(),
             eligible_share: HashMap::new(),
+            turnovers: HashMap::new(),
+            speeds: SpeedModel::default(),
             work_means: HashMap::new(),
             actions: Vec::new(),
             batches: 0,
--- a/crates/magnolia-scheduler/src/eligibility.rs
+++ b/crates/magnolia-scheduler/src/eligibility.rs
@@ -11,7 +11,9 @@
 use crate::eligibility_queue::QueuedEligibilityRequest;
 use crate::executors::ExecutorIndex;
 use crate::placement::{Candidate, choose_executors_to_ask};
-use crate::planning::{PREEMPTING_PRIORITY, StepCandidates, is_suitable, new_candidate};
+use crate::planning::{
+    PREEMPTING_PRIORITY, StepCandidates, is_suitable, new_candidate, placement_aim,
+};
 use crate::{QueueRules, StepRef};
 
 /// Most executors in one eligibility request; a limit of the platform. A second one costs the base
@@ -49,6 +51,10 @@
         if urgent && candidates.unknown.is_empty() && candidates.expired.is_empty() {
             candidates.unknown = self.preemption_candidates(step, rules, now);
         }
+        let aim = match self.step_spec(step) {
+            Some(spec) => placement_aim(spec, rules),
+            None => return,
+        };
         let Some(state) = self.step_state_mut(step) else {
             return;
         };
@@ -68,6 +74,7 @@
             1.0,
             MAX_EXECUTORS_PER_REQUEST,
             salt,
+            aim,
         );
         let of_expired: u32 = candidates
             .expired
@@ -84,6 +91,7 @@
                 share,
                 limit,
                 salt,
+                aim,
             ));
         }
         let of_unknown: u32 = candidates
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -14,7 +14,9 @@
 use crate::executors::{ExecutorEntry, ExecutorRecord, ExecutorStatus, ExecutorUse};
 use crate::unanswered_starts::{GivenUpStart, UnansweredStart};
 use crate::witnesses::WitnessListing;
-use crate::{AccountName, ExecutorLife, FenceToken, RunNumber, SchedulerSettings, TaskRef};
+use crate::{
+    AccountName, ExecutorLife, FenceToken, MeasuredSpeed, RunNumber, SchedulerSettings, TaskRef,
+};
 
 /// How much slower than the owner's the clock of an executor may run, in thousandths; a limit of
 /// the platform.
@@ -363,6 +365,8 @@
     pub(crate) health: HealthTracker,
     /// Measured speed relative to the other executors; 1.0 is average.
     pub(crate) speed: f64,
+    /// What its own runs have shown.
+    pub(crate) measured_speed: MeasuredSpeed,
     /// When the CPU share of filler tasks there was last changed.
     pub(crate) paced_at: Millis,
     /// When its present life became known, if that replaced another one and ownership was not
@@ -424,6 +428,7 @@
             lists_ends: false,
             health: HealthTracker::default(),
             speed: 1.0,
+            measured_speed: MeasuredSpeed::default(),
             paced_at: Millis::new(0),
             unconfirmed_life: None,
             not_before: Millis::new(0),
--- a/crates/magnolia-scheduler/src/explain.rs
+++ b/crates/magnolia-scheduler/src/explain.rs
@@ -112,6 +112,12 @@
         if let Some(account) = self.account_at_cap(step, now) {
             parts.push(format!("client account {account} is at its limit"));
         }
+        if let Some(since) = state.locality_wait_since {
+            let waited = now.saturating_sub(since);
+            parts.push(format!(
+                "they wait for a place near their data, since {waited}"
+            ));
+        }
         if job.beyond_share {
             parts.push("the job is beyond the share of its client account".into());
         }
--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -38,7 +38,9 @@
 mod job_memory;
 mod job_spec;
 mod lifecycle;
+mod locality_wait;
 mod lost_runs;
+mod near_places;
 mod need_classes;
 mod ordering;
 mod outage;
@@ -52,6 +54,7 @@
 mod reports;
 mod rules;
 mod settings;
+mod speed_model;
 mod step;
 mod step_selection;
 mod takeover;
@@ -78,10 +81,11 @@
 pub use job::JobStatus;
 pub use job_memory::job_memory_share;
 pub use job_spec::{JobSpec, RecurrenceSpec, SpecError, StepSpec};
+pub use locality_wait::{TurnoverMeter, WaitDecision, WaitLoad, decide_locality_wait};
 pub use ordering::{WorkMean, order_time};
 pub use outage::{OutageDecision, decide_outage};
 pub use pacing::{PaceDecision, decide_pace};
-pub use placement::{Candidate, choose_executor, choose_executors_to_ask};
+pub use placement::{Candidate, PlacementAim, choose_executor, choose_executors_to_ask};
 pub use record::{
     EndedAccount, EndedRecord, JobRecord, LiveRecord, OccurrenceRecord, RecordError, StepRecord,
 };
@@ -92,3 +96,4 @@
     ServiceRules,
 };
 pub use settings::SchedulerSettings;
+pub use speed_model::{LogSpeed, MeasuredSpeed, SpeedModel, speed_tier};
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -11,7 +11,8 @@
 use crate::need_classes::NeedClasses;
 use crate::step::{StepState, TaskPhase, TaskState};
 use crate::{
-    CellAction, EndKind, JobKey, JobStatus, RunNumber, StepRef, StepSpec, StopOrder, TaskRef,
+    CellAction, EndKind, JobKey, JobStatus, LogSpeed, RunNumber, StepRef, StepSpec, StopOrder,
+    TaskRef,
 };
 
 /// Delay before a task starts again after a failed run, for each failure so far, and before a
@@ -229,7 +230,7 @@
         if self.keep_bound_run(executor_index, task, run, now) {
             return;
         }
-        self.remove_run(executor_index, task, run);
+        self.remove_run(executor_index, task, run, now);
         self.return_task(executor_index, task, run, now);
     }
 
@@ -239,8 +240,9 @@
         executor_index: ExecutorIndex,
         task: TaskRef,
         run: RunNumber,
+        now: Millis,
     ) {
-        let removed = self.take_run(executor_index, task, run);
+        let removed = self.take_run(executor_index, task, run, now);
         if removed.as_ref().is_some_and(ActiveRun::has_lasting_start) {
             self.mark_executor_dirty(executor_index);
         }
@@ -348,7 +350,7 @@
         for index in first..first.saturating_add(count) {
             self.mark_done(TaskRef { index, ..task }, now);
         }
-        self.take_run(executor_index, task, run);
+        self.take_run(executor_index, task, run, now);
         self.update_ready(task.step);
     }
 
@@ -512,24 +514,32 @@
         let Some(state) = self.step_state_mut(task.step) else {
             return;
         };
-        let work = took * speed;
-        let known = state.mean_work;
+        if took < 1.0 {
+            return;
+        }
+        let work = took.ln() + speed.ln();
+        let known = state.mean_log_work;
         state.measured += 1;
-        state.mean_work += (work - known) / f64::from(state.measured);
-        if state.measured <= MIN_MEASURED_RUNS || took <= 0.0 {
+        state.mean_log_work += (work - known) / f64::from(state.measured);
+        if state.measured <= MIN_MEASURED_RUNS {
             return;
         }
-        let seen = (known / took).clamp(MIN_SPEED, MAX_SPEED);
-        self.executors.get_mut(executor_index).speed += (seen - speed) * SPEED_WEIGHT;
+        let seen = LogSpeed::new(known - took.ln());
+        let executor = self.executors.get_mut(executor_index);
+        executor.measured_speed.observe(seen);
+        let labels = &executor.entry.labels;
+        self.speeds.observe(labels, seen);
+        executor.speed = self.speeds.estimate(&executor.measured_speed, labels);
+    }
+
+    /// Updates the speeds of all executors by what others of their kind have shown.
+    pub(crate) fn refresh_speeds(&mut self) {
+        for (_, executor) in self.executors.iter_mut() {
+            let labels = &executor.entry.labels;
+            executor.speed = self.speeds.estimate(&executor.measured_speed, labels);
+        }
     }
 }
 
 /// Number of measured runs of a step before further ones are compared with their mean.
 const MIN_MEASURED_RUNS: u32 = 2;
-/// Lower bound of one measurement: temporary slowdowns reach an eighth of the normal speed.
-const MIN_SPEED: f64 = 0.1;
-/// Upper bound of one measurement: executors differ by a half.
-const MAX_SPEED: f64 = 2.0;
-/// Weight of one run in the measured speed: tasks of a step differ by up to a third, so that it
-/// takes some ten runs to distinguish executors.
-const SPEED_WEIGHT: f64 = 0.15;
--- a/crates/magnolia-scheduler/src/lost_runs.rs
+++ b/crates/magnolia-scheduler/src/lost_runs.rs
@@ -44,7 +44,7 @@
         if self.keep_bound_run(executor_index, task, run, now) {
             return;
         }
-        self.remove_run(executor_index, task, run);
+        self.remove_run(executor_index, task, run, now);
         self.lost_runs.push(LostRun {
             executor_index,
             task,
--- a/crates/magnolia-scheduler/src/placement.rs
+++ b/crates/magnolia-scheduler/src/placement.rs
@@ -6,6 +6,7 @@
 )]
 
 use crate::executors::ExecutorIndex;
+use crate::speed_tier;
 
 /// An executor that tasks of a step may go to, as seen by the choice.
 #[derive(Clone, Debug, PartialEq)]
@@ -24,22 +25,37 @@
     pub avoided: bool,
 }
 
+/// What the tasks of a step need of an executor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacementAim {
+    /// A short run: urgent tasks, whose objective leaves little beyond the run itself.
+    Speed,
+    /// Company that disturbs little: tasks that last and fillers, which gain nothing by speed.
+    Room,
+    /// Few gaps: batch tasks, whose objective has slack.
+    Fit,
+}
+
 /// Chooses the executor of the next task and returns its position in `candidates`.
 ///
-/// Executors that are not `avoided` come first, then those near the step's data. Among equal ones,
-/// `spread` prefers fast executors with many spare processors, as urgent work needs; without it,
-/// the fullest one on which the task fits is chosen (best fit), which leaves large gaps for steps
-/// of many tasks.
-pub fn choose_executor(candidates: &[Candidate], spread: bool) -> Option<usize> {
+/// Load: executors of unlike speeds in a cell that is half full or more. Executors that are not
+/// `avoided` come first, then those near the step's data. Urgent tasks go to the fastest ones, and
+/// among these to those with many spare processors. Other tasks leave the fast executors to them as
+/// long as slower ones have room: those that last go where most processors are spare, batch tasks to
+/// the fullest executor on which they fit (best fit), which leaves large gaps for steps of many tasks.
+pub fn choose_executor(candidates: &[Candidate], aim: PlacementAim) -> Option<usize> {
     let key = |candidate: &Candidate| {
-        let order = if spread {
-            // Speed in steps of 5% comes before spare processors: it decides how long a run takes.
-            let speed = (candidate.speed * 20.0).round() as i64;
-            speed
-                .saturating_mul(1_000_000)
-                .saturating_add(candidate.spare_cpu)
-        } else {
-            candidate.spare_cpu.saturating_neg()
+        let order = match aim {
+            // In steps of 5%: speed decides how long a run takes.
+            PlacementAim::Speed => ((candidate.speed * 20.0).round() as i64, candidate.spare_cpu),
+            PlacementAim::Room => (
+                speed_tier(candidate.speed).saturating_neg(),
+                candidate.spare_cpu,
+            ),
+            PlacementAim::Fit => (
+                speed_tier(candidate.speed).saturating_neg(),
+                candidate.spare_cpu.saturating_neg(),
+            ),
         };
         (!candidate.avoided, candidate.near_data, order)
     };
@@ -62,12 +78,19 @@
     eligible_share: f64,
     limit: usize,
     salt: u64,
+    aim: PlacementAim,
 ) -> Vec<ExecutorIndex> {
     let counted = tasks.div_ceil(ASSUMED_SPREAD);
     let key = |candidate: &Candidate| {
         let mixed = (candidate.executor_index as u64 ^ salt).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let tier = speed_tier(candidate.speed);
+        let tier = match aim {
+            PlacementAim::Speed => tier.saturating_neg(),
+            PlacementAim::Room | PlacementAim::Fit => tier,
+        };
         (
             !candidate.near_data,
+            tier,
             std::cmp::Reverse(candidate.fitting_tasks.min(counted)),
             mixed,
         )
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -8,7 +8,8 @@
 use crate::cell::{CellScheduler, ReadyKey};
 use crate::executor_state::ExecutorState;
 use crate::executors::ExecutorIndex;
-use crate::placement::{Candidate, choose_executor};
+use crate::near_places::RackClaims;
+use crate::placement::{Candidate, PlacementAim, choose_executor};
 use crate::reports::filler_cpu;
 use crate::step::{StepState, TaskPhase, TaskState};
 use crate::takeover::TakeoverBlock;
@@ -63,6 +64,7 @@
         self.resend_stops(now);
         self.open_due_occurrences(now, now_unix_ms);
         self.update_unlocated(now);
+        self.refresh_speeds();
         self.stop_hung_runs(now);
     }
 
@@ -107,8 +109,9 @@
         self.repeat_starts(now);
         self.refresh_unlocated(now);
         let block = self.takeover_block();
+        let mut claims = RackClaims::default();
         for key in self.steps_to_plan(&block, now) {
-            self.plan_step(key, &block, now);
+            self.plan_step(key, &block, &mut claims, now);
         }
         for order in self.eligibility_queue.dispatch() {
             if let Some(state) = self.step_state_mut(order.step) {
@@ -118,7 +121,13 @@
         }
     }
 
-    fn plan_step(&mut self, key: ReadyKey, block: &TakeoverBlock, now: Millis) {
+    fn plan_step(
+        &mut self,
+        key: ReadyKey,
+        block: &TakeoverBlock,
+        claims: &mut RackClaims,
+        now: Millis,
+    ) {
         let step = key.step;
         let Some(job) = self.jobs.get(&step.job) else {
             return;
@@ -155,6 +164,8 @@
         let held_by_cap = startable.len().saturating_sub(below_cap);
         startable.truncate(below_cap);
         let mut candidates = self.candidates(spec, &rules, state, step, now);
+        let near_only =
+            !spec.gang && self.keep_near_places(step, spec, &rules, &mut candidates, claims, now);
         let placed = if spec.gang {
             self.place_gang(step, spec, &startable, &mut candidates, now)
         } else {
@@ -176,6 +187,7 @@
         let wanted = u32::try_from(left).unwrap_or(u32::MAX);
         if rules.priority == PREEMPTING_PRIORITY
             && !key.beyond_share
+            && !near_only
             && !self.expects_enough_capacity(&candidates, &rules, wanted)
         {
             self.preempt_runs(step, spec, &rules, wanted, now);
@@ -272,10 +284,10 @@
         candidates: &mut StepCandidates,
         now: Millis,
     ) -> usize {
-        let spread = rules.priority == PREEMPTING_PRIORITY || spec.filler || spec.lasting;
+        let aim = placement_aim(spec, rules);
         let mut placed = 0;
         for index in startable {
-            let Some(position) = choose_executor(&candidates.usable, spread) else {
+            let Some(position) = choose_executor(&candidates.usable, aim) else {
                 break;
             };
             let executor_index = candidates.usable[position].executor_index;
@@ -310,7 +322,7 @@
         }
         let mut chosen = Vec::with_capacity(startable.len());
         for _ in startable {
-            let Some(position) = choose_executor(&candidates.usable, false) else {
+            let Some(position) = choose_executor(&candidates.usable, PlacementAim::Fit) else {
                 return 0;
             };
             chosen.push(candidates.usable[position].executor_index);
@@ -422,6 +434,17 @@
     }
 }
 
+/// Returns what the tasks of a step need of an executor.
+pub(crate) fn placement_aim(spec: &StepSpec, rules: &QueueRules) -> PlacementAim {
+    if spec.filler || spec.lasting {
+        PlacementAim::Room
+    } else if rules.priority == PREEMPTING_PRIORITY {
+        PlacementAim::Speed
+    } else {
+        PlacementAim::Fit
+    }
+}
+
 /// Returns the indexes of the tasks that wait and are not delayed after a failed run.
 fn startable_tasks(state: &StepState, now: Millis) -> Vec<u32> {
     state
--- a/crates/magnolia-scheduler/src/settings.rs
+++ b/crates/magnolia-scheduler/src/settings.rs
@@ -48,6 +48,9 @@
     /// Part of the limit of a client account, in thousandths, by which its tasks may exceed the limit;
     /// from the settings file.
     pub cap_tolerance_permille: u64,
+    /// Run time of a task away from its data as a multiple of that near it, in thousandths; from the
+    /// settings file. Without a difference, no task waits for a place near its data.
+    pub far_permille: u64,
 }
 
 impl SchedulerSettings {
@@ -69,6 +72,7 @@
             isolation_limit: Millis::from_secs(2),
             outage_limit: Millis::from_secs(60),
             cap_tolerance_permille: 0,
+            far_permille: 1000,
         }
     }
 
@@ -101,6 +105,13 @@
         self
     }
 
+    /// Sets the run time of a task away from its data as a multiple of that near it, in thousandths.
+    #[must_use]
+    pub fn with_far_permille(mut self, permille: u64) -> Self {
+        self.far_permille = permille;
+        self
+    }
+
     /// Returns the time from the last order of an earlier owner until every lease that it granted
     /// has certainly expired, on executor clocks that are up to 2% slow. Every owner asks for the
     /// same lease length.
--- a/crates/magnolia-scheduler/src/step.rs
+++ b/crates/magnolia-scheduler/src/step.rs
@@ -93,8 +93,11 @@
     pub(crate) gang_runs: u64,
     /// When a task of the step last became able to start.
     pub(crate) ready_since: Millis,
-    /// Mean work of the measured runs: run time multiplied by the speed of the executor.
-    pub(crate) mean_work: f64,
+    /// Since when tasks wait for a place near their data, if any do.
+    pub(crate) locality_wait_since: Option<Millis>,
+    /// Mean of the logarithm of the work of the measured runs, which is the run time multiplied by the
+    /// speed of the executor.
+    pub(crate) mean_log_work: f64,
     /// Number of runs in the mean.
     pub(crate) measured: u32,
 }
@@ -111,7 +114,8 @@
             eligibility: StepEligibility::default(),
             gang_runs: 0,
             ready_since: Millis::new(0),
-            mean_work: 0.0,
+            locality_wait_since: None,
+            mean_log_work: 0.0,
             measured: 0,
         }
     }
