scheduler: jobs beyond a share are admitted like others, and take no turns of their own

They were admitted only where room was free at once; their callers came back after a second, when the jobs were late.

Change: one count of turns for each priority and class, those within the share first; admission by the expected wait from the later place in the order. The memory of a body at magnoliad counts until its answer is there.

--- a/crates/magnolia-daemon/src/callers/handler.rs
+++ b/crates/magnolia-daemon/src/callers/handler.rs
@@ -52,13 +52,14 @@
                 return refuse_method(parts.method.as_str(), allowed);
             }
         };
-        let body = match tokio::time::timeout(
+        // The memory of the body counts until the answer is there.
+        let (body, _share) = match tokio::time::timeout(
             BODY_TIMEOUT,
             read_held_body(body, &parts.extensions, MAX_BODY_BYTES),
         )
         .await
         {
-            Ok(Ok(held)) => held.into_bytes(),
+            Ok(Ok(held)) => held.into_parts(),
             Ok(Err(BodyError::TooLarge)) => {
                 let message = format!("the body is larger than {MAX_BODY_BYTES} bytes");
                 return error_response(ResultCode::BodyTooLarge, &message);
--- a/crates/magnolia-daemon/src/inner/mod.rs
+++ b/crates/magnolia-daemon/src/inner/mod.rs
@@ -38,8 +38,9 @@
             return error_response(ResultCode::NotFound, "no such path");
         }
         let (parts, body) = request.into_parts();
-        let body = match read_held_body(body, &parts.extensions, MAX_MESSAGE_BYTES).await {
-            Ok(held) => held.into_bytes(),
+        let (body, _share) = match read_held_body(body, &parts.extensions, MAX_MESSAGE_BYTES).await
+        {
+            Ok(held) => held.into_parts(),
             Err(error) => return error_response(error.into(), &error.to_string()),
         };
         let message = match decode::<PeerEnvelope<PeerRequest>>(&body) {
--- a/crates/magnolia-http/src/json.rs
+++ b/crates/magnolia-http/src/json.rs
@@ -62,5 +62,6 @@
     B: Body<Data = Bytes>,
 {
     let held = read_held_body(body, &Extensions::new(), limit).await?;
-    Ok(held.into_bytes())
+    let (bytes, _) = held.into_parts();
+    Ok(bytes)
 }
--- a/crates/magnolia-http/src/request_body.rs
+++ b/crates/magnolia-http/src/request_body.rs
@@ -59,9 +59,9 @@
         &self.bytes
     }
 
-    /// Returns the bytes, which count for no client any more.
-    pub fn into_bytes(self) -> Bytes {
-        Bytes::from(self.bytes)
+    /// Returns the bytes, and the memory that they count for until it is dropped.
+    pub fn into_parts(self) -> (Bytes, Option<MemoryShare>) {
+        (Bytes::from(self.bytes), self.share)
     }
 
     /// Takes the memory for what is decoded from the body: `factor` times its length.
--- a/crates/magnolia-scheduler/src/admission.rs
+++ b/crates/magnolia-scheduler/src/admission.rs
@@ -32,18 +32,9 @@
     pub objective: Millis,
     /// Estimated run time of the job's critical path.
     pub critical_path: Millis,
-    /// For a job beyond the share of its account: what others leave. Such a job is accepted only if
-    /// it can start on that at once, or is expected to be on time.
-    pub left_over: Option<LeftOver>,
-}
-
-/// Processors that a job beyond the share of its account could use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeftOver {
-    /// Processors that neither run tasks nor are awaited by tasks that come first, in thousandths.
-    pub free_millis: u64,
-    /// Processors that the widest step of the job needs, in thousandths.
-    pub needed_millis: u64,
+    /// Whether the job is beyond the share of its account, so that all others of its priority come
+    /// first.
+    pub beyond_share: bool,
 }
 
 /// Work that competes with a new job, by client account.
@@ -138,21 +129,13 @@
     let drain = of_cell.max(of_account);
     let wait = drain.saturating_add(load.eligibility_backlog.get());
     let expected = wait.saturating_add(load.critical_path.get());
-    let mut limit = latest_useful_end(load.objective).get();
-    if let Some(left_over) = load.left_over {
-        let usable = left_over.free_millis.saturating_mul(USABLE_PERCENT) / 100;
-        let asked = load.eligibility_backlog.saturating_add(load.critical_path);
-        if left_over.needed_millis <= usable && asked.get() <= limit {
-            return AdmissionDecision::Accept;
-        }
-        limit = load.objective.get();
-    }
+    let limit = latest_useful_end(load.objective).get();
     if expected <= limit {
         return AdmissionDecision::Accept;
     }
     let excess = Millis::new(expected.saturating_sub(limit));
     let retry_after = excess.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-    let reason = if load.left_over.is_some() {
+    let reason = if load.beyond_share {
         RefusalReason::Share
     } else if of_account > of_cell {
         RefusalReason::AccountLimit
--- a/crates/magnolia-scheduler/src/cell.rs
+++ b/crates/magnolia-scheduler/src/cell.rs
@@ -8,7 +8,7 @@
 
 use crate::account_table::{AccountSummary, AccountTable};
 use crate::admission::{
-    AccountBacklog, AdmissionDecision, AdmissionLoad, LeftOver, RefusalReason, decide_admission,
+    AccountBacklog, AdmissionDecision, AdmissionLoad, RefusalReason, decide_admission,
     latest_useful_end,
 };
 use crate::eligibility_queue::EligibilityQueue;
@@ -320,7 +320,7 @@
                 reason: RefusalReason::Memory,
             };
         }
-        let load = self.admission_load(&job, spec, now);
+        let load = self.admission_load(&job, spec);
         if let AdmissionDecision::Refuse {
             retry_after,
             reason,
@@ -354,7 +354,7 @@
             .fold(0, u64::saturating_add)
     }
 
-    fn admission_load(&self, new: &JobState, spec: &JobSpec, now: Millis) -> AdmissionLoad {
+    fn admission_load(&self, new: &JobState, spec: &JobSpec) -> AdmissionLoad {
         let rules = &*new.rules;
         let position = |job: &JobState| (job.rules.priority, job.beyond_share, job.order_unix_ms);
         let objective = rules.objective(spec.critical_path());
@@ -380,43 +380,7 @@
                 .backlog(new.beyond_share, rules.priority),
             objective,
             critical_path: spec.critical_path(),
-            left_over: new
-                .beyond_share
-                .then(|| self.left_over(&rules.service, spec, now)),
-        }
-    }
-
-    /// Returns what the jobs that come before one beyond the share of its account leave of a service.
-    fn left_over(&self, service: &ServiceName, spec: &JobSpec, now: Millis) -> LeftOver {
-        let executors = self
-            .executors
-            .iter()
-            .filter(|(_, executor)| executor.listed && executor.entry.service == *service);
-        let free = executors
-            .map(|(_, executor)| executor.free().cpu_millis.get())
-            .fold(0, u64::saturating_add);
-        let awaited = self
-            .ready
-            .iter()
-            .filter(|key| !self.unplaceable.contains(key.step))
-            .filter_map(|key| {
-                let (spec, rules, state) = self.step_needs(key.step)?;
-                if rules.service != *service {
-                    return None;
-                }
-                // Tasks that wait for the limit of their account take no processors now.
-                let startable = u64::try_from(self.startable_below_cap(key.step, now));
-                let tasks = u64::from(state.waiting).min(startable.unwrap_or(u64::MAX));
-                Some(spec.reserved().cpu_millis.get().saturating_mul(tasks))
-            })
-            .fold(0, u64::saturating_add);
-        let widest = spec.steps.iter().map(|step| {
-            let each = step.reserved().cpu_millis.get();
-            each.saturating_mul(u64::from(step.tasks))
-        });
-        LeftOver {
-            free_millis: free.saturating_sub(awaited),
-            needed_millis: widest.max().unwrap_or(0),
+            beyond_share: new.beyond_share,
         }
     }
 
--- a/crates/magnolia-scheduler/src/fair_share.rs
+++ b/crates/magnolia-scheduler/src/fair_share.rs
@@ -3,8 +3,7 @@
 //! Each accepted job of an account gets a virtual start time: the jobs of an account start one after
 //! the other, at the rate of its weight. As long as the account sends no more than that, virtual
 //! start times are those of the acceptance. An account that sends more gets ahead of its share. Its
-//! further jobs come after those of the same priority of all accounts within their share, and are
-//! accepted only if the others leave room or they are expected to be on time. Load: one account that sends many times its usual beside others that send theirs.
+//! further jobs come after those of the same priority of all accounts within their share. Load: one account that sends many times its usual beside others that send theirs.
 //!
 //! This is the virtual scheduling of Goyal, Vin and Cheng (Start-time Fair Queueing, 1996) with wall
 //! time as virtual time, so that the state of an account is a single time.
--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -67,7 +67,7 @@
 pub use account_table::AccountSummary;
 pub use accounts::AccountAccess;
 pub use actions::{CellAction, EligibilityOrder, PaceOrder, StartOrder, StopOrder};
-pub use admission::{AdmissionDecision, AdmissionLoad, LeftOver, RefusalReason, decide_admission};
+pub use admission::{AdmissionDecision, AdmissionLoad, RefusalReason, decide_admission};
 pub use cell::{CellScheduler, CellSummary, StoreBatch, SubmitOutcome};
 pub use eligibility_queue::{EligibilityQueue, QueuedEligibilityRequest};
 pub use executor_health::{HealthState, HealthTracker};
--- a/crates/magnolia-scheduler/src/step_selection.rs
+++ b/crates/magnolia-scheduler/src/step_selection.rs
@@ -31,11 +31,6 @@
         self.steps.remove(&step);
     }
 
-    /// Tells whether no executor could run the step.
-    pub(crate) fn contains(&self, step: StepRef) -> bool {
-        self.steps.contains(&step)
-    }
-
     /// Forgets all steps after a change of executors or rules.
     pub(crate) fn clear(&mut self) {
         self.steps.clear();
@@ -78,14 +73,12 @@
             self.unplaceable.clear();
             self.unplaceable.accepting = accepting;
         }
-        let mut considered: BTreeMap<(u32, bool, NeedClass), usize> = BTreeMap::new();
+        let mut considered: BTreeMap<(u32, NeedClass), usize> = BTreeMap::new();
         let mut keys = Vec::new();
         let mut found = Vec::new();
         let mut limited = BTreeSet::new();
         for key in &self.ready {
-            let count = considered
-                .entry((key.priority, key.beyond_share, key.class))
-                .or_default();
+            let count = considered.entry((key.priority, key.class)).or_default();
             let blocked = block.all && self.is_inherited(key.step);
             if blocked || *count >= STEPS_PER_PASS || self.unplaceable.steps.contains(&key.step) {
                 continue;
