scheduler: room for urgent tasks keeps no batch step out for ever

Cause: a batch task or gang that needs more than half of the limit of its account never started while the account sent urgent jobs, because up to half of the limit was always kept free for these.

Change: no more is kept free than the limit leaves beside the step itself.

Measured: the new test of a gang fails without the change and passes with it.

--- a/crates/magnolia-scheduler/src/account_limits.rs
+++ b/crates/magnolia-scheduler/src/account_limits.rs
@@ -110,9 +110,16 @@
     }
 
     /// Returns what other tasks leave free below a limit of `cap_millis`, while urgent tasks use
-    /// `urgent_millis`.
-    pub fn kept_free(&self, cap_millis: u64, urgent_millis: u64, now: Millis) -> u64 {
-        let largest = cap_millis / Self::MAX_SHARE;
+    /// `urgent_millis`. Tasks that need `needed_millis` together are not kept out by it alone.
+    pub fn kept_free(
+        &self,
+        cap_millis: u64,
+        urgent_millis: u64,
+        needed_millis: u64,
+        now: Millis,
+    ) -> u64 {
+        let beside = cap_millis.saturating_sub(needed_millis);
+        let largest = (cap_millis / Self::MAX_SHARE).min(beside);
         let kept = self.expected(now).min(largest);
         kept.saturating_sub(urgent_millis)
     }
--- a/crates/magnolia-scheduler/src/accounts.rs
+++ b/crates/magnolia-scheduler/src/accounts.rs
@@ -93,9 +93,10 @@
         let mut load = state.load;
         if job.rules.priority != PREEMPTING_PRIORITY {
             let limit = cap.cpu_millis.get();
-            let kept = state
-                .urgent_demand
-                .kept_free(limit, state.urgent_millis, now);
+            let together = if spec.gang { spec.tasks } else { 1 };
+            let needed = times(&spec.need, together).cpu_millis.get();
+            let demand = &state.urgent_demand;
+            let kept = demand.kept_free(limit, state.urgent_millis, needed, now);
             load.kept_free = ResourceVector::new(kept, 0, 0);
         }
         let tasks = tasks_below_cap(&cap, &load, &spec.need);
--- a/crates/magnolia-scheduler/src/lib.rs
+++ b/crates/magnolia-scheduler/src/lib.rs
@@ -22,6 +22,7 @@
 mod accounts;
 mod actions;
 mod admission;
+mod backlog;
 mod cell;
 mod eligibility;
 mod eligibility_queue;
--- a/crates/magnolia-scheduler/tests/client_accounts.rs
+++ b/crates/magnolia-scheduler/tests/client_accounts.rs
@@ -362,6 +362,26 @@
     }
 );
 
+test_case!(
+    /// Guards against a wide batch task or gang that never starts, because room is always kept free for
+    /// urgent tasks of its account.
+    room_for_urgent_tasks_keeps_no_batch_step_out_for_ever,
+    || {
+        let mixed = limited("mixed");
+        let mut harness = harness_with(1, &[Arc::clone(&mixed)]);
+        let batch = Arc::clone(&harness.rules);
+        harness.rules = Arc::new(queue("urgent", 0, 0, 0));
+        let unstored = submit_as(&mut harness, &mixed, 1, job(vec![step(3, TASK_CPU, 20, vec![])]));
+        assert_eq!(unstored, SubmitOutcome::Accepted);
+        harness.scheduler.cancel(JobKey::new(1), harness.now);
+        harness.store_batch();
+        harness.rules = batch;
+        let gang = StepSpec { gang: true, ..step(3, TASK_CPU, 20, vec![]) };
+        accept(&mut harness, &mixed, 2, job(vec![gang]));
+        assert_eq!(harness.start_tasks().len(), 3);
+    }
+);
+
 test_case!(
     /// Guards against accounts and limits that act where the configuration has none.
     without_accounts_nothing_is_limited,
--- a/crates/magnolia-scheduler/tests/locality_waits.rs
+++ b/crates/magnolia-scheduler/tests/locality_waits.rs
@@ -1,8 +1,11 @@
 //! Tests of the wait for a place near the data of a step: the decision alone, and a cell in which
 //! many jobs want the same rack, beside never and always waiting.
 
+mod common;
+
 use std::sync::Arc;
 
+use common::test_case;
 use magnolia_bench::heavy_days::site_queues;
 use magnolia_bench::load_simulation::{LoadSimulation, QueueResult, job, step};
 use magnolia_scheduler::{
@@ -12,17 +15,6 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-macro_rules! wait_test {
-    ($(#[$meta:meta])* $name:ident, $body:expr) => {
-        $(#[$meta])*
-        #[test]
-        fn $name() {
-            let check: fn() = $body;
-            check();
-        }
-    };
-}
-
 /// A task of 800 ms that would take twice as long elsewhere, where 20 processors become free a second.
 const LOAD: WaitLoad = WaitLoad {
     near_run: Millis::new(800),
@@ -33,7 +25,7 @@
     slack: Millis::new(600),
 };
 
-wait_test!(
+test_case!(
     /// Guards against a wait that costs more than it saves, and against one that is not begun though it
     /// pays.
     a_task_waits_as_long_as_it_pays,
@@ -50,7 +42,7 @@
     }
 );
 
-wait_test!(
+test_case!(
     /// Guards against tasks that wait for a rack on which nothing ends, or for longer than a job may
     /// stand still.
     a_task_waits_neither_in_vain_nor_for_ever,
@@ -71,7 +63,7 @@
     }
 );
 
-wait_test!(
+test_case!(
     /// Guards against a turnover that is remembered after a rack has come to a stand.
     the_turnover_of_a_rack_decays,
     || {
--- a/crates/magnolia-scheduler/tests/uneven_executors.rs
+++ b/crates/magnolia-scheduler/tests/uneven_executors.rs
@@ -1,6 +1,9 @@
 //! Plays a half-empty cell whose executors and tasks are uneven, and checks that urgent jobs are on
 //! time.
 
+mod common;
+
+use common::test_case;
 use magnolia_bench::heavy_days::site_queues;
 use magnolia_bench::load_simulation::{LoadSimulation, QueueResult, job, step};
 use magnolia_scheduler::{LogSpeed, MeasuredSpeed, SpeedModel, TaskRef, speed_tier};
@@ -51,18 +54,7 @@
     simulation.results()
 }
 
-macro_rules! uneven_test {
-    ($(#[$meta:meta])* $name:ident, $body:expr) => {
-        $(#[$meta])*
-        #[test]
-        fn $name() {
-            let check: fn() = $body;
-            check();
-        }
-    };
-}
-
-uneven_test!(
+test_case!(
     /// Guards against urgent jobs that are late in a half-empty cell because their tasks run on slow
     /// executors, and against batch jobs that pay for it.
     urgent_jobs_are_on_time_on_uneven_executors,
@@ -77,7 +69,7 @@
     }
 );
 
-uneven_test!(
+test_case!(
     /// Guards against estimates that drift or are pulled down by the few tasks that take many times as
     /// long: all executors then seem alike.
     estimates_hold_with_heavy_tails,
@@ -116,7 +108,7 @@
     }
 );
 
-uneven_test!(
+test_case!(
     /// Guards against an executor that has run nothing yet and counts as average although its kind is
     /// known.
     a_new_executor_has_the_speed_of_its_kind,
