--- a/crates/magnolia-node/src/lib.rs
+++ b/crates/magnolia-node/src/lib.rs
@@ -37,6 +37,8 @@
 mod state;
 mod transfer;
 
+#[cfg(test)]
+mod access_tests;
 #[cfg(test)]
 mod message_tests;
 #[cfg(test)]
