scheduler: names in a job count as its memory and are not kept

Cause, found while reading the change: labels, racks, images and lists of dependencies of a job did not count as its memory, and the owner kept each label that a job had named, and since the wait for racks each rack. Jobs of legal size could end an owner that way: 3,000 of them left 266 MB after they were forgotten.

Change: they count; classes of steps are bounded in number and length; only racks that an executor has are metered.

Measured: the tests of the two former fail on the code before (150 MB of labels accepted, 265,850,880 bytes kept) and pass now.

--- a/crates/magnolia-scheduler/src/job_memory.rs
+++ b/crates/magnolia-scheduler/src/job_memory.rs
@@ -26,7 +26,13 @@
 
 /// Returns the memory of a job in bytes, with all its occurrences open and none of its tasks started.
 pub(crate) fn job_memory(spec: &JobSpec) -> u64 {
-    let text = u64::try_from(spec.payload.len()).unwrap_or(u64::MAX);
+    let lists = spec.steps.iter().flat_map(|step| {
+        let names = [&step.label, &step.data_rack, &step.image];
+        let names = names.into_iter().flatten().map(|name| name.len());
+        names.chain([size_of_val(step.after.as_slice())])
+    });
+    let text = lists.fold(spec.payload.len(), usize::saturating_add);
+    let text = u64::try_from(text).unwrap_or(u64::MAX);
     let steps = u64::try_from(spec.steps.len()).unwrap_or(u64::MAX);
     let bits = spec.steps.iter().map(|step| u64::from(step.tasks) / 8);
     let occurrence = steps
--- a/crates/magnolia-scheduler/src/near_places.rs
+++ b/crates/magnolia-scheduler/src/near_places.rs
@@ -18,6 +18,11 @@
 }
 
 impl CellScheduler {
+    /// Returns the number of racks whose turnover is metered.
+    pub fn metered_racks(&self) -> usize {
+        self.turnovers.len()
+    }
+
     /// Records that a run has left room on the racks that hold data of steps.
     pub(crate) fn record_turnover(
         &mut self,
@@ -35,10 +40,10 @@
         }
     }
 
-    /// Leaves out the places away from the data of a step if its next task waits for one near it;
-    /// returns whether it does.
+    /// Leaves out the places away from the data of a step if its tasks wait for places near it; returns
+    /// whether they do.
     ///
-    /// The tasks of a step wait one after the other: those that would wait too long start elsewhere.
+    /// Those that find no place wait together or start elsewhere together, as the last one decides.
     pub(crate) fn keep_near_places(
         &mut self,
         step: StepRef,
@@ -51,7 +56,13 @@
         let Some(rack) = spec.data_rack.clone() else {
             return false;
         };
-        if self.settings.far_permille <= 1000 {
+        // Callers may name any text as a rack; only those of executors are metered.
+        let has_rack = |executor: &ExecutorState| executor.entry.labels.contains(&rack);
+        let is_known = self
+            .executors
+            .iter()
+            .any(|(_, executor)| has_rack(executor));
+        if self.settings.far_permille <= 1000 || !is_known {
             return false;
         }
         self.turnovers.entry(Arc::clone(&rack)).or_default();
@@ -80,8 +91,7 @@
                 .saturating_sub(spec.estimate)
                 .saturating_sub(now.saturating_sub(state.ready_since)),
         };
-        // The last task decides: a step ends with it, so that the others gain nothing by waiting if it
-        // runs elsewhere in any case.
+        // A step ends with its last task: the others gain nothing by waiting if that runs elsewhere.
         let decision = decide_locality_wait(&load);
         let waits = left > 0 && matches!(decision, WaitDecision::Wait(_));
         if waits {
--- a/crates/magnolia-scheduler/src/need_classes.rs
+++ b/crates/magnolia-scheduler/src/need_classes.rs
@@ -17,7 +17,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct NeedClass(u32);
 
-/// The classes of all steps that this owner has known.
+/// Most classes. Callers may name any label; the steps of all further classes share one.
+const MAX_CLASSES: usize = 1000;
+/// Longest label with a class of its own, in bytes: longer than those of executors.
+const MAX_LABEL_BYTES: usize = 128;
+
+/// The classes of the steps that this owner has known. They are never removed.
 #[derive(Debug, Default)]
 pub(crate) struct NeedClasses {
     classes: HashMap<StepNeed, NeedClass>,
@@ -31,7 +36,15 @@
             label: spec.label.clone(),
             accelerators: spec.need.accelerators > 0,
         };
-        let next = u32::try_from(self.classes.len()).unwrap_or(u32::MAX);
-        *self.classes.entry(need).or_insert(NeedClass(next))
+        if let Some(class) = self.classes.get(&need) {
+            return *class;
+        }
+        let is_long = |label: &Arc<str>| label.len() > MAX_LABEL_BYTES;
+        if self.classes.len() >= MAX_CLASSES || need.label.as_ref().is_some_and(is_long) {
+            return NeedClass(u32::MAX);
+        }
+        let next = NeedClass(u32::try_from(self.classes.len()).unwrap_or(u32::MAX));
+        self.classes.insert(need, next);
+        next
     }
 }
--- a/crates/magnolia-scheduler/tests/job_memory.rs
+++ b/crates/magnolia-scheduler/tests/job_memory.rs
@@ -70,6 +70,49 @@
     }
 );
 
+/// Returns a job whose step needs a label of 50 kB that no executor has.
+fn labelled_job(number: u64) -> JobSpec {
+    let mut labelled = step(1, 100, 50, vec![]);
+    labelled.label = Some(format!("{number:050000}").into());
+    job(vec![labelled])
+}
+
+test_case!(
+    /// Guards against jobs whose labels take the memory of the owner, although none of them can start.
+    the_names_in_a_job_count_as_its_memory,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        let rules = Arc::clone(&harness.rules);
+        let refused = (1..=3000).any(|key| {
+            let spec = Arc::new(labelled_job(key));
+            let unix_ms = START_UNIX_MS + harness.now.get();
+            let scheduler = &mut harness.scheduler;
+            let outcome = scheduler.submit(JobKey::new(key), &rules, &spec, harness.now, unix_ms);
+            matches!(outcome, SubmitOutcome::Refused { .. })
+        });
+        assert!(refused, "150 MB of labels are accepted");
+    }
+);
+
+test_case!(
+    /// Guards against labels of jobs that an owner keeps after it has forgotten the jobs.
+    the_names_of_forgotten_jobs_are_not_kept,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        let before = resident_bytes();
+        for key in 1..=3000 {
+            harness.submit(key, labelled_job(key));
+            harness.store_batch();
+            harness.scheduler.cancel(JobKey::new(key), harness.now);
+            harness.store_batch();
+            harness.scheduler.forget_ended(START_UNIX_MS + 1_000_000_000);
+            harness.store_batch();
+        }
+        let grown = resident_bytes().saturating_sub(before);
+        assert!(grown < 50_000_000, "{grown} bytes");
+    }
+);
+
 test_case!(
     /// Guards against a job that is accepted although no owner can hold it, and against jobs that fit one
     /// by one but not together. Once one of them has ended, the next is accepted.
--- a/crates/magnolia-scheduler/tests/locality_waits.rs
+++ b/crates/magnolia-scheduler/tests/locality_waits.rs
@@ -153,3 +153,23 @@
         assert!(served(&decided) >= served(&always), "decided {decided:?}, always {always:?}");
     }
 );
+
+test_case!(
+    /// Guards against callers that fill the memory of the owner with names of racks that no executor has.
+    unknown_racks_are_not_kept,
+    || {
+        let settings = SchedulerSettings::new(Millis::new(6000)).with_far_permille(3000);
+        let mut simulation =
+            LoadSimulation::with_settings(&[(1.0, 16_000)], site_queues(), 1, settings);
+        simulation.eligible_share = 1.0;
+        for key in 0..200 {
+            let urgent = step(1, 100, 20, vec![]);
+            let data_rack = Some(Arc::from(format!("no-rack-{key}")));
+            simulation.submit(0, key, job(vec![StepSpec { data_rack, ..urgent }]));
+            simulation.advance(Millis::new(50));
+        }
+        simulation.advance(Millis::from_secs(5));
+        assert_eq!(simulation.results()[0].on_time, 200);
+        assert_eq!(simulation.scheduler.metered_racks(), 0);
+    }
+);
