scheduler: planning costs less with many executors and accounts at their limit

Each pass looked at every step that waits for the limit of its account, and the tier of a speed, a logarithm, was computed in each comparison of two candidates.

Change: four urgent and four other steps of an account at its limit are looked at in a pass; the tier is kept with the speed.

--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -16,6 +16,7 @@
 use crate::witnesses::WitnessListing;
 use crate::{
     AccountName, ExecutorLife, FenceToken, MeasuredSpeed, RunNumber, SchedulerSettings, TaskRef,
+    speed_tier,
 };
 
 /// How much slower than the owner's the clock of an executor may run, in thousandths; a limit of
@@ -365,6 +366,8 @@
     pub(crate) health: HealthTracker,
     /// Measured speed relative to the other executors; 1.0 is average.
     pub(crate) speed: f64,
+    /// Tier of that speed, which placement compares for every candidate.
+    pub(crate) speed_tier: i64,
     /// What its own runs have shown.
     pub(crate) measured_speed: MeasuredSpeed,
     /// When the CPU share of filler tasks there was last changed.
@@ -428,6 +431,7 @@
             lists_ends: false,
             health: HealthTracker::default(),
             speed: 1.0,
+            speed_tier: 0,
             measured_speed: MeasuredSpeed::default(),
             paced_at: Millis::new(0),
             unconfirmed_life: None,
@@ -441,6 +445,12 @@
         }
     }
 
+    /// Sets its estimated speed.
+    pub(crate) fn set_speed(&mut self, speed: f64) {
+        self.speed = speed;
+        self.speed_tier = speed_tier(speed);
+    }
+
     /// Tells whether lease renewals have to be sent to it.
     pub(crate) fn needs_renewal(&self) -> bool {
         self.listed || !self.runs.is_empty() || self.blocks_inherited()
--- a/crates/magnolia-scheduler/src/lifecycle.rs
+++ b/crates/magnolia-scheduler/src/lifecycle.rs
@@ -529,14 +529,16 @@
         executor.measured_speed.observe(seen);
         let labels = &executor.entry.labels;
         self.speeds.observe(labels, seen);
-        executor.speed = self.speeds.estimate(&executor.measured_speed, labels);
+        let speed = self.speeds.estimate(&executor.measured_speed, labels);
+        executor.set_speed(speed);
     }
 
     /// Updates the speeds of all executors by what others of their kind have shown.
     pub(crate) fn refresh_speeds(&mut self) {
         for (_, executor) in self.executors.iter_mut() {
             let labels = &executor.entry.labels;
-            executor.speed = self.speeds.estimate(&executor.measured_speed, labels);
+            let speed = self.speeds.estimate(&executor.measured_speed, labels);
+            executor.set_speed(speed);
         }
     }
 }
--- a/crates/magnolia-scheduler/src/placement.rs
+++ b/crates/magnolia-scheduler/src/placement.rs
@@ -6,7 +6,6 @@
 )]
 
 use crate::executors::ExecutorIndex;
-use crate::speed_tier;
 
 /// An executor that tasks of a step may go to, as seen by the choice.
 #[derive(Clone, Debug, PartialEq)]
@@ -19,6 +18,8 @@
     pub spare_cpu: i64,
     /// Measured speed relative to the other executors; 1.0 is average.
     pub speed: f64,
+    /// Tier of that speed; see [`speed_tier`](crate::speed_tier).
+    pub speed_tier: i64,
     /// Whether the step's data is on the rack of the executor; true if the step names no rack.
     pub near_data: bool,
     /// Whether the last run of a waiting task of the step failed or hung there.
@@ -48,12 +49,9 @@
         let order = match aim {
             // In steps of 5%: speed decides how long a run takes.
             PlacementAim::Speed => ((candidate.speed * 20.0).round() as i64, candidate.spare_cpu),
-            PlacementAim::Room => (
-                speed_tier(candidate.speed).saturating_neg(),
-                candidate.spare_cpu,
-            ),
+            PlacementAim::Room => (candidate.speed_tier.saturating_neg(), candidate.spare_cpu),
             PlacementAim::Fit => (
-                speed_tier(candidate.speed).saturating_neg(),
+                candidate.speed_tier.saturating_neg(),
                 candidate.spare_cpu.saturating_neg(),
             ),
         };
@@ -83,7 +81,7 @@
     let counted = tasks.div_ceil(ASSUMED_SPREAD);
     let key = |candidate: &Candidate| {
         let mixed = (candidate.executor_index as u64 ^ salt).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        let tier = speed_tier(candidate.speed);
+        let tier = candidate.speed_tier;
         let tier = match aim {
             PlacementAim::Speed => tier.saturating_neg(),
             PlacementAim::Room | PlacementAim::Fit => tier,
@@ -95,7 +93,7 @@
             mixed,
         )
     };
-    candidates.sort_by_key(key);
+    candidates.sort_by_cached_key(key);
     let wanted = f64::from(tasks) * CAPACITY_MARGIN;
     let mut expected = 0.0;
     let mut named = Vec::new();
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -502,6 +502,7 @@
             free
         },
         speed: executor.speed,
+        speed_tier: executor.speed_tier,
         near_data,
         avoided,
     }
--- a/crates/magnolia-scheduler/src/step_selection.rs
+++ b/crates/magnolia-scheduler/src/step_selection.rs
@@ -8,14 +8,37 @@
 use crate::executors::ExecutorIndex;
 use crate::job::JobState;
 use crate::need_classes::NeedClass;
-use crate::planning::{is_startable, is_suitable};
+use crate::planning::{PREEMPTING_PRIORITY, is_startable, is_suitable};
 use crate::takeover::TakeoverBlock;
-use crate::{JobKey, StepRef};
+use crate::{AccountName, JobKey, StepRef};
 
 /// Most steps of one priority and class of needs that a planning pass considers. Steps behind them
 /// wait for the same capacity.
 const STEPS_PER_PASS: usize = 48;
 
+/// Steps of an account that a planning pass looks at after they were found to wait for its limit, for
+/// urgent and other steps each. Thousands of them may wait, and looking at all of them takes longer than
+/// the interval between two passes.
+const LIMITED_STEPS_PER_PASS: usize = 4;
+
+/// Numbers of steps of an account that wait for its limit.
+#[derive(Clone, Copy, Debug, Default)]
+struct LimitedSteps {
+    urgent: usize,
+    other: usize,
+}
+
+impl LimitedSteps {
+    /// Returns the number that counts steps like this one.
+    fn of(&mut self, key: &ReadyKey) -> &mut usize {
+        if key.priority == PREEMPTING_PRIORITY {
+            &mut self.urgent
+        } else {
+            &mut self.other
+        }
+    }
+}
+
 /// Ready steps that no executor could run even if it were idle, as of the last planning pass: none
 /// has their label, is large enough, is eligible, or accepts work at all.
 #[derive(Debug, Default)]
@@ -76,19 +99,23 @@
         let mut considered: BTreeMap<(u32, NeedClass), usize> = BTreeMap::new();
         let mut keys = Vec::new();
         let mut found = Vec::new();
-        let mut limited = BTreeSet::new();
+        let mut limited: BTreeMap<AccountName, LimitedSteps> = BTreeMap::new();
         for key in &self.ready {
             let count = considered.entry((key.priority, key.class)).or_default();
             let blocked = block.all && self.is_inherited(key.step);
             if blocked || *count >= STEPS_PER_PASS || self.unplaceable.steps.contains(&key.step) {
                 continue;
             }
+            if self.is_skipped(key, &limited) {
+                continue;
+            }
             if !self.has_startable_task(key.step, now) {
                 continue;
             }
             // The steps behind it must not wait for the limit of its account.
             if let Some(account) = self.account_at_cap(key.step, now) {
-                limited.insert(account);
+                let waiting = limited.entry(account).or_default();
+                *waiting.of(key) += 1;
                 continue;
             }
             if self.fits_idle_executors(key.step) {
@@ -99,10 +126,19 @@
             }
         }
         self.unplaceable.steps.extend(found);
+        let limited = limited.into_keys().collect();
         self.accounts.record_limited(&limited, now);
         keys
     }
 
+    /// Tells whether enough steps of the account of a step wait for its limit in this pass.
+    fn is_skipped(&self, key: &ReadyKey, limited: &BTreeMap<AccountName, LimitedSteps>) -> bool {
+        let job = self.jobs.get(&key.step.job);
+        let account = job.and_then(|job| job.account.as_ref());
+        let known = account.and_then(|account| limited.get(&account.name).copied());
+        known.is_some_and(|mut known| *known.of(key) >= LIMITED_STEPS_PER_PASS)
+    }
+
     fn has_startable_task(&self, step: StepRef, now: Millis) -> bool {
         self.step_state(step).is_some_and(|state| {
             state.waiting > 0 && state.tasks.iter().any(|(_, task)| is_startable(task, now))
--- a/crates/magnolia-scheduler/tests/decisions.rs
+++ b/crates/magnolia-scheduler/tests/decisions.rs
@@ -10,6 +10,7 @@
     AdmissionDecision, AdmissionLoad, Candidate, EligibilityQueue, ExecutorLease, HealthState,
     HealthTracker, JobKey, PaceDecision, PlacementAim, QueuedEligibilityRequest, RunNumber,
     StepRef, TaskRef, choose_executor, choose_executors_to_ask, decide_admission, decide_pace,
+    speed_tier,
 };
 use magnolia_types::{Epoch, Millis};
 
@@ -145,6 +146,7 @@
                     fitting_tasks: 4,
                     spare_cpu: 30_000,
                     speed: 1.0,
+                    speed_tier: 0,
                     near_data: true,
                     avoided: false,
                 })
@@ -167,6 +169,7 @@
             fitting_tasks: 1,
             spare_cpu,
             speed,
+            speed_tier: speed_tier(speed),
             near_data: true,
             avoided: false,
         };
@@ -186,6 +189,7 @@
             fitting_tasks: 1,
             spare_cpu,
             speed,
+            speed_tier: speed_tier(speed),
             near_data: true,
             avoided: false,
         };
