Review: a late copy of a start runs a finished task again

Cause: a start without an answer and without a ticket is sent again while the first copy may be carried out for 12 s. When the executor restarts under its id after the second copy has ended, the first one starts the task again before the owner's first renewal reaches the new process.

--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -214,6 +214,61 @@
     held
 }
 
+/// Executors leave every second order unanswered for a while and carry it out later; some of them
+/// crash and start again before all these orders have been carried out.
+pub fn late_copies(record: &Record, trouble: bool) -> bool {
+    const EXECUTORS: usize = 8;
+    let mut cell = Cell::start(record, &[BATCH], &["a"; EXECUTORS], 16_000, &[]);
+    let started = record.now();
+    let mut begun = false;
+    let mut crashed = 0;
+    let mut down: Option<usize> = None;
+    let mut due = 0;
+    while record.now() < started + 26_000 {
+        let now = record.now() - started;
+        if now < 20_000 {
+            let phases = vec![step(8, 4000, 400, [])];
+            cell.submit("batch", "work_ms=400 cpu=4000", phases);
+        }
+        if trouble && !begun && now > 1000 {
+            begun = true;
+            record.note("every second order is left unanswered");
+            cell.executors
+                .iter()
+                .for_each(|executor| executor.set_late(true));
+        }
+        if trouble && now > 6500 {
+            cell.executors
+                .iter()
+                .for_each(|executor| executor.set_late(false));
+        }
+        // One executor after the other is down for 1.6 s.
+        if trouble && down.is_none() && crashed < 4 && now > 7000 + crashed * 2000 {
+            let number = crashed as usize;
+            cell.executors[number].crash();
+            down = Some(number);
+            due = record.now() + 1600;
+            crashed += 1;
+        }
+        if let Some(number) = down.filter(|_| record.now() >= due) {
+            cell.executors[number].restart("a");
+            down = None;
+        }
+        pause(100);
+    }
+    let again = cell
+        .executors
+        .iter()
+        .flat_map(|executor| executor.started_again());
+    let again: Vec<String> = again.collect();
+    for start in &again {
+        record.say(format!(
+            "TWICE: started after an end `done` that was taken note of: {start}"
+        ));
+    }
+    again.is_empty()
+}
+
 /// An executor refuses a part of its requests for a while, one of which paces a task that fills.
 pub fn refused_pace(record: &Record, trouble: bool) -> bool {
     const EXECUTORS: usize = 8;
--- a/review/standins-3/executor.rs
+++ b/review/standins-3/executor.rs
@@ -3,7 +3,7 @@
 //! The text of a job tells what its tasks do: `work_ms=N` (they end after so much work), or `serve`
 //! (they run until they are stopped); and `cpu=N`, the thousandths of a core that a task takes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
@@ -20,6 +20,8 @@
 const MAX_LISTED_ENDS: usize = 500;
 /// Time that a stop takes; the platform allows 200 ms.
 const STOP_TIME: Duration = Duration::from_millis(50);
+/// Time for which a connection stays open on which an order is not answered.
+const UNANSWERED: Duration = Duration::from_secs(3);
 /// Time until a task that serves is at work.
 const STARTUP: Duration = Duration::from_millis(200);
 
@@ -71,6 +73,8 @@
     closed: BTreeMap<String, u64>,
     ends: Vec<(u64, String, u64, &'static str)>,
     last_end: u64,
+    /// Number of the last end before the lease lapsed.
+    lapsed_through: u64,
     seq: u64,
     /// Number of the process among those of its executor.
     number: u64,
@@ -90,6 +94,7 @@
             closed: BTreeMap::new(),
             ends: Vec::new(),
             last_end: 0,
+            lapsed_through: 0,
             seq: 0,
             number,
         }
@@ -125,6 +130,12 @@
     life: Mutex<Life>,
     ended: Condvar,
     pub load: Mutex<ServingLoad>,
+    /// Tasks with an end `done` that was taken note of, of all processes.
+    noted: Mutex<BTreeSet<String>>,
+    /// Tasks that were started after such an end.
+    again: Mutex<Vec<String>>,
+    /// Number of orders since it began to leave every second one unanswered, while it does.
+    late: Mutex<Option<u64>>,
     /// Whether it refuses a part of its requests.
     grey: Mutex<Option<BTreeMap<String, u64>>>,
     server: Mutex<Option<Server>>,
@@ -151,6 +162,9 @@
             life: Mutex::new(Life::new(1)),
             ended: Condvar::new(),
             load: Mutex::default(),
+            noted: Mutex::default(),
+            again: Mutex::default(),
+            late: Mutex::new(None),
             grey: Mutex::new(None),
             server: Mutex::new(None),
             address: Mutex::new(None),
@@ -177,7 +191,7 @@
         };
         let served = Arc::clone(self);
         let process = self.lock().number;
-        let answer = move |request: Request| served.answer(&request, process);
+        let answer = move |request: Request| served.take(request, process);
         let server = Server::start(listener, Arc::new(answer));
         *self.address.lock().expect("no panic") = Some(server.address);
         *self.server.lock().expect("no panic") = Some(server);
@@ -253,11 +267,31 @@
         ));
     }
 
+    /// Begins or ends to leave every second order unanswered, and to carry it out later.
+    pub fn set_late(&self, late: bool) {
+        *self.late.lock().expect("no panic") = late.then_some(0);
+    }
+
+    /// Returns how much later an order is carried out that it leaves unanswered: 2 to 12 s.
+    fn delay_of_next_order(&self) -> Option<Duration> {
+        let mut late = self.late.lock().expect("no panic");
+        let count = late.as_mut()?;
+        *count += 1;
+        // Spreads the delays over the ten seconds.
+        let delay_ms = 2000 + *count * 3779 % 10_000;
+        (*count % 2 == 1).then_some(Duration::from_millis(delay_ms))
+    }
+
     /// Begins or ends to refuse two of each five requests of a kind.
     pub fn set_grey(&self, grey: bool) {
         *self.grey.lock().expect("no panic") = grey.then(BTreeMap::new);
     }
 
+    /// Returns the starts of tasks that had ended `done` there, where the end was taken note of.
+    pub fn started_again(&self) -> Vec<String> {
+        self.again.lock().expect("no panic").clone()
+    }
+
     /// Returns what runs, by task.
     pub fn running(&self) -> BTreeMap<String, Run> {
         self.lock().running.clone()
@@ -291,6 +325,9 @@
             last = Instant::now();
             let mut life = self.lock();
             let lapsed = life.clock() > life.lease_until;
+            if lapsed {
+                life.lapsed_through = life.last_end;
+            }
             let mut due = Vec::new();
             for (task, run) in &mut life.running {
                 run.worked_ms += passed * run.pace as f64 / 100.0;
@@ -331,6 +368,34 @@
         matches!(*count % 5, 1 | 3)
     }
 
+    /// Answers a request, or carries it out later, by the process that runs then.
+    fn take(self: &Arc<Self>, request: Request, process: u64) -> Option<Response> {
+        let is_order = request.path != "/api/hold";
+        let delay = is_order.then(|| self.delay_of_next_order()).flatten();
+        let Some(delay) = delay else {
+            return self.answer(&request, process);
+        };
+        let executor = Arc::clone(self);
+        let text = request.body_text();
+        let (id, path) = (&self.id, &request.path);
+        self.record.note(format!(
+            "{id} leaves {path} unanswered, for {delay:?}: {text}"
+        ));
+        thread::spawn(move || {
+            thread::sleep(delay);
+            let process = executor.lock().number;
+            let runs = executor.server.lock().expect("no panic").is_some();
+            let answer = runs.then(|| executor.answer(&request, process)).flatten();
+            let status = answer.map_or(0, |answer| answer.status);
+            let (id, path) = (&executor.id, &request.path);
+            executor
+                .record
+                .note(format!("{id} carries {path} out now ({status}): {text}"));
+        });
+        thread::sleep(UNANSWERED);
+        None
+    }
+
     fn answer(&self, request: &Request, process: u64) -> Option<Response> {
         if request.headers.get("x-target-instance") != Some(&self.id) {
             return Some(Response::new(421, "{}"));
@@ -384,6 +449,10 @@
             "{} ({label}) starts {task} run {number}: {spec}",
             self.id
         ));
+        if self.noted.lock().expect("no panic").contains(&task) {
+            let text = format!("{task} run {number} on {}", self.id);
+            self.again.lock().expect("no panic").push(text);
+        }
         let run = Run {
             number,
             spec,
@@ -432,6 +501,13 @@
             life.extend(until);
         }
         let acked = body.number("acked_through").unwrap_or(0);
+        let lapsed = life.lapsed_through;
+        let noted = life
+            .ends
+            .iter()
+            .filter(|(number, _, _, how)| *number <= acked && *number > lapsed && *how == "done");
+        let noted: Vec<String> = noted.map(|(_, task, ..)| task.clone()).collect();
+        self.noted.lock().expect("no panic").extend(noted);
         life.ends.retain(|(number, ..)| *number > acked);
         let wait = Duration::from_millis(body.number("wait_ms").unwrap_or(0));
         let deadline = Instant::now() + wait;
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -33,6 +33,7 @@
         "wide-step" => cases::wide_step,
         "whole-executor" => cases::whole_executor,
         "other-kind" => cases::other_kind,
+        "late-copies" => cases::late_copies,
         "refused-pace" => cases::refused_pace,
         _ => {
             eprintln!("no such case: {name}");
