--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -269,6 +269,60 @@
     again.is_empty()
 }
 
+/// An executor loses power for good while tasks that last are started.
+pub fn power_loss(record: &Record, trouble: bool) -> bool {
+    const EXECUTORS: usize = 8;
+    let mut cell = Cell::start(record, &[BATCH, WATCH], &["a"; EXECUTORS], 16_000, &[]);
+    for _ in 0..30 {
+        let phases = vec![step(24, 4000, 300, [])];
+        cell.submit("batch", "work_ms=300 cpu=4000", phases);
+        pause(100);
+    }
+    if trouble {
+        cell.executors[0].lose_power();
+    }
+    let lost_at = record.now();
+    pause(300);
+    let phases = vec![step(48, 500, 1000, [("long_running", true.into())])];
+    let (id, accepted) = cell.submit("watch", "serve cpu=500", phases);
+    assert!(accepted, "the long-running job is accepted");
+    // No disruption is near from `contact_ms` on, and the rule asks for 4 s of calm before.
+    pause(7000);
+    let mut since: Option<u64> = None;
+    let mut held = true;
+    while record.now() < lost_at + 30_000 {
+        let running = cell
+            .runs_of(&id)
+            .iter()
+            .filter(|(number, ..)| *number > 0 || !trouble)
+            .count();
+        if running == 48 {
+            if let Some(began) = since.filter(|_| !held) {
+                record.say(format!(
+                    "the tasks are back after {} ms more",
+                    record.now() - began
+                ));
+            }
+            since = None;
+        } else {
+            let began = *since.get_or_insert(record.now());
+            if record.now() - began > IDLE_MS && held {
+                held = false;
+                record.say(format!(
+                    "LOST: {} of 48 tasks that last have had nothing running for {} ms, {} ms after the \
+                     loss of an executor; {:.0}% of the capacity is in use",
+                    48 - running,
+                    record.now() - began,
+                    record.now() - lost_at,
+                    cell.used_share() * 100.0
+                ));
+            }
+        }
+        pause(100);
+    }
+    held
+}
+
 /// An executor refuses a part of its requests for a while, one of which paces a task that fills.
 pub fn refused_pace(record: &Record, trouble: bool) -> bool {
     const EXECUTORS: usize = 8;
--- a/review/standins-3/executor.rs
+++ b/review/standins-3/executor.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -138,6 +139,7 @@
     late: Mutex<Option<u64>>,
     /// Whether it refuses a part of its requests.
     grey: Mutex<Option<BTreeMap<String, u64>>>,
+    dark: AtomicBool,
     server: Mutex<Option<Server>>,
     address: Mutex<Option<SocketAddr>>,
 }
@@ -166,6 +168,7 @@
             again: Mutex::default(),
             late: Mutex::new(None),
             grey: Mutex::new(None),
+            dark: AtomicBool::new(false),
             server: Mutex::new(None),
             address: Mutex::new(None),
         });
@@ -252,6 +255,21 @@
             .note(format!("{} crashes with {lost} runs", self.id));
     }
 
+    /// Loses power for good: what it runs is lost, and it answers nothing on open connections.
+    pub fn lose_power(&self) {
+        let server = self.server.lock().expect("no panic").take();
+        if let Some(mut server) = server {
+            server.end_listening();
+            std::mem::forget(server);
+        }
+        let mut life = self.lock();
+        let lost = life.running.len();
+        *life = Life::new(life.number + 1);
+        self.dark.store(true, Ordering::SeqCst);
+        self.record
+            .note(format!("{} loses power with {lost} runs", self.id));
+    }
+
     /// Starts the process again under its id and at its address.
     pub fn restart(self: &Arc<Self>, kind: &str) {
         {
@@ -370,6 +388,9 @@
 
     /// Answers a request, or carries it out later, by the process that runs then.
     fn take(self: &Arc<Self>, request: Request, process: u64) -> Option<Response> {
+        while self.dark.load(Ordering::SeqCst) {
+            thread::sleep(UNANSWERED);
+        }
         let is_order = request.path != "/api/hold";
         let delay = is_order.then(|| self.delay_of_next_order()).flatten();
         let Some(delay) = delay else {
@@ -518,6 +539,11 @@
             }
             life = self.ended.wait_timeout(life, left).expect("no panic").0;
         }
+        while self.dark.load(Ordering::SeqCst) {
+            drop(life);
+            thread::sleep(UNANSWERED);
+            life = self.lock();
+        }
         let (with, _) = {
             drop(life);
             let tail = self.tail_ms();
--- a/review/standins-3/net.rs
+++ b/review/standins-3/net.rs
@@ -81,12 +81,17 @@
         }
     }
 
-    /// Closes the port and all connections.
-    pub fn end(&mut self) {
+    /// Closes the port; open connections stay.
+    pub fn end_listening(&mut self) {
         self.ended.store(true, Ordering::SeqCst);
         if let Some(accepting) = self.accepting.take() {
             accepting.join().expect("no panic while accepting");
         }
+    }
+
+    /// Closes the port and all connections.
+    pub fn end(&mut self) {
+        self.end_listening();
         for stream in self.streams.lock().expect("no panic").drain(..) {
             stream.shutdown(Shutdown::Both).ok();
         }
