Review: a job with a poor estimate stops its queue

Cause: a run that shows no progress within 16% of its estimate, or no further percent within 1.5 s, is stopped as hung, and its executor is set aside each time, also if the same job hangs everywhere.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -6,4 +6,4 @@
     echo "build with the command of deploy/system.toml and review/build-3.sh first" >&2
     exit 2
 fi
-exec target/review-3/cases whole-executor review/15
+exec target/review-3/cases filler-after-fillers review/15
--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -269,6 +269,30 @@
     again.is_empty()
 }
 
+/// One job of fifteen takes 32 times as long as it says.
+pub fn long_job(record: &Record, trouble: bool) -> bool {
+    const EXECUTORS: usize = 8;
+    const STATED_MS: u64 = 3800;
+    let mut cell = Cell::start(record, &[BATCH], &["a"; EXECUTORS], 16_000, &[]);
+    let mut jobs = Vec::new();
+    for number in 0..15 {
+        let is_long = trouble && number == 7;
+        let work = STATED_MS * if is_long { 32 } else { 1 };
+        let phases = vec![step(13, 5500, STATED_MS, [])];
+        let (id, accepted) = cell.submit("batch", &format!("work_ms={work} cpu=5500"), phases);
+        if is_long {
+            record.say(format!("{id} takes {work} ms a task"));
+        }
+        if accepted {
+            jobs.push(id);
+        }
+        pause(4000);
+    }
+    record.say(format!("{} jobs were accepted", jobs.len()));
+    let all: Vec<usize> = (0..EXECUTORS).collect();
+    check_idle_jobs(&cell, "batch", &jobs, 5500, &all)
+}
+
 /// An executor loses power for good while tasks that last are started.
 pub fn power_loss(record: &Record, trouble: bool) -> bool {
     const EXECUTORS: usize = 8;
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -34,6 +34,7 @@
         "whole-executor" => cases::whole_executor,
         "other-kind" => cases::other_kind,
         "late-copies" => cases::late_copies,
+        "long-job" => cases::long_job,
         "power-loss" => cases::power_loss,
         "refused-pace" => cases::refused_pace,
         _ => {
