scheduler: a request for eligibility waits for more room for a second at most

Cause: a request was sent only if a fifth of the waiting tasks could be expected to start after it, unless no executor was full. The demand grows with the step, what can be expected is bounded by the executors: one that stays full was enough to keep a wide step, a gang, or any step of a queue with a low eligible share from being asked about.

Change: the demand defers a request for at most 1 s while some executor has room, a third of the time for which the users' rule lets a task wait beside room. explain says since when a call is deferred. A gang that could not start with every executor eligible is not asked about.

--- a/crates/magnolia-scheduler/src/eligibility.rs
+++ b/crates/magnolia-scheduler/src/eligibility.rs
@@ -21,13 +21,18 @@
 const MAX_EXECUTORS_PER_REQUEST: usize = 100;
 /// Fewest tasks that a request has to be expected to place: one that places none is wasted.
 const MIN_EXPECTED_TASKS: f64 = 0.7;
+/// Longest time for which a request that is expected to place few tasks waits for more free capacity:
+/// a third of the 3 s for which a task may wait beside free capacity by the users' rule LOST. The
+/// request and the start take the rest.
+const MAX_DEFERRAL: Millis = Millis::new(1000);
 /// Shortest time between two eligibility requests of an urgent step or of a gang, whose members
 /// need valid tickets at the same time.
 const URGENT_ELIGIBILITY_INTERVAL: Millis = Millis::new(100);
 
 impl CellScheduler {
     /// Queues an eligibility request for a step, in place of its waiting one, if enough tasks can
-    /// be expected to start after it; otherwise removes the waiting one.
+    /// be expected to start after it, or too few could for [`MAX_DEFERRAL`]; otherwise removes the
+    /// waiting one.
     ///
     /// Makes no change while a request is in flight or the last one is too recent. If no executor
     /// with free capacity is left to ask about, the request of an urgent step names those on which
@@ -99,6 +104,12 @@
             .iter()
             .map(|candidate| candidate.fitting_tasks.min(wanted))
             .fold(0, u32::saturating_add);
+        // A gang that can't start even if all of them are eligible gains nothing by a request.
+        let possible_tasks = known_capacity.saturating_add(of_unknown);
+        if named.is_empty() || (gang && !urgent && possible_tasks < wanted) {
+            self.withdraw_eligibility_request(step);
+            return;
+        }
         let expected_tasks = f64::from(known_capacity) + f64::from(of_unknown) * share;
         // If every executor that may be eligible has free capacity, waiting makes no later request
         // more useful, however few of the queue's steps were eligible before.
@@ -110,7 +121,7 @@
         } else {
             (f64::from(wanted) * self.settings.eligibility_fit_share).max(MIN_EXPECTED_TASKS)
         };
-        if named.is_empty() || expected_tasks < needed_tasks {
+        if expected_tasks < needed_tasks && self.defers_request(step, now) {
             self.eligibility_queue.remove(step);
             return;
         }
@@ -138,6 +149,24 @@
         });
     }
 
+    /// Removes the waiting request of a step that gains nothing by one now.
+    pub(crate) fn withdraw_eligibility_request(&mut self, step: StepRef) {
+        self.eligibility_queue.remove(step);
+        if let Some(state) = self.step_state_mut(step) {
+            state.eligibility.deferred_since = None;
+        }
+    }
+
+    /// Tells whether a request that is expected to place few tasks still waits for more free capacity,
+    /// which may never come.
+    fn defers_request(&mut self, step: StepRef, now: Millis) -> bool {
+        let Some(state) = self.step_state_mut(step) else {
+            return false;
+        };
+        let since = *state.eligibility.deferred_since.get_or_insert(now);
+        now.saturating_sub(since) < MAX_DEFERRAL
+    }
+
     /// Returns the executors on which the step would fit after the preemption of one run, leaving
     /// out those whose eligibility is known.
     pub(crate) fn preemption_candidates(
--- a/crates/magnolia-scheduler/src/explain.rs
+++ b/crates/magnolia-scheduler/src/explain.rs
@@ -105,6 +105,10 @@
             } else {
                 "no call for eligibility is under way".into()
             });
+            if let Some(since) = state.eligibility.deferred_since {
+                let waited = now.saturating_sub(since);
+                parts.push(format!("the next call waits for more room, since {waited}"));
+            }
         }
         if let Some(ahead) = ahead {
             parts.push(format!("steps of the same priority ahead: {ahead}"));
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -116,6 +116,7 @@
         for order in self.eligibility_queue.dispatch() {
             if let Some(state) = self.step_state_mut(order.step) {
                 state.eligibility.in_flight = true;
+                state.eligibility.deferred_since = None;
             }
             self.actions.push(CellAction::RequestEligibility(order));
         }
@@ -158,7 +159,7 @@
         }
         let below_cap = self.startable_below_cap(step, now);
         if below_cap == 0 || (spec.gang && below_cap < startable.len()) {
-            self.eligibility_queue.remove(step);
+            self.withdraw_eligibility_request(step);
             return;
         }
         let held_by_cap = startable.len().saturating_sub(below_cap);
@@ -181,7 +182,7 @@
             log::debug!(step:% = step, held = held_by_cap; "tasks wait for the limit of their account");
         }
         if left == 0 {
-            self.eligibility_queue.remove(step);
+            self.withdraw_eligibility_request(step);
             return;
         }
         let wanted = u32::try_from(left).unwrap_or(u32::MAX);
--- a/crates/magnolia-scheduler/src/step.rs
+++ b/crates/magnolia-scheduler/src/step.rs
@@ -72,6 +72,8 @@
     pub(crate) in_flight: bool,
     /// Time before which no further request is sent.
     pub(crate) not_before: Millis,
+    /// Since when a request waits for more free capacity, if it does.
+    pub(crate) deferred_since: Option<Millis>,
 }
 
 /// State of one step of one occurrence.
