scheduler: a start that may still arrive is not sent again

Cause: two copies of a start are two chances to run. The run number and the token close the second one in the life that knows them, and the next life knows neither.

Change: a start without a ticket is not repeated while it may be carried out (12 s); its task starts anew afterwards, with a higher run. Long-running tasks and tasks of which copies may run may begin again, so that their start is repeated as before. A gang with a member whose start got no answer is stopped at once. Preemption no longer waits for the room of a run that was stopped and can't leave it yet.

Starts with a ticket are not affected.

--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -583,9 +583,10 @@
             .unwrap_or_default()
     }
 
-    /// Returns the resources of the runs that are being stopped.
-    pub(crate) fn being_freed(&self) -> ResourceVector {
-        let stopping = |run: &&ActiveRun| run.phase == RunPhase::Stopping;
+    /// Returns the resources of the runs that are being stopped, apart from those that a later life may
+    /// still begin.
+    pub(crate) fn being_freed(&self, now: Millis) -> ResourceVector {
+        let stopping = |run: &&ActiveRun| run.phase == RunPhase::Stopping && !run.is_bound(now);
         self.runs
             .values()
             .filter(stopping)
--- a/crates/magnolia-scheduler/src/preemption.rs
+++ b/crates/magnolia-scheduler/src/preemption.rs
@@ -66,7 +66,7 @@
                 missing = missing.saturating_sub(1);
                 continue;
             }
-            let freed = executor.free().saturating_add(&executor.being_freed());
+            let freed = executor.free().saturating_add(&executor.being_freed(now));
             let freeing = self.fitting_tasks(executor, spec, rules, step, freed);
             if freeing > 0 {
                 missing = missing.saturating_sub(freeing);
--- a/crates/magnolia-scheduler/src/unanswered_starts.rs
+++ b/crates/magnolia-scheduler/src/unanswered_starts.rs
@@ -3,10 +3,14 @@
 //! An executor may carry out such a start up to [`late_order_limit`] after it was sent, and so may a
 //! later life of it: calls name the executor, not its life. A stop that the present life confirms
 //! does not bind the next one. Only a ticket is valid for one life. Without one, the run keeps its
-//! task, and the same start is sent to the same executor again, so that there is no second run beside
-//! which the late one could be carried out. A later life that has answered a call with its own
-//! [`FenceToken`] rejects starts that were meant for an earlier one, but the life after it has forgotten
-//! the token again. So the task stays at the executor until the start can't be carried out any more.
+//! task, so that there is no second run beside which the late one could be carried out. A later life
+//! that has answered a call with its own [`FenceToken`] rejects starts that were meant for an earlier
+//! one, but the life after it has forgotten the token again. So the task stays at the executor until
+//! the start can't be carried out any more.
+//!
+//! The start is not sent again meanwhile: of two copies, one may be carried out after the run of the
+//! other one has ended as done. Long-running tasks and those of which copies may run are the exception:
+//! their runs may begin again. Their start is repeated at the same executor.
 //!
 //! What may be given up is a property of each run. When the lease of a silent executor has expired,
 //! its runs are over, and so is a start with a ticket: the life for which the ticket is valid rejects
@@ -52,6 +56,8 @@
     arrives_until: Millis,
     /// Whether a later life may carry it out as well: it has no ticket.
     outlives: bool,
+    /// Whether it may be sent again while it may still be carried out.
+    repeatable: bool,
     /// Time until which a run that a later life began by it may be active, if no life has answered
     /// since.
     active_until: Millis,
@@ -157,6 +163,8 @@
     ) {
         let arrives_until = now.saturating_add(self.settings.late_order_limit);
         let longest_lease = stretch_lease(self.settings.max_lease);
+        let spec = self.step_spec(order.task.step);
+        let repeatable = spec.is_some_and(|spec| spec.lasting || spec.copies_allowed);
         let tickets = self.step_state(order.task.step);
         let ticket = tickets.and_then(|state| state.eligibility.tickets.get(&executor_index));
         // The life for which a ticket is valid may be a later one than this owner knows.
@@ -166,10 +174,13 @@
             return;
         };
         let outlives = order.ticket.is_none();
+        log::info!(task:% = order.task, run:% = order.run, executor:% = order.executor,
+            repeatable = repeatable, binds = outlives; "start got no answer");
         active.unanswered = Some(UnansweredStart {
             lost_at: now,
             arrives_until,
             outlives,
+            repeatable,
             active_until: ticket_end
                 .filter(|_| !outlives)
                 .unwrap_or(arrives_until)
@@ -264,16 +275,20 @@
         true
     }
 
-    /// Withdraws starts that got no answer by a stop, unless they are repeated. The start of a member
-    /// of a gang is repeated once, because the others wait for it.
+    /// Withdraws starts that got no answer by a stop, unless a later life may carry them out. The start
+    /// of a member of a gang is withdrawn in any case, because the others wait for it; before that, it
+    /// is repeated once if it may be.
     pub(crate) fn stop_unanswered_starts(&mut self, now: Millis) {
         let mut stops = Vec::new();
         for (executor_index, executor) in self.executors.iter() {
             for ((task, run), active) in &executor.runs {
-                let unanswered = active.unanswered.is_some() && !active.in_flight;
+                let Some(start) = active.unanswered.filter(|_| !active.in_flight) else {
+                    continue;
+                };
                 let is_gang = || self.step_spec(task.step).is_some_and(|spec| spec.gang);
-                let given_up = !active.is_bound(now) || (active.starts_sent > 1 && is_gang());
-                if active.phase == RunPhase::Starting && unanswered && given_up {
+                let is_last = active.starts_sent > 1 || !start.repeatable;
+                let given_up = !active.is_bound(now) || (is_last && is_gang());
+                if active.phase == RunPhase::Starting && given_up {
                     stops.push((executor_index, *task, *run));
                 }
             }
@@ -284,8 +299,8 @@
         }
     }
 
-    /// Repeats the starts of bound runs that a report, received after the start got no answer, does
-    /// not list.
+    /// Repeats the starts of bound runs, where they may be, that a report, received after the start got
+    /// no answer, does not list.
     pub(crate) fn repeat_starts(&mut self, now: Millis) {
         let mut repeats = Vec::new();
         for (executor_index, executor) in self.executors.iter() {
@@ -294,8 +309,8 @@
             }
             for ((task, run), active) in &executor.runs {
                 let missing = active.unanswered.is_some_and(|start| {
-                    executor.last_answer_at.is_some_and(|at| at > start.lost_at)
-                        && now >= start.repeat_at
+                    let reported = executor.last_answer_at.is_some_and(|at| at > start.lost_at);
+                    start.repeatable && reported && now >= start.repeat_at
                 });
                 let waits = active.phase == RunPhase::Starting && active.is_bound(now);
                 if waits && missing && !active.in_flight && !active.closed {
