scheduler: an unanswered acknowledgement is not the first call to a new life

Cause: after a renewal that got no answer, the next one carried the same number up to which ends are stored. If the executor had restarted meanwhile, it was the first call to the new life, which dropped its own ends up to that number. The end of a start that had been carried out late there was never listed, and its task started again.

Change: the number is sent once after each report that lists ends.

--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -136,12 +136,14 @@
             Millis::new(0)
         };
         // The executor may have restarted since its last answer, and would drop the ends of its new
-        // life up to this number. Therefore it is sent only where ends have to be acknowledged.
+        // life up to this number. Therefore it is sent once after each report that lists ends: if that
+        // renewal gets no answer, only after the next report.
         let ends_stored = if executor.lists_ends {
             executor.stored_through
         } else {
             0
         };
+        executor.lists_ends &= ends_stored == 0;
         Some(RenewalPlan {
             life: executor.entry.life,
             token: executor.token(self.epoch),
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -87,6 +87,32 @@
     }
 );
 
+test_case!(
+    /// Guards against an acknowledgement that is the first call to a later life of an executor, which
+    /// takes it for its own ends: it is not sent again before the executor has listed ends again.
+    an_unanswered_acknowledgement_is_sent_again_after_a_report_only,
+    || {
+        let mut harness = SchedulerHarness::new(1, 1);
+        harness.submit(1, job(vec![step(1, 1000, 100, vec![])]));
+        harness.store_batch();
+        let order = harness.start_tasks().remove(0);
+        let end = harness.run_end(order.task, order.run, EndKind::Done);
+        let acknowledged = |harness: &mut SchedulerHarness| {
+            let now = harness.now;
+            let plan = harness.scheduler.plan_executor_renewal(&id(0), RenewalKind::Full, now);
+            plan.expect("in use").1.ends_stored
+        };
+        harness.report(0, vec![], vec![end.clone()]);
+        harness.store_batch();
+        assert_eq!(acknowledged(&mut harness), end.number);
+        harness.scheduler.apply_unreachable(&id(0));
+        assert_eq!(acknowledged(&mut harness), 0);
+        let number = end.number;
+        harness.report(0, vec![], vec![end]);
+        assert_eq!(acknowledged(&mut harness), number);
+    }
+);
+
 test_case!(
     /// Guards against a lease that never expires because unanswered renewals extend it.
     an_unresponsive_executor_loses_its_runs_at_the_end_of_its_lease,
