scheduler: what fits on an idle executor is not asked of a busy one

Whether a step fits on an idle executor was asked through the function that says what fits now, which subtracts the processors of running fillers and the running tasks of the step.

Change: fitting_when_idle asks of an executor without any run, fitting_tasks what fits beside what runs now. Filler steps are a class of their own in a planning pass, so that those that wait hold up no others (its test fails without that). explain names steps that no executor could run.

--- a/crates/magnolia-scheduler/src/explain.rs
+++ b/crates/magnolia-scheduler/src/explain.rs
@@ -110,6 +110,9 @@
                 parts.push(format!("the next call waits for more room, since {waited}"));
             }
         }
+        if self.unplaceable.contains(step) {
+            parts.push("no executor could run them even if nothing else ran there".into());
+        }
         if let Some(ahead) = ahead {
             parts.push(format!("steps of the same priority ahead: {ahead}"));
         }
--- a/crates/magnolia-scheduler/src/need_classes.rs
+++ b/crates/magnolia-scheduler/src/need_classes.rs
@@ -11,6 +11,8 @@
     service: ServiceName,
     label: Option<Arc<str>>,
     accelerators: bool,
+    /// Fillers need processors that other fillers leave, and no free ones.
+    filler: bool,
 }
 
 /// Number of a class.
@@ -35,6 +37,7 @@
             service: service.clone(),
             label: spec.label.clone(),
             accelerators: spec.need.accelerators > 0,
+            filler: spec.filler,
         };
         if let Some(class) = self.classes.get(&need) {
             return *class;
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -31,6 +31,15 @@
     pub(crate) full: usize,
 }
 
+/// What runs on an executor and limits further tasks of a step, apart from reserved resources.
+#[derive(Clone, Copy, Debug, Default)]
+struct TaskCompany {
+    /// Processors that filler tasks use without reserving them, in thousandths.
+    filler_cpu: u64,
+    /// Tasks of the same step.
+    same_step: u32,
+}
+
 impl CellScheduler {
     /// Sets the daemons that can send eligibility requests.
     pub fn set_eligibility_daemons(&mut self, daemons: &BTreeSet<usize>) {
@@ -244,9 +253,7 @@
         candidates
     }
 
-    /// Returns how many tasks of a step fit into `free` on an executor.
-    ///
-    /// Steps below the highest priority, except filler steps, leave the urgent reserve free.
+    /// Returns how many tasks of a step fit into `free` on an executor, beside what runs there now.
     pub(crate) fn fitting_tasks(
         &self,
         executor: &ExecutorState,
@@ -254,6 +261,36 @@
         rules: &QueueRules,
         step: StepRef,
         free: ResourceVector,
+    ) -> u32 {
+        let company = TaskCompany {
+            filler_cpu: executor.filler_cpu,
+            same_step: spec.spread_limit.map_or(0, |_| {
+                let running = executor.runs.keys().filter(|(task, _)| task.step == step);
+                u32::try_from(running.count()).unwrap_or(u32::MAX)
+            }),
+        };
+        self.fitting_beside(company, executor, spec, rules, free)
+    }
+
+    /// Returns how many tasks of a step would fit on an executor if nothing ran there.
+    pub(crate) fn fitting_when_idle(
+        &self,
+        executor: &ExecutorState,
+        spec: &StepSpec,
+        rules: &QueueRules,
+    ) -> u32 {
+        let company = TaskCompany::default();
+        self.fitting_beside(company, executor, spec, rules, executor.entry.capacity)
+    }
+
+    /// Steps below the highest priority, except filler steps, leave the urgent reserve free.
+    fn fitting_beside(
+        &self,
+        company: TaskCompany,
+        executor: &ExecutorState,
+        spec: &StepSpec,
+        rules: &QueueRules,
+        free: ResourceVector,
     ) -> u32 {
         let mut free = free;
         if rules.priority > PREEMPTING_PRIORITY && !spec.filler {
@@ -264,14 +301,12 @@
         }
         let mut fitting = times_fitting(&spec.reserved(), &free);
         if spec.filler {
-            let idle = free.cpu_millis.get().saturating_sub(executor.filler_cpu);
+            let idle = free.cpu_millis.get().saturating_sub(company.filler_cpu);
             let each = spec.need.cpu_millis.get().max(1);
             fitting = fitting.min(u32::try_from(idle.div_ceil(each)).unwrap_or(u32::MAX));
         }
         if let Some(limit) = spec.spread_limit {
-            let running = executor.runs.keys().filter(|(task, _)| task.step == step);
-            let running = u32::try_from(running.count()).unwrap_or(u32::MAX);
-            fitting = fitting.min(limit.saturating_sub(running));
+            fitting = fitting.min(limit.saturating_sub(company.same_step));
         }
         fitting
     }
--- a/crates/magnolia-scheduler/src/step_selection.rs
+++ b/crates/magnolia-scheduler/src/step_selection.rs
@@ -49,6 +49,11 @@
 }
 
 impl UnplaceableSteps {
+    /// Tells whether a step was found to be unplaceable.
+    pub(crate) fn contains(&self, step: StepRef) -> bool {
+        self.steps.contains(&step)
+    }
+
     /// Forgets what was found about a step whose tasks or eligibility have changed.
     pub(crate) fn remove(&mut self, step: StepRef) {
         self.steps.remove(&step);
@@ -159,8 +164,7 @@
             if ineligible || !is_suitable(executor, spec, rules) {
                 continue;
             }
-            let capacity = executor.entry.capacity;
-            let here = self.fitting_tasks(executor, spec, rules, step, capacity);
+            let here = self.fitting_when_idle(executor, spec, rules);
             fitting = fitting.saturating_add(usize::try_from(here).unwrap_or(usize::MAX));
             if fitting >= wanted {
                 return true;
--- a/crates/magnolia-scheduler/tests/step_selection.rs
+++ b/crates/magnolia-scheduler/tests/step_selection.rs
@@ -8,13 +8,18 @@
 use common::test_case;
 use harness::{CAPACITY, SchedulerHarness, entry, id};
 use magnolia_bench::load_simulation::{job, queue, step};
-use magnolia_scheduler::{CellAction, EligibilityAnswer, JobKey, JobSpec, ServiceName, StepSpec};
+use magnolia_scheduler::{
+    CellAction, EligibilityAnswer, EndKind, JobKey, JobSpec, RunEnd, ServiceName, StartOrder,
+    StepSpec,
+};
 use magnolia_types::Millis;
 
 /// Jobs that can't start, more than a planning pass considers.
 const HOPELESS_JOBS: u64 = 200;
 /// Key of the job that can start.
 const SOUND_JOB: u64 = 900;
+/// Number of executors in the tests of fillers.
+const FILLED_EXECUTORS: usize = 2;
 
 /// Returns a job of one step of one short task, changed by `change`.
 fn changed_job(change: impl FnOnce(&mut StepSpec)) -> JobSpec {
@@ -185,3 +190,67 @@
         check_sound_job_starts(&mut harness);
     }
 );
+
+/// Returns a job of one filler task for each of [`FILLED_EXECUTORS`], which takes all its processors.
+fn filler_job() -> JobSpec {
+    changed_job(|step| {
+        step.tasks = FILLED_EXECUTORS as u32;
+        step.need.cpu_millis = magnolia_types::CpuMillis::new(CAPACITY);
+        step.filler = true;
+    })
+}
+
+/// Lets fillers take all processors; returns their starts.
+fn fill_executors(harness: &mut SchedulerHarness) -> Vec<StartOrder> {
+    harness.submit(1, filler_job());
+    harness.store_batch();
+    let fillers = harness.start_tasks();
+    assert_eq!(fillers.len(), FILLED_EXECUTORS, "{fillers:?}");
+    fillers
+}
+
+test_case!(
+    /// Guards against a filler step that never starts on idle executors, because others filled all
+    /// processors when it was first planned.
+    a_filler_step_starts_once_other_fillers_have_ended,
+    || {
+        let mut harness = SchedulerHarness::new(1, FILLED_EXECUTORS);
+        let fillers = fill_executors(&mut harness);
+        harness.submit(2, filler_job());
+        harness.store_batch();
+        assert!(harness.start_tasks().is_empty(), "no processors are left to fill");
+        harness.advance(100);
+        for number in 0..FILLED_EXECUTORS {
+            let here = fillers.iter().filter(|start| start.executor == id(number));
+            let here: Vec<&StartOrder> = here.collect();
+            let ends = here.iter().zip(1..).map(|(start, number)| RunEnd {
+                number,
+                ..harness.run_end(start.task, start.run, EndKind::Done)
+            });
+            let ends = ends.collect();
+            harness.report(number, vec![], ends);
+        }
+        assert_eq!(harness.start_tasks().len(), FILLED_EXECUTORS);
+    }
+);
+
+test_case!(
+    /// Guards against filler steps that wait for processors to fill and hold up steps that need free
+    /// ones, which fillers leave.
+    filler_steps_that_wait_hold_up_no_others,
+    || {
+        let mut harness = SchedulerHarness::new(1, FILLED_EXECUTORS);
+        let fillers = fill_executors(&mut harness);
+        (2..=HOPELESS_JOBS).for_each(|key| harness.submit(key, filler_job()));
+        harness.store_batch();
+        assert!(harness.start_tasks().is_empty());
+        // The job comes after all others, although it is smaller.
+        harness.advance(30_000);
+        for number in 0..FILLED_EXECUTORS {
+            let here = fillers.iter().filter(|start| start.executor == id(number));
+            let here = here.map(harness::running).collect();
+            harness.report(number, here, vec![]);
+        }
+        check_sound_job_starts(&mut harness);
+    }
+);
