--- a/crates/magnolia-scheduler/src/eligibility.rs
+++ b/crates/magnolia-scheduler/src/eligibility.rs
@@ -21,9 +21,9 @@
 const MAX_EXECUTORS_PER_REQUEST: usize = 100;
 /// Fewest tasks that a request has to be expected to place: one that places none is wasted.
 const MIN_EXPECTED_TASKS: f64 = 0.7;
-/// Longest time for which a request that is expected to place few tasks waits for more free capacity:
-/// a third of the 3 s for which a task may wait beside free capacity by the users' rule LOST. The
-/// request and the start take the rest.
+/// Longest time for which a request that is expected to place few tasks waits for more free capacity.
+/// The platform asks that a job with free capacity begins within three seconds, of which the request
+/// and the start take the rest.
 const MAX_DEFERRAL: Millis = Millis::new(1000);
 /// Shortest time between two eligibility requests of an urgent step or of a gang, whose members
 /// need valid tickets at the same time.
@@ -31,8 +31,8 @@
 
 impl CellScheduler {
     /// Queues an eligibility request for a step, in place of its waiting one, if enough tasks can
-    /// be expected to start after it, or too few could for [`MAX_DEFERRAL`]; otherwise removes the
-    /// waiting one.
+    /// be expected to start after it, or it was deferred for [`MAX_DEFERRAL`] because there were too
+    /// few; otherwise removes the waiting one.
     ///
     /// Makes no change while a request is in flight or the last one is too recent. If no executor
     /// with free capacity is left to ask about, the request of an urgent step names those on which
--- a/crates/magnolia-scheduler/src/planning.rs
+++ b/crates/magnolia-scheduler/src/planning.rs
@@ -283,6 +283,8 @@
         self.fitting_beside(company, executor, spec, rules, executor.entry.capacity)
     }
 
+    /// Returns how many tasks of a step fit into `free` on an executor, beside `company`.
+    ///
     /// Steps below the highest priority, except filler steps, leave the urgent reserve free.
     fn fitting_beside(
         &self,
