scheduler: long runs are started again at once, and their ends withheld

Cause: no start without a ticket was repeated, however long its run takes. A caller of a long run loses the 12 s for nothing.

Change: the start of a run that is estimated to last for half of the time or more in which the first copy may arrive is repeated at the same executor. If it ends before that time is over, the list of ends is cut off before its end, as with a list of more than 500: that end and later ones are neither acted upon nor acknowledged until the first copy can't arrive any more. Failed ends count as well, because of the limit on attempts. An executor whose ends are withheld is asked every 0.3 s, as it answers at once.

--- a/crates/magnolia-node/src/executor_loop.rs
+++ b/crates/magnolia-node/src/executor_loop.rs
@@ -16,7 +16,7 @@
 /// Longest wait for reported ends to be stored before the lease is renewed without acknowledging
 /// them.
 const STORE_TIMEOUT: Duration = Duration::from_millis(600);
-/// Delay between renewals while reported ends are not stored.
+/// Delay between renewals while reported ends are not stored, or can't be acknowledged yet.
 const UNSTORED_DELAY: Duration = Duration::from_millis(300);
 /// Delay after a failed renewal, times the number of consecutive failures.
 const FAILURE_DELAY: Duration = Duration::from_millis(100);
@@ -77,6 +77,9 @@
                 failures = 0;
                 if kind == RenewalKind::Inquiry {
                     sleep(INQUIRY_DELAY).await;
+                } else if session.lock().withholds_ends(&id) {
+                    // The executor answers at once as long as it lists ends.
+                    sleep(UNSTORED_DELAY).await;
                 }
             }
             Err(error) => {
--- a/crates/magnolia-scheduler/src/executor_state.rs
+++ b/crates/magnolia-scheduler/src/executor_state.rs
@@ -351,6 +351,8 @@
     /// Whether runs may have ended there that no report has listed, because the list of ends was
     /// cut off.
     pub(crate) may_have_unlisted_ends: bool,
+    /// Whether the last report listed ends that can't be acknowledged yet.
+    pub(crate) withholds_ends: bool,
     /// Sum of the resources reserved by `runs`.
     pub(crate) used: ResourceVector,
     /// Processors that the filler tasks in `runs` would use, in thousandths.
@@ -423,6 +425,7 @@
             runs: BTreeMap::new(),
             unknown_runs: BTreeSet::new(),
             may_have_unlisted_ends: false,
+            withholds_ends: false,
             used: ResourceVector::default(),
             filler_cpu: 0,
             seen_through: 0,
@@ -567,6 +570,7 @@
         self.given_up_starts.clear();
         self.fence = FenceState::Accepted;
         self.may_have_unlisted_ends = false;
+        self.withholds_ends = false;
         self.seen_through = 0;
         self.batched_through = 0;
         self.stored_through = 0;
--- a/crates/magnolia-scheduler/src/reports.rs
+++ b/crates/magnolia-scheduler/src/reports.rs
@@ -157,7 +157,7 @@
     pub fn apply_report(
         &mut self,
         id: &ExecutorId,
-        report: ExecutorReport,
+        mut report: ExecutorReport,
         sent_at: Millis,
         now: Millis,
     ) {
@@ -204,6 +204,7 @@
                 .lease
                 .expect_earlier_leases(executor.restart_leases_end);
         }
+        self.withhold_ends(executor_index, &mut report, now);
         let listed: BTreeSet<(TaskRef, RunNumber)> = report
             .running
             .iter()
--- a/crates/magnolia-scheduler/src/unanswered_starts.rs
+++ b/crates/magnolia-scheduler/src/unanswered_starts.rs
@@ -8,9 +8,11 @@
 //! one, but the life after it has forgotten the token again. So the task stays at the executor until
 //! the start can't be carried out any more.
 //!
-//! The start is not sent again meanwhile: of two copies, one may be carried out after the run of the
-//! other one has ended as done. Long-running tasks and those of which copies may run are the exception:
-//! their runs may begin again. Their start is repeated at the same executor.
+//! Of two copies of a start, one may be carried out after the run of the other one has ended. Long-running
+//! tasks and those of which copies may run may begin again, so that their start is repeated at the same
+//! executor. So is that of a run that is estimated to last for half of the time or more in which the
+//! first copy may arrive; if it ends earlier, its end is withheld: it is neither acted upon nor
+//! acknowledged, and neither are later ends of the executor. Other starts are not sent again.
 //!
 //! What may be given up is a property of each run. When the lease of a silent executor has expired,
 //! its runs are over, and so is a start with a ticket: the life for which the ticket is valid rejects
@@ -23,14 +25,17 @@
     reason = "the values come from outside"
 )]
 
-use magnolia_types::Millis;
+use magnolia_types::{ExecutorId, Millis};
 
 use crate::cell::CellScheduler;
 use crate::executor_state::{ActiveRun, ExecutorState, RunPhase, stretch_lease};
 use crate::executors::{ExecutorIndex, ExecutorStatus};
 use crate::lifecycle::STOP_RESEND_INTERVAL;
 use crate::reports::TICKET_MARGIN;
-use crate::{CellAction, FenceToken, RunNumber, StartOrder, StopOrder, TaskRef};
+use crate::{
+    CellAction, EndKind, ExecutorReport, FenceToken, RunEnd, RunNumber, StartOrder, StepRef,
+    StopOrder, TaskRef,
+};
 
 /// Pause before a start is repeated after the executor rejected it.
 const REPEAT_PAUSE: Millis = Millis::new(400);
@@ -58,6 +63,8 @@
     outlives: bool,
     /// Whether it may be sent again while it may still be carried out.
     repeatable: bool,
+    /// Whether the end of its run is withheld while another copy may be carried out.
+    withholds_end: bool,
     /// Time until which a run that a later life began by it may be active, if no life has answered
     /// since.
     active_until: Millis,
@@ -88,6 +95,12 @@
             .is_some_and(|start| now < start.active_until)
     }
 
+    /// Tells whether its end can't be acknowledged yet, because its start was sent more than once.
+    fn withholds_end(&self, now: Millis) -> bool {
+        let withholds = self.unanswered.is_some_and(|start| start.withholds_end);
+        withholds && self.starts_sent > 1 && self.is_bound(now)
+    }
+
     /// Tells whether a start that a later life may carry out got no answer.
     pub(crate) fn has_lasting_start(&self) -> bool {
         self.unanswered.is_some_and(|start| start.outlives)
@@ -154,6 +167,49 @@
 }
 
 impl CellScheduler {
+    /// Tells whether the starts of a step may be repeated at the price of withheld ends: its tasks run so
+    /// long that they lose less by that than by waiting until the first copy can't arrive any more.
+    fn withholds_ends_of(&self, step: StepRef) -> bool {
+        let long_run = Millis::new(self.settings.late_order_limit.get() / 2);
+        self.step_spec(step).is_some_and(|spec| {
+            let may_begin_again = spec.lasting || spec.copies_allowed;
+            !may_begin_again && !spec.gang && spec.estimate >= long_run
+        })
+    }
+
+    /// Cuts the list of ends in a report off before the first one that can't be acknowledged yet: a
+    /// second copy of the start of its run may still be carried out by a later life.
+    pub(crate) fn withhold_ends(
+        &mut self,
+        executor_index: ExecutorIndex,
+        report: &mut ExecutorReport,
+        now: Millis,
+    ) {
+        let executor = self.executors.get(executor_index);
+        let is_withheld = |end: &&RunEnd| {
+            let counts = matches!(end.kind, EndKind::Done | EndKind::Failed);
+            let is_new = end.number > executor.seen_through;
+            let own = executor.runs.get(&(end.task, end.run));
+            let repeated = own.is_some_and(|active| active.withholds_end(now));
+            let inherited = executor.inherited_starts.get(&end.task);
+            let may_arrive = inherited.is_some_and(|until| now < *until);
+            counts && is_new && (repeated || (may_arrive && self.withholds_ends_of(end.task.step)))
+        };
+        let withheld = report.ends.iter().filter(is_withheld);
+        let first = withheld.map(|end| end.number).min();
+        if let Some(first) = first {
+            report.ends.retain(|end| end.number < first);
+            report.ends_complete = false;
+        }
+        self.executors.get_mut(executor_index).withholds_ends = first.is_some();
+    }
+
+    /// Tells whether ends that an executor lists are withheld.
+    pub fn withholds_ends(&self, id: &ExecutorId) -> bool {
+        let executor_index = self.executors.index_of(id);
+        executor_index.is_some_and(|index| self.executors.get(index).withholds_ends)
+    }
+
     /// Records that a start got no answer.
     pub(crate) fn record_lost_start(
         &mut self,
@@ -163,8 +219,10 @@
     ) {
         let arrives_until = now.saturating_add(self.settings.late_order_limit);
         let longest_lease = stretch_lease(self.settings.max_lease);
+        let withholds_end = self.withholds_ends_of(order.task.step);
         let spec = self.step_spec(order.task.step);
-        let repeatable = spec.is_some_and(|spec| spec.lasting || spec.copies_allowed);
+        let may_begin_again = spec.is_some_and(|spec| spec.lasting || spec.copies_allowed);
+        let repeatable = may_begin_again || withholds_end;
         let tickets = self.step_state(order.task.step);
         let ticket = tickets.and_then(|state| state.eligibility.tickets.get(&executor_index));
         // The life for which a ticket is valid may be a later one than this owner knows.
@@ -181,6 +239,7 @@
             arrives_until,
             outlives,
             repeatable,
+            withholds_end,
             active_until: ticket_end
                 .filter(|_| !outlives)
                 .unwrap_or(arrives_until)
--- a/crates/magnolia-scheduler/tests/unanswered_starts.rs
+++ b/crates/magnolia-scheduler/tests/unanswered_starts.rs
@@ -25,6 +25,11 @@
     lose_start_of(harness, step(1, 1000, 9000, vec![]))
 }
 
+/// As [`lose_start`], for a task that takes less time than the start may take to arrive.
+fn lose_short_start(harness: &mut SchedulerHarness) -> (StartOrder, usize) {
+    lose_start_of(harness, step(1, 1000, 900, vec![]))
+}
+
 /// As [`lose_start`], for a task of which copies may run, so that its start may be repeated.
 fn lose_repeatable_start(harness: &mut SchedulerHarness) -> (StartOrder, usize) {
     let mut copied = step(1, 1000, 9000, vec![]);
@@ -107,7 +112,7 @@
     an_unanswered_start_is_not_sent_again_while_it_may_arrive,
     || {
         let mut harness = SchedulerHarness::new(1, 2);
-        let (order, executor) = lose_start(&mut harness);
+        let (order, executor) = lose_short_start(&mut harness);
         let lost_at = harness.now;
         let mut again = Vec::new();
         while harness.now.saturating_sub(lost_at) < Millis::new(LATE_LIMIT_MS + 1500) {
@@ -133,12 +138,43 @@
     }
 );
 
+test_case!(
+    /// Guards against a start after the run is done where the start of a long run was repeated: its end,
+    /// and later ones, are not acted upon or acknowledged while the first copy may arrive.
+    the_end_of_a_repeated_run_is_withheld_while_the_first_start_may_arrive,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let (order, executor) = lose_start(&mut harness);
+        let lost_at = harness.now;
+        harness.advance(200);
+        harness.report(executor, vec![], vec![]);
+        assert_eq!(harness.start_tasks().len(), 1, "the start is repeated");
+        let end = harness.run_end(order.task, order.run, EndKind::Done);
+        let state = |harness: &mut SchedulerHarness| {
+            harness.report(executor, vec![], vec![end.clone()]);
+            harness.store_batch();
+            let now = harness.now;
+            let plan = harness.scheduler.plan_renewal(&id(executor), RenewalKind::Full, now);
+            let status = harness.scheduler.status(order.task.step.job);
+            (plan.expect("in use").ends_stored, status)
+        };
+        while harness.now.saturating_sub(lost_at) < Millis::new(LATE_LIMIT_MS) {
+            assert_eq!(state(&mut harness), (0, Some(JobStatus::Running)), "at {}", harness.now);
+            assert!(harness.scheduler.withholds_ends(&id(executor)));
+            assert!(harness.start_tasks().is_empty());
+            harness.advance(200);
+        }
+        assert_eq!(state(&mut harness), (end.number, Some(JobStatus::Completed)));
+        assert!(!harness.scheduler.withholds_ends(&id(executor)));
+    }
+);
+
 test_case!(
     /// Guards against a task that counts as lost although its start has been carried out late.
     a_run_that_begins_late_is_the_run_of_its_task,
     || {
         let mut harness = SchedulerHarness::new(1, 2);
-        let (order, executor) = lose_start(&mut harness);
+        let (order, executor) = lose_short_start(&mut harness);
         harness.advance(2500);
         harness.report(1 - executor, vec![], vec![]);
         harness.report(executor, vec![running(&order)], vec![]);
