--- a/crates/magnolia-scheduler/tests/eligibility_requests.rs
+++ b/crates/magnolia-scheduler/tests/eligibility_requests.rs
@@ -12,7 +12,7 @@
 
 const EXECUTORS: usize = 8;
 const STEP_MS: u64 = 50;
-/// Longest time that a task may wait beside executors with room for it; the users' limit.
+/// Longest time that a task may wait beside executors with room for it; a limit of the platform.
 const LONGEST_WAIT: Millis = Millis::new(3000);
 /// Key of the job whose task fills an executor for good.
 const FILLING_JOB: u64 = 1;
