--- a/crates/magnolia-scheduler/tests/eligibility_requests.rs
+++ b/crates/magnolia-scheduler/tests/eligibility_requests.rs
@@ -161,8 +161,7 @@
 );
 
 test_case!(
-    /// Guards against requests at every small change: a request that is expected to place few tasks of
-    /// a step waits for more room first.
+    /// Guards against requests at every small change of what is free.
     a_request_for_few_tasks_waits,
     || {
         let mut cell = FullExecutor::new();
--- a/crates/magnolia-scheduler/tests/rules.rs
+++ b/crates/magnolia-scheduler/tests/rules.rs
@@ -88,8 +88,7 @@
 );
 
 test_case!(
-    /// Guards against an acknowledgement that is the first call to a later life of an executor, which
-    /// takes it for its own ends: it is not sent again before the executor has listed ends again.
+    /// Guards against an acknowledgement that a later life of the executor takes for its own ends.
     an_unanswered_acknowledgement_is_sent_again_after_a_report_only,
     || {
         let mut harness = SchedulerHarness::new(1, 1);
--- a/crates/magnolia-scheduler/tests/step_selection.rs
+++ b/crates/magnolia-scheduler/tests/step_selection.rs
@@ -210,8 +210,7 @@
 }
 
 test_case!(
-    /// Guards against a filler step that never starts on idle executors, because others filled all
-    /// processors when it was first planned.
+    /// Guards against a filler step that never starts because others once filled all processors.
     a_filler_step_starts_once_other_fillers_have_ended,
     || {
         let mut harness = SchedulerHarness::new(1, FILLED_EXECUTORS);
@@ -235,8 +234,7 @@
 );
 
 test_case!(
-    /// Guards against filler steps that wait for processors to fill and hold up steps that need free
-    /// ones, which fillers leave.
+    /// Guards against filler steps that wait and hold up steps that need other processors.
     filler_steps_that_wait_hold_up_no_others,
     || {
         let mut harness = SchedulerHarness::new(1, FILLED_EXECUTORS);
--- a/crates/magnolia-scheduler/tests/unanswered_starts.rs
+++ b/crates/magnolia-scheduler/tests/unanswered_starts.rs
@@ -107,8 +107,7 @@
 );
 
 test_case!(
-    /// Guards against a second start after the run is done: of two copies of a start, the first one may
-    /// be carried out by a later life, once the end of the run of the second one is acknowledged.
+    /// Guards against a second start after the run is done, by the first of two copies of its start.
     an_unanswered_start_is_not_sent_again_while_it_may_arrive,
     || {
         let mut harness = SchedulerHarness::new(1, 2);
@@ -139,8 +138,7 @@
 );
 
 test_case!(
-    /// Guards against a start after the run is done where the start of a long run was repeated: its end,
-    /// and later ones, are not acted upon or acknowledged while the first copy may arrive.
+    /// Guards against the same where the start of a long run was repeated.
     the_end_of_a_repeated_run_is_withheld_while_the_first_start_may_arrive,
     || {
         let mut harness = SchedulerHarness::new(1, 2);
@@ -169,6 +167,57 @@
     }
 );
 
+test_case!(
+    /// Guards against a successor that starts, or a limit on attempts that counts, by a withheld end.
+    nothing_follows_from_a_withheld_end,
+    || {
+        for kind in [EndKind::Done, EndKind::Failed] {
+            let mut harness = SchedulerHarness::new(1, 2);
+            let first = step(1, 1000, 9000, vec![]);
+            harness.submit(1, job(vec![first, step(1, 1000, 900, vec![0])]));
+            harness.store_batch();
+            let order = harness.take_starts().remove(0);
+            harness.scheduler.apply_start(&order, StartAnswer::Unknown, harness.now);
+            let executor = usize::from(order.executor == id(1));
+            harness.advance(200);
+            harness.report(executor, vec![], vec![]);
+            assert_eq!(harness.start_tasks().len(), 1, "the start is repeated");
+            let end = harness.run_end(order.task, order.run, kind);
+            for _ in 0..50 {
+                harness.advance(200);
+                harness.report(executor, vec![], vec![end.clone()]);
+                harness.report(1 - executor, vec![], vec![]);
+                harness.store_batch();
+                assert!(harness.start_tasks().is_empty(), "{kind:?} at {}", harness.now);
+            }
+        }
+    }
+);
+
+test_case!(
+    /// Guards against a next owner that acknowledges the end of a run whose start may have been repeated.
+    the_next_owner_withholds_the_end_of_a_long_run,
+    || {
+        let mut harness = SchedulerHarness::new(1, 2);
+        let (order, executor) = lose_start(&mut harness);
+        let batch = harness.scheduler.begin_batch(harness.now, START_UNIX_MS);
+        let mut records = batch.executors.iter().filter_map(|(_, record)| record.as_ref());
+        let record = records.find(|record| record.entry.id == order.executor);
+        let mut next = SchedulerHarness::new_without_reports(2, 0);
+        next.scheduler.load_executor(record.expect("a record").clone(), next.now);
+        (0..2).for_each(|number| next.scheduler.upsert_executor(entry(number, "r1-0"), next.now));
+        next.load_job(1, job(vec![step(1, 1000, 9000, vec![])]));
+        let end = next.run_end(order.task, order.run, EndKind::Done);
+        next.report(executor, vec![], vec![end.clone()]);
+        assert!(next.scheduler.withholds_ends(&id(executor)));
+        next.advance(LATE_LIMIT_MS);
+        next.report(executor, vec![], vec![end]);
+        next.store_batch();
+        let status = next.scheduler.status(order.task.step.job);
+        assert_eq!(status, Some(JobStatus::Completed));
+    }
+);
+
 test_case!(
     /// Guards against a task that counts as lost although its start has been carried out late.
     a_run_that_begins_late_is_the_run_of_its_task,
@@ -195,8 +244,7 @@
 );
 
 test_case!(
-    /// Guards against an urgent task that waits for the room of a run that was stopped and can't leave
-    /// it, as a later life may still begin the run.
+    /// Guards against an urgent task that waits for the room of a stopped run that can't leave it yet.
     urgent_tasks_do_not_wait_for_runs_that_may_arrive_late,
     || {
         let mut harness = SchedulerHarness::new(1, 1);
@@ -444,8 +492,7 @@
 );
 
 test_case!(
-    /// Guards against the same for a gang of which no start may be repeated: one copy could begin after
-    /// the gang is done.
+    /// Guards against the same for a gang of which no start may be repeated.
     members_of_a_gang_are_stopped_without_a_repeat,
     || {
         let mut harness = SchedulerHarness::new(1, 2);
